Foundation: ports, peer transport, settings, typed faults

Cause: everything else grows on shared interfaces, so they come first and stay small. Conclusion: duties can be built side by side against these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,7 @@
+.PHONY: test fmt
+
+test:
+	go test -race -timeout 300s ./...
+
+fmt:
+	go tool gofumpt -w cmd internal test
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,87 @@
+package peer
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ident"
+)
+
+// MaxFrameBytes bounds one frame; a longer one closes the connection.
+const MaxFrameBytes = 4 << 20
+
+const lengthBytes = 4
+
+type frameType uint8
+
+const (
+	frameHello frameType = iota + 1
+	frameCall
+	frameReply
+	frameOneWay
+	frameCancel
+	framePing
+	framePong
+)
+
+// frame is the unit on a connection: a length in 4 bytes, then this as a msgpack array.
+type frame struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Type frameType
+	Kind Kind
+	ID   uint64
+	// BudgetMillis is the time that the caller still waits, 0 for none stated.
+	BudgetMillis uint32
+	From         ident.VM
+	Fault        *fault.Detail
+	Body         msgpack.RawMessage
+}
+
+func encodeFrame(f *frame) ([]byte, error) {
+	if f.Body == nil {
+		f.Body = msgpack.RawMessage{nilByte}
+	}
+	body, err := msgpack.Marshal(f)
+	if err != nil {
+		return nil, fmt.Errorf("encode frame: %w", err)
+	}
+	if len(body) > MaxFrameBytes {
+		return nil, fault.New(fault.TooLarge, "send less in one message", "frame over the size limit")
+	}
+	out := make([]byte, lengthBytes+len(body))
+	binary.BigEndian.PutUint32(out, uint32(len(body)))
+	copy(out[lengthBytes:], body)
+	return out, nil
+}
+
+const nilByte = 0xc0
+
+func readFrame(r io.Reader) (*frame, int, error) {
+	var head [lengthBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, 0, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > MaxFrameBytes {
+		return nil, 0, fmt.Errorf("frame of %d bytes is over %d", n, MaxFrameBytes)
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, 0, err
+	}
+	f, err := decodeFrame(body)
+	return f, int(n) + lengthBytes, err
+}
+
+func decodeFrame(body []byte) (*frame, error) {
+	var f frame
+	if err := msgpack.Unmarshal(body, &f); err != nil {
+		return nil, fmt.Errorf("decode frame: %w", err)
+	}
+	return &f, nil
+}
