--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -30,7 +30,8 @@
 
 // frame is the unit on a connection: a length in 4 bytes, then this as a msgpack array.
 type frame struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
 
 	Type frameType
 	Kind Kind
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -27,6 +28,15 @@
 	Limits   Limits   `toml:"limits"`
 	Log      Log      `toml:"log"`
 	Stop     Stop     `toml:"stop"`
+	Policy   Policy   `toml:"policy"`
+}
+
+// Policy chooses decision policies; the others are baselines for measurements.
+type Policy struct {
+	// Placement is predictive, round_robin or least_loaded. Default predictive.
+	Placement string `toml:"placement"`
+	// Limiter is pooled, static or home. Default pooled.
+	Limiter string `toml:"limiter"`
 }
 
 // VM says who this process is.
@@ -103,6 +113,7 @@
 		Limits:   Limits{BodyBytes: 1 << 20, HeaderBytes: 32 << 10, PromptTokens: 65536, Requests: 4096},
 		Log:      Log{Level: "info"},
 		Stop:     Stop{DrainSeconds: 30},
+		Policy:   Policy{Placement: "predictive", Limiter: "pooled"},
 	}
 }
 
@@ -150,6 +161,11 @@
 	return fault.Wrap(err, fault.Malformed, "write the settings as TOML", path)
 }
 
+var (
+	placements = []string{"predictive", "round_robin", "least_loaded"}
+	limiters   = []string{"pooled", "static", "home"}
+)
+
 // keyFault is one broken rule.
 type keyFault struct{ key, message, remedy string }
 
@@ -212,6 +228,8 @@
 	add(s.Limits.HeaderBytes <= 0, "limits.header_bytes", "not above 0", "set bytes, such as 32768")
 	add(s.Limits.PromptTokens <= 0, "limits.prompt_tokens", "not above 0", "set tokens, such as 65536")
 	add(s.Limits.Requests <= 0, "limits.requests", "not above 0", "set a count, such as 4096")
+	add(!slices.Contains(placements, s.Policy.Placement), "policy.placement", "not a known policy", "set one of "+strings.Join(placements, ", "))
+	add(!slices.Contains(limiters, s.Policy.Limiter), "policy.limiter", "not a known policy", "set one of "+strings.Join(limiters, ", "))
 	add(s.Stop.DrainSeconds <= 0, "stop.drain_seconds", "not above 0", "set seconds, such as 30")
 	add((s.TLS.CallersCert == "") != (s.TLS.CallersKey == ""), "tls.callers_cert", "set without its partner", "set callers_cert and callers_key together")
 	peers := []string{s.TLS.PeersCert, s.TLS.PeersKey, s.TLS.PeersCA}
