--- /dev/null
+++ b/internal/limiter/bucket.go
@@ -0,0 +1,188 @@
+package limiter
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/ident"
+)
+
+// unit is the number of balance units in one token. A rate of one token a second adds one
+// unit each nanosecond, so that all arithmetic is exact in integers.
+const unit = int64(time.Second)
+
+// MaxBurstTokens is the largest burst of one share.
+const MaxBurstTokens = int64(1) << 32
+
+// maxHeld bounds the parts that one bucket can still refund. Beyond it the oldest part loses
+// its refund.
+const maxHeld = 4096
+
+// partID names what one request holds at one share.
+type partID struct {
+	vm  ident.VM
+	seq uint64
+}
+
+// part is a debit that may still be refunded. room is the least distance between the balance
+// and the cap from this debit to the next one still held, in units.
+type part struct {
+	order     uint64
+	id        partID
+	tokens    int64
+	room      int64
+	at        clock.Instant
+	tentative bool
+}
+
+// bucket is one exact token bucket. A refund restores the balance that it would have had if
+// only the used tokens had been taken at the time of the debit, so the used tokens obey the
+// rate and burst over any window.
+type bucket struct {
+	rate  int64
+	burst int64
+	// level is the balance in units as of at.
+	level int64
+	at    clock.Instant
+	// fullSince is when the balance reached the cap, while it is there.
+	fullSince clock.Instant
+	held      []part
+	byID      map[partID]uint64
+	nextOrder uint64
+}
+
+// newBucket makes a bucket that is full or empty at now.
+func newBucket(now clock.Instant, l Limit, full bool) *bucket {
+	b := &bucket{rate: l.Rate, burst: l.Burst, at: now, fullSince: now, byID: map[partID]uint64{}}
+	if full {
+		b.level = b.limit()
+	}
+	return b
+}
+
+func (b *bucket) limit() int64 { return b.burst * unit }
+
+func (b *bucket) full() bool { return b.level >= b.limit() }
+
+// advance adds what has accrued up to now. Time that goes back adds nothing.
+func (b *bucket) advance(now clock.Instant) {
+	elapsed := int64(now - b.at)
+	if elapsed <= 0 {
+		return
+	}
+	before := b.at
+	b.at = now
+	if b.full() {
+		return
+	}
+	missing := b.limit() - b.level
+	if b.rate > 0 && elapsed >= (missing+b.rate-1)/b.rate {
+		b.level = b.limit()
+		b.fullSince = before.Add(time.Duration((missing + b.rate - 1) / b.rate))
+	} else {
+		b.level += b.rate * elapsed
+	}
+	b.noteRoom()
+}
+
+// noteRoom lowers the newest part's room to the present distance to the cap.
+func (b *bucket) noteRoom() {
+	if n := len(b.held); n > 0 {
+		b.held[n-1].room = min(b.held[n-1].room, b.limit()-b.level)
+	}
+}
+
+// available gives the whole tokens in the bucket at now.
+func (b *bucket) available(now clock.Instant) int64 {
+	b.advance(now)
+	return b.level / unit
+}
+
+// find gives the index of a part.
+func (b *bucket) find(id partID) (int, bool) {
+	order, ok := b.byID[id]
+	if !ok {
+		return 0, false
+	}
+	return slices.BinarySearchFunc(b.held, order, func(p part, o uint64) int { return cmp.Compare(p.order, o) })
+}
+
+// debit takes tokens, which must be available.
+func (b *bucket) debit(now clock.Instant, id partID, tokens int64, tentative bool) {
+	b.advance(now)
+	b.level -= tokens * unit
+	if len(b.held) == maxHeld {
+		b.drop(0)
+	}
+	b.nextOrder++
+	b.byID[id] = b.nextOrder
+	b.held = append(b.held, part{
+		order:     b.nextOrder,
+		id:        id,
+		tokens:    tokens,
+		room:      b.limit() - b.level,
+		at:        now,
+		tentative: tentative,
+	})
+}
+
+// settle ends a part of which used tokens were used, and reports whether it was known.
+func (b *bucket) settle(now clock.Instant, id partID, used int64) bool {
+	b.advance(now)
+	i, ok := b.find(id)
+	if !ok {
+		return false
+	}
+	used = min(max(used, 0), b.held[i].tokens)
+	credit := (b.held[i].tokens - used) * unit
+	for k := i; k < len(b.held); k++ {
+		credit = min(credit, b.held[k].room)
+		b.held[k].room -= credit
+	}
+	b.credit(now, credit)
+	b.drop(i)
+	return true
+}
+
+func (b *bucket) credit(now clock.Instant, units int64) {
+	wasFull := b.full()
+	b.level += units
+	if b.full() && !wasFull {
+		b.fullSince = now
+	}
+}
+
+// drop forgets a part; the part before it answers for its stretch of time too.
+func (b *bucket) drop(i int) {
+	if i > 0 {
+		b.held[i-1].room = min(b.held[i-1].room, b.held[i].room)
+	}
+	delete(b.byID, b.held[i].id)
+	b.held = slices.Delete(b.held, i, i+1)
+}
+
+// change puts another limit in force. The balance never grows by it.
+func (b *bucket) change(now clock.Instant, l Limit) {
+	if b.rate == l.Rate && b.burst == l.Burst {
+		return
+	}
+	b.advance(now)
+	b.rate, b.burst = l.Rate, l.Burst
+	b.level = min(b.level, b.limit())
+	b.fullSince = now
+	b.noteRoom()
+}
+
+// settleAll ends the parts that gone accepts as used in full, and gives their number.
+func (b *bucket) settleAll(gone func(part) bool) int {
+	n := 0
+	for i := len(b.held) - 1; i >= 0; i-- {
+		if gone(b.held[i]) {
+			b.drop(i)
+			n++
+		}
+	}
+	return n
+}
