--- /dev/null
+++ b/internal/configuration/check.go
@@ -0,0 +1,206 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/fulmartide/fulmartide/internal/fault"
+)
+
+// Fault is one broken rule of a document.
+type Fault struct {
+	// Object is section/name, such as plans/gold.
+	Object string `json:"object"`
+	// Field is the object's field, or empty for the object as a whole.
+	Field string `json:"field"`
+	// Message says what is wrong.
+	Message string `json:"message"`
+	// Remedy says what to do.
+	Remedy string `json:"remedy"`
+}
+
+// String gives the fault in one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s: %s: %s (%s)", f.Object, f.Field, f.Message, f.Remedy)
+}
+
+// Check lists every fault of a normalized document at once, sorted by object. maxBytes bounds
+// the document's JSON.
+func Check(doc Document, maxBytes int) []Fault {
+	c := &checker{doc: doc}
+	c.size(maxBytes)
+	c.dataCentres()
+	c.plans()
+	c.workspaces()
+	c.models()
+	c.routes()
+	c.endpoints()
+	return c.faults
+}
+
+// checkError gives nil for no faults and otherwise one Malformed error that names them all.
+func checkError(faults []Fault) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	lines := make([]string, len(faults))
+	for i, f := range faults {
+		lines[i] = f.String()
+	}
+	return fault.New(fault.Malformed, "correct every fault named and apply the document again", strings.Join(lines, "; "))
+}
+
+type checker struct {
+	doc    Document
+	faults []Fault
+	object string
+}
+
+func (c *checker) add(bad bool, field, message, remedy string) {
+	if bad {
+		c.faults = append(c.faults, Fault{c.object, field, message, remedy})
+	}
+}
+
+// each visits a section's objects by name and checks their names.
+func each[T any](c *checker, section string, objects map[string]T, visit func(T)) {
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		c.object = section + "/" + name
+		c.add(!validName(name), "name", "empty, longer than 64 bytes or holds other than letters, digits, '-', '_' and '.'", "rename the object")
+		visit(objects[name])
+	}
+}
+
+const maxNameBytes = 64
+
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameBytes {
+		return false
+	}
+	return !strings.ContainsFunc(name, func(r rune) bool {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		return !letter && (r < '0' || r > '9') && !strings.ContainsRune("-_.", r)
+	})
+}
+
+func (c *checker) size(maxBytes int) {
+	raw, err := json.Marshal(c.doc)
+	c.object = "document"
+	c.add(err != nil, "", "does not encode as JSON", "remove values that JSON cannot hold")
+	c.add(len(raw) > maxBytes, "", fmt.Sprintf("%d bytes is over %d", len(raw), maxBytes), "remove unused objects or shorten names")
+}
+
+func (c *checker) dataCentres() {
+	each(c, SectionDataCentres, c.doc.DataCentres, func(d DataCentre) {
+		c.add(d.Region == "", "region", "missing", "name the data centre's region")
+		c.add(d.ShareWeight < 1, "share_weight", "below 1", "set 1 or more")
+	})
+}
+
+func (c *checker) plans() {
+	each(c, SectionPlans, c.doc.Plans, func(p Plan) {
+		for _, m := range p.Models {
+			_, ok := c.doc.Models[m]
+			c.add(!ok, "models", fmt.Sprintf("no model %q", m), "add the model or remove it from the plan")
+		}
+		for _, a := range p.Adapters {
+			c.add(!c.adapterKnown(a), "adapters", fmt.Sprintf("no model has adapter %q", a), "add it to a model or remove it from the plan")
+		}
+		c.add(p.TokensPerSecond < 0, "tokens_per_second", "below 0", "set tokens a second, 0 or more")
+		c.add(p.BurstTokens < 0, "burst_tokens", "below 0", "set tokens, 0 or more")
+		c.add(p.TokensPerSecond > 0 && p.BurstTokens == 0, "burst_tokens", "0 admits nothing at any rate", "set the most tokens of one request or more")
+		c.add(p.Weight < 1, "weight", "below 1", "set 1 or more")
+	})
+}
+
+func (c *checker) adapterKnown(adapter string) bool {
+	for _, m := range c.doc.Models {
+		if slices.Contains(m.Adapters, adapter) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checker) workspaces() {
+	each(c, SectionWorkspaces, c.doc.Workspaces, func(w Workspace) {
+		_, ok := c.doc.Plans[w.Plan]
+		c.add(!ok, "plan", fmt.Sprintf("no plan %q", w.Plan), "name one of the plans")
+		c.add(w.KeyUnconfirmedSeconds < 0, "key_unconfirmed_seconds", "below 0", "set seconds, or 0 for no bound")
+	})
+}
+
+func (c *checker) models() {
+	each(c, SectionModels, c.doc.Models, func(m Model) {
+		for _, p := range []struct {
+			field string
+			value int64
+		}{
+			{"kv_bytes_per_token", m.KVBytesPerToken},
+			{"piece_tokens", m.PieceTokens},
+			{"prefill_tokens_per_second", m.PrefillTokensPerSecond},
+			{"gap_base_micros", m.GapBaseMicros},
+			{"keep_millis", m.KeepMillis},
+			{"max_output_tokens", m.MaxOutputTokens},
+			{"first_token_millis", m.FirstTokenMillis},
+			{"gap_millis", m.GapMillis},
+			{"deadline_millis", m.DeadlineMillis},
+		} {
+			c.add(p.value <= 0, p.field, "not above 0", "set a value above 0")
+		}
+		c.add(m.GapPerSlotMicros < 0, "gap_per_slot_micros", "below 0", "set microseconds, 0 or more")
+	})
+}
+
+func (c *checker) routes() {
+	seen := map[string]string{}
+	each(c, SectionRoutes, c.doc.Routes, func(r Route) {
+		c.add(!slices.Contains(methods, r.Method), "method", fmt.Sprintf("%q is not a method", r.Method), "set one of "+strings.Join(methods, ", "))
+		c.add(!strings.HasPrefix(r.Path, "/"), "path", "does not start with a slash", "write the path from its first slash")
+		other, taken := seen[r.Method+" "+r.Path]
+		c.add(taken, "path", "the same method and path as "+other, "remove one of the two routes")
+		seen[r.Method+" "+r.Path] = c.object
+		c.add(r.Service == "", "service", "missing", "name the service")
+		c.add(r.Commit && r.Idempotent, "commit", "set together with idempotent", "a commit is not repeated: clear one of the two")
+		c.add(r.Commit && r.Open, "open", "set together with commit", "a commit needs a workspace's key: clear one of the two")
+		c.add(r.Class != Urgent && r.Class != MayWait, "class", fmt.Sprintf("%q is not a class", r.Class), "set urgent or may_wait")
+		c.add(r.CostTokens < 0, "cost_tokens", "below 0", "set tokens, 0 or more")
+		c.add(r.DeadlineMillis <= 0, "deadline_millis", "not above 0", "set a value above 0")
+	})
+}
+
+var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+func (c *checker) endpoints() {
+	seen := map[string]string{}
+	each(c, SectionEndpoints, c.doc.Endpoints, func(e Endpoint) {
+		_, ok := c.doc.DataCentres[e.DataCentre]
+		c.add(!ok, "data_centre", fmt.Sprintf("no data centre %q", e.DataCentre), "name one of the data centres")
+		_, err := netip.ParseAddrPort(e.Address)
+		c.add(err != nil, "address", fmt.Sprintf("%q is not IP:port", e.Address), "write an IP number and a port; names are not looked up")
+		other, taken := seen[e.Address]
+		c.add(taken, "address", "the same address as "+other, "give each endpoint its own address")
+		seen[e.Address] = c.object
+		c.add(e.Slots < 1, "slots", "below 1", "set the requests that it serves at once")
+		c.endpointRole(e)
+	})
+}
+
+func (c *checker) endpointRole(e Endpoint) {
+	switch e.Role {
+	case RolePrefill, RoleDecode:
+		_, ok := c.doc.Models[e.Model]
+		c.add(!ok, "model", fmt.Sprintf("no model %q", e.Model), "name one of the models")
+		c.add(e.Service != "", "service", "set on an engine", "clear it")
+		c.add(e.LinkBytesPerSecond <= 0, "link_bytes_per_second", "not above 0", "set the rate of the endpoint's link")
+	case RoleService:
+		c.add(e.Service == "", "service", "missing", "name the service")
+		c.add(e.Model != "", "model", "set on a plain service", "clear it")
+	default:
+		c.add(true, "role", fmt.Sprintf("%q is not a role", e.Role), "set prefill, decode or service")
+	}
+}
