--- /dev/null
+++ b/internal/ledger/messages.go
@@ -0,0 +1,35 @@
+package ledger
+
+import (
+	"github.com/fulmartide/fulmartide/internal/fault"
+)
+
+// request asks the owner of a shard for one operation.
+type request struct {
+	Kind    operationKind `msgpack:"k"`
+	Intent  Intent        `msgpack:"i"`
+	Outcome Outcome       `msgpack:"o"`
+}
+
+// reply is the owner's decision. A fault here is the ledger's own; a fault of the transport
+// means that the owner gave no decision.
+type reply struct {
+	Outcome *Outcome      `msgpack:"o"`
+	Fault   *fault.Detail `msgpack:"f"`
+}
+
+func newReply(r result) *reply {
+	out := &reply{Outcome: r.outcome}
+	if r.err != nil {
+		d := fault.Describe(r.err)
+		out.Fault = &d
+	}
+	return out
+}
+
+func (r *reply) result() result {
+	if r.Fault != nil {
+		return result{err: r.Fault.Error()}
+	}
+	return result{outcome: r.Outcome}
+}
--- /dev/null
+++ b/internal/ledger/service.go
@@ -0,0 +1,248 @@
+package ledger
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/platform"
+)
+
+const (
+	// defaultTimeout bounds an operation whose context has no deadline.
+	defaultTimeout = 5 * time.Second
+	// attemptTimeout bounds one try at one owner.
+	attemptTimeout = 2 * time.Second
+	// maxAttempts is the most owners that one operation tries.
+	maxAttempts = 4
+	// maxAbandons is the most attempts that are given up in the background at once; beyond it
+	// the intent stays and repeats learn that the outcome is unknown.
+	maxAbandons = 256
+)
+
+// Options configure a Service.
+type Options struct {
+	// Self is this VM.
+	Self membership.Member
+	// Directory gives the live VMs, among which each shard has one owner.
+	Directory membership.Directory
+	// Store keeps the records.
+	Store platform.Store
+	// Transport carries operations to owners. New registers its handlers.
+	Transport *peer.Transport
+	// Clock measures waiting.
+	Clock clock.Clock
+	// Wall gives the time of day, against which the age of keys is checked.
+	Wall func() time.Time
+	// Log gets a line for each decision.
+	Log *zap.Logger
+}
+
+// Service is the ledger of one VM: it serves the callers of this VM and, for the shards that
+// this VM owns, those of all VMs.
+type Service struct {
+	opts     Options
+	host     *host
+	abandons chan struct{}
+	wg       sync.WaitGroup
+}
+
+var _ Ledger = (*Service)(nil)
+
+// New makes a Service and registers its message handlers. Run starts it.
+func New(o Options) *Service {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Wall == nil {
+		o.Wall = time.Now
+	}
+	s := &Service{opts: o, host: newHost(o), abandons: make(chan struct{}, maxAbandons)}
+	peer.Handle(o.Transport, peer.KindLedgerBegin, s.serve)
+	peer.Handle(o.Transport, peer.KindLedgerFinish, s.serve)
+	return s
+}
+
+// Run serves until ctx ends. Operations that wait then fail as Stopping.
+func (s *Service) Run(ctx context.Context) {
+	s.host.run(ctx)
+	s.wg.Wait()
+}
+
+func (s *Service) serve(ctx context.Context, _ ident.VM, req *request) (*reply, error) {
+	return newReply(s.host.do(ctx, req)), nil
+}
+
+// Begin records the intent of a commit; see Ledger.
+func (s *Service) Begin(ctx context.Context, in Intent) (*Outcome, error) {
+	at, err := locate(in.Workspace, in.Key)
+	if err == nil {
+		err = checkAge(at.issued, s.opts.Wall())
+	}
+	if err == nil && (in.Nonce == "" || len(in.Nonce) > MaxNonce) {
+		err = fault.New(fault.Internal, "report this", "nonce is empty or too long")
+	}
+	if err != nil {
+		s.note(opBegin, in, at, result{err: err})
+		return nil, err
+	}
+	r, doubtful := s.do(ctx, at, &request{Kind: opBegin, Intent: in})
+	if r.err != nil && doubtful {
+		s.abandonLater(in)
+	}
+	s.note(opBegin, in, at, r)
+	return r.outcome, r.err
+}
+
+// Finish records the outcome of a commit; see Ledger.
+func (s *Service) Finish(ctx context.Context, in Intent, out Outcome) error {
+	at, err := locate(in.Workspace, in.Key)
+	if err != nil {
+		return err
+	}
+	r, _ := s.do(ctx, at, &request{Kind: opFinish, Intent: in, Outcome: out.trimmed()})
+	s.note(opFinish, in, at, r)
+	return r.err
+}
+
+// Abandon says that a commit surely did not and will not run; see Ledger.
+func (s *Service) Abandon(ctx context.Context, in Intent) error {
+	at, err := locate(in.Workspace, in.Key)
+	if err != nil {
+		return err
+	}
+	r, _ := s.do(ctx, at, &request{Kind: opAbandon, Intent: in})
+	s.note(opAbandon, in, at, r)
+	return r.err
+}
+
+// abandonLater gives up an attempt whose begin failed.
+func (s *Service) abandonLater(in Intent) {
+	select {
+	case s.abandons <- struct{}{}:
+	default:
+		return
+	}
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		defer func() { <-s.abandons }()
+		ctx, cancel := context.WithTimeout(s.host.ctx, defaultTimeout)
+		defer cancel()
+		_ = s.Abandon(ctx, in)
+	}()
+}
+
+// trimmed drops what is too long to be kept.
+func (o Outcome) trimmed() Outcome {
+	if len(o.Body) > MaxOutcomeBody {
+		o.Body = nil
+		o.Truncated = true
+	}
+	if len(o.ContentType) > MaxContentType {
+		o.ContentType = ""
+	}
+	return o
+}
+
+// do asks the shard's owner, and after a failure the next one, until one decides. doubtful says
+// that some owner may have recorded the operation, or may yet, without saying so.
+func (s *Service) do(ctx context.Context, at place, req *request) (r result, doubtful bool) {
+	ctx, cancel := context.WithTimeout(ctx, defaultTimeout)
+	defer cancel()
+	tried := map[string]bool{}
+	r = result{err: errNoOwner}
+	for range maxAttempts {
+		owner, ok := s.owner(at.shard, tried)
+		if !ok || ctx.Err() != nil {
+			break
+		}
+		tried[owner.VM.Name] = true
+		var settled bool
+		if r, settled = s.ask(ctx, owner, req); settled {
+			break
+		}
+		doubtful = true
+	}
+	return r, doubtful
+}
+
+var errNoOwner = fault.New(fault.Unavailable, "repeat with the same key; an earlier call may have run", "no VM answers for the ledger; not run by this call", fault.WithRetryAfter(time.Second))
+
+// owner gives the shard's owner among the live VMs that were not tried yet. This VM itself
+// comes last: it may reach the platform when the others cannot be reached.
+func (s *Service) owner(shard int, tried map[string]bool) (membership.Member, bool) {
+	view := s.opts.Directory.View()
+	name := "ledger/" + strconv.Itoa(shard)
+	m, ok := view.Owner(name, func(m membership.Member) bool { return !tried[m.VM.Name] })
+	if !ok && !tried[s.opts.Self.VM.Name] {
+		return s.opts.Self, true
+	}
+	return m, ok
+}
+
+// ask makes one try. settled is false when another owner may do better.
+func (s *Service) ask(ctx context.Context, owner membership.Member, req *request) (r result, settled bool) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	if owner.VM.Name == s.opts.Self.VM.Name {
+		r = s.host.do(ctx, req)
+	} else {
+		r = s.askPeer(ctx, owner, req)
+	}
+	if r.err == nil {
+		return r, true
+	}
+	switch fault.KindOf(r.err) {
+	case fault.Unavailable, fault.Timeout, fault.Stopping:
+		return r, false
+	}
+	return r, true
+}
+
+func (s *Service) askPeer(ctx context.Context, owner membership.Member, req *request) result {
+	kind := peer.KindLedgerBegin
+	if req.Kind != opBegin {
+		kind = peer.KindLedgerFinish
+	}
+	out, err := peer.Call[request, reply](ctx, s.opts.Transport, owner.Peer, kind, req)
+	if err == nil {
+		return out.result()
+	}
+	if fault.Is(err, fault.Unavailable) {
+		s.opts.Directory.Suspect(owner.VM)
+	}
+	s.opts.Log.Warn("ledger owner did not answer", zap.Stringer("owner", owner.VM), zap.String("operation", req.Kind.String()), zap.Error(err))
+	if req.Kind != opBegin {
+		return result{err: errNoRecovery}
+	}
+	return result{err: errNoOwner}
+}
+
+func (s *Service) note(kind operationKind, in Intent, at place, r result) {
+	countOperation(kind, r)
+	fields := []zap.Field{
+		zap.Stringer("operation", kind),
+		zap.String("workspace", in.Workspace),
+		zap.String("nonce", in.Nonce),
+		zap.Int("shard", at.shard),
+		zap.Int64("window", at.window),
+	}
+	switch {
+	case r.err != nil:
+		fields = append(fields, zap.String("decision", "refused"), zap.String("kind", string(fault.KindOf(r.err))), zap.Error(r.err))
+	case r.outcome != nil:
+		fields = append(fields, zap.String("decision", "repeated"), zap.Int("status", r.outcome.Status))
+	default:
+		fields = append(fields, zap.String("decision", "recorded"))
+	}
+	s.opts.Log.Info("ledger", fields...)
+}
