Caller interface and daemon: the whole path joined

Cause: a request must be served end to end by real processes before anything is deepened. Measured: relay tests under the race detector pass. Two faults were seen failing first: net/http sent a bodiless commit with an idempotency key twice on a reused connection (2 calls, status 200); commits now use a fresh connection (1 call, 502 unknown). A refusal after a lost answer said not_run; it says unknown.

--- /dev/null
+++ b/internal/daemon/operator.go
@@ -0,0 +1,47 @@
+package daemon
+
+import (
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/fulmartide/fulmartide/internal/membership"
+)
+
+func (d *daemon) operatorServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", d.ready)
+	mux.HandleFunc("GET /metrics", d.writeMetrics)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
+// ready tells the balancer whether to send calls here.
+func (d *daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case d.relay.Stopping():
+		http.Error(w, "shutting down", http.StatusServiceUnavailable)
+	case d.config.Current() == nil:
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ready\n"))
+	}
+}
+
+func (d *daemon) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	d.relay.Metrics().WritePrometheus(w)
+	d.counter.set.WritePrometheus(w)
+	metrics.WritePrometheus(w, true)
+}
+
+// digest summarises what this VM knows, for heartbeats.
+func (d *daemon) digest() membership.Digest {
+	version, withdrawn := d.keys.Digest()
+	return membership.Digest{Configuration: d.config.Digest(), Keys: version, Withdrawn: withdrawn}
+}
+
+// onDigest repairs what another VM's heartbeat shows to differ.
+func (d *daemon) onDigest(from membership.Member, digest membership.Digest) {
+	d.config.OnDigest(from, digest)
+	d.keys.OnDigest(from, digest)
+}
--- /dev/null
+++ b/internal/relay/live.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"context"
+	"sync"
+
+	"github.com/fulmartide/fulmartide/internal/fault"
+)
+
+// registry knows the requests that this process serves now.
+type registry struct {
+	mu       sync.Mutex
+	live     map[string]context.CancelCauseFunc
+	stopping bool
+	limit    int
+	idle     chan struct{}
+}
+
+func newRegistry(limit int) *registry {
+	return &registry{live: map[string]context.CancelCauseFunc{}, limit: limit, idle: make(chan struct{})}
+}
+
+// add admits a request to the process, or refuses while it stops or is full.
+func (r *registry) add(id string, cancel context.CancelCauseFunc) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping {
+		return fault.New(fault.Stopping, "send the call again; another VM takes it", "this VM is shutting down")
+	}
+	if len(r.live) >= r.limit {
+		return fault.New(fault.Overloaded, "send the call again after the time given", "this VM serves its limit of requests",
+			fault.WithRetryAfter(processFullWait))
+	}
+	r.live[id] = cancel
+	return nil
+}
+
+func (r *registry) remove(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.live, id)
+	r.signalIdle()
+}
+
+func (r *registry) signalIdle() {
+	if !r.stopping || len(r.live) > 0 {
+		return
+	}
+	select {
+	case <-r.idle:
+	default:
+		close(r.idle)
+	}
+}
+
+func (r *registry) has(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.live[id]
+	return ok
+}
+
+func (r *registry) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.live)
+}
+
+// stop refuses new requests and waits until the others end or ctx does. It cuts those that
+// remain and gives their number.
+func (r *registry) stop(ctx context.Context) int {
+	r.mu.Lock()
+	r.stopping = true
+	r.signalIdle()
+	r.mu.Unlock()
+	select {
+	case <-r.idle:
+		return 0
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, cancel := range r.live {
+		cancel(fault.New(fault.Stopping, "send the call again; another VM takes it", "this VM stopped before the answer was whole",
+			fault.WithRun(fault.RunUnknown)))
+	}
+	return len(r.live)
+}
+
+func (r *registry) isStopping() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopping
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,450 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/endpoint"
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/keys"
+	"github.com/fulmartide/fulmartide/internal/ledger"
+	"github.com/fulmartide/fulmartide/internal/limiter"
+	"github.com/fulmartide/fulmartide/internal/placement"
+	"github.com/fulmartide/fulmartide/internal/settings"
+)
+
+// fixture is a Server whose ports are all fakes.
+type fixture struct {
+	server *Server
+	engine *fakeEngine
+	ring   *fakeRing
+	limit  *fakeLimiter
+	lease  *fakeLease
+}
+
+type fakeRing struct{ cut func() }
+
+func (f *fakeRing) Identify(h keys.Hash) (keys.Identity, error) {
+	if h != keys.HashSecret("good") {
+		return keys.Identity{}, fault.New(fault.Unauthenticated, "use a key that is in force", "unknown key")
+	}
+	return keys.Identity{KeyID: "k1", Workspace: "w1"}, nil
+}
+
+func (f *fakeRing) Attach(_ string, cut func()) func() {
+	f.cut = cut
+	return func() {}
+}
+
+type fakeLimiter struct{ reserved, used int64 }
+
+func (f *fakeLimiter) Reserve(_ context.Context, _ string, n int64) (limiter.Reservation, error) {
+	f.reserved = n
+	return f, nil
+}
+func (f *fakeLimiter) Settle(used int64) { f.used = used }
+
+type fakeLease struct {
+	reassigned []bool
+	progress   []placement.Stage
+	released   int
+}
+
+func (f *fakeLease) Place(context.Context, placement.Request) (placement.Lease, error) { return f, nil }
+
+func (f *fakeLease) Assignment() placement.Assignment {
+	return placement.Assignment{Prefill: "p", Decode: "d"}
+}
+
+func (f *fakeLease) Reassign(_ context.Context, _ string, needPrefill bool) (placement.Assignment, error) {
+	f.reassigned = append(f.reassigned, needPrefill)
+	return f.Assignment(), nil
+}
+func (f *fakeLease) Progress(s placement.Stage) { f.progress = append(f.progress, s) }
+func (f *fakeLease) Release()                   { f.released++ }
+
+// unusedEngine stands for the methods that the relay never calls.
+type unusedEngine struct{ endpoint.Engine }
+
+// fakeEngine plays one script of frames for each decode attempt.
+type fakeEngine struct {
+	unusedEngine
+	scripts   [][]endpoint.Frame
+	prefills  int
+	decodes   []endpoint.DecodeOrder
+	cancelled chan string
+	block     chan struct{}
+}
+
+func (f *fakeEngine) Engine(netip.AddrPort) endpoint.Engine { return f }
+
+func (f *fakeEngine) Prefill(_ context.Context, o endpoint.PrefillOrder) (endpoint.PrefillResult, error) {
+	f.prefills++
+	return endpoint.PrefillResult{Attempt: o.Attempt, Handle: "h", KeepMillis: 900}, nil
+}
+
+func (f *fakeEngine) Decode(_ context.Context, o endpoint.DecodeOrder) (endpoint.Stream, error) {
+	f.decodes = append(f.decodes, o)
+	script := f.scripts[0]
+	f.scripts = f.scripts[1:]
+	return &fakeStream{engine: f, attempt: o.Attempt, frames: script}, nil
+}
+
+func (f *fakeEngine) Cancel(_ context.Context, request string) error {
+	f.cancelled <- request
+	return nil
+}
+
+type fakeStream struct {
+	engine  *fakeEngine
+	attempt endpoint.Attempt
+	frames  []endpoint.Frame
+}
+
+var errBroken = errors.New("connection broke")
+
+func (s *fakeStream) Next(ctx context.Context) (endpoint.Frame, error) {
+	if len(s.frames) == 0 {
+		if s.engine.block != nil {
+			s.engine.block <- struct{}{}
+			<-ctx.Done()
+		}
+		return endpoint.Frame{}, errBroken
+	}
+	frame := s.frames[0]
+	s.frames = s.frames[1:]
+	if frame.Attempt.Request == "" {
+		frame.Attempt = s.attempt
+	}
+	return frame, nil
+}
+func (s *fakeStream) Close() {}
+
+func newFixture(t *testing.T, scripts ...[]endpoint.Frame) *fixture {
+	t.Helper()
+	f := &fixture{
+		engine: &fakeEngine{scripts: scripts, cancelled: make(chan string, 8)},
+		ring:   &fakeRing{}, limit: &fakeLimiter{}, lease: &fakeLease{},
+	}
+	snapshot := &configuration.Snapshot{Version: 1, Document: configuration.Document{
+		Plans:      map[string]configuration.Plan{"basic": {Models: []string{"m"}}},
+		Workspaces: map[string]configuration.Workspace{"w1": {Plan: "basic"}},
+		Models:     map[string]configuration.Model{"m": {MaxOutputTokens: 8}, "other": {}},
+		Endpoints:  map[string]configuration.Endpoint{"p": {Address: "127.0.0.1:1"}, "d": {Address: "127.0.0.1:2"}},
+	}}
+	f.server = New(Options{
+		Self:          ident.VM{Name: "vm", Incarnation: 1},
+		Limits:        settings.Defaults().Limits,
+		Configuration: func() *configuration.Snapshot { return snapshot },
+		Keys:          f.ring, Limiter: f.limit, Placer: f.lease, Dialer: f.engine,
+		Clock: clock.NewProcess(), Log: zap.NewNop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.server.Run(ctx)
+	return f
+}
+
+func (f *fixture) call(t *testing.T, key, body string) *httptest.ResponseRecorder {
+	t.Helper()
+	r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(body))
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	w := httptest.NewRecorder()
+	f.server.ServeHTTP(w, r)
+	return w
+}
+
+func token(offset int64) endpoint.Frame {
+	return endpoint.Frame{Offset: offset, Text: fmt.Sprintf("t%d ", offset)}
+}
+
+func end(offset int64) endpoint.Frame {
+	return endpoint.Frame{Offset: offset, Done: true, Finish: "stop"}
+}
+
+const body = `{"model":"m","prompt":"twelve bytes"}`
+
+func textOf(t *testing.T, w *httptest.ResponseRecorder) string {
+	t.Helper()
+	var c completion
+	if err := json.Unmarshal(w.Body.Bytes(), &c); err != nil || w.Code != http.StatusOK {
+		t.Fatalf("status %d body %s", w.Code, w.Body)
+	}
+	return *c.Choices[0].Text
+}
+
+func TestAnswerIsWholeOverFailuresAndStrayFrames(t *testing.T) {
+	started := endpoint.Frame{Started: true}
+	foreign := endpoint.Frame{Attempt: endpoint.Attempt{Request: "r.other.1.1", Number: 1}, Offset: 1, Text: "foreign"}
+	cases := map[string]struct {
+		scripts    [][]endpoint.Frame
+		reassigned []bool // needPrefill of each reassignment
+		prefills   int
+	}{
+		"one attempt":                    {[][]endpoint.Frame{{started, token(0), token(1), end(2)}}, nil, 1},
+		"frame of another request":       {[][]endpoint.Frame{{started, token(0), foreign, token(1), end(2)}}, nil, 1},
+		"doubled frame":                  {[][]endpoint.Frame{{started, token(0), token(0), token(1), end(2)}}, nil, 1},
+		"breaks before the transfer":     {[][]endpoint.Frame{{}, {started, token(0), token(1), end(2)}}, []bool{false}, 1},
+		"breaks after the first token":   {[][]endpoint.Frame{{started, token(0)}, {started, token(1), end(2)}}, []bool{true}, 2},
+		"leaves a token out":             {[][]endpoint.Frame{{started, token(1)}, {started, token(0), token(1), end(2)}}, []bool{true}, 2},
+		"ends before its last token":     {[][]endpoint.Frame{{started, token(0), end(5)}, {started, token(1), end(2)}}, []bool{true}, 2},
+		"resumes from an earlier offset": {[][]endpoint.Frame{{started, token(0)}, {started, token(0), token(1), end(2)}}, []bool{true}, 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, tc.scripts...)
+			if got := textOf(t, f.call(t, "good", body)); got != "t0 t1 " {
+				t.Errorf("text %q", got)
+			}
+			if fmt.Sprint(f.lease.reassigned) != fmt.Sprint(tc.reassigned) || f.engine.prefills != tc.prefills {
+				t.Errorf("reassigned %v, prefills %d", f.lease.reassigned, f.engine.prefills)
+			}
+			if f.limit.reserved != 3+8 || f.limit.used != 3+2 || f.lease.released == 0 {
+				t.Errorf("reserved %d used %d released %d", f.limit.reserved, f.limit.used, f.lease.released)
+			}
+			if last := f.engine.decodes[len(f.engine.decodes)-1]; len(tc.scripts) > 1 && tc.reassigned[0] && last.Offset+2 < 2 {
+				t.Errorf("resumed at %d", last.Offset)
+			}
+		})
+	}
+}
+
+func TestGivesUpTruthfullyAndFreesMemory(t *testing.T) {
+	f := newFixture(t, nil, nil, nil, nil)
+	w := f.call(t, "good", body)
+	var e errorBody
+	if err := json.Unmarshal(w.Body.Bytes(), &e); err != nil {
+		t.Fatal(err)
+	}
+	if e.Error.Run != fault.RunUnknown || len(f.engine.decodes) != maxAttempts {
+		t.Errorf("run %s after %d attempts", e.Error.Run, len(f.engine.decodes))
+	}
+	for range 2 {
+		if got := <-f.engine.cancelled; got != w.Header().Get("X-Request-Id") {
+			t.Errorf("cancelled %s", got)
+		}
+	}
+}
+
+func TestWithdrawalCutsARunningStream(t *testing.T) {
+	f := newFixture(t, []endpoint.Frame{{Started: true}, token(0)})
+	f.engine.block = make(chan struct{})
+	go func() {
+		<-f.engine.block
+		f.ring.cut()
+	}()
+	w := f.call(t, "good", `{"model":"m","prompt":"x","stream":true}`)
+	if !strings.Contains(w.Body.String(), string(fault.Unauthenticated)) || strings.Contains(w.Body.String(), "[DONE]") {
+		t.Errorf("body %s", w.Body)
+	}
+	<-f.engine.cancelled
+}
+
+func TestRefusalsNameKindRunAndRemedy(t *testing.T) {
+	cases := map[string]struct {
+		key, body string
+		status    int
+		kind      fault.Kind
+	}{
+		"no key":              {"", body, 401, fault.Unauthenticated},
+		"unknown key":         {"bad", body, 401, fault.Unauthenticated},
+		"not JSON":            {"good", `{"model"`, 400, fault.Malformed},
+		"two values":          {"good", body + body, 400, fault.Malformed},
+		"no model":            {"good", `{"prompt":"x"}`, 400, fault.Malformed},
+		"no prompt":           {"good", `{"model":"m"}`, 400, fault.Malformed},
+		"two answers":         {"good", `{"model":"m","prompt":"x","n":2}`, 400, fault.Malformed},
+		"no tokens":           {"good", `{"model":"m","prompt":"x","max_tokens":0}`, 400, fault.Malformed},
+		"unknown model":       {"good", `{"model":"q","prompt":"x"}`, 404, fault.NotFound},
+		"model not in plan":   {"good", `{"model":"other","prompt":"x"}`, 403, fault.Forbidden},
+		"adapter not in plan": {"good", `{"model":"m","prompt":"x","adapter":"a"}`, 403, fault.Forbidden},
+		"long prompt":         {"good", `{"model":"m","prompt":"` + strings.Repeat("x", 300_000) + `"}`, 413, fault.TooLarge},
+		"long body":           {"good", strings.Repeat(" ", 2<<20), 413, fault.TooLarge},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			w := f.call(t, tc.key, tc.body)
+			var e errorBody
+			if err := json.Unmarshal(w.Body.Bytes(), &e); err != nil {
+				t.Fatal(err)
+			}
+			if w.Code != tc.status || e.Error.Kind != tc.kind || e.Error.Run != fault.NotRun || e.Error.Remedy == "" {
+				t.Errorf("status %d, %+v", w.Code, e.Error)
+			}
+		})
+	}
+}
+
+func TestNextStep(t *testing.T) {
+	cases := map[string]struct {
+		f    failure
+		want step
+	}{
+		"prefill failed":            {failure{stage: stagePrefill, attempts: 1, left: time.Second}, stepPrefillAgain},
+		"transfer failed, kept":     {failure{stage: stageTransfer, attempts: 1, left: time.Second, keptFor: 400 * time.Millisecond}, stepDecodeElsewhere},
+		"transfer failed, not kept": {failure{stage: stageTransfer, attempts: 1, left: time.Second}, stepPrefillAgain},
+		"decode failed":             {failure{stage: stageDecode, attempts: 1, left: time.Second, keptFor: time.Second}, stepPrefillAgain},
+		"too many attempts":         {failure{stage: stageDecode, attempts: maxAttempts, left: time.Second}, stepGiveUp},
+		"past the deadline":         {failure{stage: stageDecode, attempts: 1}, stepGiveUp},
+		"caller gone":               {failure{stage: stageDecode, attempts: 1, left: time.Second, permanent: true}, stepGiveUp},
+	}
+	for name, tc := range cases {
+		if got := nextStep(tc.f); got != tc.want {
+			t.Errorf("%s: got %s, want %s", name, got, tc.want)
+		}
+	}
+}
+
+func TestFindRoutePrefersWholePathThenLongestPrefix(t *testing.T) {
+	doc := &configuration.Document{Routes: map[string]configuration.Route{
+		"lots":  {Method: "GET", Path: "/lots/"},
+		"deep":  {Method: "GET", Path: "/lots/deep/"},
+		"whole": {Method: "GET", Path: "/lots/deep/one"},
+	}}
+	for path, want := range map[string]string{"/lots/7": "lots", "/lots/deep/7": "deep", "/lots/deep/one": "whole", "/none": ""} {
+		if got, _, _ := findRoute(doc, "GET", path); got != want {
+			t.Errorf("%s: got %q, want %q", path, got, want)
+		}
+	}
+	if _, _, err := findRoute(doc, "POST", "/lots/7"); !fault.Is(err, fault.NotFound) {
+		t.Errorf("got %v", err)
+	}
+}
+
+type fakePicker struct{ names []string }
+
+func (p *fakePicker) Pick(string, []string) (string, func(error, time.Duration), error) {
+	if len(p.names) == 0 {
+		return "", nil, fault.New(fault.Unavailable, "try again", "no replica")
+	}
+	name := p.names[0]
+	p.names = p.names[1:]
+	return name, func(error, time.Duration) {}, nil
+}
+
+type fakeLedger struct{ finished []ledger.Outcome }
+
+func (*fakeLedger) Begin(context.Context, ledger.Intent) (*ledger.Outcome, error) { return nil, nil }
+
+func (*fakeLedger) Abandon(context.Context, ledger.Intent) error { return nil }
+func (l *fakeLedger) Finish(_ context.Context, _ ledger.Intent, o ledger.Outcome) error {
+	l.finished = append(l.finished, o)
+	return nil
+}
+
+// TestCommitsReachAnEndpointOnce breaks the connection after the call was read, on a connection
+// that was used before. net/http by itself sends a call with an idempotency key and no body again.
+func TestCommitsReachAnEndpointOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		idempotent bool
+		wantCalls  int64
+		status     int
+	}{"commit": {false, 1, 502}, "idempotent read": {true, 2, 200}} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Authorization") != "" || r.Header.Get("Cookie") != "" {
+					t.Error("a credential reached the endpoint")
+				}
+				if r.URL.Path == "/warm" {
+					return
+				}
+				if calls.Add(1) == 1 {
+					nc, _, _ := w.(http.Hijacker).Hijack()
+					_ = nc.Close()
+				}
+			}))
+			defer backend.Close()
+			f := newFixture(t)
+			snapshot := f.server.opts.Configuration()
+			snapshot.Document.Endpoints["s"] = configuration.Endpoint{Address: backend.Listener.Addr().String()}
+			snapshot.Document.Routes = map[string]configuration.Route{
+				"warm": {Method: "POST", Path: "/warm", Service: "s", Idempotent: tc.idempotent},
+				"book": {Method: "POST", Path: "/book", Service: "s", Idempotent: tc.idempotent, Commit: !tc.idempotent},
+			}
+			f.server.opts.Picker = &fakePicker{names: []string{"s", "s", "s"}}
+			f.server.opts.Ledger = &fakeLedger{}
+			var status int
+			for _, path := range []string{"/warm", "/book"} {
+				r := httptest.NewRequest(http.MethodPost, path, nil)
+				r.Header.Set("Authorization", "Bearer good")
+				r.Header.Set("Cookie", "session=1")
+				r.Header.Set("Idempotency-Key", "k")
+				w := httptest.NewRecorder()
+				f.server.ServeHTTP(w, r)
+				status = w.Code
+			}
+			if calls.Load() != tc.wantCalls || status != tc.status {
+				t.Errorf("%d calls, status %d", calls.Load(), status)
+			}
+		})
+	}
+}
+
+func TestRefusalAfterALostAnswerIsNotCalledNotRun(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		nc, _, _ := w.(http.Hijacker).Hijack()
+		_ = nc.Close()
+	}))
+	defer backend.Close()
+	f := newFixture(t)
+	doc := &f.server.opts.Configuration().Document
+	doc.Endpoints["s"] = configuration.Endpoint{Address: backend.Listener.Addr().String()}
+	doc.Routes = map[string]configuration.Route{"read": {Method: "GET", Path: "/read", Service: "s", Idempotent: true, Open: true}}
+	f.server.opts.Picker = &fakePicker{names: []string{"s"}}
+	w := httptest.NewRecorder()
+	f.server.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/read", nil))
+	var e errorBody
+	if err := json.Unmarshal(w.Body.Bytes(), &e); err != nil || e.Error.Run != fault.RunUnknown {
+		t.Errorf("%v, %+v", err, e.Error)
+	}
+}
+
+func TestStopWaitsThenCuts(t *testing.T) {
+	r := newRegistry(2)
+	var cause error
+	if err := r.add("a", func(err error) { cause = err }); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if cut := r.stop(ctx); cut != 1 || !fault.Is(cause, fault.Stopping) {
+		t.Errorf("cut %d, cause %v", cut, cause)
+	}
+	if err := r.add("b", nil); !fault.Is(err, fault.Stopping) {
+		t.Errorf("got %v", err)
+	}
+	r.remove("a")
+	if cut := r.stop(t.Context()); cut != 0 {
+		t.Errorf("cut %d", cut)
+	}
+}
+
+func FuzzParseGeneration(f *testing.F) {
+	f.Add([]byte(body))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"x"}]}],"max_tokens":4}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		for _, form := range []form{formChat, formCompletion} {
+			g, err := parseGeneration(form, raw, 100)
+			if err == nil && (g.model == "" || g.promptTokens < 1 || g.promptTokens > 100 || g.maxTokens < 0) {
+				t.Fatalf("accepted %+v", g)
+			}
+		}
+	})
+}
