--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -61,45 +61,52 @@
 	Ran Run = "ran"
 )
 
-const (
-	attrRun        = "run"
-	attrRetryAfter = "retry_after"
-)
-
 // Option adds a detail to an error made by New or Wrap.
-type Option func(oops.OopsErrorBuilder) oops.OopsErrorBuilder
+type Option func(*Detail)
 
 // WithRun states whether the work was run. Without it the statement is NotRun.
-func WithRun(r Run) Option {
-	return func(b oops.OopsErrorBuilder) oops.OopsErrorBuilder { return b.With(attrRun, r) }
-}
+func WithRun(r Run) Option { return func(d *Detail) { d.Run = r } }
 
 // WithRetryAfter tells the caller how long to wait before another try.
-func WithRetryAfter(d time.Duration) Option {
-	return func(b oops.OopsErrorBuilder) oops.OopsErrorBuilder { return b.With(attrRetryAfter, d) }
-}
+func WithRetryAfter(wait time.Duration) Option { return func(d *Detail) { d.RetryAfter = wait } }
 
 // New makes an error of kind with a remedy, which says what the reader can do about it.
 func New(kind Kind, remedy, message string, opts ...Option) error {
-	return build(kind, remedy, opts).New(message)
+	return build(nil, kind, remedy, message, opts)
 }
 
-// Wrap gives err a kind and a remedy. It returns nil for a nil err.
+// Wrap gives err a kind and a remedy, which count before those that err may have. It returns
+// nil for a nil err.
 func Wrap(err error, kind Kind, remedy, message string, opts ...Option) error {
 	if err == nil {
 		return nil
 	}
-	return build(kind, remedy, opts).Wrapf(err, "%s", message)
+	return build(err, kind, remedy, message, opts)
 }
 
-func build(kind Kind, remedy string, opts []Option) oops.OopsErrorBuilder {
-	b := oops.Code(string(kind)).Hint(remedy)
+func build(cause error, kind Kind, remedy, message string, opts []Option) error {
+	t := &typed{detail: Detail{Kind: kind, Message: message, Remedy: remedy, Run: NotRun}, cause: cause}
 	for _, opt := range opts {
-		b = opt(b)
+		opt(&t.detail)
 	}
-	return b
+	return oops.Code(string(kind)).Hint(remedy).Wrap(t)
+}
+
+// typed carries a Detail in an error chain; the outermost one counts.
+type typed struct {
+	detail Detail
+	cause  error
 }
 
+func (t *typed) Error() string {
+	if t.cause == nil {
+		return t.detail.Message
+	}
+	return t.detail.Message + ": " + t.cause.Error()
+}
+
+func (t *typed) Unwrap() error { return t.cause }
+
 // Detail is the typed content of an error, as it crosses between processes.
 type Detail struct {
 	Kind       Kind          `msgpack:"k" json:"kind"`
@@ -112,24 +119,12 @@
 // Describe reads the typed content of err. An error from outside this package counts as
 // Internal and as not run.
 func Describe(err error) Detail {
-	d := Detail{Kind: Internal, Message: err.Error(), Run: NotRun, Remedy: "report this with the log line of the request"}
-	var o oops.OopsError
-	if !errors.As(err, &o) {
-		return d
-	}
-	if code, ok := o.Code().(string); ok && code != "" {
-		d.Kind = Kind(code)
-	}
-	if hint := o.Hint(); hint != "" {
-		d.Remedy = hint
-	}
-	ctx := o.Context()
-	if run, ok := ctx[attrRun].(Run); ok {
-		d.Run = run
-	}
-	if wait, ok := ctx[attrRetryAfter].(time.Duration); ok {
-		d.RetryAfter = wait
+	var t *typed
+	if !errors.As(err, &t) {
+		return Detail{Kind: Internal, Message: err.Error(), Run: NotRun, Remedy: "report this with the log line of the request"}
 	}
+	d := t.detail
+	d.Message = err.Error()
 	return d
 }
 
