Limiter: share holders, takeovers, handovers, layouts and draws over all data centres

Cause: one bucket per VM cannot keep a plan over all VMs. Change: pure holder machine (grants, record of holders, pause check, layouts), pure draw of a request over shares, service around them, baselines static and home.

--- /dev/null
+++ b/internal/limiter/baseline.go
@@ -0,0 +1,122 @@
+package limiter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/peer"
+)
+
+// baseline holds the buckets of the policies static and home, which measurements compare
+// with. Neither keeps the plan when a VM is lost or VMs disagree on who is live.
+type baseline struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket
+}
+
+func newBaseline() *baseline { return &baseline{buckets: map[string]*bucket{}} }
+
+// reserve takes tokens from a 1/vms part of a plan.
+func (b *baseline) reserve(now clock.Instant, snap *configuration.Snapshot, id partID, req *reserveRequest, vms int) reserveReply {
+	if snap == nil {
+		return reserveReply{Status: statusNoPlan}
+	}
+	plan, ok := planOf(&snap.Document, req.Workspace)
+	if !ok {
+		return reserveReply{Status: statusNoPlan}
+	}
+	l := Limit{Rate: plan.Rate / int64(vms), Burst: plan.Burst / int64(vms)}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.buckets[req.Workspace]
+	if k == nil {
+		k = newBucket(now, l, true)
+		b.buckets[req.Workspace] = k
+	}
+	k.change(now, l)
+	if _, ok := k.find(id); !ok {
+		if have := k.available(now); have < req.Tokens {
+			return reserveReply{Status: statusShort, Balance: have}
+		}
+		k.debit(now, id, req.Tokens, false)
+	}
+	return reserveReply{Status: statusGranted, Granted: req.Tokens, Balance: k.available(now)}
+}
+
+func (b *baseline) settle(now clock.Instant, id partID, item settlement) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if k := b.buckets[item.Workspace]; k != nil {
+		k.settle(now, id, item.Used)
+	}
+}
+
+// baselineReservation implements Reservation for the baselines.
+type baselineReservation struct {
+	s      *Service
+	holder ident.VM
+	item   settlement
+	once   sync.Once
+}
+
+// Settle implements Reservation.
+func (r *baselineReservation) Settle(used int64) {
+	r.once.Do(func() {
+		r.item.Used = used
+		if r.holder == r.s.opts.Self.VM {
+			r.s.baseline.settle(r.s.opts.Clock.Now(), partID{r.holder, r.item.Seq}, r.item)
+			return
+		}
+		r.s.settler.add(r.holder, r.item, false)
+	})
+}
+
+func (s *Service) reserveBaseline(ctx context.Context, snap *configuration.Snapshot, workspace string, plan Limit, tokens int64) (Reservation, error) {
+	view := s.view()
+	owner, vms := s.opts.Self, 1
+	if s.opts.Policy == PolicyStatic {
+		vms = liveVMs(view)
+	} else if m, ok := view.Owner(workspace, func(membership.Member) bool { return true }); ok {
+		owner = m
+	}
+	req := &reserveRequest{Workspace: workspace, Seq: s.seq.Add(1), Tokens: tokens, Mode: modeWhole}
+	reply, err := s.askBaseline(ctx, snap, owner, req, vms)
+	if err != nil {
+		return nil, err
+	}
+	if reply.Status != statusGranted {
+		rate := max(1, plan.Rate/int64(vms))
+		wait := time.Duration((tokens-reply.Balance)*unit/rate + 1)
+		return nil, fault.New(fault.OverPlan, "wait as stated or ask for a larger plan", "workspace is over its rate and burst", fault.WithRetryAfter(wait))
+	}
+	return &baselineReservation{s: s, holder: owner.VM, item: settlement{Workspace: workspace, Seq: req.Seq}}, nil
+}
+
+func (s *Service) askBaseline(ctx context.Context, snap *configuration.Snapshot, owner membership.Member, req *reserveRequest, vms int) (reserveReply, error) {
+	if owner.VM == s.opts.Self.VM {
+		return s.baseline.reserve(s.opts.Clock.Now(), snap, partID{owner.VM, req.Seq}, req, vms), nil
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := peer.Call[reserveRequest, reserveReply](call, s.opts.Transport, owner.Peer, peer.KindLimiterReserve, req)
+	if err != nil {
+		return reserveReply{}, fault.Wrap(err, fault.Unavailable, "retry shortly or ask another VM", "the workspace's home VM does not answer")
+	}
+	return *reply, nil
+}
+
+func liveVMs(v *membership.View) int {
+	n := 0
+	for _, m := range v.Members {
+		if m.State == membership.Alive {
+			n++
+		}
+	}
+	return max(1, n)
+}
--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -186,3 +186,30 @@
 	}
 	return n
 }
+
+// contended reports whether a part is undecided.
+func (b *bucket) contended(now clock.Instant) bool {
+	for _, p := range slices.Backward(b.held) {
+		if now.Sub(p.at) > tentativeLimit {
+			return false
+		}
+		if p.tentative {
+			return true
+		}
+	}
+	return false
+}
+
+// confirm makes a tentative part a decided one.
+func (b *bucket) confirm(id partID) {
+	if i, ok := b.find(id); ok {
+		b.held[i].tentative = false
+	}
+}
+
+// restore adds a part that another holder debited, without a debit here.
+func (b *bucket) restore(now clock.Instant, id partID, tokens, room int64) {
+	b.nextOrder++
+	b.byID[id] = b.nextOrder
+	b.held = append(b.held, part{order: b.nextOrder, id: id, tokens: tokens, room: room, at: now})
+}
--- /dev/null
+++ b/internal/limiter/calls.go
@@ -0,0 +1,38 @@
+package limiter
+
+import "sync"
+
+// calls joins inputs of the machine to those that wait for their replies.
+type calls struct {
+	mu   *sync.Mutex
+	next *uint64
+	wait map[uint64]chan action
+}
+
+func newCalls() calls {
+	return calls{mu: new(sync.Mutex), next: new(uint64), wait: map[uint64]chan action{}}
+}
+
+func (c calls) open() (uint64, <-chan action) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*c.next++
+	ch := make(chan action, 1)
+	c.wait[*c.next] = ch
+	return *c.next, ch
+}
+
+func (c calls) drop(call uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.wait, call)
+}
+
+func (c calls) answer(call uint64, a action) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ch := c.wait[call]; ch != nil {
+		ch <- a
+		delete(c.wait, call)
+	}
+}
--- /dev/null
+++ b/internal/limiter/claims.go
@@ -0,0 +1,379 @@
+package limiter
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/membership"
+)
+
+// claims is the part of a holder that deals with the record of its data centre.
+type claims struct {
+	verify, read, stale, list, others, write, announce, sweep timer
+
+	missing bool
+	// pending is the record of a write without a known outcome.
+	pending   *record
+	ifVersion uint64
+	// goneSince tells when a holder was first seen to be gone.
+	goneSince map[ident.VM]clock.Instant
+	// acked is the record version that each VM applies.
+	acked map[ident.VM]uint64
+	// balances wait for the record that makes this VM their holder.
+	balances map[int][]balance
+}
+
+func newClaims() claims {
+	return claims{
+		goneSince: map[ident.VM]clock.Instant{},
+		acked:     map[ident.VM]uint64{},
+		balances:  map[int][]balance{},
+	}
+}
+
+// claim does what a tick asks for: checks, reads, takeovers and handovers.
+func (h *holder) claim(now clock.Instant) {
+	if h.view == nil || h.snapshot == nil {
+		return
+	}
+	h.checkFence(now)
+	if h.claims.read.due(now, h.readPeriod()) {
+		h.emit(readRecordOut{})
+	}
+	h.endAwaiting(now)
+	h.notePreferred(now)
+	if h.claims.pending != nil {
+		h.retryWrite(now)
+		return
+	}
+	h.decideWrite(now)
+}
+
+func (h *holder) readPeriod() time.Duration {
+	if h.rec == nil {
+		return retryPeriod
+	}
+	return recordPeriod
+}
+
+func (h *holder) checkFence(now clock.Instant) {
+	if h.fence != 0 && h.claims.verify.due(now, retryPeriod) {
+		h.emit(readRecordOut{Verify: h.fence})
+	}
+}
+
+// decideWrite starts at most one write of the record.
+func (h *holder) decideWrite(now clock.Instant) {
+	coordinator := h.coordinates()
+	switch {
+	case h.rec == nil:
+		if coordinator && h.claims.missing {
+			h.write(now, h.firstRecord())
+		}
+	case coordinator && h.takeOver(now):
+	case h.give(now):
+	case coordinator:
+		h.advanceLayouts(now)
+	}
+}
+
+func (h *holder) coordinates() bool {
+	owner, ok := h.view.Owner(recordName(h.dataCentre), h.local)
+	return ok && owner.VM == h.self
+}
+
+// local accepts the members that may hold shards here.
+func (h *holder) local(m membership.Member) bool {
+	return m.DataCentre == h.dataCentre && !(h.stopping && m.VM == h.self)
+}
+
+func (h *holder) preferredHolder(i int) (ident.VM, bool) {
+	m, ok := h.view.Owner(recordName(h.dataCentre)+"/"+strconv.Itoa(i), h.local)
+	return m.VM, ok
+}
+
+// firstRecord names the first holders. Its first layout gives nothing, so nothing is
+// granted before the other data centres are seen to keep within the second.
+func (h *holder) firstRecord() *record {
+	r := &record{Shards: make([]holding, Shards)}
+	for i := range r.Shards {
+		vm, _ := h.preferredHolder(i)
+		r.Shards[i] = holding{VM: vm, Term: 1, Start: startFull}
+	}
+	doc := &h.snapshot.Document
+	r.Layouts = []layout{
+		{Weights: Weights{}, Confirmed: true},
+		{Version: uint64(h.snapshot.Version), Weights: weightsOf(doc), Confirmed: true},
+	}
+	return r
+}
+
+// takeOver names new holders for the shards whose holders are gone for long enough.
+func (h *holder) takeOver(now clock.Instant) bool {
+	absent := false
+	next := h.rec.clone()
+	taken := false
+	for i, s := range h.rec.Shards {
+		if h.present(s.VM) {
+			delete(h.claims.goneSince, s.VM)
+			continue
+		}
+		absent = true
+		since, gone := h.claims.goneSince[s.VM]
+		if !gone || now.Sub(since) < TakeoverGrace {
+			continue
+		}
+		if vm, ok := h.preferredHolder(i); ok {
+			next.Shards[i] = holding{VM: vm, Term: s.Term + 1, Start: startEmpty}
+			taken = true
+		}
+	}
+	if absent && h.claims.list.due(now, listPeriod) {
+		h.emit(readListOut{})
+	}
+	if taken {
+		h.write(now, next)
+	}
+	return taken
+}
+
+// present reports whether a holder is heard of; an absent one is looked for in the list.
+func (h *holder) present(vm ident.VM) bool {
+	for _, m := range h.view.Members {
+		if m.VM == vm {
+			return m.State == membership.Alive || m.State == membership.Leaving
+		}
+	}
+	return vm == h.self
+}
+
+// replaced reports whether a later incarnation of a VM is in the view.
+func (h *holder) replaced(vm ident.VM) bool {
+	for _, m := range h.view.Members {
+		if m.VM.Name == vm.Name && m.VM.Incarnation > vm.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *holder) onList(now clock.Instant, in listIn) {
+	if h.rec == nil || h.view == nil {
+		return
+	}
+	for _, vm := range h.rec.holders() {
+		gone := h.replaced(vm) || !in.Names[vm.Name]
+		_, noted := h.claims.goneSince[vm]
+		switch {
+		case h.present(vm) || !gone:
+			delete(h.claims.goneSince, vm)
+		case !noted:
+			h.claims.goneSince[vm] = now
+		}
+	}
+}
+
+// notePreferred follows which VM should hold each shard held here.
+func (h *holder) notePreferred(now clock.Instant) {
+	for i := range h.shards {
+		s := &h.shards[i]
+		if s.phase != phaseGranting {
+			continue
+		}
+		vm, ok := h.preferredHolder(i)
+		if !ok {
+			vm = h.self
+		}
+		if vm != s.preferred {
+			s.preferred, s.preferredSince = vm, now
+		}
+	}
+}
+
+// give stops granting from the shards that another VM should hold, and names that VM.
+func (h *holder) give(now clock.Instant) bool {
+	next := h.rec.clone()
+	given := false
+	for i := range h.shards {
+		s := &h.shards[i]
+		move := s.phase == phaseGranting && s.preferred != h.self && !s.preferred.IsZero()
+		if !move || h.fence != 0 || (!h.stopping && now.Sub(s.preferredSince) < rebalanceDelay) {
+			continue
+		}
+		s.phase, s.target = phaseGiving, s.preferred
+		next.Shards[i] = holding{VM: s.target, Term: s.term + 1, Start: startHandover}
+		given = true
+	}
+	if given {
+		h.write(now, next)
+	}
+	return given
+}
+
+func (h *holder) write(now clock.Instant, r *record) {
+	h.claims.pending, h.claims.ifVersion = r, h.recVersion
+	h.claims.write = timer{next: now.Add(retryPeriod)}
+	h.emit(writeRecordOut{Record: r, IfVersion: h.recVersion})
+}
+
+// retryWrite repeats a write without a known outcome: its condition makes it harmless.
+func (h *holder) retryWrite(now clock.Instant) {
+	if h.claims.write.due(now, 2*retryPeriod) {
+		h.emit(writeRecordOut{Record: h.claims.pending, IfVersion: h.claims.ifVersion})
+	}
+}
+
+func (h *holder) onWritten(now clock.Instant, in writtenIn) {
+	if h.claims.pending == nil {
+		return
+	}
+	switch in.Outcome {
+	case writeDone:
+		r := h.claims.pending
+		h.applyRecord(now, r, in.Version)
+		h.emit(announceOut{Record: r, Version: in.Version, To: h.neighbours()})
+	case writeConflict:
+		h.emit(readRecordOut{})
+	case writeUnknown:
+	}
+}
+
+// neighbours gives the other VMs of this data centre that may listen.
+func (h *holder) neighbours() []ident.VM {
+	var out []ident.VM
+	for _, m := range h.view.Members {
+		if m.DataCentre == h.dataCentre && m.VM != h.self && m.State != membership.Gone {
+			out = append(out, m.VM)
+		}
+	}
+	return out
+}
+
+// hasNeighbour reports whether another VM of this data centre can hold shards.
+func (h *holder) hasNeighbour() bool {
+	if h.view == nil {
+		return false
+	}
+	_, ok := h.view.Owner("", func(m membership.Member) bool {
+		return m.DataCentre == h.dataCentre && m.VM != h.self
+	})
+	return ok
+}
+
+func (h *holder) onRecord(now clock.Instant, in recordIn) {
+	if in.Record == nil {
+		h.claims.missing = h.rec == nil
+		return
+	}
+	h.applyRecord(now, in.Record, in.Version)
+	if in.Verify != 0 && in.Verify == h.fence {
+		h.fence = 0
+		h.emit(noticeOut{Event: "checked"})
+	}
+}
+
+// onReadFailed falls back on the peers: takeovers need the platform, and the VM that
+// took over knows it.
+func (h *holder) onReadFailed(in readFailedIn) {
+	if in.Verify != 0 && in.Verify == h.fence {
+		h.emit(askPeersOut{Verify: in.Verify})
+	}
+}
+
+func (h *holder) onPeers(in peersIn) {
+	if in.Verify == h.fence && in.Version <= h.recVersion {
+		h.fence = 0
+		h.emit(noticeOut{Event: "checked"})
+	}
+}
+
+// applyRecord puts a newer record in force.
+func (h *holder) applyRecord(now clock.Instant, r *record, version uint64) {
+	if version <= h.recVersion {
+		return
+	}
+	h.rec, h.recVersion = r, version
+	h.emit(recordOut{Record: r, Version: version})
+	h.claims.missing = false
+	if h.claims.pending != nil && version > h.claims.ifVersion {
+		h.claims.pending = nil
+	}
+	for i, s := range r.Shards {
+		h.applyHolding(now, i, s)
+	}
+	h.applyLimits(now)
+}
+
+func (h *holder) applyHolding(now clock.Instant, i int, to holding) {
+	s := &h.shards[i]
+	if to.VM != h.self {
+		if s.phase == phaseGiving && to.VM == s.target && to.Term == s.term+1 {
+			h.emit(handoverOut{To: to.VM, Balances: h.balancesOf(now, i, to.Term)})
+		}
+		if s.phase != phaseNone {
+			h.lose(i)
+		}
+		return
+	}
+	if s.phase != phaseNone && s.term == to.Term {
+		if s.phase == phaseGiving {
+			s.phase = phaseGranting
+		}
+		return
+	}
+	*s = shard{term: to.Term}
+	if to.Start != startHandover {
+		h.begin(now, i, to.Start == startEmpty)
+		return
+	}
+	s.phase, s.since = phaseAwaiting, now
+	h.receive(now, i)
+}
+
+// endAwaiting begins with no balances where those of the former holder did not come.
+func (h *holder) endAwaiting(now clock.Instant) {
+	for i := range h.shards {
+		s := &h.shards[i]
+		if s.phase == phaseAwaiting && now.Sub(s.since) >= handoverWait {
+			h.begin(now, i, true)
+		}
+	}
+}
+
+func (h *holder) onHandover(now clock.Instant, in handoverIn) {
+	byShard := map[int][]balance{}
+	for _, b := range in.Balances {
+		i := b.Shard
+		if i < 0 || i >= Shards {
+			continue
+		}
+		byShard[i] = append(byShard[i], b)
+	}
+	for _, i := range sorted(byShard) {
+		h.claims.balances[i] = byShard[i]
+		h.receive(now, i)
+	}
+}
+
+// receive begins with the former holder's balances once they and the record are here.
+func (h *holder) receive(now clock.Instant, i int) {
+	s := &h.shards[i]
+	list := h.claims.balances[i]
+	if s.phase != phaseAwaiting || len(list) == 0 || list[0].Term != s.term {
+		return
+	}
+	delete(h.claims.balances, i)
+	s.buckets = map[string]*shareBucket{}
+	for _, b := range list {
+		if b.Workspace != "" {
+			h.install(now, b)
+		}
+	}
+	installed := s.buckets
+	h.begin(now, i, true)
+	for name, b := range installed {
+		s.buckets[name] = b
+	}
+}
--- /dev/null
+++ b/internal/limiter/holder.go
@@ -0,0 +1,315 @@
+package limiter
+
+import (
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/membership"
+)
+
+// phase is how far this VM holds a shard.
+type phase uint8
+
+const (
+	// phaseNone: another VM holds the shard.
+	phaseNone phase = iota
+	// phaseAwaiting: this VM is the holder and waits for the former one's balances.
+	phaseAwaiting
+	// phaseGranting: this VM holds the shard.
+	phaseGranting
+	// phaseGiving: this VM has stopped granting for good and names another holder.
+	phaseGiving
+)
+
+// shard is what this VM knows of one shard of its data centre.
+type shard struct {
+	phase phase
+	term  uint64
+	// since is when this VM began as holder; empty tells that it began with no balances.
+	since   clock.Instant
+	empty   bool
+	target  ident.VM
+	buckets map[string]*shareBucket
+	// preferred is the VM that should hold the shard since preferredSince.
+	preferred      ident.VM
+	preferredSince clock.Instant
+}
+
+// shareBucket is one workspace's bucket at its holder.
+type shareBucket struct {
+	*bucket
+	removed   bool
+	removedAt clock.Instant
+}
+
+// waiter is a request that waits for undecided parts of others.
+type waiter struct {
+	in    reserveIn
+	until clock.Instant
+}
+
+// holder decides for the shares that one VM holds. It is a pure state machine.
+type holder struct {
+	self       ident.VM
+	dataCentre string
+	view       *membership.View
+	snapshot   *configuration.Snapshot
+	shards     [Shards]shard
+	waiting    []waiter
+	ended      endedParts
+	claims     claims
+
+	rec        *record
+	recVersion uint64
+
+	stepped  bool
+	lastStep clock.Instant
+	// fence is the number of the check that must pass before this VM grants again, 0 for none.
+	fence     uint64
+	lastFence uint64
+	stopping  bool
+	out       []action
+}
+
+func newHolder(self ident.VM, dataCentre string) *holder {
+	return &holder{self: self, dataCentre: dataCentre, ended: newEndedParts(), claims: newClaims()}
+}
+
+// Step implements duty.Machine.
+func (h *holder) Step(now clock.Instant, in input) []action {
+	h.out = nil
+	h.notePause(now)
+	switch in := in.(type) {
+	case reserveIn:
+		h.reserve(now, in)
+	case settleIn:
+		h.settle(now, in)
+	case tickIn:
+		h.tick(now, in)
+	case recordIn:
+		h.onRecord(now, in)
+	case readFailedIn:
+		h.onReadFailed(in)
+	case peersIn:
+		h.onPeers(in)
+	case writtenIn:
+		h.onWritten(now, in)
+	case listIn:
+		h.onList(now, in)
+	case othersIn:
+		h.onOthers(in)
+	case handoverIn:
+		h.onHandover(now, in)
+	case ackIn:
+		h.claims.acked[in.VM] = max(h.claims.acked[in.VM], in.Version)
+	case stopIn:
+		h.stopping = true
+	case staleIn:
+		if h.claims.stale.due(now, stalePeriod) {
+			h.emit(readRecordOut{})
+		}
+	case statusIn:
+		h.emit(h.status(now, in.Call))
+	}
+	h.serveWaiting(now)
+	return h.out
+}
+
+func (h *holder) emit(a action) { h.out = append(h.out, a) }
+
+// notePause stops granting after a gap in the steps: in the meantime another VM may have
+// taken the shards.
+func (h *holder) notePause(now clock.Instant) {
+	if h.stepped && now.Sub(h.lastStep) > PauseLimit {
+		h.lastFence++
+		h.fence = h.lastFence
+		h.claims.verify = timer{}
+		h.emit(noticeOut{Event: "paused"})
+	}
+	h.stepped = true
+	h.lastStep = now
+}
+
+func (h *holder) tick(now clock.Instant, in tickIn) {
+	if in.View != nil {
+		h.view = in.View
+	}
+	if in.Snapshot != nil && (h.snapshot == nil || in.Snapshot.Version > h.snapshot.Version) {
+		h.snapshot = in.Snapshot
+		h.applyLimits(now)
+	}
+	h.claim(now)
+	if h.claims.sweep.due(now, recordPeriod) {
+		h.sweep(now)
+	}
+}
+
+// grants gives the bucket of a workspace if this VM may grant from it.
+func (h *holder) grants(workspace string) (b *shareBucket, ok bool) {
+	s := &h.shards[shardOf(workspace)]
+	if s.phase != phaseGranting || h.fence != 0 {
+		return nil, false
+	}
+	return s.buckets[workspace], true
+}
+
+func (h *holder) reserve(now clock.Instant, in reserveIn) {
+	b, ok := h.grants(in.Req.Workspace)
+	switch {
+	case !ok:
+		h.answer(in, reserveReply{Status: statusNotHolder})
+	case b == nil || b.removed:
+		h.answer(in, reserveReply{Status: statusNoPlan})
+	case in.Req.Tokens < 0 || h.ended.has(partID{in.From, in.Req.Seq}):
+		h.answer(in, reserveReply{Status: statusShort})
+	default:
+		h.grant(now, b, in)
+	}
+}
+
+func (h *holder) grant(now clock.Instant, b *shareBucket, in reserveIn) {
+	short := b.available(now) < in.Req.Tokens
+	contended := short && b.contended(now)
+	if contended && in.Req.Mode == modePartWaiting {
+		h.waiting = append(h.waiting, waiter{in: in, until: now.Add(partWait)})
+		return
+	}
+	h.grantNow(now, b, in, contended)
+}
+
+func (h *holder) grantNow(now clock.Instant, b *shareBucket, in reserveIn, contended bool) {
+	id := partID{in.From, in.Req.Seq}
+	have := b.available(now)
+	if i, ok := b.find(id); ok {
+		h.answer(in, reserveReply{Status: grantStatus(b.held[i].tokens, in.Req.Tokens), Granted: b.held[i].tokens, Balance: have})
+		return
+	}
+	take := min(have, in.Req.Tokens)
+	if take < in.Req.Tokens && in.Req.Mode == modeWhole {
+		take = 0
+	}
+	if take > 0 {
+		b.debit(now, id, take, in.Req.Mode != modeWhole)
+	}
+	st := grantStatus(take, in.Req.Tokens)
+	if contended && st == statusShort {
+		st = statusContended
+	}
+	h.answer(in, reserveReply{Status: st, Granted: take, Balance: b.available(now)})
+}
+
+func grantStatus(granted, wanted int64) status {
+	if granted >= wanted {
+		return statusGranted
+	}
+	return statusShort
+}
+
+func (h *holder) answer(in reserveIn, r reserveReply) { h.emit(replyOut{Call: in.Call, Reply: r}) }
+
+// serveWaiting answers the waiting requests that can be decided now, oldest first.
+func (h *holder) serveWaiting(now clock.Instant) {
+	queue := h.waiting
+	h.waiting = nil
+	for _, w := range queue {
+		b, ok := h.grants(w.in.Req.Workspace)
+		if !ok || b == nil || b.removed || h.ended.has(partID{w.in.From, w.in.Req.Seq}) {
+			h.answer(w.in, reserveReply{Status: statusNotHolder})
+			continue
+		}
+		enough := b.available(now) >= w.in.Req.Tokens
+		contended := b.contended(now)
+		if enough || !contended || !now.Before(w.until) {
+			h.grantNow(now, b, w.in, contended && !enough)
+			continue
+		}
+		h.waiting = append(h.waiting, w)
+	}
+}
+
+func (h *holder) settle(now clock.Instant, in settleIn) {
+	from := in.From
+	if in.Batch.VM != nil {
+		from = *in.Batch.VM
+	}
+	pass := map[string]*forwardOut{}
+	for _, item := range in.Batch.Items {
+		id := partID{from, item.Seq}
+		s := &h.shards[shardOf(item.Workspace)]
+		if s.phase != phaseNone {
+			h.settleOne(now, s, id, item)
+			continue
+		}
+		if to, ok := h.holderOf(item.Workspace); ok && in.Batch.VM == nil {
+			f := pass[to.String()]
+			if f == nil {
+				f = &forwardOut{To: to, Batch: settleBatch{VM: &from}}
+				pass[to.String()] = f
+			}
+			f.Batch.Items = append(f.Batch.Items, item)
+		}
+	}
+	for _, name := range sorted(pass) {
+		h.emit(*pass[name])
+	}
+}
+
+func (h *holder) settleOne(now clock.Instant, s *shard, id partID, item settlement) {
+	b := s.buckets[item.Workspace]
+	if item.Used == keepUsed {
+		if b != nil {
+			b.confirm(id)
+		}
+		return
+	}
+	h.ended.add(id)
+	if b != nil {
+		b.settle(now, id, item.Used)
+	}
+}
+
+// holderOf gives another VM that the record names as holder of a workspace's shard.
+func (h *holder) holderOf(workspace string) (ident.VM, bool) {
+	if h.rec == nil {
+		return ident.VM{}, false
+	}
+	vm := h.rec.Shards[shardOf(workspace)].VM
+	return vm, vm != h.self
+}
+
+// sweep forgets parts that were never settled and balances of workspaces long removed.
+func (h *holder) sweep(now clock.Instant) {
+	for i := range h.shards {
+		for name, b := range h.shards[i].buckets {
+			b.settleAll(func(p part) bool { return now.Sub(p.at) > partLife })
+			if b.removed && now.Sub(b.removedAt) > removedLife {
+				delete(h.shards[i].buckets, name)
+			}
+		}
+	}
+}
+
+// status describes the shares held here.
+func (h *holder) status(now clock.Instant, call uint64) statusOut {
+	out := statusOut{Call: call}
+	for i := range h.shards {
+		s := &h.shards[i]
+		if s.phase != phaseNone && h.hasNeighbour() {
+			out.Leaving++
+		}
+		for _, name := range sorted(s.buckets) {
+			b := s.buckets[name]
+			out.Shares = append(out.Shares, ShareStatus{
+				Workspace:  name,
+				DataCentre: h.dataCentre,
+				Shard:      i,
+				Term:       s.term,
+				Rate:       b.rate,
+				Burst:      b.burst,
+				Balance:    b.available(now),
+				Held:       len(b.held),
+			})
+		}
+	}
+	return out
+}
--- a/internal/limiter/service.go
+++ b/internal/limiter/service.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/duty"
 	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/membership"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/platform"
@@ -25,6 +28,16 @@
 	PolicyHome = "home"
 )
 
+const (
+	// callTimeout bounds one call to a share holder.
+	callTimeout = 150 * time.Millisecond
+	// inboxCapacity is the most inputs that wait for the holder machine; beyond it a
+	// reserve request fails as Overloaded and a settlement is lost.
+	inboxCapacity = 8192
+	// stopPoll is the time between looks at the shards left during a planned stop.
+	stopPoll = 20 * time.Millisecond
+)
+
 // Options configure a Service.
 type Options struct {
 	Self      membership.Member
@@ -46,74 +59,161 @@
 	DataCentre string `json:"data_centre"`
 	Shard      int    `json:"shard"`
 	Term       uint64 `json:"term"`
-	Rate       int64  `json:"rate"`
-	Burst      int64  `json:"burst"`
-	Balance    int64  `json:"balance"`
+	// Rate is in tokens a second, Burst and Balance are in tokens.
+	Rate    int64 `json:"rate"`
+	Burst   int64 `json:"burst"`
+	Balance int64 `json:"balance"`
 	// Held is the number of reservations that are not settled.
 	Held int `json:"held"`
 }
 
 // Service is the limiter of one VM.
 type Service struct {
-	opts    Options
-	mu      sync.Mutex
-	buckets map[string]*bucket
-	seq     uint64
+	opts     Options
+	loop     *duty.Loop[input, action]
+	worker   *worker
+	settler  *settler
+	records  *records
+	baseline *baseline
+	calls    calls
+	seq      atomic.Uint64
+
+	mu    sync.Mutex
+	hints hints
 }
 
 // New makes a Service and registers its message handlers with the transport.
 func New(o Options) *Service {
-	return &Service{opts: o, buckets: map[string]*bucket{}}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Policy == "" {
+		o.Policy = PolicyPooled
+	}
+	s := &Service{opts: o, hints: hints{}, baseline: newBaseline(), calls: newCalls()}
+	s.worker = newWorker(s)
+	s.records = newRecords(o.Store, o.Self.DataCentre)
+	s.settler = newSettler(s.sendSettlements)
+	s.loop = duty.NewLoop(duty.Options[input, action]{
+		Machine:  newHolder(o.Self.VM, o.Self.DataCentre),
+		Clock:    o.Clock,
+		Capacity: inboxCapacity,
+		Tick:     func() input { return tickIn{View: s.view(), Snapshot: o.Configuration()} },
+		Period:   tickPeriod,
+		Perform:  s.worker.perform,
+	})
+	if o.Transport != nil {
+		s.register(o.Transport)
+	}
+	return s
 }
 
 // Run serves until ctx ends.
-func (s *Service) Run(ctx context.Context) { <-ctx.Done() }
+func (s *Service) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, part := range []func(context.Context){s.worker.run, s.settler.run} {
+		wg.Go(func() { part(ctx) })
+	}
+	if s.opts.Policy == PolicyPooled {
+		s.loop.Run(ctx)
+	}
+	wg.Wait()
+}
 
-// Stop hands this VM's shares over.
-func (s *Service) Stop(context.Context) {}
+// Stop hands this VM's shares to other VMs of its data centre, and returns when all are
+// handed over, when nobody can take them, or when ctx ends. Run must still be running.
+func (s *Service) Stop(ctx context.Context) {
+	if s.opts.Policy != PolicyPooled || s.loop.Put(ctx, stopIn{}) != nil {
+		return
+	}
+	for {
+		out, err := s.status(ctx)
+		if err != nil || out.Leaving == 0 {
+			s.settler.flush()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(stopPoll):
+		}
+	}
+}
 
 // Status gives the shares that this VM holds.
-func (s *Service) Status() []ShareStatus { return nil }
+func (s *Service) Status() []ShareStatus {
+	if s.opts.Policy != PolicyPooled {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	out, err := s.status(ctx)
+	if err != nil {
+		return nil
+	}
+	return out.Shares
+}
+
+func (s *Service) status(ctx context.Context) (statusOut, error) {
+	call, reply := s.calls.open()
+	defer s.calls.drop(call)
+	if err := s.loop.Put(ctx, statusIn{Call: call}); err != nil {
+		return statusOut{}, err
+	}
+	select {
+	case out := <-reply:
+		return out.(statusOut), nil
+	case <-ctx.Done():
+		return statusOut{}, ctx.Err()
+	}
+}
+
+// view gives the directory's view with this VM in it.
+func (s *Service) view() *membership.View {
+	v := s.opts.Directory.View()
+	if v == nil {
+		v = &membership.View{Self: s.opts.Self}
+	}
+	for _, m := range v.Members {
+		if m.VM == s.opts.Self.VM {
+			return v
+		}
+	}
+	self := s.opts.Self
+	self.State = membership.Alive
+	return &membership.View{Self: self, Members: append([]membership.Member{self}, v.Members...)}
+}
+
+// member finds a VM that may be called.
+func (s *Service) member(vm ident.VM) (membership.Member, bool) {
+	for _, m := range s.view().Members {
+		if m.VM == vm {
+			return m, m.State == membership.Alive || m.State == membership.Leaving
+		}
+	}
+	return membership.Member{}, false
+}
 
 // Reserve implements Limiter.
-func (s *Service) Reserve(_ context.Context, workspace string, tokens int64) (Reservation, error) {
+func (s *Service) Reserve(ctx context.Context, workspace string, tokens int64) (Reservation, error) {
 	snap := s.opts.Configuration()
 	if snap == nil {
-		return nil, fault.New(fault.Unavailable, "retry shortly or ask another VM", "no configuration yet")
+		return nil, fault.New(fault.Unavailable, "retry shortly or ask another VM", "this VM has no configuration yet")
 	}
 	plan, ok := planOf(&snap.Document, workspace)
 	if !ok {
 		return nil, fault.New(fault.Forbidden, "ask the operator for a plan", "workspace has no plan")
 	}
-	now := s.opts.Clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	b := s.buckets[workspace]
-	if b == nil {
-		b = newBucket(now, plan, true)
-		s.buckets[workspace] = b
-	}
-	if have := b.available(now); have < tokens {
-		wait := time.Duration((tokens - have) * unit / max(1, b.rate))
-		return nil, fault.New(fault.OverPlan, "wait or ask for a larger plan", "workspace is over its plan", fault.WithRetryAfter(wait))
-	}
-	s.seq++
-	id := partID{vm: s.opts.Self.VM, seq: s.seq}
-	b.debit(now, id, tokens, false)
-	return &localReservation{s: s, b: b, id: id}, nil
-}
-
-type localReservation struct {
-	s  *Service
-	b  *bucket
-	id partID
-}
-
-// Settle implements Reservation.
-func (r *localReservation) Settle(used int64) {
-	r.s.mu.Lock()
-	defer r.s.mu.Unlock()
-	r.b.settle(r.s.opts.Clock.Now(), r.id, used)
+	if tokens > plan.Burst {
+		return nil, fault.New(fault.TooLarge, "send a shorter prompt or a smaller max_tokens, or ask for a plan with a larger burst", "request is larger than the burst of the plan")
+	}
+	if tokens <= 0 {
+		return &reservation{s: s}, nil
+	}
+	if s.opts.Policy != PolicyPooled {
+		return s.reserveBaseline(ctx, snap, workspace, plan, tokens)
+	}
+	return s.reservePooled(ctx, snap, workspace, plan, tokens)
 }
 
 var _ Limiter = (*Service)(nil)
--- /dev/null
+++ b/internal/limiter/worker.go
@@ -0,0 +1,243 @@
+package limiter
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/peer"
+)
+
+const (
+	// jobCapacity is the most jobs that wait; beyond it a job is dropped, and the machine
+	// asks again.
+	jobCapacity = 256
+	// workers is the number of jobs done at once.
+	workers = 4
+	// platformTimeout bounds one platform call.
+	platformTimeout = 2 * time.Second
+	// controlTimeout bounds one control message.
+	controlTimeout = 500 * time.Millisecond
+	// handoverTries is how often balances are sent before they are given up.
+	handoverTries = 3
+	// announceCalls is the number of VMs told of a record at once.
+	announceCalls = 16
+)
+
+// worker carries out the machine's actions that wait for others.
+type worker struct {
+	s    *Service
+	jobs chan func(context.Context)
+}
+
+func newWorker(s *Service) *worker {
+	return &worker{s: s, jobs: make(chan func(context.Context), jobCapacity)}
+}
+
+func (w *worker) run(ctx context.Context) {
+	var g errgroup.Group
+	for range workers {
+		g.Go(func() error {
+			for {
+				select {
+				case <-ctx.Done():
+					return nil
+				case job := <-w.jobs:
+					job(ctx)
+				}
+			}
+		})
+	}
+	_ = g.Wait()
+}
+
+func (w *worker) do(job func(context.Context)) {
+	select {
+	case w.jobs <- job:
+	default:
+		w.s.opts.Log.Warn("limiter", zap.String("event", "job dropped"))
+	}
+}
+
+// perform carries out one action without blocking.
+func (w *worker) perform(a action) {
+	s := w.s
+	switch a := a.(type) {
+	case replyOut:
+		s.calls.answer(a.Call, a)
+	case statusOut:
+		s.calls.answer(a.Call, a)
+	case recordOut:
+		s.records.put(s.opts.Self.DataCentre, a.Record, a.Version)
+	case noticeOut:
+		s.note(a)
+	case forwardOut:
+		s.sendSettlements(a.To, a.Batch)
+	case readRecordOut:
+		w.do(func(ctx context.Context) { w.readRecord(ctx, a.Verify) })
+	case writeRecordOut:
+		w.do(func(ctx context.Context) { w.writeRecord(ctx, a) })
+	case readListOut:
+		w.do(w.readList)
+	case readOthersOut:
+		w.do(func(ctx context.Context) { w.readOthers(ctx, a.Version) })
+	case askPeersOut:
+		w.do(func(ctx context.Context) { w.askPeers(ctx, a.Verify) })
+	case announceOut:
+		w.do(func(ctx context.Context) { w.announce(ctx, a) })
+	case handoverOut:
+		w.do(func(ctx context.Context) { w.handover(ctx, a) })
+	}
+}
+
+func (w *worker) put(ctx context.Context, in input) { _ = w.s.loop.Put(ctx, in) }
+
+func (w *worker) readRecord(ctx context.Context, verify uint64) {
+	call, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	k, err := w.s.records.read(call, recordName(w.s.opts.Self.DataCentre))
+	if err != nil {
+		w.put(ctx, readFailedIn{Verify: verify})
+		return
+	}
+	w.put(ctx, recordIn{Record: k.record, Version: k.version, Verify: verify})
+}
+
+func (w *worker) writeRecord(ctx context.Context, a writeRecordOut) {
+	call, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	version, err := w.s.opts.Store.Put(call, recordName(w.s.opts.Self.DataCentre), a.Record.encode(), a.IfVersion)
+	switch {
+	case err == nil:
+		w.put(ctx, writtenIn{Outcome: writeDone, Version: version})
+	case fault.Is(err, fault.Conflict):
+		w.put(ctx, writtenIn{Outcome: writeConflict})
+	default:
+		w.put(ctx, writtenIn{Outcome: writeUnknown})
+	}
+}
+
+func (w *worker) readList(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	vms, err := w.s.opts.Lister.VMs(call)
+	if err != nil {
+		return
+	}
+	names := map[string]bool{}
+	for _, vm := range vms {
+		names[vm.Name] = true
+	}
+	w.put(ctx, listIn{Names: names})
+}
+
+func (w *worker) readOthers(ctx context.Context, version uint64) {
+	call, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	others, err := w.s.records.readOthers(call)
+	if err != nil {
+		return
+	}
+	w.put(ctx, othersIn{Records: others, Version: version})
+}
+
+// askPeers asks all VMs of the data centre that are not gone. The check stays open while a
+// live one is silent, or while all are.
+func (w *worker) askPeers(ctx context.Context, verify uint64) {
+	s := w.s
+	highest, asked, answered := uint64(0), 0, 0
+	for _, m := range s.view().Members {
+		if m.DataCentre != s.opts.Self.DataCentre || m.VM == s.opts.Self.VM || m.State == membership.Gone {
+			continue
+		}
+		asked++
+		reply, err := s.control(ctx, m, &controlRequest{DataCentre: m.DataCentre})
+		if err != nil && m.State != membership.Suspect {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		answered++
+		highest = max(highest, reply.Version)
+		w.learn(ctx, reply)
+	}
+	if asked == 0 || answered > 0 {
+		w.put(ctx, peersIn{Version: highest, Verify: verify})
+	}
+}
+
+func (w *worker) learn(ctx context.Context, reply *controlReply) {
+	if len(reply.Record) == 0 {
+		return
+	}
+	if rec, err := decodeRecord(reply.Record); err == nil {
+		w.put(ctx, recordIn{Record: rec, Version: reply.Version})
+	}
+}
+
+func (w *worker) announce(ctx context.Context, a announceOut) {
+	req := &controlRequest{DataCentre: w.s.opts.Self.DataCentre, Record: a.Record.encode(), Version: a.Version}
+	var g errgroup.Group
+	g.SetLimit(announceCalls)
+	for _, vm := range a.To {
+		g.Go(func() error {
+			if m, ok := w.s.member(vm); ok {
+				if reply, err := w.s.control(ctx, m, req); err == nil {
+					w.put(ctx, ackIn{VM: vm, Version: reply.Version})
+				}
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+func (w *worker) handover(ctx context.Context, a handoverOut) {
+	req := &controlRequest{DataCentre: w.s.opts.Self.DataCentre, Balances: a.Balances}
+	for range handoverTries {
+		m, ok := w.s.member(a.To)
+		if !ok {
+			return
+		}
+		if _, err := w.s.control(ctx, m, req); err == nil {
+			return
+		}
+	}
+}
+
+// control sends one control message and waits for its reply.
+func (s *Service) control(ctx context.Context, to membership.Member, req *controlRequest) (*controlReply, error) {
+	call, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	return peer.Call[controlRequest, controlReply](call, s.opts.Transport, to.Peer, peer.KindLimiterHandover, req)
+}
+
+// sendSettlements hands a batch to a holder; it may be lost.
+func (s *Service) sendSettlements(to ident.VM, b settleBatch) {
+	if to == s.opts.Self.VM {
+		s.loop.Offer(settleIn{From: to, Batch: b})
+		return
+	}
+	s.worker.do(func(ctx context.Context) {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if m, ok := s.member(to); ok {
+			_ = peer.Send(call, s.opts.Transport, m.Peer, peer.KindLimiterSettle, &b)
+		}
+	})
+}
+
+func (s *Service) note(n noticeOut) {
+	s.opts.Log.Info("limiter",
+		zap.String("event", n.Event),
+		zap.String("data_centre", s.opts.Self.DataCentre),
+		zap.Int("shard", n.Shard),
+		zap.Uint64("term", n.Term),
+		zap.String("vm", n.VM.String()))
+}
