--- a/internal/limiter/baseline.go
+++ b/internal/limiter/baseline.go
@@ -23,13 +23,13 @@
 func newBaseline() *baseline { return &baseline{buckets: map[string]*bucket{}} }
 
 // reserve takes tokens from a 1/vms part of a plan.
-func (b *baseline) reserve(now clock.Instant, snap *configuration.Snapshot, id partID, req *reserveRequest, vms int) reserveReply {
+func (b *baseline) reserve(now clock.Instant, snap *configuration.Snapshot, id partID, req *ReserveRequest, vms int) ReserveReply {
 	if snap == nil {
-		return reserveReply{Status: statusNoPlan}
+		return ReserveReply{Status: statusNoPlan}
 	}
-	plan, ok := planOf(&snap.Document, req.Workspace)
+	plan, ok := PlanOf(&snap.Document, req.Workspace)
 	if !ok {
-		return reserveReply{Status: statusNoPlan}
+		return ReserveReply{Status: statusNoPlan}
 	}
 	l := Limit{Rate: plan.Rate / int64(vms), Burst: plan.Burst / int64(vms)}
 	b.mu.Lock()
@@ -42,14 +42,14 @@
 	k.change(now, l)
 	if _, ok := k.find(id); !ok {
 		if have := k.available(now); have < req.Tokens {
-			return reserveReply{Status: statusShort, Balance: have}
+			return ReserveReply{Status: statusShort, Balance: have}
 		}
 		k.debit(now, id, req.Tokens, false)
 	}
-	return reserveReply{Status: statusGranted, Granted: req.Tokens, Balance: k.available(now)}
+	return ReserveReply{Status: statusGranted, Granted: req.Tokens, Balance: k.available(now)}
 }
 
-func (b *baseline) settle(now clock.Instant, id partID, item settlement) {
+func (b *baseline) settle(now clock.Instant, id partID, item Settlement) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if k := b.buckets[item.Workspace]; k != nil {
@@ -61,7 +61,7 @@
 type baselineReservation struct {
 	s      *Service
 	holder ident.VM
-	item   settlement
+	item   Settlement
 	once   sync.Once
 }
 
@@ -85,7 +85,7 @@
 	} else if m, ok := view.Owner(workspace, func(membership.Member) bool { return true }); ok {
 		owner = m
 	}
-	req := &reserveRequest{Workspace: workspace, Seq: s.seq.Add(1), Tokens: tokens, Mode: modeWhole}
+	req := &ReserveRequest{Workspace: workspace, Seq: s.seq.Add(1), Tokens: tokens, Mode: modeWhole}
 	reply, err := s.askBaseline(ctx, snap, owner, req, vms)
 	if err != nil {
 		return nil, err
@@ -95,18 +95,18 @@
 		wait := time.Duration((tokens-reply.Balance)*unit/rate + 1)
 		return nil, fault.New(fault.OverPlan, "wait as stated or ask for a larger plan", "workspace is over its rate and burst", fault.WithRetryAfter(wait))
 	}
-	return &baselineReservation{s: s, holder: owner.VM, item: settlement{Workspace: workspace, Seq: req.Seq}}, nil
+	return &baselineReservation{s: s, holder: owner.VM, item: Settlement{Workspace: workspace, Seq: req.Seq}}, nil
 }
 
-func (s *Service) askBaseline(ctx context.Context, snap *configuration.Snapshot, owner membership.Member, req *reserveRequest, vms int) (reserveReply, error) {
+func (s *Service) askBaseline(ctx context.Context, snap *configuration.Snapshot, owner membership.Member, req *ReserveRequest, vms int) (ReserveReply, error) {
 	if owner.VM == s.opts.Self.VM {
 		return s.baseline.reserve(s.opts.Clock.Now(), snap, partID{owner.VM, req.Seq}, req, vms), nil
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := peer.Call[reserveRequest, reserveReply](call, s.opts.Transport, owner.Peer, peer.KindLimiterReserve, req)
+	reply, err := peer.Call[ReserveRequest, ReserveReply](call, s.opts.Transport, owner.Peer, peer.KindLimiterReserve, req)
 	if err != nil {
-		return reserveReply{}, fault.Wrap(err, fault.Unavailable, "retry shortly or ask another VM", "the workspace's home VM does not answer")
+		return ReserveReply{}, fault.Wrap(err, fault.Unavailable, "retry shortly or ask another VM", "the workspace's home VM does not answer")
 	}
 	return *reply, nil
 }
--- a/internal/limiter/calls.go
+++ b/internal/limiter/calls.go
@@ -6,18 +6,18 @@
 type calls struct {
 	mu   *sync.Mutex
 	next *uint64
-	wait map[uint64]chan action
+	wait map[uint64]chan Action
 }
 
 func newCalls() calls {
-	return calls{mu: new(sync.Mutex), next: new(uint64), wait: map[uint64]chan action{}}
+	return calls{mu: new(sync.Mutex), next: new(uint64), wait: map[uint64]chan Action{}}
 }
 
-func (c calls) open() (uint64, <-chan action) {
+func (c calls) open() (uint64, <-chan Action) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	*c.next++
-	ch := make(chan action, 1)
+	ch := make(chan Action, 1)
 	c.wait[*c.next] = ch
 	return *c.next, ch
 }
@@ -28,7 +28,7 @@
 	delete(c.wait, call)
 }
 
-func (c calls) answer(call uint64, a action) {
+func (c calls) answer(call uint64, a Action) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if ch := c.wait[call]; ch != nil {
--- a/internal/limiter/claims.go
+++ b/internal/limiter/claims.go
@@ -15,7 +15,7 @@
 
 	missing bool
 	// pending is the record of a write without a known outcome.
-	pending   *record
+	pending   *Record
 	ifVersion uint64
 	// goneSince tells when a holder was first seen to be gone.
 	goneSince map[ident.VM]clock.Instant
@@ -34,13 +34,13 @@
 }
 
 // claim does what a tick asks for: checks, reads, takeovers and handovers.
-func (h *holder) claim(now clock.Instant) {
+func (h *Holder) claim(now clock.Instant) {
 	if h.view == nil || h.snapshot == nil {
 		return
 	}
 	h.checkFence(now)
 	if h.claims.read.due(now, h.readPeriod()) {
-		h.emit(readRecordOut{})
+		h.emit(ReadRecordOut{})
 	}
 	h.endAwaiting(now)
 	h.notePreferred(now)
@@ -51,21 +51,21 @@
 	h.decideWrite(now)
 }
 
-func (h *holder) readPeriod() time.Duration {
+func (h *Holder) readPeriod() time.Duration {
 	if h.rec == nil {
 		return retryPeriod
 	}
 	return recordPeriod
 }
 
-func (h *holder) checkFence(now clock.Instant) {
+func (h *Holder) checkFence(now clock.Instant) {
 	if h.fence != 0 && h.claims.verify.due(now, retryPeriod) {
-		h.emit(readRecordOut{Verify: h.fence})
+		h.emit(ReadRecordOut{Verify: h.fence})
 	}
 }
 
 // decideWrite starts at most one write of the record.
-func (h *holder) decideWrite(now clock.Instant) {
+func (h *Holder) decideWrite(now clock.Instant) {
 	coordinator := h.coordinates()
 	switch {
 	case h.rec == nil:
@@ -79,25 +79,25 @@
 	}
 }
 
-func (h *holder) coordinates() bool {
-	owner, ok := h.view.Owner(recordName(h.dataCentre), h.local)
+func (h *Holder) coordinates() bool {
+	owner, ok := h.view.Owner(RecordName(h.dataCentre), h.local)
 	return ok && owner.VM == h.self
 }
 
 // local accepts the members that may hold shards here.
-func (h *holder) local(m membership.Member) bool {
+func (h *Holder) local(m membership.Member) bool {
 	return m.DataCentre == h.dataCentre && !(h.stopping && m.VM == h.self)
 }
 
-func (h *holder) preferredHolder(i int) (ident.VM, bool) {
-	m, ok := h.view.Owner(recordName(h.dataCentre)+"/"+strconv.Itoa(i), h.local)
+func (h *Holder) preferredHolder(i int) (ident.VM, bool) {
+	m, ok := h.view.Owner(RecordName(h.dataCentre)+"/"+strconv.Itoa(i), h.local)
 	return m.VM, ok
 }
 
 // firstRecord names the first holders. Its first layout gives nothing, so nothing is
 // granted before the other data centres are seen to keep within the second.
-func (h *holder) firstRecord() *record {
-	r := &record{Shards: make([]holding, Shards)}
+func (h *Holder) firstRecord() *Record {
+	r := &Record{Shards: make([]holding, Shards)}
 	for i := range r.Shards {
 		vm, _ := h.preferredHolder(i)
 		r.Shards[i] = holding{VM: vm, Term: 1, Start: startFull}
@@ -105,13 +105,13 @@
 	doc := &h.snapshot.Document
 	r.Layouts = []layout{
 		{Weights: Weights{}, Confirmed: true},
-		{Version: uint64(h.snapshot.Version), Weights: weightsOf(doc), Confirmed: true},
+		{Version: uint64(h.snapshot.Version), Weights: WeightsOf(doc), Confirmed: true},
 	}
 	return r
 }
 
 // takeOver names new holders for the shards whose holders are gone for long enough.
-func (h *holder) takeOver(now clock.Instant) bool {
+func (h *Holder) takeOver(now clock.Instant) bool {
 	absent := false
 	next := h.rec.clone()
 	taken := false
@@ -131,7 +131,7 @@
 		}
 	}
 	if absent && h.claims.list.due(now, listPeriod) {
-		h.emit(readListOut{})
+		h.emit(ReadListOut{})
 	}
 	if taken {
 		h.write(now, next)
@@ -140,7 +140,7 @@
 }
 
 // present reports whether a holder is heard of; an absent one is looked for in the list.
-func (h *holder) present(vm ident.VM) bool {
+func (h *Holder) present(vm ident.VM) bool {
 	for _, m := range h.view.Members {
 		if m.VM == vm {
 			return m.State == membership.Alive || m.State == membership.Leaving
@@ -150,7 +150,7 @@
 }
 
 // replaced reports whether a later incarnation of a VM is in the view.
-func (h *holder) replaced(vm ident.VM) bool {
+func (h *Holder) replaced(vm ident.VM) bool {
 	for _, m := range h.view.Members {
 		if m.VM.Name == vm.Name && m.VM.Incarnation > vm.Incarnation {
 			return true
@@ -159,7 +159,7 @@
 	return false
 }
 
-func (h *holder) onList(now clock.Instant, in listIn) {
+func (h *Holder) onList(now clock.Instant, in ListIn) {
 	if h.rec == nil || h.view == nil {
 		return
 	}
@@ -176,7 +176,7 @@
 }
 
 // notePreferred follows which VM should hold each shard held here.
-func (h *holder) notePreferred(now clock.Instant) {
+func (h *Holder) notePreferred(now clock.Instant) {
 	for i := range h.shards {
 		s := &h.shards[i]
 		if s.phase != phaseGranting {
@@ -193,7 +193,7 @@
 }
 
 // give stops granting from the shards that another VM should hold, and names that VM.
-func (h *holder) give(now clock.Instant) bool {
+func (h *Holder) give(now clock.Instant) bool {
 	next := h.rec.clone()
 	given := false
 	for i := range h.shards {
@@ -212,36 +212,36 @@
 	return given
 }
 
-func (h *holder) write(now clock.Instant, r *record) {
+func (h *Holder) write(now clock.Instant, r *Record) {
 	h.claims.pending, h.claims.ifVersion = r, h.recVersion
 	h.claims.write = timer{next: now.Add(retryPeriod)}
-	h.emit(writeRecordOut{Record: r, IfVersion: h.recVersion})
+	h.emit(WriteRecordOut{Record: r, IfVersion: h.recVersion})
 }
 
 // retryWrite repeats a write without a known outcome: its condition makes it harmless.
-func (h *holder) retryWrite(now clock.Instant) {
+func (h *Holder) retryWrite(now clock.Instant) {
 	if h.claims.write.due(now, 2*retryPeriod) {
-		h.emit(writeRecordOut{Record: h.claims.pending, IfVersion: h.claims.ifVersion})
+		h.emit(WriteRecordOut{Record: h.claims.pending, IfVersion: h.claims.ifVersion})
 	}
 }
 
-func (h *holder) onWritten(now clock.Instant, in writtenIn) {
+func (h *Holder) onWritten(now clock.Instant, in WrittenIn) {
 	if h.claims.pending == nil {
 		return
 	}
 	switch in.Outcome {
-	case writeDone:
+	case WriteDone:
 		r := h.claims.pending
 		h.applyRecord(now, r, in.Version)
-		h.emit(announceOut{Record: r, Version: in.Version, To: h.neighbours()})
-	case writeConflict:
-		h.emit(readRecordOut{})
-	case writeUnknown:
+		h.emit(AnnounceOut{Record: r, Version: in.Version, To: h.neighbours()})
+	case WriteConflict:
+		h.emit(ReadRecordOut{})
+	case WriteUnknown:
 	}
 }
 
 // neighbours gives the other VMs of this data centre that may listen.
-func (h *holder) neighbours() []ident.VM {
+func (h *Holder) neighbours() []ident.VM {
 	var out []ident.VM
 	for _, m := range h.view.Members {
 		if m.DataCentre == h.dataCentre && m.VM != h.self && m.State != membership.Gone {
@@ -252,7 +252,7 @@
 }
 
 // hasNeighbour reports whether another VM of this data centre can hold shards.
-func (h *holder) hasNeighbour() bool {
+func (h *Holder) hasNeighbour() bool {
 	if h.view == nil {
 		return false
 	}
@@ -262,7 +262,7 @@
 	return ok
 }
 
-func (h *holder) onRecord(now clock.Instant, in recordIn) {
+func (h *Holder) onRecord(now clock.Instant, in RecordIn) {
 	if in.Record == nil {
 		h.claims.missing = h.rec == nil
 		return
@@ -270,32 +270,32 @@
 	h.applyRecord(now, in.Record, in.Version)
 	if in.Verify != 0 && in.Verify == h.fence {
 		h.fence = 0
-		h.emit(noticeOut{Event: "checked"})
+		h.emit(NoticeOut{Event: "checked"})
 	}
 }
 
 // onReadFailed falls back on the peers: takeovers need the platform, and the VM that
 // took over knows it.
-func (h *holder) onReadFailed(in readFailedIn) {
+func (h *Holder) onReadFailed(in ReadFailedIn) {
 	if in.Verify != 0 && in.Verify == h.fence {
-		h.emit(askPeersOut{Verify: in.Verify})
+		h.emit(AskPeersOut(in))
 	}
 }
 
-func (h *holder) onPeers(in peersIn) {
+func (h *Holder) onPeers(in PeersIn) {
 	if in.Verify == h.fence && in.Version <= h.recVersion {
 		h.fence = 0
-		h.emit(noticeOut{Event: "checked"})
+		h.emit(NoticeOut{Event: "checked"})
 	}
 }
 
 // applyRecord puts a newer record in force.
-func (h *holder) applyRecord(now clock.Instant, r *record, version uint64) {
+func (h *Holder) applyRecord(now clock.Instant, r *Record, version uint64) {
 	if version <= h.recVersion {
 		return
 	}
 	h.rec, h.recVersion = r, version
-	h.emit(recordOut{Record: r, Version: version})
+	h.emit(RecordOut{Record: r, Version: version})
 	h.claims.missing = false
 	if h.claims.pending != nil && version > h.claims.ifVersion {
 		h.claims.pending = nil
@@ -306,11 +306,11 @@
 	h.applyLimits(now)
 }
 
-func (h *holder) applyHolding(now clock.Instant, i int, to holding) {
+func (h *Holder) applyHolding(now clock.Instant, i int, to holding) {
 	s := &h.shards[i]
 	if to.VM != h.self {
 		if s.phase == phaseGiving && to.VM == s.target && to.Term == s.term+1 {
-			h.emit(handoverOut{To: to.VM, Balances: h.balancesOf(now, i, to.Term)})
+			h.emit(HandoverOut{To: to.VM, Balances: h.balancesOf(now, i, to.Term)})
 		}
 		if s.phase != phaseNone {
 			h.lose(i)
@@ -333,7 +333,7 @@
 }
 
 // endAwaiting begins with no balances where those of the former holder did not come.
-func (h *holder) endAwaiting(now clock.Instant) {
+func (h *Holder) endAwaiting(now clock.Instant) {
 	for i := range h.shards {
 		s := &h.shards[i]
 		if s.phase == phaseAwaiting && now.Sub(s.since) >= handoverWait {
@@ -342,7 +342,7 @@
 	}
 }
 
-func (h *holder) onHandover(now clock.Instant, in handoverIn) {
+func (h *Holder) onHandover(now clock.Instant, in HandoverIn) {
 	byShard := map[int][]balance{}
 	for _, b := range in.Balances {
 		i := b.Shard
@@ -358,7 +358,7 @@
 }
 
 // receive begins with the former holder's balances once they and the record are here.
-func (h *holder) receive(now clock.Instant, i int) {
+func (h *Holder) receive(now clock.Instant, i int) {
 	s := &h.shards[i]
 	list := h.claims.balances[i]
 	if s.phase != phaseAwaiting || len(list) == 0 || list[0].Term != s.term {
--- a/internal/limiter/draw.go
+++ b/internal/limiter/draw.go
@@ -23,8 +23,8 @@
 // maxWholeAsks is how many shares are asked for all tokens before parts are gathered.
 const maxWholeAsks = 3
 
-// shareView is what a requester believes of one share.
-type shareView struct {
+// ShareView is what a requester believes of one share.
+type ShareView struct {
 	dataCentre string
 	distance   distance
 	limit      Limit
@@ -32,20 +32,20 @@
 	estimate int64
 }
 
-func (s shareView) full() bool { return s.estimate >= s.limit.Burst }
+func (s ShareView) full() bool { return s.estimate >= s.limit.Burst }
 
-// ask is one request that a draw makes.
-type ask struct {
-	dataCentre string
-	tokens     int64
-	mode       mode
+// Ask is one request that a draw makes.
+type Ask struct {
+	DataCentre string
+	Tokens     int64
+	Mode       mode
 }
 
-// drawnPart is what a draw got from one share. ref is the requester's number of the ask.
-type drawnPart struct {
-	ask
-	granted int64
-	ref     int
+// DrawnPart is what a draw got from one share. Ref is the requester's number of the ask.
+type DrawnPart struct {
+	Ask
+	Granted int64
+	Ref     int
 }
 
 // stage is how far a draw has come.
@@ -62,53 +62,54 @@
 	stageDone
 )
 
-// draw decides which shares one request asks, and for what. It is a pure state machine: next
-// gives the ask to make, answer takes its reply, until next reports false.
-type draw struct {
+// Draw decides which shares one request asks, and for what. It is a pure state machine: Next
+// gives the ask to make, Answer takes its reply, until Next reports false.
+type Draw struct {
 	tokens int64
-	shares []shareView
+	shares []ShareView
 	stage  stage
-	queue  []ask
-	last   ask
-	// parts are held; released must be settled with 0 used at once.
-	parts     []drawnPart
-	released  []drawnPart
+	queue  []Ask
+	last   Ask
+	// Parts are held; Released must be settled with 0 used at once.
+	Parts     []DrawnPart
+	Released  []DrawnPart
 	asks      int
 	contended bool
-	// silent counts the shares that gave no answer, by data centre.
+	// silent holds the data centres whose shares gave no answer.
 	silent   map[string]bool
 	answered map[string]bool
 	noPlan   bool
 }
 
-func newDraw(tokens int64, shares []shareView) *draw {
-	d := &draw{tokens: tokens, shares: shares, silent: map[string]bool{}, answered: map[string]bool{}}
+// NewDraw makes the draw of tokens over shares.
+func NewDraw(tokens int64, shares []ShareView) *Draw {
+	d := &Draw{tokens: tokens, shares: shares, silent: map[string]bool{}, answered: map[string]bool{}}
 	d.queue = d.wholeAsks()
 	return d
 }
 
 // wholeAsks orders the shares that may have all tokens: the own one first unless another
 // share would overflow, then the nearest, then the fullest.
-func (d *draw) wholeAsks() []ask {
+func (d *Draw) wholeAsks() []Ask {
 	order := slices.Clone(d.shares)
-	slices.SortStableFunc(order, func(a, b shareView) int {
+	slices.SortStableFunc(order, func(a, b ShareView) int {
 		return cmp.Or(
 			cmp.Compare(d.rank(a), d.rank(b)),
 			cmp.Compare(b.estimate, a.estimate),
 		)
 	})
-	var out []ask
+	var out []Ask
 	for _, s := range order {
 		if s.limit.Burst < d.tokens || s.estimate < d.tokens {
 			continue
 		}
-		out = append(out, ask{s.dataCentre, d.tokens, modeWhole})
+		out = append(out, Ask{s.dataCentre, d.tokens, modeWhole})
 	}
 	return out[:min(len(out), maxWholeAsks)]
 }
 
 // rank is lower for shares that are to be asked earlier.
-func (d *draw) rank(s shareView) int {
+func (d *Draw) rank(s ShareView) int {
 	if s.distance != distanceOwn && s.full() && d.ownBelow(s.distance) {
 		return -int(distanceFar) - 1 + int(s.distance)
 	}
@@ -116,7 +117,7 @@
 }
 
 // ownBelow reports whether the own share is low enough to spare it for a full share.
-func (d *draw) ownBelow(dist distance) bool {
+func (d *Draw) ownBelow(dist distance) bool {
 	for _, s := range d.shares {
 		if s.distance == distanceOwn {
 			divisor := int64(spillDivisor)
@@ -130,9 +131,9 @@
 }
 
 // partAsks orders all shares for a gathering.
-func (d *draw) partAsks(m mode) []ask {
+func (d *Draw) partAsks(m mode) []Ask {
 	order := slices.Clone(d.shares)
-	slices.SortStableFunc(order, func(a, b shareView) int {
+	slices.SortStableFunc(order, func(a, b ShareView) int {
 		if m == modePartWaiting {
 			return cmp.Compare(a.dataCentre, b.dataCentre)
 		}
@@ -142,28 +143,28 @@
 			cmp.Compare(a.dataCentre, b.dataCentre),
 		)
 	})
-	out := make([]ask, 0, len(order))
+	out := make([]Ask, 0, len(order))
 	for _, s := range order {
 		if s.limit.Burst > 0 && !d.silent[s.dataCentre] {
-			out = append(out, ask{dataCentre: s.dataCentre, mode: m})
+			out = append(out, Ask{DataCentre: s.dataCentre, Mode: m})
 		}
 	}
 	return out
 }
 
 // missing is the number of tokens not yet held.
-func (d *draw) missing() int64 {
+func (d *Draw) missing() int64 {
 	n := d.tokens
-	for _, p := range d.parts {
-		n -= p.granted
+	for _, p := range d.Parts {
+		n -= p.Granted
 	}
 	return n
 }
 
-// next gives the next ask, or false when the draw is decided.
-func (d *draw) next() (ask, bool) {
+// Next gives the next ask, or false when the draw is decided.
+func (d *Draw) Next() (Ask, bool) {
 	for d.stage != stageDone {
-		if d.missing() <= 0 && len(d.parts) > 0 {
+		if d.missing() <= 0 && len(d.Parts) > 0 {
 			d.stage = stageDone
 			break
 		}
@@ -173,18 +174,18 @@
 		}
 		a := d.queue[0]
 		d.queue = d.queue[1:]
-		if d.silent[a.dataCentre] {
+		if d.silent[a.DataCentre] {
 			continue
 		}
-		a.tokens = d.missing()
+		a.Tokens = d.missing()
 		d.last = a
 		d.asks++
 		return a, true
 	}
-	return ask{}, false
+	return Ask{}, false
 }
 
-func (d *draw) nextStage() {
+func (d *Draw) nextStage() {
 	switch {
 	case d.stage == stageWhole:
 		d.stage = stageParts
@@ -199,20 +200,20 @@
 	}
 }
 
-func (d *draw) release() {
-	d.released = append(d.released, d.parts...)
-	d.parts = nil
+func (d *Draw) release() {
+	d.Released = append(d.Released, d.Parts...)
+	d.Parts = nil
 }
 
-// answer takes the reply to the last ask; ref is the requester's number of that ask.
-func (d *draw) answer(r reserveReply, ref int) {
-	dc := d.last.dataCentre
+// Answer takes the reply to the last ask; ref is the requester's number of that ask.
+func (d *Draw) Answer(r ReserveReply, ref int) {
+	dc := d.last.DataCentre
 	switch r.Status {
-	case statusUnreachable:
+	case StatusUnreachable:
 		d.silent[dc] = true
-		d.released = append(d.released, drawnPart{ask: d.last, ref: ref})
+		d.Released = append(d.Released, DrawnPart{Ask: d.last, Ref: ref})
 		return
-	case statusNotHolder:
+	case StatusNotHolder:
 		d.silent[dc] = true
 		return
 	case statusNoPlan:
@@ -225,11 +226,11 @@
 	d.answered[dc] = true
 	d.learn(dc, r.Balance)
 	if r.Granted > 0 {
-		d.parts = append(d.parts, drawnPart{ask: d.last, granted: r.Granted, ref: ref})
+		d.Parts = append(d.Parts, DrawnPart{Ask: d.last, Granted: r.Granted, Ref: ref})
 	}
 }
 
-func (d *draw) learn(dataCentre string, balance int64) {
+func (d *Draw) learn(dataCentre string, balance int64) {
 	for i := range d.shares {
 		if d.shares[i].dataCentre == dataCentre {
 			d.shares[i].estimate = balance
@@ -237,15 +238,15 @@
 	}
 }
 
-// admitted reports whether a decided draw got all its tokens.
-func (d *draw) admitted() bool { return d.stage == stageDone && d.missing() <= 0 }
+// Admitted reports whether a decided draw got all its tokens.
+func (d *Draw) Admitted() bool { return d.stage == stageDone && d.missing() <= 0 }
 
 // waitLimit bounds the time to wait that a refusal states.
 const waitLimit = time.Hour
 
-// wait gives the time until the shares that answered will have the tokens, and false when
+// Wait gives the time until the shares that answered will have the tokens, and false when
 // they never will. What the draw released counts as there.
-func (d *draw) wait() (time.Duration, bool) {
+func (d *Draw) Wait() (time.Duration, bool) {
 	have := func(t time.Duration) int64 {
 		var sum int64
 		for _, s := range d.shares {
@@ -273,34 +274,34 @@
 }
 
 // releasedAt gives the tokens that the last gathering gave back to a share.
-func (d *draw) releasedAt(dataCentre string) int64 {
+func (d *Draw) releasedAt(dataCentre string) int64 {
 	var last int64
-	for _, p := range d.released {
-		if p.dataCentre == dataCentre {
-			last = p.granted
+	for _, p := range d.Released {
+		if p.DataCentre == dataCentre {
+			last = p.Granted
 		}
 	}
 	return last
 }
 
-// spread gives the used tokens of each part, so that what was not used goes back to the
+// Spread gives the used tokens of each part, so that what was not used goes back to the
 // nearest shares.
-func (d *draw) spread(used int64) []int64 {
-	out := make([]int64, len(d.parts))
+func (d *Draw) Spread(used int64) []int64 {
+	out := make([]int64, len(d.Parts))
 	near := map[string]distance{}
 	for _, s := range d.shares {
 		near[s.dataCentre] = s.distance
 	}
-	order := make([]int, len(d.parts))
+	order := make([]int, len(d.Parts))
 	for i := range order {
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Compare(near[d.parts[b].dataCentre], near[d.parts[a].dataCentre])
+		return cmp.Compare(near[d.Parts[b].DataCentre], near[d.Parts[a].DataCentre])
 	})
 	left := min(max(used, 0), d.tokens)
 	for _, i := range order {
-		out[i] = min(left, d.parts[i].granted)
+		out[i] = min(left, d.Parts[i].Granted)
 		left -= out[i]
 	}
 	return out
--- a/internal/limiter/handlers.go
+++ b/internal/limiter/handlers.go
@@ -10,11 +10,11 @@
 
 // register serves the messages of other VMs.
 func (s *Service) register(t *peer.Transport) {
-	peer.Handle(t, peer.KindLimiterReserve, func(ctx context.Context, from ident.VM, req *reserveRequest) (*reserveReply, error) {
+	peer.Handle(t, peer.KindLimiterReserve, func(ctx context.Context, from ident.VM, req *ReserveRequest) (*ReserveReply, error) {
 		reply, err := s.serveReserve(ctx, from, req)
 		return &reply, err
 	})
-	peer.Handle(t, peer.KindLimiterSettle, func(_ context.Context, from ident.VM, req *settleBatch) (*controlReply, error) {
+	peer.Handle(t, peer.KindLimiterSettle, func(_ context.Context, from ident.VM, req *SettleBatch) (*controlReply, error) {
 		s.serveSettle(from, req)
 		return &controlReply{}, nil
 	})
@@ -22,31 +22,31 @@
 }
 
 // serveReserve puts a request to the holder machine of this VM.
-func (s *Service) serveReserve(ctx context.Context, from ident.VM, req *reserveRequest) (reserveReply, error) {
+func (s *Service) serveReserve(ctx context.Context, from ident.VM, req *ReserveRequest) (ReserveReply, error) {
 	if s.opts.Policy != PolicyPooled {
 		return s.baseline.reserve(s.opts.Clock.Now(), s.opts.Configuration(), partID{from, req.Seq}, req, 1), nil
 	}
 	call, reply := s.calls.open()
 	defer s.calls.drop(call)
-	if !s.loop.Offer(reserveIn{Call: call, From: from, Req: *req}) {
-		return reserveReply{}, fault.New(fault.Overloaded, "retry shortly", "the limiter's inbox is full")
+	if !s.loop.Offer(ReserveIn{Call: call, From: from, Req: *req}) {
+		return ReserveReply{}, fault.New(fault.Overloaded, "retry shortly", "the limiter's inbox is full")
 	}
 	select {
 	case out := <-reply:
-		return out.(replyOut).Reply, nil
+		return out.(ReplyOut).Reply, nil
 	case <-ctx.Done():
-		return reserveReply{}, fault.Wrap(ctx.Err(), fault.Timeout, "ask another share", "reserve")
+		return ReserveReply{}, fault.Wrap(ctx.Err(), fault.Timeout, "ask another share", "reserve")
 	}
 }
 
-func (s *Service) serveSettle(from ident.VM, req *settleBatch) {
+func (s *Service) serveSettle(from ident.VM, req *SettleBatch) {
 	if s.opts.Policy != PolicyPooled {
 		for _, item := range req.Items {
 			s.baseline.settle(s.opts.Clock.Now(), partID{from, item.Seq}, item)
 		}
 		return
 	}
-	s.loop.Offer(settleIn{From: from, Batch: *req})
+	s.loop.Offer(SettleIn{From: from, Batch: *req})
 }
 
 // serveControl takes records and balances, and answers with the record applied here.
@@ -55,16 +55,16 @@
 		return nil, fault.New(fault.Malformed, "check the data centres in the VMs' settings", "message for another data centre")
 	}
 	if len(req.Record) > 0 {
-		rec, err := decodeRecord(req.Record)
+		rec, err := DecodeRecord(req.Record)
 		if err != nil {
 			return nil, err
 		}
-		if err := s.putAndWait(ctx, recordIn{Record: rec, Version: req.Version}); err != nil {
+		if err := s.putAndWait(ctx, RecordIn{Record: rec, Version: req.Version}); err != nil {
 			return nil, err
 		}
 	}
 	if len(req.Balances) > 0 {
-		if err := s.putAndWait(ctx, handoverIn{Balances: req.Balances}); err != nil {
+		if err := s.putAndWait(ctx, HandoverIn{Balances: req.Balances}); err != nil {
 			return nil, err
 		}
 	}
@@ -72,7 +72,7 @@
 }
 
 // putAndWait returns once the machine has taken the input.
-func (s *Service) putAndWait(ctx context.Context, in input) error {
+func (s *Service) putAndWait(ctx context.Context, in Input) error {
 	if err := s.loop.Put(ctx, in); err != nil {
 		return err
 	}
@@ -86,7 +86,7 @@
 	k := s.records.entry(s.opts.Self.DataCentre)
 	out := &controlReply{Version: k.version}
 	if k.record != nil && k.version > theirs {
-		out.Record = k.record.encode()
+		out.Record = k.record.Encode()
 	}
 	return out
 }
--- a/internal/limiter/hints.go
+++ b/internal/limiter/hints.go
@@ -15,12 +15,12 @@
 	at      clock.Instant
 }
 
-// hints remembers the balances of shares, by workspace and data centre. They only steer
+// Hints remembers the balances of shares, by workspace and data centre. They only steer
 // which share is asked; a wrong one costs a message.
-type hints map[string]map[string]hint
+type Hints map[string]map[string]hint
 
 // estimate gives the believed balance of a share; one never heard of counts as full.
-func (h hints) estimate(now clock.Instant, workspace, dataCentre string, l Limit) int64 {
+func (h Hints) estimate(now clock.Instant, workspace, dataCentre string, l Limit) int64 {
 	known, ok := h[workspace][dataCentre]
 	if !ok {
 		return l.Burst
@@ -30,8 +30,8 @@
 	return min(l.Burst, known.balance+accrued)
 }
 
-// learn notes a balance.
-func (h hints) learn(now clock.Instant, workspace, dataCentre string, balance int64) {
+// Learn notes a balance.
+func (h Hints) Learn(now clock.Instant, workspace, dataCentre string, balance int64) {
 	m := h[workspace]
 	if m == nil {
 		if len(h) >= maxHints {
@@ -43,13 +43,13 @@
 	m[dataCentre] = hint{balance: balance, at: now}
 }
 
-// views gives what is believed of all shares of a workspace. The limits are those of the
+// Views gives what is believed of all shares of a workspace. The limits are those of the
 // configuration's weights; regions maps data centres to their regions.
-func (h hints) views(now clock.Instant, workspace string, plan Limit, w Weights, regions map[string]string, own string) []shareView {
-	out := make([]shareView, 0, len(w))
+func (h Hints) Views(now clock.Instant, workspace string, plan Limit, w Weights, regions map[string]string, own string) []ShareView {
+	out := make([]ShareView, 0, len(w))
 	for _, dc := range sorted(w) {
 		l := w.share(plan, dc)
-		v := shareView{dataCentre: dc, distance: distanceFar, limit: l, estimate: h.estimate(now, workspace, dc, l)}
+		v := ShareView{dataCentre: dc, distance: distanceFar, limit: l, estimate: h.estimate(now, workspace, dc, l)}
 		switch {
 		case dc == own:
 			v.distance = distanceOwn
--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -44,12 +44,12 @@
 
 // waiter is a request that waits for undecided parts of others.
 type waiter struct {
-	in    reserveIn
+	in    ReserveIn
 	until clock.Instant
 }
 
-// holder decides for the shares that one VM holds. It is a pure state machine.
-type holder struct {
+// Holder decides for the shares that one VM holds. It is a pure state machine.
+type Holder struct {
 	self       ident.VM
 	dataCentre string
 	view       *membership.View
@@ -59,7 +59,7 @@
 	ended      endedParts
 	claims     claims
 
-	rec        *record
+	rec        *Record
 	recVersion uint64
 
 	stepped  bool
@@ -68,69 +68,70 @@
 	fence     uint64
 	lastFence uint64
 	stopping  bool
-	out       []action
+	out       []Action
 }
 
-func newHolder(self ident.VM, dataCentre string) *holder {
-	return &holder{self: self, dataCentre: dataCentre, ended: newEndedParts(), claims: newClaims()}
+// NewHolder makes the machine of one VM life in a data centre.
+func NewHolder(self ident.VM, dataCentre string) *Holder {
+	return &Holder{self: self, dataCentre: dataCentre, ended: newEndedParts(), claims: newClaims()}
 }
 
 // Step implements duty.Machine.
-func (h *holder) Step(now clock.Instant, in input) []action {
+func (h *Holder) Step(now clock.Instant, in Input) []Action {
 	h.out = nil
 	h.notePause(now)
 	switch in := in.(type) {
-	case reserveIn:
+	case ReserveIn:
 		h.reserve(now, in)
-	case settleIn:
+	case SettleIn:
 		h.settle(now, in)
-	case tickIn:
+	case TickIn:
 		h.tick(now, in)
-	case recordIn:
+	case RecordIn:
 		h.onRecord(now, in)
-	case readFailedIn:
+	case ReadFailedIn:
 		h.onReadFailed(in)
-	case peersIn:
+	case PeersIn:
 		h.onPeers(in)
-	case writtenIn:
+	case WrittenIn:
 		h.onWritten(now, in)
-	case listIn:
+	case ListIn:
 		h.onList(now, in)
-	case othersIn:
+	case OthersIn:
 		h.onOthers(in)
-	case handoverIn:
+	case HandoverIn:
 		h.onHandover(now, in)
-	case ackIn:
+	case AckIn:
 		h.claims.acked[in.VM] = max(h.claims.acked[in.VM], in.Version)
-	case stopIn:
+	case StopIn:
 		h.stopping = true
-	case staleIn:
+	case StaleIn:
 		if h.claims.stale.due(now, stalePeriod) {
-			h.emit(readRecordOut{})
+			h.emit(ReadRecordOut{})
 		}
-	case statusIn:
+	case StatusIn:
 		h.emit(h.status(now, in.Call))
 	}
 	h.serveWaiting(now)
 	return h.out
 }
 
-func (h *holder) emit(a action) { h.out = append(h.out, a) }
+func (h *Holder) emit(a Action) { h.out = append(h.out, a) }
 
 // notePause stops granting after a gap in the steps: in the meantime another VM may have
 // taken the shards.
-func (h *holder) notePause(now clock.Instant) {
+func (h *Holder) notePause(now clock.Instant) {
 	if h.stepped && now.Sub(h.lastStep) > PauseLimit {
 		h.lastFence++
 		h.fence = h.lastFence
 		h.claims.verify = timer{}
-		h.emit(noticeOut{Event: "paused"})
+		h.emit(NoticeOut{Event: "paused"})
 	}
 	h.stepped = true
 	h.lastStep = now
 }
 
-func (h *holder) tick(now clock.Instant, in tickIn) {
+func (h *Holder) tick(now clock.Instant, in TickIn) {
 	if in.View != nil {
 		h.view = in.View
 	}
@@ -145,29 +146,29 @@
 }
 
 // grants gives the bucket of a workspace if this VM may grant from it.
-func (h *holder) grants(workspace string) (b *shareBucket, ok bool) {
-	s := &h.shards[shardOf(workspace)]
+func (h *Holder) grants(workspace string) (b *shareBucket, ok bool) {
+	s := &h.shards[ShardOf(workspace)]
 	if s.phase != phaseGranting || h.fence != 0 {
 		return nil, false
 	}
 	return s.buckets[workspace], true
 }
 
-func (h *holder) reserve(now clock.Instant, in reserveIn) {
+func (h *Holder) reserve(now clock.Instant, in ReserveIn) {
 	b, ok := h.grants(in.Req.Workspace)
 	switch {
 	case !ok:
-		h.answer(in, reserveReply{Status: statusNotHolder})
+		h.answer(in, ReserveReply{Status: StatusNotHolder})
 	case b == nil || b.removed:
-		h.answer(in, reserveReply{Status: statusNoPlan})
+		h.answer(in, ReserveReply{Status: statusNoPlan})
 	case in.Req.Tokens < 0 || h.ended.has(partID{in.From, in.Req.Seq}):
-		h.answer(in, reserveReply{Status: statusShort})
+		h.answer(in, ReserveReply{Status: statusShort})
 	default:
 		h.grant(now, b, in)
 	}
 }
 
-func (h *holder) grant(now clock.Instant, b *shareBucket, in reserveIn) {
+func (h *Holder) grant(now clock.Instant, b *shareBucket, in ReserveIn) {
 	short := b.available(now) < in.Req.Tokens
 	contended := short && b.contended(now)
 	if contended && in.Req.Mode == modePartWaiting {
@@ -177,11 +178,11 @@
 	h.grantNow(now, b, in, contended)
 }
 
-func (h *holder) grantNow(now clock.Instant, b *shareBucket, in reserveIn, contended bool) {
+func (h *Holder) grantNow(now clock.Instant, b *shareBucket, in ReserveIn, contended bool) {
 	id := partID{in.From, in.Req.Seq}
 	have := b.available(now)
 	if i, ok := b.find(id); ok {
-		h.answer(in, reserveReply{Status: grantStatus(b.held[i].tokens, in.Req.Tokens), Granted: b.held[i].tokens, Balance: have})
+		h.answer(in, ReserveReply{Status: grantStatus(b.held[i].tokens, in.Req.Tokens), Granted: b.held[i].tokens, Balance: have})
 		return
 	}
 	take := min(have, in.Req.Tokens)
@@ -195,7 +196,7 @@
 	if contended && st == statusShort {
 		st = statusContended
 	}
-	h.answer(in, reserveReply{Status: st, Granted: take, Balance: b.available(now)})
+	h.answer(in, ReserveReply{Status: st, Granted: take, Balance: b.available(now)})
 }
 
 func grantStatus(granted, wanted int64) status {
@@ -205,16 +206,16 @@
 	return statusShort
 }
 
-func (h *holder) answer(in reserveIn, r reserveReply) { h.emit(replyOut{Call: in.Call, Reply: r}) }
+func (h *Holder) answer(in ReserveIn, r ReserveReply) { h.emit(ReplyOut{Call: in.Call, Reply: r}) }
 
 // serveWaiting answers the waiting requests that can be decided now, oldest first.
-func (h *holder) serveWaiting(now clock.Instant) {
+func (h *Holder) serveWaiting(now clock.Instant) {
 	queue := h.waiting
 	h.waiting = nil
 	for _, w := range queue {
 		b, ok := h.grants(w.in.Req.Workspace)
 		if !ok || b == nil || b.removed || h.ended.has(partID{w.in.From, w.in.Req.Seq}) {
-			h.answer(w.in, reserveReply{Status: statusNotHolder})
+			h.answer(w.in, ReserveReply{Status: StatusNotHolder})
 			continue
 		}
 		enough := b.available(now) >= w.in.Req.Tokens
@@ -227,15 +228,15 @@
 	}
 }
 
-func (h *holder) settle(now clock.Instant, in settleIn) {
+func (h *Holder) settle(now clock.Instant, in SettleIn) {
 	from := in.From
 	if in.Batch.VM != nil {
 		from = *in.Batch.VM
 	}
-	pass := map[string]*forwardOut{}
+	pass := map[string]*ForwardOut{}
 	for _, item := range in.Batch.Items {
 		id := partID{from, item.Seq}
-		s := &h.shards[shardOf(item.Workspace)]
+		s := &h.shards[ShardOf(item.Workspace)]
 		if s.phase != phaseNone {
 			h.settleOne(now, s, id, item)
 			continue
@@ -243,7 +244,7 @@
 		if to, ok := h.holderOf(item.Workspace); ok && in.Batch.VM == nil {
 			f := pass[to.String()]
 			if f == nil {
-				f = &forwardOut{To: to, Batch: settleBatch{VM: &from}}
+				f = &ForwardOut{To: to, Batch: SettleBatch{VM: &from}}
 				pass[to.String()] = f
 			}
 			f.Batch.Items = append(f.Batch.Items, item)
@@ -254,9 +255,9 @@
 	}
 }
 
-func (h *holder) settleOne(now clock.Instant, s *shard, id partID, item settlement) {
+func (h *Holder) settleOne(now clock.Instant, s *shard, id partID, item Settlement) {
 	b := s.buckets[item.Workspace]
-	if item.Used == keepUsed {
+	if item.Used == KeepUsed {
 		if b != nil {
 			b.confirm(id)
 		}
@@ -269,16 +270,16 @@
 }
 
 // holderOf gives another VM that the record names as holder of a workspace's shard.
-func (h *holder) holderOf(workspace string) (ident.VM, bool) {
+func (h *Holder) holderOf(workspace string) (ident.VM, bool) {
 	if h.rec == nil {
 		return ident.VM{}, false
 	}
-	vm := h.rec.Shards[shardOf(workspace)].VM
+	vm := h.rec.Shards[ShardOf(workspace)].VM
 	return vm, vm != h.self
 }
 
 // sweep forgets parts that were never settled and balances of workspaces long removed.
-func (h *holder) sweep(now clock.Instant) {
+func (h *Holder) sweep(now clock.Instant) {
 	for i := range h.shards {
 		for name, b := range h.shards[i].buckets {
 			b.settleAll(func(p part) bool { return now.Sub(p.at) > partLife })
@@ -290,8 +291,8 @@
 }
 
 // status describes the shares held here.
-func (h *holder) status(now clock.Instant, call uint64) statusOut {
-	out := statusOut{Call: call}
+func (h *Holder) status(now clock.Instant, call uint64) StatusOut {
+	out := StatusOut{Call: call}
 	for i := range h.shards {
 		s := &h.shards[i]
 		if s.phase != phaseNone && h.hasNeighbour() {
--- a/internal/limiter/layouts.go
+++ b/internal/limiter/layouts.go
@@ -17,10 +17,10 @@
 //
 // Versions of added layouts only grow, so no data centre returns to a layout it dropped.
 // The others are read after step 2, so of two that differ at least one sees the other.
-func (h *holder) advanceLayouts(now clock.Instant) {
+func (h *Holder) advanceLayouts(now clock.Instant) {
 	newest := h.rec.newest()
 	version := uint64(h.snapshot.Version)
-	weights := weightsOf(&h.snapshot.Document)
+	weights := WeightsOf(&h.snapshot.Document)
 	switch {
 	case version > newest.Version && !maps.Equal(weights, newest.Weights):
 		next := h.rec.clone()
@@ -30,12 +30,12 @@
 		h.confirmLayout(now)
 	default:
 		if h.claims.others.due(now, h.othersPeriod()) {
-			h.emit(readOthersOut{Version: h.recVersion})
+			h.emit(ReadOthersOut{Version: h.recVersion})
 		}
 	}
 }
 
-func (h *holder) othersPeriod() time.Duration {
+func (h *Holder) othersPeriod() time.Duration {
 	if len(h.rec.Layouts) > 1 {
 		return retryPeriod
 	}
@@ -43,7 +43,7 @@
 }
 
 // confirmLayout waits until all holders here apply the record that holds the newest layout.
-func (h *holder) confirmLayout(now clock.Instant) {
+func (h *Holder) confirmLayout(now clock.Instant) {
 	missing := h.rec.holders()[:0:0]
 	for _, vm := range h.rec.holders() {
 		if vm != h.self && h.claims.acked[vm] < h.recVersion {
@@ -57,13 +57,13 @@
 		return
 	}
 	if h.claims.announce.due(now, retryPeriod) {
-		h.emit(announceOut{Record: h.rec, Version: h.recVersion, To: missing})
+		h.emit(AnnounceOut{Record: h.rec, Version: h.recVersion, To: missing})
 	}
 }
 
 // onOthers drops the older layouts once all other data centres keep within the newest, or
 // renews the newest one's version for a data centre that waits for it.
-func (h *holder) onOthers(in othersIn) {
+func (h *Holder) onOthers(in OthersIn) {
 	if in.Version != h.recVersion || h.rec == nil || h.claims.pending != nil || !h.coordinates() {
 		return
 	}
@@ -78,7 +78,7 @@
 	}
 	next := h.rec.clone()
 	version := uint64(h.snapshot.Version)
-	current := maps.Equal(newest.Weights, weightsOf(&h.snapshot.Document))
+	current := maps.Equal(newest.Weights, WeightsOf(&h.snapshot.Document))
 	switch {
 	case len(next.Layouts) > 1 && agreed:
 		next.Layouts = []layout{newest}
--- a/internal/limiter/limits.go
+++ b/internal/limiter/limits.go
@@ -6,19 +6,19 @@
 
 // limitOf gives this data centre's share of a workspace's plan: the least that the record's
 // layouts and the configuration's weights give.
-func (h *holder) limitOf(workspace string) (Limit, bool) {
+func (h *Holder) limitOf(workspace string) (Limit, bool) {
 	doc := &h.snapshot.Document
-	plan, ok := planOf(doc, workspace)
+	plan, ok := PlanOf(doc, workspace)
 	if !ok || h.rec == nil {
 		return Limit{}, false
 	}
-	own := weightsOf(doc).share(plan, h.dataCentre)
+	own := WeightsOf(doc).share(plan, h.dataCentre)
 	recorded := h.rec.share(plan, h.dataCentre)
 	return Limit{Rate: min(own.Rate, recorded.Rate), Burst: min(own.Burst, recorded.Burst)}, true
 }
 
 // applyLimits puts the present plans and layouts in force in all buckets held here.
-func (h *holder) applyLimits(now clock.Instant) {
+func (h *Holder) applyLimits(now clock.Instant) {
 	if h.snapshot == nil {
 		return
 	}
@@ -32,7 +32,7 @@
 	}
 }
 
-func (h *holder) limitBucket(now clock.Instant, workspace string, b *shareBucket) {
+func (h *Holder) limitBucket(now clock.Instant, workspace string, b *shareBucket) {
 	l, ok := h.limitOf(workspace)
 	if !ok && !b.removed {
 		b.removed, b.removedAt = true, now
@@ -45,8 +45,8 @@
 
 // addBucket makes the bucket of a workspace that is new to a shard held here. It is full
 // unless an earlier holder may have granted from it.
-func (h *holder) addBucket(now clock.Instant, workspace string) {
-	s := &h.shards[shardOf(workspace)]
+func (h *Holder) addBucket(now clock.Instant, workspace string) {
+	s := &h.shards[ShardOf(workspace)]
 	if s.phase != phaseGranting && s.phase != phaseGiving {
 		return
 	}
@@ -60,36 +60,36 @@
 }
 
 // begin makes this VM the holder of a shard.
-func (h *holder) begin(now clock.Instant, i int, empty bool) {
+func (h *Holder) begin(now clock.Instant, i int, empty bool) {
 	s := &h.shards[i]
 	s.phase = phaseGranting
 	s.since = now
 	s.empty = empty
 	s.buckets = map[string]*shareBucket{}
 	h.fillShard(now, i)
-	h.emit(noticeOut{Event: "holding", Shard: i, Term: s.term, VM: h.self})
+	h.emit(NoticeOut{Event: "holding", Shard: i, Term: s.term, VM: h.self})
 }
 
-func (h *holder) fillShard(now clock.Instant, i int) {
+func (h *Holder) fillShard(now clock.Instant, i int) {
 	if h.snapshot == nil {
 		return
 	}
 	for _, name := range sorted(h.snapshot.Document.Workspaces) {
-		if shardOf(name) == i {
+		if ShardOf(name) == i {
 			h.addBucket(now, name)
 		}
 	}
 }
 
 // lose ends this VM's hold on a shard.
-func (h *holder) lose(i int) {
+func (h *Holder) lose(i int) {
 	s := &h.shards[i]
-	h.emit(noticeOut{Event: "lost", Shard: i, Term: s.term, VM: h.self})
+	h.emit(NoticeOut{Event: "lost", Shard: i, Term: s.term, VM: h.self})
 	*s = shard{}
 }
 
 // balancesOf gives the balances of a shard for its next holder, whose term is term.
-func (h *holder) balancesOf(now clock.Instant, i int, term uint64) []balance {
+func (h *Holder) balancesOf(now clock.Instant, i int, term uint64) []balance {
 	s := &h.shards[i]
 	var out []balance
 	for _, name := range sorted(s.buckets) {
@@ -108,7 +108,7 @@
 }
 
 // install puts a balance received from the former holder in force.
-func (h *holder) install(now clock.Instant, in balance) {
+func (h *Holder) install(now clock.Instant, in balance) {
 	s := &h.shards[in.Shard]
 	l, ok := Limit{}, false
 	if h.snapshot != nil {
--- a/internal/limiter/machine.go
+++ b/internal/limiter/machine.go
@@ -47,126 +47,126 @@
 
 // Inputs of the holder machine.
 type (
-	// reserveIn is a reserve request; Call identifies the reply.
-	reserveIn struct {
+	// ReserveIn is a reserve request; Call identifies the reply.
+	ReserveIn struct {
 		Call uint64
 		From ident.VM
-		Req  reserveRequest
+		Req  ReserveRequest
 	}
-	// settleIn is a batch of settlements of one requester.
-	settleIn struct {
+	// SettleIn is a batch of settlements of one requester.
+	SettleIn struct {
 		From  ident.VM
-		Batch settleBatch
+		Batch SettleBatch
 	}
-	// tickIn marks the passing of time, with the present view and configuration.
-	tickIn struct {
+	// TickIn marks the passing of time, with the present view and configuration.
+	TickIn struct {
 		View     *membership.View
 		Snapshot *configuration.Snapshot
 	}
-	// recordIn is this data centre's record, read or pushed. Verify is the number of the
+	// RecordIn is this data centre's record, read or pushed. Verify is the number of the
 	// check that the read answers, 0 for a pushed record. A nil Record was not found.
-	recordIn struct {
-		Record  *record
+	RecordIn struct {
+		Record  *Record
 		Version uint64
 		Verify  uint64
 	}
-	// readFailedIn: the platform did not answer a read of the record.
-	readFailedIn struct{ Verify uint64 }
-	// peersIn: all live peers of the data centre answered a check; Version is the highest
+	// ReadFailedIn: the platform did not answer a read of the record.
+	ReadFailedIn struct{ Verify uint64 }
+	// PeersIn: all live peers of the data centre answered a check; Version is the highest
 	// record version that one of them applies.
-	peersIn struct {
+	PeersIn struct {
 		Version uint64
 		Verify  uint64
 	}
-	// writtenIn is the outcome of a write.
-	writtenIn struct {
+	// WrittenIn is the outcome of a write.
+	WrittenIn struct {
 		Outcome writeOutcome
 		Version uint64
 	}
-	// listIn is the platform's list of VM names.
-	listIn struct{ Names map[string]bool }
-	// othersIn holds the records of the other data centres that have one, as read while
+	// ListIn is the platform's list of VM names.
+	ListIn struct{ Names map[string]bool }
+	// OthersIn holds the records of the other data centres that have one, as read while
 	// this data centre's record was at Version.
-	othersIn struct {
-		Records map[string]*record
+	OthersIn struct {
+		Records map[string]*Record
 		Version uint64
 	}
-	// handoverIn brings the balances of shards handed over.
-	handoverIn struct{ Balances []balance }
-	// ackIn: a VM applies the record of a version.
-	ackIn struct {
+	// HandoverIn brings the balances of shards handed over.
+	HandoverIn struct{ Balances []balance }
+	// AckIn: a VM applies the record of a version.
+	AckIn struct {
 		VM      ident.VM
 		Version uint64
 	}
-	// stopIn begins a planned stop.
-	stopIn struct{}
-	// staleIn: a call to a holder of the present record failed.
-	staleIn struct{}
-	// statusIn asks for a statusOut.
-	statusIn struct{ Call uint64 }
+	// StopIn begins a planned stop.
+	StopIn struct{}
+	// StaleIn: a call to a holder of the present record failed.
+	StaleIn struct{}
+	// StatusIn asks for a StatusOut.
+	StatusIn struct{ Call uint64 }
 )
 
 // writeOutcome is how a conditional update ended.
 type writeOutcome uint8
 
 const (
-	writeDone writeOutcome = iota + 1
-	writeConflict
-	// writeUnknown: no answer; the write may have taken effect.
-	writeUnknown
+	WriteDone writeOutcome = iota + 1
+	WriteConflict
+	// WriteUnknown: no answer; the write may have taken effect.
+	WriteUnknown
 )
 
 // Actions of the holder machine.
 type (
-	// replyOut answers a reserveIn.
-	replyOut struct {
+	// ReplyOut answers a ReserveIn.
+	ReplyOut struct {
 		Call  uint64
-		Reply reserveReply
-	}
-	// readRecordOut asks for a recordIn or readFailedIn with Verify.
-	readRecordOut struct{ Verify uint64 }
-	// askPeersOut asks all other live VMs of the data centre for the record version that
-	// they apply; if all answer, a peersIn follows.
-	askPeersOut struct{ Verify uint64 }
-	// writeRecordOut asks for a conditional update and a writtenIn.
-	writeRecordOut struct {
-		Record    *record
+		Reply ReserveReply
+	}
+	// ReadRecordOut asks for a RecordIn or ReadFailedIn with Verify.
+	ReadRecordOut struct{ Verify uint64 }
+	// AskPeersOut asks all other live VMs of the data centre for the record version that
+	// they apply; if all answer, a PeersIn follows.
+	AskPeersOut struct{ Verify uint64 }
+	// WriteRecordOut asks for a conditional update and a WrittenIn.
+	WriteRecordOut struct {
+		Record    *Record
 		IfVersion uint64
 	}
-	// readListOut asks for a listIn.
-	readListOut struct{}
-	// readOthersOut asks for an othersIn.
-	readOthersOut struct{ Version uint64 }
-	// announceOut pushes the record to VMs of the data centre; ackIns follow.
-	announceOut struct {
-		Record  *record
+	// ReadListOut asks for a ListIn.
+	ReadListOut struct{}
+	// ReadOthersOut asks for an OthersIn.
+	ReadOthersOut struct{ Version uint64 }
+	// AnnounceOut pushes the record to VMs of the data centre; ackIns follow.
+	AnnounceOut struct {
+		Record  *Record
 		Version uint64
 		To      []ident.VM
 	}
-	// handoverOut sends balances to a shard's next holder.
-	handoverOut struct {
+	// HandoverOut sends balances to a shard's next holder.
+	HandoverOut struct {
 		To       ident.VM
 		Balances []balance
 	}
-	// forwardOut passes settlements on to the present holder.
-	forwardOut struct {
+	// ForwardOut passes settlements on to the present holder.
+	ForwardOut struct {
 		To    ident.VM
-		Batch settleBatch
+		Batch SettleBatch
 	}
-	// recordOut tells the requester side which record is in force.
-	recordOut struct {
-		Record  *record
+	// RecordOut tells the requester side which record is in force.
+	RecordOut struct {
+		Record  *Record
 		Version uint64
 	}
-	// statusOut answers a statusIn.
-	statusOut struct {
+	// StatusOut answers a StatusIn.
+	StatusOut struct {
 		Call   uint64
 		Shares []ShareStatus
 		// Leaving is the number of shards that other VMs are to take over.
 		Leaving int
 	}
-	// noticeOut is an event for the log.
-	noticeOut struct {
+	// NoticeOut is an event for the log.
+	NoticeOut struct {
 		Event string
 		Shard int
 		Term  uint64
@@ -175,8 +175,10 @@
 )
 
 type (
-	input  any
-	action any
+	// Input is one of the types whose names end in In.
+	Input any
+	// Action is one of the types whose names end in Out.
+	Action any
 )
 
 // timer fires at most once a period.
--- a/internal/limiter/record.go
+++ b/internal/limiter/record.go
@@ -12,7 +12,8 @@
 // recordPrefix starts the platform objects that name the share holders, one a data centre.
 const recordPrefix = "limits/"
 
-func recordName(dataCentre string) string { return recordPrefix + dataCentre }
+// RecordName names a data centre's object.
+func RecordName(dataCentre string) string { return recordPrefix + dataCentre }
 
 // start says how a new holder of a shard begins.
 type start string
@@ -41,15 +42,16 @@
 	Confirmed bool    `json:"confirmed"`
 }
 
-// record is the content of a data centre's object. Each workspace's share is the least that
+// Record is the content of a data centre's object. Each workspace's share is the least that
 // any of Layouts gives.
-type record struct {
+type Record struct {
 	Shards  []holding `json:"shards"`
 	Layouts []layout  `json:"layouts"`
 }
 
-func decodeRecord(raw []byte) (*record, error) {
-	var r record
+// DecodeRecord reads the value of a record's object.
+func DecodeRecord(raw []byte) (*Record, error) {
+	var r Record
 	if err := json.Unmarshal(raw, &r); err != nil {
 		return nil, fault.Wrap(err, fault.Malformed, "delete the object only with all VMs of the data centre stopped", "record of share holders")
 	}
@@ -59,7 +61,8 @@
 	return &r, nil
 }
 
-func (r *record) encode() []byte {
+// Encode gives the value of the record's object.
+func (r *Record) Encode() []byte {
 	raw, err := json.Marshal(r)
 	if err != nil {
 		panic(err) // no field of a record can fail to encode
@@ -67,14 +70,14 @@
 	return raw
 }
 
-func (r *record) clone() *record {
-	return &record{Shards: slices.Clone(r.Shards), Layouts: slices.Clone(r.Layouts)}
+func (r *Record) clone() *Record {
+	return &Record{Shards: slices.Clone(r.Shards), Layouts: slices.Clone(r.Layouts)}
 }
 
-func (r *record) newest() *layout { return &r.Layouts[len(r.Layouts)-1] }
+func (r *Record) newest() *layout { return &r.Layouts[len(r.Layouts)-1] }
 
 // share gives the least share of a plan over all layouts.
-func (r *record) share(plan Limit, dataCentre string) Limit {
+func (r *Record) share(plan Limit, dataCentre string) Limit {
 	out := plan
 	for _, l := range r.Layouts {
 		s := l.Weights.share(plan, dataCentre)
@@ -86,18 +89,18 @@
 
 // admits reports whether this data centre keeps within l and knows of no newer layout, so
 // that others may use l.
-func (r *record) admits(l layout) bool {
+func (r *Record) admits(l layout) bool {
 	mine := r.newest()
 	return mine.Confirmed && mine.Version >= l.Version && maps.Equal(mine.Weights, l.Weights)
 }
 
 // settled reports whether the record divides plans by l alone.
-func (r *record) settled(l layout) bool {
+func (r *Record) settled(l layout) bool {
 	return len(r.Layouts) == 1 && maps.Equal(r.Layouts[0].Weights, l.Weights)
 }
 
 // holders gives each VM that holds a shard, once.
-func (r *record) holders() []ident.VM {
+func (r *Record) holders() []ident.VM {
 	seen := map[ident.VM]bool{}
 	var out []ident.VM
 	for _, h := range r.Shards {
--- a/internal/limiter/records.go
+++ b/internal/limiter/records.go
@@ -22,7 +22,7 @@
 }
 
 type knownRecord struct {
-	record   *record
+	record   *Record
 	version  uint64
 	lastRead time.Time
 }
@@ -31,7 +31,7 @@
 	return &records{store: store, own: own, known: map[string]*knownRecord{}}
 }
 
-func (r *records) put(dataCentre string, rec *record, version uint64) {
+func (r *records) put(dataCentre string, rec *Record, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.entry(dataCentre)
@@ -62,7 +62,7 @@
 	return rec.Shards[shard].VM, true
 }
 
-func (r *records) get(dataCentre string) *record {
+func (r *records) get(dataCentre string) *Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.entry(dataCentre).record
@@ -81,7 +81,7 @@
 }
 
 func (r *records) refresh(ctx context.Context, dataCentre string) error {
-	_, err := r.read(ctx, recordName(dataCentre))
+	_, err := r.read(ctx, RecordName(dataCentre))
 	return err
 }
 
@@ -94,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rec, err := decodeRecord(o.Value)
+	rec, err := DecodeRecord(o.Value)
 	if err != nil {
 		return nil, err
 	}
@@ -103,12 +103,12 @@
 }
 
 // readOthers reads the records of all data centres but the own one.
-func (r *records) readOthers(ctx context.Context) (map[string]*record, error) {
+func (r *records) readOthers(ctx context.Context) (map[string]*Record, error) {
 	objects, err := r.store.List(ctx, recordPrefix)
 	if err != nil {
 		return nil, err
 	}
-	out := map[string]*record{}
+	out := map[string]*Record{}
 	for _, o := range objects {
 		dc := strings.TrimPrefix(o.Name, recordPrefix)
 		if dc == r.own {
--- a/internal/limiter/service.go
+++ b/internal/limiter/service.go
@@ -32,7 +32,7 @@
 	// callTimeout bounds one call to a share holder.
 	callTimeout = 150 * time.Millisecond
 	// inboxCapacity is the most inputs that wait for the holder machine; beyond it a
-	// reserve request fails as Overloaded and a settlement is lost.
+	// reserve request fails as Overloaded and a Settlement is lost.
 	inboxCapacity = 8192
 	// stopPoll is the time between looks at the shards left during a planned stop.
 	stopPoll = 20 * time.Millisecond
@@ -70,7 +70,7 @@
 // Service is the limiter of one VM.
 type Service struct {
 	opts     Options
-	loop     *duty.Loop[input, action]
+	loop     *duty.Loop[Input, Action]
 	worker   *worker
 	settler  *settler
 	records  *records
@@ -79,7 +79,7 @@
 	seq      atomic.Uint64
 
 	mu    sync.Mutex
-	hints hints
+	hints Hints
 }
 
 // New makes a Service and registers its message handlers with the transport.
@@ -90,15 +90,15 @@
 	if o.Policy == "" {
 		o.Policy = PolicyPooled
 	}
-	s := &Service{opts: o, hints: hints{}, baseline: newBaseline(), calls: newCalls()}
+	s := &Service{opts: o, hints: Hints{}, baseline: newBaseline(), calls: newCalls()}
 	s.worker = newWorker(s)
 	s.records = newRecords(o.Store, o.Self.DataCentre)
 	s.settler = newSettler(s.sendSettlements)
-	s.loop = duty.NewLoop(duty.Options[input, action]{
-		Machine:  newHolder(o.Self.VM, o.Self.DataCentre),
+	s.loop = duty.NewLoop(duty.Options[Input, Action]{
+		Machine:  NewHolder(o.Self.VM, o.Self.DataCentre),
 		Clock:    o.Clock,
 		Capacity: inboxCapacity,
-		Tick:     func() input { return tickIn{View: s.view(), Snapshot: o.Configuration()} },
+		Tick:     func() Input { return TickIn{View: s.view(), Snapshot: o.Configuration()} },
 		Period:   tickPeriod,
 		Perform:  s.worker.perform,
 	})
@@ -123,7 +123,7 @@
 // Stop hands this VM's shares to other VMs of its data centre, and returns when all are
 // handed over, when nobody can take them, or when ctx ends. Run must still be running.
 func (s *Service) Stop(ctx context.Context) {
-	if s.opts.Policy != PolicyPooled || s.loop.Put(ctx, stopIn{}) != nil {
+	if s.opts.Policy != PolicyPooled || s.loop.Put(ctx, StopIn{}) != nil {
 		return
 	}
 	for {
@@ -154,17 +154,17 @@
 	return out.Shares
 }
 
-func (s *Service) status(ctx context.Context) (statusOut, error) {
+func (s *Service) status(ctx context.Context) (StatusOut, error) {
 	call, reply := s.calls.open()
 	defer s.calls.drop(call)
-	if err := s.loop.Put(ctx, statusIn{Call: call}); err != nil {
-		return statusOut{}, err
+	if err := s.loop.Put(ctx, StatusIn{Call: call}); err != nil {
+		return StatusOut{}, err
 	}
 	select {
 	case out := <-reply:
-		return out.(statusOut), nil
+		return out.(StatusOut), nil
 	case <-ctx.Done():
-		return statusOut{}, ctx.Err()
+		return StatusOut{}, ctx.Err()
 	}
 }
 
@@ -200,7 +200,7 @@
 	if snap == nil {
 		return nil, fault.New(fault.Unavailable, "retry shortly or ask another VM", "this VM has no configuration yet")
 	}
-	plan, ok := planOf(&snap.Document, workspace)
+	plan, ok := PlanOf(&snap.Document, workspace)
 	if !ok {
 		return nil, fault.New(fault.Forbidden, "ask the operator for a plan", "workspace has no plan")
 	}
--- a/internal/limiter/settler.go
+++ b/internal/limiter/settler.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// settlePeriod is the longest that a settlement waits for others to the same holder.
+	// settlePeriod is the longest that a Settlement waits for others to the same holder.
 	settlePeriod = 100 * time.Millisecond
 	// settleBatchItems is the number of settlements that are sent without waiting.
 	settleBatchItems = 64
@@ -17,18 +17,18 @@
 
 // settler batches settlements by holder.
 type settler struct {
-	send func(ident.VM, settleBatch)
+	send func(ident.VM, SettleBatch)
 
 	mu    sync.Mutex
-	queue map[ident.VM][]settlement
+	queue map[ident.VM][]Settlement
 }
 
-func newSettler(send func(ident.VM, settleBatch)) *settler {
-	return &settler{send: send, queue: map[ident.VM][]settlement{}}
+func newSettler(send func(ident.VM, SettleBatch)) *settler {
+	return &settler{send: send, queue: map[ident.VM][]Settlement{}}
 }
 
-// add queues a settlement and sends the queue when it is long or the settlement is urgent.
-func (s *settler) add(to ident.VM, item settlement, urgent bool) {
+// add queues a Settlement and sends the queue when it is long or the Settlement is urgent.
+func (s *settler) add(to ident.VM, item Settlement, urgent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue[to] = append(s.queue[to], item)
@@ -40,7 +40,7 @@
 func (s *settler) flushTo(to ident.VM) {
 	items := s.queue[to]
 	delete(s.queue, to)
-	s.send(to, settleBatch{Items: items})
+	s.send(to, SettleBatch{Items: items})
 }
 
 func (s *settler) flush() {
--- a/internal/limiter/share.go
+++ b/internal/limiter/share.go
@@ -19,8 +19,8 @@
 // Weights gives each data centre's part of every plan.
 type Weights map[string]int
 
-// planOf gives the limit of a workspace over all VMs.
-func planOf(doc *configuration.Document, workspace string) (Limit, bool) {
+// PlanOf gives the limit of a workspace over all VMs.
+func PlanOf(doc *configuration.Document, workspace string) (Limit, bool) {
 	w, ok := doc.Workspaces[workspace]
 	if !ok {
 		return Limit{}, false
@@ -32,8 +32,8 @@
 	return Limit{Rate: max(0, p.TokensPerSecond), Burst: min(max(0, p.BurstTokens), MaxBurstTokens)}, true
 }
 
-// weightsOf reads the data centres' weights; a weight that is not set counts as 1.
-func weightsOf(doc *configuration.Document) Weights {
+// WeightsOf reads the data centres' weights; a weight that is not set counts as 1.
+func WeightsOf(doc *configuration.Document) Weights {
 	out := make(Weights, len(doc.DataCentres))
 	for name, dc := range doc.DataCentres {
 		out[name] = max(1, dc.ShareWeight)
@@ -70,8 +70,8 @@
 // shard have the same share holder in a data centre.
 const Shards = 64
 
-// shardOf gives the shard of a workspace.
-func shardOf(workspace string) int { return int(xxhash.Sum64String(workspace) % Shards) }
+// ShardOf gives the shard of a workspace.
+func ShardOf(workspace string) int { return int(xxhash.Sum64String(workspace) % Shards) }
 
 // sorted gives the keys of a map in order.
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/internal/limiter/wire.go
+++ b/internal/limiter/wire.go
@@ -16,9 +16,9 @@
 	modePartWaiting
 )
 
-// reserveRequest asks a share holder for tokens. The sender's VM and Seq identify it, so a
+// ReserveRequest asks a share holder for tokens. The sender's VM and Seq identify it, so a
 // doubled request gets the first one's answer.
-type reserveRequest struct {
+type ReserveRequest struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
@@ -38,16 +38,16 @@
 	statusShort
 	// statusContended: as statusShort, while undecided parts of other requests are out.
 	statusContended
-	// statusNotHolder: this VM does not hold the share, or may not grant now.
-	statusNotHolder
+	// StatusNotHolder: this VM does not hold the share, or may not grant now.
+	StatusNotHolder
 	// statusNoPlan: the workspace has no plan here.
 	statusNoPlan
-	// statusUnreachable is set by the requester when no reply came in time.
-	statusUnreachable
+	// StatusUnreachable is set by the requester when no reply came in time.
+	StatusUnreachable
 )
 
-// reserveReply answers a reserveRequest. Balance is the whole tokens left, as a hint.
-type reserveReply struct {
+// ReserveReply answers a ReserveRequest. Balance is the whole tokens left, as a hint.
+type ReserveReply struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
@@ -56,11 +56,11 @@
 	Balance int64
 }
 
-// keepUsed in a settlement means that a tentative part is now part of a decided reservation.
-const keepUsed = -1
+// KeepUsed in a Settlement means that a tentative part is now part of a decided reservation.
+const KeepUsed = -1
 
-// settlement ends one part, or confirms a tentative one when Used is keepUsed.
-type settlement struct {
+// Settlement ends one part, or confirms a tentative one when Used is KeepUsed.
+type Settlement struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
@@ -69,14 +69,14 @@
 	Used      int64
 }
 
-// settleBatch carries settlements of one requester to one holder. VM is the requester when a
+// SettleBatch carries settlements of one requester to one holder. VM is the requester when a
 // former holder passes the batch on.
-type settleBatch struct {
+type SettleBatch struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	VM    *ident.VM
-	Items []settlement
+	Items []Settlement
 }
 
 // controlRequest carries what changes the holders: a record that was written, balances of
--- a/internal/limiter/worker.go
+++ b/internal/limiter/worker.go
@@ -65,60 +65,60 @@
 }
 
 // perform carries out one action without blocking.
-func (w *worker) perform(a action) {
+func (w *worker) perform(a Action) {
 	s := w.s
 	switch a := a.(type) {
-	case replyOut:
+	case ReplyOut:
 		s.calls.answer(a.Call, a)
-	case statusOut:
+	case StatusOut:
 		s.calls.answer(a.Call, a)
-	case recordOut:
+	case RecordOut:
 		s.records.put(s.opts.Self.DataCentre, a.Record, a.Version)
-	case noticeOut:
+	case NoticeOut:
 		s.note(a)
-	case forwardOut:
+	case ForwardOut:
 		s.sendSettlements(a.To, a.Batch)
-	case readRecordOut:
+	case ReadRecordOut:
 		w.do(func(ctx context.Context) { w.readRecord(ctx, a.Verify) })
-	case writeRecordOut:
+	case WriteRecordOut:
 		w.do(func(ctx context.Context) { w.writeRecord(ctx, a) })
-	case readListOut:
+	case ReadListOut:
 		w.do(w.readList)
-	case readOthersOut:
+	case ReadOthersOut:
 		w.do(func(ctx context.Context) { w.readOthers(ctx, a.Version) })
-	case askPeersOut:
+	case AskPeersOut:
 		w.do(func(ctx context.Context) { w.askPeers(ctx, a.Verify) })
-	case announceOut:
+	case AnnounceOut:
 		w.do(func(ctx context.Context) { w.announce(ctx, a) })
-	case handoverOut:
+	case HandoverOut:
 		w.do(func(ctx context.Context) { w.handover(ctx, a) })
 	}
 }
 
-func (w *worker) put(ctx context.Context, in input) { _ = w.s.loop.Put(ctx, in) }
+func (w *worker) put(ctx context.Context, in Input) { _ = w.s.loop.Put(ctx, in) }
 
 func (w *worker) readRecord(ctx context.Context, verify uint64) {
 	call, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	k, err := w.s.records.read(call, recordName(w.s.opts.Self.DataCentre))
+	k, err := w.s.records.read(call, RecordName(w.s.opts.Self.DataCentre))
 	if err != nil {
-		w.put(ctx, readFailedIn{Verify: verify})
+		w.put(ctx, ReadFailedIn{Verify: verify})
 		return
 	}
-	w.put(ctx, recordIn{Record: k.record, Version: k.version, Verify: verify})
+	w.put(ctx, RecordIn{Record: k.record, Version: k.version, Verify: verify})
 }
 
-func (w *worker) writeRecord(ctx context.Context, a writeRecordOut) {
+func (w *worker) writeRecord(ctx context.Context, a WriteRecordOut) {
 	call, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	version, err := w.s.opts.Store.Put(call, recordName(w.s.opts.Self.DataCentre), a.Record.encode(), a.IfVersion)
+	version, err := w.s.opts.Store.Put(call, RecordName(w.s.opts.Self.DataCentre), a.Record.Encode(), a.IfVersion)
 	switch {
 	case err == nil:
-		w.put(ctx, writtenIn{Outcome: writeDone, Version: version})
+		w.put(ctx, WrittenIn{Outcome: WriteDone, Version: version})
 	case fault.Is(err, fault.Conflict):
-		w.put(ctx, writtenIn{Outcome: writeConflict})
+		w.put(ctx, WrittenIn{Outcome: WriteConflict})
 	default:
-		w.put(ctx, writtenIn{Outcome: writeUnknown})
+		w.put(ctx, WrittenIn{Outcome: WriteUnknown})
 	}
 }
 
@@ -133,7 +133,7 @@
 	for _, vm := range vms {
 		names[vm.Name] = true
 	}
-	w.put(ctx, listIn{Names: names})
+	w.put(ctx, ListIn{Names: names})
 }
 
 func (w *worker) readOthers(ctx context.Context, version uint64) {
@@ -143,7 +143,7 @@
 	if err != nil {
 		return
 	}
-	w.put(ctx, othersIn{Records: others, Version: version})
+	w.put(ctx, OthersIn{Records: others, Version: version})
 }
 
 // askPeers asks all VMs of the data centre that are not gone. The check stays open while a
@@ -168,7 +168,7 @@
 		w.learn(ctx, reply)
 	}
 	if asked == 0 || answered > 0 {
-		w.put(ctx, peersIn{Version: highest, Verify: verify})
+		w.put(ctx, PeersIn{Version: highest, Verify: verify})
 	}
 }
 
@@ -176,20 +176,20 @@
 	if len(reply.Record) == 0 {
 		return
 	}
-	if rec, err := decodeRecord(reply.Record); err == nil {
-		w.put(ctx, recordIn{Record: rec, Version: reply.Version})
+	if rec, err := DecodeRecord(reply.Record); err == nil {
+		w.put(ctx, RecordIn{Record: rec, Version: reply.Version})
 	}
 }
 
-func (w *worker) announce(ctx context.Context, a announceOut) {
-	req := &controlRequest{DataCentre: w.s.opts.Self.DataCentre, Record: a.Record.encode(), Version: a.Version}
+func (w *worker) announce(ctx context.Context, a AnnounceOut) {
+	req := &controlRequest{DataCentre: w.s.opts.Self.DataCentre, Record: a.Record.Encode(), Version: a.Version}
 	var g errgroup.Group
 	g.SetLimit(announceCalls)
 	for _, vm := range a.To {
 		g.Go(func() error {
 			if m, ok := w.s.member(vm); ok {
 				if reply, err := w.s.control(ctx, m, req); err == nil {
-					w.put(ctx, ackIn{VM: vm, Version: reply.Version})
+					w.put(ctx, AckIn{VM: vm, Version: reply.Version})
 				}
 			}
 			return nil
@@ -198,7 +198,7 @@
 	_ = g.Wait()
 }
 
-func (w *worker) handover(ctx context.Context, a handoverOut) {
+func (w *worker) handover(ctx context.Context, a HandoverOut) {
 	req := &controlRequest{DataCentre: w.s.opts.Self.DataCentre, Balances: a.Balances}
 	for range handoverTries {
 		m, ok := w.s.member(a.To)
@@ -219,9 +219,9 @@
 }
 
 // sendSettlements hands a batch to a holder; it may be lost.
-func (s *Service) sendSettlements(to ident.VM, b settleBatch) {
+func (s *Service) sendSettlements(to ident.VM, b SettleBatch) {
 	if to == s.opts.Self.VM {
-		s.loop.Offer(settleIn{From: to, Batch: b})
+		s.loop.Offer(SettleIn{From: to, Batch: b})
 		return
 	}
 	s.worker.do(func(ctx context.Context) {
@@ -233,7 +233,7 @@
 	})
 }
 
-func (s *Service) note(n noticeOut) {
+func (s *Service) note(n NoticeOut) {
 	s.opts.Log.Info("limiter",
 		zap.String("event", n.Event),
 		zap.String("data_centre", s.opts.Self.DataCentre),
