Placement: owner cell with exact claims, fair queue and predicted times

Cause: VMs that choose by lagging reports overfill engines and waste prefills. Change: one owner machine per cell, asked over peer calls that repeat while a request waits; predicted first token and gap; refusals before a run; ejection with a floor; a lease follows its cell to a new owner.

--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +12,7 @@
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/endpoint"
 	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/membership"
 	"github.com/fulmartide/fulmartide/internal/peer"
 )
@@ -32,7 +33,7 @@
 	Self membership.Member
 	// Directory gives the live VMs.
 	Directory membership.Directory
-	// Transport carries messages to other VMs.
+	// Transport carries messages to other VMs. With none, this VM owns every cell.
 	Transport *peer.Transport
 	// Dialer gives engines, whose load and cache events the owner reads.
 	Dialer endpoint.Dialer
@@ -45,173 +46,164 @@
 	Log *zap.Logger
 }
 
+// reconcilePeriod is the time between looks at the configuration and the members.
+const reconcilePeriod = 100 * time.Millisecond
+
 // Service places requests of this VM, and serves the cells that this VM owns.
 type Service struct {
-	opts Options
+	opts    Options
+	layout  atomic.Pointer[layout]
+	updates *updateQueue
+
+	// life ends when Run does; wg counts the goroutines of runners.
+	life context.Context
+	end  context.CancelFunc
+	wg   sync.WaitGroup
 
-	mu   sync.Mutex
-	busy map[string]int
+	mu      sync.Mutex
+	closed  bool
+	runners map[string]*runner
+	leases  map[ident.RequestID]*lease
 }
 
 // New makes a Service and registers its messages with the transport.
 func New(o Options) *Service {
-	return &Service{opts: o, busy: map[string]int{}}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Policy == "" {
+		o.Policy = PolicyPredictive
+	}
+	s := &Service{opts: o, runners: map[string]*runner{}, leases: map[ident.RequestID]*lease{}}
+	s.life, s.end = context.WithCancel(context.Background())
+	s.layout.Store(newLayout(nil))
+	s.updates = newUpdateQueue(s)
+	if o.Transport != nil {
+		peer.Handle(o.Transport, peer.KindPlace, s.handleAsk)
+		peer.Handle(o.Transport, peer.KindPlaceReassign, s.handleAsk)
+		peer.Handle(o.Transport, peer.KindPlaceUpdate, s.handleUpdate)
+	}
+	return s
 }
 
 // Run serves until ctx ends.
-func (s *Service) Run(ctx context.Context) { <-ctx.Done() }
-
-// EndpointStatus is what the owner of a cell knows of one endpoint.
-type EndpointStatus struct {
-	Endpoint string `json:"endpoint"`
-	Role     string `json:"role"`
-	Running  int    `json:"running"`
-	Queued   int    `json:"queued"`
-	// State is known, leaving or ejected.
-	State string `json:"state"`
-}
-
-// Summary gives the endpoints of the cells that this VM owns.
-func (s *Service) Summary() []EndpointStatus { return nil }
-
-// Place claims a prefill and a decode endpoint for r.
-func (s *Service) Place(_ context.Context, r Request) (Lease, error) {
-	l := &lease{service: s, request: r}
-	if err := l.choose(); err != nil {
-		return nil, err
+func (s *Service) Run(ctx context.Context) {
+	s.wg.Go(func() { s.updates.run(s.life) })
+	ticker := time.NewTicker(reconcilePeriod)
+	defer ticker.Stop()
+	for {
+		s.reconcile()
+		select {
+		case <-ctx.Done():
+			s.close()
+			return
+		case <-ticker.C:
+		}
 	}
-	return l, nil
 }
 
-type lease struct {
-	service *Service
-	request Request
-	mu      sync.Mutex
-	now     Assignment
-	over    bool
+func (s *Service) close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.end()
+	s.wg.Wait()
 }
 
-func (l *lease) choose() error {
-	snap := l.service.opts.Configuration()
-	if snap == nil {
-		return fault.New(fault.Unavailable, "wait for the first configuration", "no configuration yet")
+// Place claims a prefill and a decode endpoint for r. It waits in the owner's queue, and
+// asks the next owner when one does not answer.
+func (s *Service) Place(ctx context.Context, r Request) (Lease, error) {
+	if r.DataCentre == "" {
+		r.DataCentre = s.opts.Self.DataCentre
 	}
-	l.service.mu.Lock()
-	defer l.service.mu.Unlock()
-	a := Assignment{Reason: "least outstanding"}
-	for name, e := range snap.Document.Endpoints {
-		if e.Model != l.request.Model || e.Leaving || slices.Contains(l.request.Avoid, name) {
-			continue
-		}
-		slot := &a.Decode
-		if e.Role == configuration.RolePrefill {
-			slot = &a.Prefill
-		}
-		if *slot == "" || l.service.busy[name] < l.service.busy[*slot] {
-			*slot = name
-		}
+	spec := s.currentLayout().cellFor(r.Model, s.opts.Self.Region, r.ID)
+	if spec == nil {
+		return nil, fault.New(fault.Unavailable, "add endpoints for this model", "no endpoint has the model "+r.Model)
 	}
-	if a.Decode == "" || a.Prefill == "" {
-		return fault.New(fault.Unavailable, "add endpoints for this model", "no endpoint for the model")
+	l := &lease{service: s, request: r, cell: spec.name, region: spec.region, began: s.opts.Clock.Now()}
+	if err := l.ask(ctx, askMessage{Cell: spec.name, Request: r}); err != nil {
+		return nil, err
 	}
-	l.service.busy[a.Prefill]++
-	l.service.busy[a.Decode]++
-	l.now = a
-	return nil
+	s.keep(l)
+	return l, nil
 }
 
-func (l *lease) free() {
-	l.service.mu.Lock()
-	defer l.service.mu.Unlock()
-	l.service.busy[l.now.Prefill]--
-	l.service.busy[l.now.Decode]--
+func (s *Service) keep(l *lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases[l.request.ID] = l
 }
 
-// Assignment gives the present assignment.
-func (l *lease) Assignment() Assignment {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.now
+func (s *Service) drop(l *lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, l.request.ID)
 }
 
-// Reassign gives up the present assignment and asks for another.
-func (l *lease) Reassign(_ context.Context, failed string, _ bool) (Assignment, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.free()
-	l.request.Avoid = append(l.request.Avoid, failed)
-	if err := l.choose(); err != nil {
-		l.over = true
-		return Assignment{}, err
+// currentLayout gives the cells of the configuration in force.
+func (s *Service) currentLayout() *layout {
+	l := s.layout.Load()
+	snap := s.opts.Configuration()
+	if snap == nil || (snap.Version == l.version && len(l.cells) > 0) {
+		return l
 	}
-	return l.now, nil
+	l = newLayout(snap)
+	s.layout.Store(l)
+	return l
 }
 
-// Progress tells of a stage that was passed.
-func (l *lease) Progress(Stage) {}
-
-// Release frees all claims.
-func (l *lease) Release() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.over {
-		l.over = true
-		l.free()
+// owner gives the VM to ask about a cell, leaving out those in tried.
+func (s *Service) owner(cell, region string, tried map[string]bool) membership.Member {
+	if s.opts.Transport == nil || s.opts.Directory == nil {
+		return s.opts.Self
 	}
+	view := s.opts.Directory.View()
+	in := func(region string) func(membership.Member) bool {
+		return func(m membership.Member) bool { return m.Region == region && !tried[m.VM.Name] }
+	}
+	if m, ok := view.Owner(cell, in(region)); ok {
+		return m
+	}
+	if m, ok := view.Owner(cell, in(s.opts.Self.Region)); ok {
+		return m
+	}
+	return s.opts.Self
 }
 
-var _ Placer = (*Service)(nil)
-
-// PickerOptions configure a Picker.
-type PickerOptions struct {
-	// Configuration gives the snapshot in force, nil before the first.
-	Configuration func() *configuration.Snapshot
-	Clock         clock.Clock
-	// DataCentre is where this VM is; near replicas are preferred.
-	DataCentre string
-	Log        *zap.Logger
-	// Seed starts the choice of candidates.
-	Seed uint64
-}
-
-// Picker chooses replicas of plain services.
-type Picker struct {
-	opts PickerOptions
-
-	mu   sync.Mutex
-	busy map[string]int
+// isSelf goes by name: an earlier life of this VM serves nothing.
+func (s *Service) isSelf(m membership.Member) bool { return m.VM.Name == s.opts.Self.VM.Name }
+
+// runner gives the runner of a cell, starting one if need be. It is nil for a cell that the
+// configuration does not have, and after the service has closed.
+func (s *Service) runner(cell string) *runner {
+	spec := s.currentLayout().cells[cell]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.runners[cell]; r != nil {
+		return r
+	}
+	if spec == nil || s.closed {
+		return nil
+	}
+	r := newRunner(s.opts, spec)
+	s.runners[cell] = r
+	ctx, cancel := context.WithCancel(s.life)
+	r.stop = cancel
+	s.wg.Go(func() { r.run(ctx) })
+	return r
 }
 
-// NewPicker makes a Picker.
-func NewPicker(o PickerOptions) *Picker { return &Picker{opts: o, busy: map[string]int{}} }
-
-// Pick gives the replica with the fewest calls outstanding from this VM.
-func (p *Picker) Pick(service string, avoid []string) (string, func(error, time.Duration), error) {
-	snap := p.opts.Configuration()
-	if snap == nil {
-		return "", nil, fault.New(fault.Unavailable, "wait for the first configuration", "no configuration yet")
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	best := ""
-	for name, e := range snap.Document.Endpoints {
-		if e.Service != service || e.Leaving || slices.Contains(avoid, name) {
-			continue
-		}
-		if best == "" || p.busy[name] < p.busy[best] {
-			best = name
+// Summary gives the endpoints of the cells that this VM owns.
+func (s *Service) Summary() []EndpointStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []EndpointStatus
+	for _, r := range s.runners {
+		if st := r.status.Load(); st != nil && s.isSelf(s.owner(r.cell, r.region, nil)) {
+			out = append(out, st.Endpoints...)
 		}
 	}
-	if best == "" {
-		return "", nil, fault.New(fault.Unavailable, "add endpoints for this service", "no endpoint for the service")
-	}
-	p.busy[best]++
-	done := func(error, time.Duration) {
-		p.mu.Lock()
-		p.busy[best]--
-		p.mu.Unlock()
-	}
-	return best, done, nil
+	return out
 }
 
-var _ ServicePicker = (*Picker)(nil)
+var _ Placer = (*Service)(nil)
