--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -21,12 +20,16 @@
 	// EventsLimit is how long an engine lets a call for cache events wait.
 	EventsLimit = 5 * time.Second
 
+	// callLimit bounds a call with a whole answer: one silence before its head, one within.
+	callLimit = 2*SilenceLimit + 100*time.Millisecond
+
 	idleLimit           = 20 * time.Second
 	maxIdleConnections  = 4096
 	maxIdlePerEndpoint  = 64
 	dialLimit           = SilenceLimit
 	maxResponseHeaders  = 16 << 10
 	contentTypeJSON     = "application/json"
+	userAgentProduct    = "fulmartide"
 	pathPrefill         = "/v1/prefill"
 	pathDecode          = "/v1/decode"
 	pathCancel          = "/v1/cancel"
@@ -41,14 +44,26 @@
 
 // HTTPDialer gives engines that speak HTTP with JSON bodies. All share one pool of connections.
 type HTTPDialer struct {
-	conns  *connSet
-	client *http.Client
+	conns     *connSet
+	client    *http.Client
+	userAgent string
 }
 
+// HTTPOption adjusts an HTTPDialer.
+type HTTPOption func(*HTTPDialer)
+
+// WithVM names the calling VM to endpoints, in the User-Agent header.
+func WithVM(name string) HTTPOption {
+	return func(d *HTTPDialer) { d.userAgent = UserAgent(name) }
+}
+
+// UserAgent gives the User-Agent header of calls from the VM called name.
+func UserAgent(name string) string { return userAgentProduct + "/" + name }
+
 var _ Dialer = (*HTTPDialer)(nil)
 
 // NewHTTPDialer makes a dialer with an empty pool.
-func NewHTTPDialer() *HTTPDialer {
+func NewHTTPDialer(opts ...HTTPOption) *HTTPDialer {
 	conns := newConnSet()
 	transport := &http.Transport{
 		DialContext:            conns.dial,
@@ -59,7 +74,15 @@
 		DisableCompression:     true,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &HTTPDialer{conns: conns, client: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	d := &HTTPDialer{
+		conns:     conns,
+		client:    &http.Client{Transport: transport, CheckRedirect: noRedirect},
+		userAgent: userAgentProduct,
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
 }
 
 // Engine implements Dialer.
@@ -126,13 +149,13 @@
 
 // Cancel implements Engine.
 func (e *httpEngine) Cancel(ctx context.Context, request string) error {
-	return e.call(ctx, SilenceLimit, http.MethodPost, pathCancel, nil, cancelOrder{Request: request}, nil)
+	return e.call(ctx, callLimit, http.MethodPost, pathCancel, nil, cancelOrder{Request: request}, nil)
 }
 
 // Load implements Engine.
 func (e *httpEngine) Load(ctx context.Context) (Load, error) {
 	var l Load
-	err := e.call(ctx, SilenceLimit, http.MethodGet, pathLoad, nil, nil, &l)
+	err := e.call(ctx, callLimit, http.MethodGet, pathLoad, nil, nil, &l)
 	return l, err
 }
 
@@ -143,7 +166,7 @@
 // Held implements Engine.
 func (e *httpEngine) Held(ctx context.Context) ([]Holding, error) {
 	var a heldAnswer
-	err := e.call(ctx, SilenceLimit, http.MethodGet, pathHeld, nil, nil, &a)
+	err := e.call(ctx, callLimit, http.MethodGet, pathHeld, nil, nil, &a)
 	return a.Held, err
 }
 
@@ -155,13 +178,13 @@
 func (e *httpEngine) Events(ctx context.Context, after uint64) ([]CacheEvent, error) {
 	query := url.Values{queryAfter: {strconv.FormatUint(after, 10)}}
 	var a eventsAnswer
-	err := e.call(ctx, EventsLimit+SilenceLimit, http.MethodGet, pathEvents, query, nil, &a)
+	err := e.call(ctx, EventsLimit+callLimit, http.MethodGet, pathEvents, query, nil, &a)
 	return a.Events, err
 }
 
 // Order implements Engine.
 func (e *httpEngine) Order(ctx context.Context, o Order) error {
-	return e.call(ctx, SilenceLimit, http.MethodPost, pathOrder, nil, o, nil)
+	return e.call(ctx, callLimit, http.MethodPost, pathOrder, nil, o, nil)
 }
 
 // call makes one call with a whole answer.
@@ -193,9 +216,8 @@
 
 // statusFault types an answer that is not 200. A refusal of the 400s was not run; for others
 // the engine's own statement counts, and without one the outcome is unknown.
-func statusFault(status int, body io.Reader) error {
+func statusFault(status int, raw []byte) error {
 	kind, run := kindOfStatus(status)
-	raw, _ := io.ReadAll(io.LimitReader(body, maxFrameBytes))
 	var a errorAnswer
 	if json.Unmarshal(raw, &a) == nil && a.Error.Kind != "" {
 		return refusal(a.Error, run)
@@ -203,13 +225,22 @@
 	return fault.New(kind, remedyUseOther, "endpoint answered "+strconv.Itoa(status), fault.WithRun(run))
 }
 
-// refusal types an engine's own statement; run stands where it makes none that is known.
+// refusal types an engine's own statement; run stands where it makes none that is known. A
+// kind that engines have no say in becomes Unavailable.
 func refusal(d fault.Detail, run fault.Run) error {
+	switch d.Kind {
+	case fault.Malformed, fault.TooLarge, fault.NotFound, fault.Conflict, fault.Overloaded, fault.Timeout, fault.Cancelled:
+	default:
+		d.Kind = fault.Unavailable
+	}
 	switch d.Run {
 	case fault.NotRun, fault.RunUnknown, fault.Ran:
 	default:
 		d.Run = run
 	}
+	if d.Message == "" {
+		d.Message = "endpoint gave up the request"
+	}
 	if d.Remedy == "" {
 		d.Remedy = remedyUseOther
 	}
--- a/internal/endpoint/http_stream.go
+++ b/internal/endpoint/http_stream.go
@@ -50,6 +50,7 @@
 		return nil, fault.Wrap(err, fault.Malformed, "correct the endpoint's address", "endpoint call")
 	}
 	req.Header.Set("Content-Type", contentTypeJSON)
+	req.Header.Set("User-Agent", e.dialer.userAgent)
 	var resp *http.Response
 	err = s.wait(ctx, SilenceLimit+budgetOf(path), func() error {
 		resp, err = e.dialer.client.Do(req)
@@ -62,13 +63,24 @@
 	if resp.StatusCode != http.StatusOK {
 		defer cancel(nil)
 		defer resp.Body.Close()
-		return nil, statusFault(resp.StatusCode, resp.Body)
+		return nil, s.refused(ctx, resp)
 	}
 	s.body = resp.Body
 	s.reader = bufio.NewReaderSize(resp.Body, maxFrameBytes)
 	return s, nil
 }
 
+// refused types an answer that is not 200.
+func (s *lineStream) refused(ctx context.Context, resp *http.Response) error {
+	var raw []byte
+	_ = s.wait(ctx, SilenceLimit, func() error {
+		var err error
+		raw, err = io.ReadAll(io.LimitReader(resp.Body, maxFrameBytes))
+		return err
+	})
+	return statusFault(resp.StatusCode, raw)
+}
+
 func encodeBody(body any) ([]byte, error) {
 	if body == nil {
 		return nil, nil
