--- /dev/null
+++ b/internal/relay/budget.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// retryShare is the part of a route's calls that may be retried in the long run.
+	retryShare = 0.1
+	// retryReserve is the most retries that a route saves up: two full decode batches, so that
+	// the loss of an endpoint or two is made good at once.
+	retryReserve = 40.0
+	// backoffBase and backoffMax bound the wait before a retry.
+	backoffBase = 10 * time.Millisecond
+	backoffMax  = 200 * time.Millisecond
+)
+
+// retryBudgets keeps one budget for each route or model, so that retries stay a bounded share
+// of the traffic when many endpoints fail at once.
+type retryBudgets struct {
+	mu   sync.Mutex
+	left map[string]float64
+}
+
+func newRetryBudgets() *retryBudgets { return &retryBudgets{left: map[string]float64{}} }
+
+// earn counts a first try at name.
+func (b *retryBudgets) earn(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left, known := b.left[name]
+	if !known {
+		left = retryReserve
+	}
+	b.left[name] = min(left+retryShare, retryReserve)
+}
+
+// spend takes one retry, or reports that none is left.
+func (b *retryBudgets) spend(name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left[name] < 1 {
+		return false
+	}
+	b.left[name]--
+	return true
+}
+
+// backoff gives the wait before a retry, with full jitter; draw is uniform in [0, 1).
+func backoff(retry int, draw float64) time.Duration {
+	bound := min(backoffBase<<min(retry, 8), backoffMax)
+	return time.Duration(draw * float64(bound))
+}
+
+// pause waits out a backoff, or less if ctx ends.
+func pause(ctx context.Context, retry int) {
+	t := time.NewTimer(backoff(retry, rand.Float64()))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -123,6 +123,7 @@
 func (c *call) forward(ctx context.Context, route configuration.Route, body []byte) (*serviceAnswer, error) {
 	var avoid []string
 	run := fault.NotRun
+	c.server.retries.earn(route.Service)
 	for try := 1; ; try++ {
 		name, done, err := c.server.opts.Picker.Pick(route.Service, avoid)
 		if err != nil {
@@ -135,13 +136,14 @@
 		if err == nil {
 			return a, nil
 		}
-		again := try < maxServiceTries && ctx.Err() == nil && mayRepeat(route, err)
+		again := try < maxServiceTries && ctx.Err() == nil && mayRepeat(route, err) && c.server.retries.spend(route.Service)
 		c.trace("recovery", "attempt failed", zap.String("endpoint", name), zap.Bool("again", again), zap.Error(err))
 		run = worseRun(run, fault.Describe(err).Run)
 		if !again {
 			return nil, withRun(err, run)
 		}
 		avoid = append(avoid, name)
+		pause(ctx, try)
 	}
 }
 
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -35,7 +35,7 @@
 	keptFor time.Duration
 	// left is the time to the deadline.
 	left time.Duration
-	// refused: the endpoint certainly holds nothing of the request.
+	// permanent: no other attempt can help, as the caller is gone.
 	permanent bool
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -23,6 +23,7 @@
 	registry *registry
 	traces   *traces
 	cancels  *canceller
+	retries  *retryBudgets
 	services *http.Client // for idempotent calls
 	once     *http.Client // for calls that run at most once
 	metrics  *metrics.Set
@@ -40,6 +41,7 @@
 		registry: newRegistry(o.Limits.Requests),
 		traces:   newTraces(),
 		cancels:  newCanceller(o.Dialer, o.Log),
+		retries:  newRetryBudgets(),
 		services: newServiceClient(true),
 		once:     newServiceClient(false),
 		metrics:  metrics.NewSet(),
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -68,6 +68,7 @@
 // run tries until the answer is whole or recovery gives up.
 func (s *session) run(ctx context.Context) error {
 	defer s.cleanup()
+	s.c.server.retries.earn(s.g.model)
 	for {
 		failed := s.attempt(ctx)
 		if failed == nil {
@@ -86,13 +87,17 @@
 
 func (s *session) decide(ctx context.Context, f *attemptFault) step {
 	deadline, _ := ctx.Deadline()
-	return nextStep(failure{
+	next := nextStep(failure{
 		stage:     f.stage,
 		attempts:  int(s.attempts),
 		keptFor:   s.keptUntil.Sub(s.c.server.opts.Clock.Now()),
 		left:      time.Until(deadline),
 		permanent: ctx.Err() != nil || f.stage == "",
 	})
+	if next != stepGiveUp && !s.c.server.retries.spend(s.g.model) {
+		return stepGiveUp
+	}
+	return next
 }
 
 func (s *session) traceFailure(f *attemptFault, next step) {
