--- /dev/null
+++ b/test/fleet/daemon.go
@@ -0,0 +1,192 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/fulmartide/fulmartide/internal/settings"
+)
+
+const (
+	startLimit = 20 * time.Second
+	stopSlack  = 10 * time.Second
+	readyPoll  = 10 * time.Millisecond
+)
+
+// Daemon is one process life of fulmartided.
+type Daemon struct {
+	VM         string
+	DataCentre string
+	// Callers, Peers and Operator are the process's own addresses.
+	Callers, Peers, Operator netip.AddrPort
+
+	cmd    *exec.Cmd
+	exited chan struct{}
+	err    error
+	log    *os.File
+}
+
+// PID gives the process id.
+func (d *Daemon) PID() int { return d.cmd.Process.Pid }
+
+// LogPath names the file with the process's log.
+func (d *Daemon) LogPath() string { return d.log.Name() }
+
+// launch starts a process and waits until it listens.
+func launch(ctx context.Context, binary, dir string, s settings.Settings) (*Daemon, error) {
+	raw, err := toml.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	stamp := fmt.Sprintf("%s-%d", s.VM.Name, time.Now().UnixNano())
+	path := filepath.Join(dir, stamp+".toml")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(dir, stamp+".log"))
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(binary, path)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	d := &Daemon{VM: s.VM.Name, DataCentre: s.VM.DataCentre, cmd: cmd, exited: make(chan struct{}), log: log}
+	listening := make(chan string, 1)
+	go d.follow(stderr, listening)
+	return d, d.awaitListening(ctx, listening)
+}
+
+// follow copies the log, shows the line that tells the addresses, and collects the process.
+func (d *Daemon) follow(stderr io.Reader, listening chan<- string) {
+	defer close(d.exited)
+	lines := bufio.NewReader(stderr)
+	found := false
+	for {
+		line, err := lines.ReadString('\n')
+		_, _ = d.log.WriteString(line)
+		if !found && strings.Contains(line, "msg=listening") {
+			found = true
+			listening <- line
+		}
+		if err != nil {
+			break
+		}
+	}
+	d.err = d.cmd.Wait()
+	_ = d.log.Close()
+}
+
+func (d *Daemon) awaitListening(ctx context.Context, listening <-chan string) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	select {
+	case line := <-listening:
+		return d.parseListening(line)
+	case <-d.exited:
+		return fmt.Errorf("%s ended before it listened: %w; log %s", d.VM, d.err, d.LogPath())
+	case <-ctx.Done():
+		_ = d.cmd.Process.Kill()
+		return fmt.Errorf("%s does not listen: %w; log %s", d.VM, ctx.Err(), d.LogPath())
+	}
+}
+
+func (d *Daemon) parseListening(line string) error {
+	fields := map[string]*netip.AddrPort{"callers": &d.Callers, "peers": &d.Peers, "operator": &d.Operator}
+	for _, word := range strings.Fields(line) {
+		key, value, _ := strings.Cut(word, "=")
+		if into := fields[key]; into != nil {
+			addr, err := netip.ParseAddrPort(strings.Trim(value, `"`))
+			if err != nil {
+				return err
+			}
+			*into = addr
+		}
+	}
+	if !d.Callers.IsValid() || !d.Peers.IsValid() || !d.Operator.IsValid() {
+		return fmt.Errorf("%s: no addresses in %q", d.VM, line)
+	}
+	return nil
+}
+
+// AwaitReady waits until the process says that it is ready.
+func (d *Daemon) AwaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for {
+		if d.ready(ctx) {
+			return nil
+		}
+		select {
+		case <-time.After(readyPoll):
+		case <-d.exited:
+			return fmt.Errorf("%s ended before it was ready: %w; log %s", d.VM, d.err, d.LogPath())
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready: %w; log %s", d.VM, ctx.Err(), d.LogPath())
+		}
+	}
+}
+
+func (d *Daemon) ready(ctx context.Context) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Operator.String()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Alive reports whether the process has not ended.
+func (d *Daemon) Alive() bool {
+	select {
+	case <-d.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+func (d *Daemon) signal(sig syscall.Signal) error {
+	err := d.cmd.Process.Signal(sig)
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
+}
+
+// terminate asks for a graceful stop and gives the process's exit error.
+func (d *Daemon) terminate(limit time.Duration) error {
+	if err := d.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-d.exited:
+		return d.err
+	case <-time.After(limit):
+		_ = d.signal(syscall.SIGKILL)
+		<-d.exited
+		return fmt.Errorf("%s did not stop within %s", d.VM, limit)
+	}
+}
--- a/test/standin/engine/decode.go
+++ b/test/standin/engine/decode.go
@@ -80,6 +80,7 @@
 	if err != nil {
 		return got, err
 	}
+	req.Header.Set("User-Agent", s.opts.UserAgent)
 	resp, err := s.client.Do(req)
 	if err != nil {
 		return got, err
--- a/test/standin/engine/options.go
+++ b/test/standin/engine/options.go
@@ -44,6 +44,8 @@
 	// OrphanHold is how long the slot of a finished stream that nobody read stays held.
 	// Default 60 s.
 	OrphanHold time.Duration
+	// UserAgent is sent with pulls from other engines.
+	UserAgent string
 	// Weights is the platform's weight store; without one, loading takes no time.
 	Weights netip.AddrPort
 }
--- a/test/standin/engine/tokens.go
+++ b/test/standin/engine/tokens.go
@@ -44,6 +44,9 @@
 	return fmt.Sprintf("t%d-%x ", i, xxhash.Sum64(raw[:]))
 }
 
+// TokenOfTag gives token i of the answer to a prompt that holds {tag:TAG}.
+func TokenOfTag(tag string, i int64) string { return Token(xxhash.Sum64String(tag), i) }
+
 // length gives the length of an answer and how it ends.
 func (p Prompt) length(maxTokens int64) (int64, string) {
 	if p.Stop > 0 && p.Stop < maxTokens {
--- a/test/standin/service/service.go
+++ b/test/standin/service/service.go
@@ -53,11 +53,12 @@
 	calls   int64
 	commits map[string]int
 	headers map[string]int64
+	seen    map[string]bool
 }
 
 // New makes a replica that ran nothing.
 func New(o Options) *Server {
-	return &Server{opts: o, commits: make(map[string]int), headers: make(map[string]int64)}
+	return &Server{opts: o, commits: make(map[string]int), headers: make(map[string]int64), seen: make(map[string]bool)}
 }
 
 // Handler serves the replica: any path, and /test/ for control.
@@ -91,6 +92,13 @@
 	return Stats{Calls: s.calls, Commits: maps.Clone(s.commits), Headers: maps.Clone(s.headers)}
 }
 
+// Saw reports whether a call with this X-Request-Id ever came.
+func (s *Server) Saw(request string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[request]
+}
+
 // answer is the body of each answer.
 type answer struct {
 	Path string `json:"path"`
@@ -127,6 +135,7 @@
 	for name := range r.Header {
 		s.headers[name]++
 	}
+	s.seen[r.Header.Get("X-Request-Id")] = true
 	return s.mode
 }
 
