--- a/internal/limiter/baseline.go
+++ b/internal/limiter/baseline.go
@@ -25,11 +25,11 @@
 // reserve takes tokens from a 1/vms part of a plan.
 func (b *baseline) reserve(now clock.Instant, snap *configuration.Snapshot, id partID, req *ReserveRequest, vms int) ReserveReply {
 	if snap == nil {
-		return ReserveReply{Status: statusNoPlan}
+		return ReserveReply{Status: StatusNoPlan}
 	}
 	plan, ok := PlanOf(&snap.Document, req.Workspace)
 	if !ok {
-		return ReserveReply{Status: statusNoPlan}
+		return ReserveReply{Status: StatusNoPlan}
 	}
 	l := Limit{Rate: plan.Rate / int64(vms), Burst: plan.Burst / int64(vms)}
 	b.mu.Lock()
--- a/internal/limiter/draw.go
+++ b/internal/limiter/draw.go
@@ -48,6 +48,9 @@
 	Ref     int
 }
 
+// Tentative reports whether the share must be told that the draw was admitted.
+func (p DrawnPart) Tentative() bool { return p.Mode != modeWhole }
+
 // stage is how far a draw has come.
 type stage uint8
 
@@ -216,7 +219,7 @@
 	case StatusNotHolder:
 		d.silent[dc] = true
 		return
-	case statusNoPlan:
+	case StatusNoPlan:
 		d.silent[dc] = true
 		d.noPlan = true
 		return
--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -160,7 +160,7 @@
 	case !ok:
 		h.answer(in, ReserveReply{Status: StatusNotHolder})
 	case b == nil || b.removed:
-		h.answer(in, ReserveReply{Status: statusNoPlan})
+		h.answer(in, ReserveReply{Status: StatusNoPlan})
 	case in.Req.Tokens < 0 || h.ended.has(partID{in.From, in.Req.Seq}):
 		h.answer(in, ReserveReply{Status: statusShort})
 	default:
@@ -191,6 +191,8 @@
 	}
 	if take > 0 {
 		b.debit(now, id, take, in.Req.Mode != modeWhole)
+	} else {
+		h.ended.add(id) // a doubled request must not take what comes later
 	}
 	st := grantStatus(take, in.Req.Tokens)
 	if contended && st == statusShort {
--- a/internal/limiter/reserve.go
+++ b/internal/limiter/reserve.go
@@ -122,7 +122,7 @@
 	for _, p := range d.Parts {
 		g := sent[p.Ref].grantedPart
 		r.parts = append(r.parts, g)
-		if p.Mode != modeWhole {
+		if p.Tentative() {
 			s.settle(g, workspace, KeepUsed, false)
 		}
 	}
@@ -174,7 +174,7 @@
 			s.opts.Directory.Suspect(holder)
 		}
 		s.renew(dataCentre)
-	case statusNoPlan:
+	case StatusNoPlan:
 	default:
 		s.mu.Lock()
 		s.hints.Learn(s.opts.Clock.Now(), workspace, dataCentre, r.Balance)
--- a/internal/limiter/wire.go
+++ b/internal/limiter/wire.go
@@ -40,8 +40,8 @@
 	statusContended
 	// StatusNotHolder: this VM does not hold the share, or may not grant now.
 	StatusNotHolder
-	// statusNoPlan: the workspace has no plan here.
-	statusNoPlan
+	// StatusNoPlan: the workspace has no plan here.
+	StatusNoPlan
 	// StatusUnreachable is set by the requester when no reply came in time.
 	StatusUnreachable
 )
