--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -179,7 +179,37 @@
 	c.recount()
 }
 
+// recount counts the endpoints by state, and readmits what keeps the ejected over half.
 func (c *Cell) recount() {
+	c.count()
+	for i, all := range [][]*replica{c.prefills, c.decodes} {
+		for 2*c.roles[i].ejected > c.roles[i].total {
+			c.readmit(firstOut(all))
+			c.count()
+		}
+	}
+}
+
+// firstOut gives the ejected endpoint whose ejection ends first.
+func firstOut(all []*replica) *replica {
+	var first *replica
+	for _, r := range all {
+		if r.leaving || !r.health.ejected {
+			continue
+		}
+		if first == nil || r.health.until < first.health.until {
+			first = r
+		}
+	}
+	return first
+}
+
+func (c *Cell) readmit(r *replica) {
+	r.health.readmit()
+	c.emit(Action{Ejection: &Ejection{Endpoint: r.name, Cause: "more than half would be ejected"}})
+}
+
+func (c *Cell) count() {
 	c.roles = [2]roleCount{}
 	for _, r := range c.byName {
 		if r.leaving {
--- a/internal/placement/cell_test.go
+++ b/internal/placement/cell_test.go
@@ -113,13 +113,13 @@
 	}
 }
 
-// checkClaim checks that a slot is predicted to be free for a new claim and that the batch
-// keeps every gap target.
+// checkClaim checks that, among the claims made before it, a slot is predicted to be free for
+// a new claim, within the batch that every gap target allows.
 func (m *cellModel) checkClaim(t rapid.TB, cl *claim) {
 	decode := &cl.decode.decode
 	running := decode.foreign
-	for _, o := range decode.claims {
-		if o != cl && o.release > cl.decodeAt {
+	for _, o := range decode.claims[:slices.Index(decode.claims, cl)] {
+		if o.release > cl.decodeAt {
 			running++
 		}
 	}
@@ -160,7 +160,7 @@
 		}
 	}
 	for _, n := range m.cell.roles {
-		if n.ejected > 0 && 2*n.ejected > n.total+1 {
+		if 2*n.ejected > n.total {
 			t.Fatalf("%d of %d ejected", n.ejected, n.total)
 		}
 	}
@@ -284,6 +284,7 @@
 				m.step(t, TickInput{})
 			}
 		},
+		"ownerChange": func(t *rapid.T) { m.changeOwner(t) },
 		"vmGone": func(t *rapid.T) {
 			gone := ident.VM{Name: "v2", Incarnation: 1}
 			for _, set := range []map[ident.RequestID]Request{m.open, m.placed} {
@@ -308,6 +309,40 @@
 	}
 }
 
+// changeOwner moves the cell to an owner that knows nothing: callers bring their assignments
+// and ask their open questions again.
+func (m *cellModel) changeOwner(t *rapid.T) {
+	former := m.cell
+	m.cell = NewCell(former.policy)
+	m.step(t, ConfigurationInput{Model: testModel, Endpoints: m.endpoints})
+	for id, r := range m.placed {
+		cl := former.claims[id]
+		_, known := m.endpoints[claimDecode(cl)]
+		if cl == nil || !known {
+			delete(m.placed, id)
+			continue
+		}
+		in := RestoreInput{Request: r, Assignment: cl.assignment, Stage: cl.stage, Elapsed: m.now.Sub(cl.assigned)}
+		m.step(t, in)
+		m.step(t, in)
+		if got := m.cell.claims[id]; got == nil || got.assignment != cl.assignment {
+			t.Fatalf("%v was not restored", id)
+		}
+	}
+	for _, r := range m.open {
+		r.Kept, r.NeedPrefill = "", true
+		m.open[r.ID] = r
+		m.step(t, PlaceInput{Request: r})
+	}
+}
+
+func claimDecode(cl *claim) string {
+	if cl == nil {
+		return ""
+	}
+	return cl.assignment.Decode
+}
+
 // finish ends all requests and checks that everything was given back.
 func (m *cellModel) finish(t rapid.TB) {
 	for len(m.open) > 0 {
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -43,11 +43,16 @@
 func (h *health) reported(now clock.Instant) {
 	h.silences = 0
 	if h.ejected && !now.Before(h.until) {
-		h.ejected = false
-		h.failures = ejectAfterFailures - 1
+		h.readmit()
 	}
 }
 
+// readmit ends an ejection; one more failure begins the next.
+func (h *health) readmit() {
+	h.ejected = false
+	h.failures = ejectAfterFailures - 1
+}
+
 // succeeded notes that the endpoint did its work.
 func (h *health) succeeded() {
 	h.failures = 0
--- /dev/null
+++ b/internal/sweep/machine_test.go
@@ -0,0 +1,209 @@
+package sweep
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/endpoint"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/membership"
+)
+
+const (
+	testEndpoints = 2
+	testVMs       = 3
+	// freedWithin is the promise: the time from a request's loss to its first cancel.
+	freedWithin = 2 * time.Second
+)
+
+// world is an honest model of engines and VMs around a Machine.
+type world struct {
+	machine *Machine
+	now     clock.Instant
+	seq     uint64
+	// born is when an engine took a request, lost when its VM stopped serving it.
+	born, lost map[Held]clock.Instant
+	up         [testVMs]bool
+	life       [testVMs]ident.Incarnation
+	// noticed says that the members list shows a VM's death or new life.
+	noticed  [testVMs]bool
+	lookIn   [testEndpoints]int
+	loseNext bool
+	crossed  []*Ask
+}
+
+func newWorld() *world {
+	w := &world{machine: NewMachine(), now: 1, born: map[Held]clock.Instant{}, lost: map[Held]clock.Instant{}}
+	for i := range testVMs {
+		w.up[i], w.life[i] = true, 1
+	}
+	w.showMembers()
+	return w
+}
+
+func vmName(i int) string { return fmt.Sprintf("v%d", i) }
+
+func (w *world) showMembers() []Action {
+	var ms []membership.Member
+	for i := range testVMs {
+		m := membership.Member{VM: ident.VM{Name: vmName(i), Incarnation: w.life[i]}, State: membership.Alive}
+		if !w.up[i] && w.noticed[i] {
+			m.State = membership.Gone
+		}
+		ms = append(ms, m)
+	}
+	return w.machine.Step(w.now, MembersInput{Members: ms})
+}
+
+func (w *world) index(name string) int { return int(name[1] - '0') }
+
+// live is the truth: the request's VM lives and serves it.
+func (w *world) live(h Held) bool {
+	i := w.index(h.Request.VM.Name)
+	_, lost := w.lost[h]
+	return w.up[i] && w.life[i] == h.Request.VM.Incarnation && !lost
+}
+
+func (w *world) handle(t *rapid.T, actions []Action) {
+	for _, a := range actions {
+		if a.Cancel != nil {
+			w.cancelled(t, a.Cancel)
+			continue
+		}
+		if w.loseNext {
+			w.loseNext = false
+			w.crossed = append(w.crossed, a.Ask)
+			continue
+		}
+		w.answer(t, a.Ask)
+	}
+}
+
+func (w *world) cancelled(t *rapid.T, c *Cancel) {
+	if w.live(c.Held) {
+		t.Fatalf("cancelled %v at %s, which is live (%s)", c.Request, c.Endpoint, c.Cause)
+	}
+	if w.loseNext {
+		w.loseNext = false
+		return
+	}
+	delete(w.born, c.Held)
+	delete(w.lost, c.Held)
+}
+
+func (w *world) answer(t *rapid.T, a *Ask) {
+	i := w.index(a.VM.VM.Name)
+	if !w.up[i] {
+		w.handle(t, w.machine.Step(w.now, NoAnswerInput{VM: a.About}))
+		return
+	}
+	var dead []Held
+	for _, h := range a.Held {
+		if !w.live(h) {
+			dead = append(dead, h)
+		}
+	}
+	w.handle(t, w.machine.Step(w.now, AnswerInput{VM: a.About, Asked: a.Held, Dead: dead}))
+}
+
+// tick passes 100 ms: late answers arrive, engines are looked at in turn, questions are put.
+func (w *world) tick(t *rapid.T) {
+	w.now = w.now.Add(TickPeriod)
+	late := w.crossed
+	w.crossed = nil
+	for _, a := range late {
+		w.answer(t, a)
+	}
+	for e := range testEndpoints {
+		w.lookIn[e]--
+		if w.lookIn[e] <= 0 {
+			w.lookIn[e] = int(heldPeriod / TickPeriod)
+			w.look(t, fmt.Sprintf("e%d", e))
+		}
+	}
+	w.handle(t, w.machine.Step(w.now, TickInput{}))
+	for h, since := range w.lost {
+		if _, held := w.born[h]; held && w.now.Sub(since) > freedWithin {
+			t.Fatalf("%v at %s is still held %v after its loss", h.Request, h.Endpoint, w.now.Sub(since))
+		}
+	}
+}
+
+func (w *world) look(t *rapid.T, name string) {
+	in := HeldInput{Endpoint: name, Holdings: []endpoint.Holding{{Attempt: endpoint.Attempt{Request: "of-another-system"}, AgeMillis: 9999}}}
+	for h, born := range w.born {
+		if h.Endpoint == name {
+			in.Holdings = append(in.Holdings, endpoint.Holding{
+				Attempt:   endpoint.Attempt{Request: h.Request.String()},
+				AgeMillis: w.now.Sub(born).Milliseconds(),
+			})
+		}
+	}
+	w.handle(t, w.machine.Step(w.now, in))
+}
+
+// lose marks all requests that match as lost now.
+func (w *world) lose(match func(Held) bool) {
+	for h := range w.born {
+		if _, already := w.lost[h]; !already && match(h) {
+			w.lost[h] = w.now
+		}
+	}
+}
+
+func TestSweepFreesTheDeadAndOnlyThem(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		vm := func(t *rapid.T) int { return rapid.IntRange(0, testVMs-1).Draw(t, "vm") }
+		t.Repeat(map[string]func(*rapid.T){
+			"hold": func(t *rapid.T) {
+				i := vm(t)
+				if !w.up[i] {
+					t.Skip("down")
+				}
+				w.seq++
+				id := ident.RequestID{VM: ident.VM{Name: vmName(i), Incarnation: w.life[i]}, Seq: w.seq}
+				w.born[Held{Endpoint: fmt.Sprintf("e%d", rapid.IntRange(0, testEndpoints-1).Draw(t, "endpoint")), Request: id}] = w.now
+			},
+			"end": func(t *rapid.T) {
+				n := rapid.Uint64Range(1, max(1, w.seq)).Draw(t, "seq")
+				w.lose(func(h Held) bool { return h.Request.Seq == n })
+			},
+			"freeByItself": func(t *rapid.T) {
+				n := rapid.Uint64Range(1, max(1, w.seq)).Draw(t, "seq")
+				for h := range w.born {
+					if h.Request.Seq == n {
+						delete(w.born, h)
+						delete(w.lost, h)
+					}
+				}
+			},
+			"kill": func(t *rapid.T) {
+				i := vm(t)
+				w.up[i], w.noticed[i] = false, rapid.Bool().Draw(t, "noticed")
+				w.lose(func(h Held) bool { return h.Request.VM.Name == vmName(i) })
+				w.handle(t, w.showMembers())
+			},
+			"restart": func(t *rapid.T) {
+				i := vm(t)
+				w.life[i]++
+				w.up[i] = true
+				w.lose(func(h Held) bool { return h.Request.VM.Name == vmName(i) })
+				w.handle(t, w.showMembers())
+			},
+			"loseMessage": func(*rapid.T) { w.loseNext = true },
+			"time": func(t *rapid.T) {
+				for range rapid.IntRange(1, 25).Draw(t, "ticks") {
+					w.tick(t)
+				}
+			},
+		})
+		for range int(2 * freedWithin / TickPeriod) {
+			w.tick(t)
+		}
+	})
+}
