Placement: indexes of usable endpoints and cached queue ends

Cause: a decision among 2,000 endpoints of one cell took 79 us at the median. Change: usable endpoints are kept per role, queue ends are cached, options are pruned early.

--- a/internal/placement/baseline.go
+++ b/internal/placement/baseline.go
@@ -8,13 +8,14 @@
 // tryByTurn serves the baseline policies: a request is assigned at once, in turn or to the
 // lowest reported load, without regard to claims or predictions.
 func (c *Cell) tryByTurn(now clock.Instant, w *waiting) verdict {
-	var ch choice
+	ch := &c.choice
+	*ch = choice{}
 	r := &w.request
 	prefill := c.byName[r.Kept]
 	if r.NeedPrefill || prefill == nil {
-		prefill = c.next(r, configuration.RolePrefill, &ch)
+		prefill = c.next(r, configuration.RolePrefill, ch)
 	}
-	decode := c.next(r, configuration.RoleDecode, &ch)
+	decode := c.next(r, configuration.RoleDecode, ch)
 	if prefill == nil || decode == nil {
 		return c.refuse(now, w, ch.rejected, noEndpoint(ch.rejected))
 	}
@@ -25,13 +26,16 @@
 
 // next picks one endpoint of a role by the policy.
 func (c *Cell) next(r *Request, role configuration.Role, ch *choice) *replica {
-	all := c.ofRole(role)
+	state := &c.roles[roleIndex(role)]
+	ch.add(state)
+	all := state.usable
+	v := c.viewOf(role, r)
 	c.turn[roleIndex(role)]++
 	first := c.turn[roleIndex(role)]
 	var picked *replica
 	for i := range all {
 		e := all[(first+uint64(i))%uint64(len(all))]
-		if cause, ok := filter(e, r); !ok {
+		if cause, ok := v.accepts(e); !ok {
 			ch.rejected[cause]++
 			continue
 		}
--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -18,15 +18,17 @@
 	byName   map[string]*replica
 	prefills []*replica
 	decodes  []*replica
-	roles    [2]roleCount
-	prefix   *prefixIndex
-	claims   map[ident.RequestID]*claim
-	queued   map[ident.RequestID]*waiting
-	urgent   *fairQueue
-	mayWait  *fairQueue
-	moves    []*waiting
-	budget   retryBudget
-	rate     rateMeter
+	roles    [2]roleState
+	// dataCentres numbers data centres, so that comparing them is cheap.
+	dataCentres map[string]int
+	prefix      *prefixIndex
+	claims      map[ident.RequestID]*claim
+	queued      map[ident.RequestID]*waiting
+	urgent      *fairQueue
+	mayWait     *fairQueue
+	moves       []*waiting
+	budget      retryBudget
+	rate        rateMeter
 	// holdRatio is the usual part of the longest decode that requests take.
 	holdRatio float64
 	// settleUntil holds back decisions of a new owner until endpoints have reported.
@@ -41,13 +43,19 @@
 	arrival *waiting
 	late    []*waiting
 
+	choice      choice
 	prefillBest best[prefillOption]
 	decodeBest  best[decodeOption]
 	out         []Action
 }
 
-// roleCount counts the endpoints of one role.
-type roleCount struct{ total, ejected, answering int }
+// roleState sums up the endpoints of one role.
+type roleState struct {
+	total, ejected int
+	// usable are the endpoints that requests may use, and rejected counts the others.
+	usable   []*replica
+	rejected Rejections
+}
 
 func roleIndex(r configuration.Role) int {
 	if r == configuration.RolePrefill {
@@ -74,15 +82,16 @@
 // NewCell makes a Cell without endpoints; a ConfigurationInput brings them.
 func NewCell(policy string) *Cell {
 	return &Cell{
-		policy:    policy,
-		byName:    map[string]*replica{},
-		prefix:    newPrefixIndex(),
-		claims:    map[ident.RequestID]*claim{},
-		queued:    map[ident.RequestID]*waiting{},
-		urgent:    newFairQueue(false),
-		mayWait:   newFairQueue(true),
-		budget:    newRetryBudget(),
-		holdRatio: 1,
+		policy:      policy,
+		byName:      map[string]*replica{},
+		dataCentres: map[string]int{},
+		prefix:      newPrefixIndex(),
+		claims:      map[ident.RequestID]*claim{},
+		queued:      map[ident.RequestID]*waiting{},
+		urgent:      newFairQueue(false),
+		mayWait:     newFairQueue(true),
+		budget:      newRetryBudget(),
+		holdRatio:   1,
 	}
 }
 
@@ -128,13 +137,14 @@
 func (c *Cell) configure(in ConfigurationInput) {
 	c.cost = newModelCost(in.Model)
 	for name, e := range in.Endpoints {
-		if r := c.byName[name]; r != nil {
-			r.configure(e)
-			continue
+		r := c.byName[name]
+		if r == nil {
+			r = newReplica(name, e)
+			r.index = c.prefix.register()
+			c.byName[name] = r
 		}
-		r := newReplica(name, e)
-		r.index = c.prefix.register()
-		c.byName[name] = r
+		r.configure(e)
+		r.dataCentre = c.numberDataCentre(e.DataCentre)
 	}
 	for name, r := range c.byName {
 		if _, listed := in.Endpoints[name]; !listed {
@@ -146,6 +156,13 @@
 	c.index()
 }
 
+func (c *Cell) numberDataCentre(name string) int {
+	if c.dataCentres[name] == 0 {
+		c.dataCentres[name] = len(c.dataCentres) + 1
+	}
+	return c.dataCentres[name]
+}
+
 // forgetUnused drops an endpoint that is not listed any more and holds no claim.
 func (c *Cell) forgetUnused(r *replica) {
 	if len(r.decode.claims) > 0 || len(r.prefill.work) > 0 || len(r.link.spans) > 0 {
@@ -210,22 +227,47 @@
 }
 
 func (c *Cell) count() {
-	c.roles = [2]roleCount{}
-	for _, r := range c.byName {
-		if r.leaving {
-			continue
+	for i, all := range [][]*replica{c.prefills, c.decodes} {
+		state := &c.roles[i]
+		state.total, state.ejected = 0, 0
+		for _, r := range all {
+			if r.leaving {
+				continue
+			}
+			state.total++
+			if r.health.ejected {
+				state.ejected++
+			}
 		}
-		n := &c.roles[roleIndex(r.role)]
-		n.total++
+		state.sort(all)
+	}
+}
+
+// sort parts the endpoints that requests may use from the others. Where some answer their
+// polls, those that do not are left out even if the floor keeps them from ejection.
+func (s *roleState) sort(all []*replica) {
+	s.usable = s.usable[:0]
+	s.rejected = Rejections{}
+	answering := slices.ContainsFunc(all, func(r *replica) bool {
+		_, out := r.unusable()
+		return !out && r.health.answering()
+	})
+	for _, r := range all {
+		cause, out := r.unusable()
 		switch {
-		case r.health.ejected:
-			n.ejected++
-		case r.health.answering():
-			n.answering++
+		case out:
+			s.rejected[cause]++
+		case answering && !r.health.answering():
+			s.rejected[CauseEjected]++
+		default:
+			s.usable = append(s.usable, r)
 		}
 	}
 }
 
+// dataCentreNumber gives the number of a data centre, 0 for one without endpoints.
+func (c *Cell) dataCentreNumber(name string) int { return c.dataCentres[name] }
+
 func (c *Cell) ofRole(role configuration.Role) []*replica {
 	if role == configuration.RolePrefill {
 		return c.prefills
@@ -238,16 +280,17 @@
 	if r == nil {
 		return
 	}
-	role, leaving := r.role, r.leaving
-	ejected, answering := r.health.ejected, r.health.answering()
+	role, ejected, answering := r.role, r.health.ejected, r.health.answering()
+	before, out := r.unusable()
 	r.report(now, in.Load)
+	after, stillOut := r.unusable()
 	if ejected && !r.health.ejected {
 		c.emit(Action{Ejection: &Ejection{Endpoint: r.name, Cause: "load report after the ejection's time"}})
 	}
 	switch {
 	case role != r.role:
 		c.index()
-	case leaving != r.leaving, ejected != r.health.ejected, answering != r.health.answering():
+	case out != stillOut, before != after, answering != r.health.answering():
 		c.recount()
 	}
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -60,19 +60,17 @@
 	failurePenalty = 100 * time.Millisecond
 )
 
-// filter gives the cause that excludes an endpoint from all decisions on r.
-func filter(e *replica, r *Request) (Cause, bool) {
+// unusable gives the cause that excludes an endpoint from all decisions.
+func (e *replica) unusable() (Cause, bool) {
 	switch {
 	case e.leaving:
-		return CauseLeaving, false
+		return CauseLeaving, true
 	case e.health.ejected:
-		return CauseEjected, false
-	case len(r.Avoid) > 0 && slices.Contains(r.Avoid, e.name):
-		return CauseAvoided, false
-	case !e.serves(r.Model):
-		return CauseNotLoaded, false
+		return CauseEjected, true
+	case !e.serves(e.conf.Model):
+		return CauseNotLoaded, true
 	}
-	return 0, true
+	return 0, false
 }
 
 // prefillOption is a prefill endpoint under consideration. Times count from now.
@@ -81,14 +79,12 @@
 	cached  int64
 	wait    time.Duration
 	done    time.Duration
-	score   time.Duration
 }
 
 // decodeOption is a decode endpoint under consideration.
 type decodeOption struct {
 	replica *replica
 	slotAt  time.Duration
-	score   time.Duration
 }
 
 // pair is a whole option.
@@ -110,7 +106,7 @@
 	n     int
 }
 
-func (b *best[T]) add(item T, score time.Duration) {
+func (b *best[T]) add(item *T, score time.Duration) {
 	if b.n == shortlist && score >= b.score[shortlist-1] {
 		return
 	}
@@ -123,7 +119,7 @@
 	for ; i > 0 && score < b.score[i-1]; i-- {
 		b.items[i], b.score[i] = b.items[i-1], b.score[i-1]
 	}
-	b.items[i], b.score[i] = item, score
+	b.items[i], b.score[i] = *item, score
 }
 
 // choice is the outcome of weighing all pairs for one request.
@@ -140,18 +136,19 @@
 	anyPrefill, anyDecode bool
 }
 
-// choose weighs the endpoints for r. Times are predicted from the owner's own claims.
-func (c *Cell) choose(now clock.Instant, r *Request) choice {
-	var ch choice
-	prefills := c.shortlistPrefill(now, r, &ch)
+// choose weighs the endpoints for r. Times are predicted from the owner's own claims. The
+// result is valid until the next call.
+func (c *Cell) choose(now clock.Instant, r *Request) *choice {
+	ch := &c.choice
+	*ch = choice{}
+	prefills := c.shortlistPrefill(now, r, ch)
 	if prefills.n == 0 {
 		return ch
 	}
-	decodes := c.shortlistDecode(now, r, prefills.items[0].done, &ch)
-	for i := range prefills.items[:prefills.n] {
-		for j := range decodes.items[:decodes.n] {
-			p := c.weigh(now, r, prefills.items[i], decodes.items[j])
-			ch.consider(p)
+	decodes := c.shortlistDecode(now, r, prefills.items[0].done, ch)
+	for i := range prefills.n {
+		for j := range decodes.n {
+			ch.consider(c.weigh(now, r, &prefills.items[i], &decodes.items[j]))
 		}
 	}
 	return ch
@@ -177,32 +174,37 @@
 }
 
 func (c *Cell) shortlistPrefill(now clock.Instant, r *Request, ch *choice) *best[prefillOption] {
-	c.prefillBest = best[prefillOption]{}
+	b := &c.prefillBest
+	b.n = 0
 	if !r.NeedPrefill {
 		c.keptOption(r, ch)
-		return &c.prefillBest
+		return b
 	}
+	role := &c.roles[roleIndex(configuration.RolePrefill)]
+	ch.add(role)
+	v := c.viewOf(configuration.RolePrefill, r)
 	matched := c.prefix.match(now, r.Pieces)
-	lastResort := c.answering(configuration.RolePrefill)
-	adapted := c.adapterLoaded(configuration.RolePrefill, r.Adapter)
-	for _, e := range c.prefills {
-		cause, ok := filter(e, r)
-		switch {
-		case !ok:
+	whole := c.cost.prefillTime(r.PromptTokens)
+	for _, e := range role.usable {
+		if cause, ok := v.accepts(e); !ok {
 			ch.rejected[cause]++
 			continue
-		case lastResort && !e.health.answering():
-			ch.rejected[CauseEjected]++
-			continue
-		case adapted && !e.has(r.Adapter):
-			ch.rejected[CauseNotLoaded]++
-			continue
 		}
 		ch.anyPrefill = true
-		o := c.prefillOption(now, r, e, matched[e.index])
-		c.prefillBest.add(o, o.score)
+		wait := e.prefill.wait(now)
+		if b.n == shortlist && wait >= b.score[shortlist-1] {
+			continue
+		}
+		o := prefillOption{replica: e, wait: wait}
+		work := whole
+		if n := matched[e.index]; n > 0 {
+			o.cached = min(int64(n)*c.cost.pieceTokens, max(0, r.PromptTokens-1))
+			work = c.cost.prefillTime(r.PromptTokens - o.cached)
+		}
+		o.done = wait + scale(work, e.slowdown)
+		b.add(&o, o.done+v.penalty(e))
 	}
-	return &c.prefillBest
+	return b
 }
 
 // keptOption stands for the endpoint that keeps the result already.
@@ -212,47 +214,20 @@
 		return
 	}
 	ch.anyPrefill = true
-	c.prefillBest.add(prefillOption{replica: e, cached: r.PromptTokens}, 0)
-}
-
-func (c *Cell) prefillOption(now clock.Instant, r *Request, e *replica, matched int) prefillOption {
-	cached := min(int64(matched)*c.cost.pieceTokens, max(0, r.PromptTokens-1))
-	wait := e.prefill.wait(now, &c.cost, e.slowdown)
-	work := scale(c.cost.prefillTime(r.PromptTokens-cached), e.slowdown)
-	return prefillOption{
-		replica: e,
-		cached:  cached,
-		wait:    wait,
-		done:    wait + work,
-		score:   wait + work + penalty(e, r),
-	}
-}
-
-func penalty(e *replica, r *Request) time.Duration {
-	p := time.Duration(min(e.health.failures, ejectAfterFailures)) * failurePenalty
-	if e.conf.DataCentre != r.DataCentre {
-		p += remotePenalty
-	}
-	return p
+	c.prefillBest.add(&prefillOption{replica: e, cached: r.PromptTokens}, 0)
 }
 
 func (c *Cell) shortlistDecode(now clock.Instant, r *Request, need time.Duration, ch *choice) *best[decodeOption] {
-	c.decodeBest = best[decodeOption]{}
+	b := &c.decodeBest
+	b.n = 0
 	batch := c.batchFor(r)
-	lastResort := c.answering(configuration.RoleDecode)
-	adapted := c.adapterLoaded(configuration.RoleDecode, r.Adapter)
-	for _, e := range c.decodes {
-		cause, ok := filter(e, r)
-		switch {
-		case !ok:
+	role := &c.roles[roleIndex(configuration.RoleDecode)]
+	ch.add(role)
+	v := c.viewOf(configuration.RoleDecode, r)
+	for _, e := range role.usable {
+		if cause, ok := v.accepts(e); !ok {
 			ch.rejected[cause]++
 			continue
-		case lastResort && !e.health.answering():
-			ch.rejected[CauseEjected]++
-			continue
-		case adapted && !e.has(r.Adapter):
-			ch.rejected[CauseNotLoaded]++
-			continue
 		}
 		ch.anyDecode = true
 		at, ok := e.decode.freeAt(now, c.allowed(e, r, batch))
@@ -260,12 +235,65 @@
 			ch.rejected[CauseFull]++
 			continue
 		}
+		score := c.cost.gap(len(e.decode.claims)+1) + v.penalty(e)
+		if b.n == shortlist && score >= b.score[shortlist-1] {
+			continue
+		}
 		o := decodeOption{replica: e, slotAt: at.Sub(now)}
-		o.score = max(0, o.slotAt-need) + c.cost.gap(len(e.decode.claims)+1) + penalty(e, r)
-		o.score += linkWait(now, e, need)
-		c.decodeBest.add(o, o.score)
+		score += max(0, o.slotAt-need) + linkWait(now, e, need)
+		b.add(&o, score)
+	}
+	return b
+}
+
+// requestView is what filtering and penalties of one role need to know of a request.
+type requestView struct {
+	avoid   []string
+	adapter string
+	// dataCentre is the number of the request's data centre.
+	dataCentre int
+}
+
+// viewOf prepares the filter; the adapter counts only if an endpoint has it loaded.
+func (c *Cell) viewOf(role configuration.Role, r *Request) requestView {
+	v := requestView{avoid: r.Avoid, dataCentre: c.dataCentreNumber(r.DataCentre)}
+	if r.Adapter == "" {
+		return v
+	}
+	for _, e := range c.roles[roleIndex(role)].usable {
+		if e.has(r.Adapter) {
+			v.adapter = r.Adapter
+			break
+		}
+	}
+	return v
+}
+
+// accepts gives the cause that excludes a usable endpoint for this request.
+func (v *requestView) accepts(e *replica) (Cause, bool) {
+	if len(v.avoid) > 0 && slices.Contains(v.avoid, e.name) {
+		return CauseAvoided, false
+	}
+	if v.adapter != "" && !e.has(v.adapter) {
+		return CauseNotLoaded, false
+	}
+	return 0, true
+}
+
+// penalty makes a near endpoint that has not failed lately go first.
+func (v *requestView) penalty(e *replica) time.Duration {
+	p := time.Duration(min(e.health.failures, ejectAfterFailures)) * failurePenalty
+	if e.dataCentre != v.dataCentre {
+		p += remotePenalty
+	}
+	return p
+}
+
+// add counts the endpoints of a role that no request may use.
+func (ch *choice) add(role *roleState) {
+	for cause, n := range role.rejected {
+		ch.rejected[cause] += n
 	}
-	return &c.decodeBest
 }
 
 // linkWait is the claimed link time of e that ends after need.
@@ -299,7 +327,7 @@
 }
 
 // weigh predicts the first token of one pair.
-func (c *Cell) weigh(now clock.Instant, r *Request, p prefillOption, d decodeOption) pair {
+func (c *Cell) weigh(now clock.Instant, r *Request, p *prefillOption, d *decodeOption) pair {
 	took := c.cost.transferTime(r.PromptTokens, linkRate(p.replica, d.replica))
 	ready := now.Add(p.done)
 	start := earliest(&p.replica.link, &d.replica.link, ready, took)
@@ -307,13 +335,14 @@
 	running := d.replica.decode.runningAt(max(ready, now.Add(d.slotAt)))
 	gap := c.cost.gap(min(running+1, max(1, d.replica.conf.Slots)))
 	first := max(moved, d.slotAt) + gap
+	v := requestView{dataCentre: c.dataCentreNumber(r.DataCentre)}
 	window := p.done + scale(c.cost.keep, keepPart)
 	return pair{
-		prefill:  p,
-		decode:   d,
+		prefill:  *p,
+		decode:   *d,
 		transfer: span{start: start, end: start.Add(took)},
 		first:    first,
-		score:    first + penalty(p.replica, r) + penalty(d.replica, r),
+		score:    first + v.penalty(p.replica) + v.penalty(d.replica),
 		inTime:   d.slotAt <= window && start.Sub(now) <= window,
 	}
 }
@@ -329,22 +358,3 @@
 	}
 	return min(x, y)
 }
-
-// answering reports whether some endpoint of a role that may get work answers its polls;
-// then those that do not answer are left out, also where the floor kept them from ejection.
-func (c *Cell) answering(role configuration.Role) bool {
-	return c.roles[roleIndex(role)].answering > 0
-}
-
-// adapterLoaded reports whether an endpoint of a role has the adapter loaded.
-func (c *Cell) adapterLoaded(role configuration.Role, adapter string) bool {
-	if adapter == "" {
-		return false
-	}
-	for _, e := range c.ofRole(role) {
-		if !e.leaving && !e.health.ejected && e.has(adapter) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/placement/claims.go
+++ b/internal/placement/claims.go
@@ -12,6 +12,9 @@
 	work      []*claim
 	tokens    int64
 	headStart clock.Instant
+	// until is when the queue is predicted to be empty; rest is the part after its head.
+	until clock.Instant
+	rest  time.Duration
 }
 
 func (q *prefillQueue) add(now clock.Instant, c *claim) {
@@ -35,15 +38,21 @@
 	return true
 }
 
-// wait predicts when work added now would start. Work in progress counts by what is left of it.
-func (q *prefillQueue) wait(now clock.Instant, cost *modelCost, slowdown float64) time.Duration {
+// predict recomputes the end of the queue after a change.
+func (q *prefillQueue) predict(cost *modelCost, slowdown float64) {
+	q.until, q.rest = 0, 0
 	if len(q.work) == 0 {
-		return 0
+		return
 	}
-	head := scale(cost.prefillTime(q.work[0].prefillTokens), slowdown)
-	left := max(0, head-now.Sub(q.headStart))
-	rest := scale(cost.prefillTime(q.tokens-q.work[0].prefillTokens), slowdown)
-	return left + rest
+	head := q.work[0].prefillTokens
+	q.rest = scale(cost.prefillTime(q.tokens-head), slowdown)
+	q.until = q.headStart.Add(scale(cost.prefillTime(head), slowdown) + q.rest)
+}
+
+// wait predicts when work added now would start. A head that takes longer than predicted
+// counts as about to end.
+func (q *prefillQueue) wait(now clock.Instant) time.Duration {
+	return max(q.rest, q.until.Sub(now), 0)
 }
 
 func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
--- a/internal/placement/dispatch.go
+++ b/internal/placement/dispatch.go
@@ -169,7 +169,7 @@
 
 // noEndpoint refuses a request that no endpoint may serve. Work that may wait stays while
 // the endpoints are only ejected.
-func (c *Cell) noEndpoint(now clock.Instant, w *waiting, ch choice) verdict {
+func (c *Cell) noEndpoint(now clock.Instant, w *waiting, ch *choice) verdict {
 	mayRecover := ch.rejected[CauseEjected] > 0
 	if mayRecover && w.request.Class == configuration.MayWait && now.Before(w.limit) {
 		return blocked
@@ -197,7 +197,7 @@
 	}
 }
 
-func (c *Cell) assign(now clock.Instant, w *waiting, ch choice) {
+func (c *Cell) assign(now clock.Instant, w *waiting, ch *choice) {
 	if !w.move {
 		c.queueOf(w).serve(w)
 		c.rate.served(w.cost)
@@ -206,7 +206,8 @@
 		c.dropMove(w)
 	}
 	delete(c.queued, w.request.ID)
-	cl := c.claimPair(now, &w.request, ch.pair)
+	cl := c.claimPair(now, &w.request, &ch.pair)
+	ch.rejected[CauseSlower] = c.slower(ch)
 	cl.assignment.Reason = reason(ch)
 	c.emit(Action{Decision: &Decision{
 		ID:         w.request.ID,
@@ -219,7 +220,17 @@
 	}})
 }
 
-func reason(ch choice) string {
+// slower counts the endpoints that were open to the request and not chosen.
+func (c *Cell) slower(ch *choice) uint16 {
+	const chosen = 2
+	others := len(c.prefills) + len(c.decodes) - chosen
+	for _, n := range ch.rejected[:CauseSlower] {
+		others -= int(n)
+	}
+	return uint16(max(0, others))
+}
+
+func reason(ch *choice) string {
 	p := &ch.pair
 	return fmt.Sprintf("first_token=%s prefill_wait=%s slot_in=%s", millis(p.first), millis(p.prefill.wait), millis(p.decode.slotAt))
 }
--- a/internal/placement/lifecycle.go
+++ b/internal/placement/lifecycle.go
@@ -25,7 +25,7 @@
 )
 
 // claimPair claims both endpoints and the link of p for r, and gives the claim.
-func (c *Cell) claimPair(now clock.Instant, r *Request, p pair) *claim {
+func (c *Cell) claimPair(now clock.Instant, r *Request, p *pair) *claim {
 	cl := &claim{
 		request:  *r,
 		prefill:  p.prefill.replica,
@@ -45,6 +45,7 @@
 		cl.prefillTokens = r.PromptTokens - p.prefill.cached
 		cl.prefillAt = now.Add(p.prefill.wait)
 		cl.prefill.prefill.add(now, cl)
+		cl.prefill.prefill.predict(&c.cost, cl.prefill.slowdown)
 		c.prefix.expect(now, cl.prefill.index, r.Pieces)
 	} else {
 		cl.stage = StagePrefillDone
@@ -81,7 +82,7 @@
 
 // free gives back all that a claim holds.
 func (c *Cell) free(now clock.Instant, cl *claim) {
-	cl.prefill.prefill.remove(now, cl)
+	c.endPrefill(now, cl)
 	c.releaseLink(cl)
 	cl.decode.recent.note(now, len(cl.decode.decode.claims))
 	cl.decode.decode.remove(cl)
@@ -125,7 +126,7 @@
 	if len(p.prefill.work) > 0 && p.prefill.work[0] == cl {
 		p.learnSpeed(now.Sub(p.prefill.headStart), c.cost.prefillTime(cl.prefillTokens))
 	}
-	p.prefill.remove(now, cl)
+	c.endPrefill(now, cl)
 	p.health.succeeded()
 	took := c.cost.transferTime(cl.request.PromptTokens, linkRate(p, cl.decode))
 	c.releaseLink(cl)
@@ -133,6 +134,13 @@
 	c.reserveLink(cl, span{start: start, end: start.Add(took)})
 }
 
+// endPrefill takes a claim's work out of its prefill endpoint's queue.
+func (c *Cell) endPrefill(now clock.Instant, cl *claim) {
+	if cl.prefill.prefill.remove(now, cl) {
+		cl.prefill.prefill.predict(&c.cost, cl.prefill.slowdown)
+	}
+}
+
 // learnSpeed compares a prefill's time with the predicted one.
 func (r *replica) learnSpeed(took, predicted time.Duration) {
 	const leastMeasured = 5 * time.Millisecond
@@ -239,7 +247,7 @@
 	if prefill == nil {
 		prefill = decode
 	}
-	p := pair{prefill: prefillOption{replica: prefill, cached: in.Assignment.CachedTokens}, decode: decodeOption{replica: decode}}
+	p := &pair{prefill: prefillOption{replica: prefill, cached: in.Assignment.CachedTokens}, decode: decodeOption{replica: decode}}
 	r := in.Request
 	r.NeedPrefill = in.Stage < StagePrefillDone && prefill.role == configuration.RolePrefill
 	cl := c.claimPair(now, &r, p)
--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -13,7 +13,9 @@
 type replica struct {
 	name  string
 	index int
-	conf  configuration.Endpoint
+	// dataCentre is the number of the endpoint's data centre.
+	dataCentre int
+	conf       configuration.Endpoint
 	// role is the reported role, or the configured one before a report.
 	role    configuration.Role
 	leaving bool
--- /dev/null
+++ b/internal/sweep/service_test.go
@@ -0,0 +1,143 @@
+package sweep_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/endpoint"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/sweep"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// engine is a fake that holds requests until they are cancelled.
+type engine struct {
+	endpoint.Engine
+	mu        sync.Mutex
+	held      map[string]bool
+	cancelled chan string
+	// lost holds the requests whose first cancel was lost.
+	lost map[string]bool
+}
+
+func (e *engine) Held(context.Context) ([]endpoint.Holding, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []endpoint.Holding
+	for r := range e.held {
+		out = append(out, endpoint.Holding{Attempt: endpoint.Attempt{Request: r, Number: 1}, AgeMillis: 1000})
+	}
+	return out, nil
+}
+
+func (e *engine) Cancel(_ context.Context, request string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.lost[request] {
+		e.lost[request] = true
+		return context.DeadlineExceeded
+	}
+	if e.held[request] {
+		delete(e.held, request)
+		e.cancelled <- request
+	}
+	return nil
+}
+
+// dialer gives the one engine for every address.
+type dialer struct{ engine *engine }
+
+func (d dialer) Engine(netip.AddrPort) endpoint.Engine { return d.engine }
+
+type directory struct{ view *membership.View }
+
+func (d directory) View() *membership.View { return d.view }
+func (d directory) Suspect(ident.VM)       {}
+
+func listen(t *testing.T, vm ident.VM) (*peer.Transport, net.Listener) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return peer.New(peer.Options{Self: vm}), ln
+}
+
+// Three VMs of one data centre: a and b live, c does not answer. b was restarted.
+func TestServicesFreeWhatNoVMClaims(t *testing.T) {
+	a, b := ident.VM{Name: "a", Incarnation: 5}, ident.VM{Name: "b", Incarnation: 5}
+	former, silent := ident.VM{Name: "b", Incarnation: 4}, ident.VM{Name: "c", Incarnation: 5}
+	name := func(vm ident.VM, seq uint64) string { return ident.RequestID{VM: vm, Seq: seq}.String() }
+	live := map[string]bool{name(a, 1): true, name(b, 1): true}
+	dead := []string{name(a, 2), name(b, 2), name(former, 1), name(silent, 1)}
+	e := &engine{held: map[string]bool{"other-system": true}, lost: map[string]bool{}, cancelled: make(chan string, 10)}
+	for r := range live {
+		e.held[r] = true
+	}
+	for _, r := range dead {
+		e.held[r] = true
+	}
+	snap := &configuration.Snapshot{Version: 1, Document: configuration.Document{
+		DataCentres: map[string]configuration.DataCentre{"dc": {Region: "r"}},
+		Endpoints:   map[string]configuration.Endpoint{"e": {Model: "m", Role: configuration.RoleDecode, DataCentre: "dc", Address: "127.0.0.1:1"}},
+	}}
+	closed, ln := listen(t, silent)
+	_ = ln.Close()
+	closed.Close()
+	members := []membership.Member{{VM: silent, DataCentre: "dc", Region: "r", State: membership.Suspect, Peer: netip.MustParseAddrPort(ln.Addr().String())}}
+	transports := map[string]*peer.Transport{}
+	listeners := map[string]net.Listener{}
+	for _, vm := range []ident.VM{a, b} {
+		transports[vm.Name], listeners[vm.Name] = listen(t, vm)
+		addr := netip.MustParseAddrPort(listeners[vm.Name].Addr().String())
+		members = append(members, membership.Member{VM: vm, DataCentre: "dc", Region: "r", State: membership.Alive, Peer: addr})
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for _, self := range members[1:] {
+		tr := transports[self.VM.Name]
+		s := sweep.New(sweep.Options{
+			Self:          self,
+			Directory:     directory{&membership.View{Self: self, Members: members}},
+			Transport:     tr,
+			Dialer:        dialer{e},
+			Configuration: func() *configuration.Snapshot { return snap },
+			Clock:         clock.Boot{},
+			Live:          func(r string) bool { return live[r] },
+		})
+		wg.Go(func() { _ = tr.Serve(listeners[self.VM.Name]) })
+		wg.Go(func() { s.Run(ctx) })
+	}
+	freed := map[string]bool{}
+	for range dead {
+		freed[<-e.cancelled] = true
+	}
+	stop()
+	for _, tr := range transports {
+		tr.Close()
+	}
+	wg.Wait()
+	for _, r := range dead {
+		if !freed[r] {
+			t.Errorf("%s was not freed", r)
+		}
+	}
+	for r := range live {
+		if e.lost[r] {
+			t.Errorf("%s was cancelled and is live", r)
+		}
+	}
+	if !e.held["other-system"] {
+		t.Error("memory of another system was cancelled")
+	}
+}
