Membership, configuration and keys spread VM to VM

Cause: every VM read the platform and called every other VM. Change: membership as a pure machine (ring and random heartbeats, indirect probes, refutation, two bridges per data centre); versioned objects spread as deltas from two watchers per data centre; withdrawals spread VM to VM. Found by the state machine and mended: a join hid the new view; a sync did not send records of buckets that the other side lacked.

--- a/internal/configuration/service.go
+++ b/internal/configuration/service.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/fulmartide/fulmartide/internal/membership"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/spread"
 )
 
 // ObjectName is the platform object that holds the document as JSON.
@@ -38,63 +41,45 @@
 // Service keeps the configuration in force on this VM.
 type Service struct {
 	opts    Options
+	replica *spread.Replica
 	current atomic.Pointer[Snapshot]
 
 	mu       sync.Mutex
 	onChange []func(*Snapshot)
 }
 
-// Revision is one accepted change.
-type Revision struct {
-	// Base is the version that the change replaced.
-	Base Version `json:"base"`
-	// Nonce tells one Apply from all others.
-	Nonce string `json:"nonce"`
-	// At is when it was applied, by the applying VM's wall clock.
-	At time.Time `json:"at"`
-	// By names the VM that applied it.
-	By string `json:"by"`
-	// Objects names the objects that it changed, at most MaxRevisionObjects of them.
-	Objects []string `json:"objects"`
-	// Changed counts them all.
-	Changed int `json:"changed"`
-}
-
-// Confirmation says which version each VM of one data centre has in force.
-type Confirmation struct {
-	DataCentre string `json:"data_centre"`
-	// VMs is sorted by name.
-	VMs []VMVersion `json:"vms"`
-}
-
-// VMVersion is one VM's version.
-type VMVersion struct {
-	VM ident.VM `json:"vm"`
-	// Version is 0 when the VM has none or did not answer.
-	Version Version `json:"version"`
-	// Answered is false when the VM could not be asked.
-	Answered bool `json:"answered"`
-}
-
-// NewService makes a Service.
+// NewService makes a Service and registers its handler with the transport.
 func NewService(o Options) *Service {
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	return &Service{opts: o}
+	s := &Service{opts: o}
+	s.replica = spread.New(spread.Options{
+		Object:    ObjectName,
+		Kind:      peer.KindConfiguration,
+		Store:     o.Store,
+		Transport: o.Transport,
+		Directory: o.Directory,
+		Clock:     o.Clock,
+		Log:       o.Log,
+		Decode:    decodeEntries,
+		OnAdopt:   s.adopt,
+	})
+	return s
 }
 
 // Current gives the snapshot in force, nil before the first.
 func (s *Service) Current() *Snapshot { return s.current.Load() }
 
-// OnChange adds a function that is called after each new snapshot.
+// OnChange adds a function that is called after each new snapshot, in version order. It must
+// not block.
 func (s *Service) OnChange(f func(*Snapshot)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.onChange = append(s.onChange, f)
 }
 
-// Digest gives the version in force, for heartbeats.
+// Digest gives the version in force, for heartbeats; 0 before the first.
 func (s *Service) Digest() uint64 {
 	if c := s.Current(); c != nil {
 		return uint64(c.Version)
@@ -102,67 +87,65 @@
 	return 0
 }
 
+// Fill adds to a heartbeat's digest which version is in force.
+func (s *Service) Fill(d *membership.Digest) { d.Configuration = s.Digest() }
+
 // OnDigest takes another VM's heartbeat digest. It does not block.
-func (s *Service) OnDigest(_ membership.Member, _ membership.Digest) {}
+func (s *Service) OnDigest(from membership.Member, d membership.Digest) {
+	s.replica.OnDigest(from.VM, d.Configuration)
+}
 
 // Run keeps the configuration until ctx ends.
-func (s *Service) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		obj, err := s.opts.Store.Get(ctx, ObjectName)
-		if err == nil {
-			s.adopt(obj)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(500 * time.Millisecond):
-		}
-	}
-}
+func (s *Service) Run(ctx context.Context) { s.replica.Run(ctx) }
 
-func (s *Service) adopt(obj platform.Object) {
-	var doc Document
-	if err := json.Unmarshal(obj.Value, &doc); err != nil {
-		s.opts.Log.Error("configuration unreadable", zap.Error(err))
+// adopt runs in the replica's goroutine alone, so versions come in order.
+func (s *Service) adopt(t *spread.Table, _ spread.Origin) {
+	if t.Version == 0 {
 		return
 	}
-	s.mu.Lock()
-	old := s.current.Load()
-	if old != nil && old.Version >= Version(obj.Version) {
-		s.mu.Unlock()
+	doc, err := FromEntries(t.Entries)
+	if err != nil {
+		s.opts.Log.Error("configuration unreadable", zap.Uint64("version", t.Version), zap.Error(err))
 		return
 	}
-	snap := &Snapshot{Version: Version(obj.Version), Document: Normalize(doc), Applied: time.Now()}
+	snap := &Snapshot{Version: Version(t.Version), Document: doc, Applied: time.Now()}
 	s.current.Store(snap)
-	subs := append([]func(*Snapshot){}, s.onChange...)
+	s.mu.Lock()
+	subscribers := slices.Clone(s.onChange)
 	s.mu.Unlock()
-	for _, f := range subs {
+	for _, f := range subscribers {
 		f(snap)
 	}
 }
 
-// Apply checks the whole document and puts it in force if the version in force is still
-// ifVersion; 0 means that there must be none. It gives the new version. It fails as Malformed
-// with every fault named, as Conflict when another operator came first, and as OutcomeUnknown
-// when the platform did not answer whether the document was accepted.
-func (s *Service) Apply(ctx context.Context, doc Document, ifVersion Version) (Version, error) {
-	doc = Normalize(doc)
-	if err := checkError(Check(doc, platform.MaxValueBytes)); err != nil {
-		return 0, err
-	}
-	raw, err := json.Marshal(doc)
-	if err != nil {
-		return 0, err
-	}
-	v, err := s.opts.Store.Put(ctx, ObjectName, raw, uint64(ifVersion))
-	if err != nil {
-		return 0, err
-	}
-	s.adopt(platform.Object{Version: v, Value: raw})
-	return Version(v), nil
+// Confirmation says which version each VM of one data centre has in force.
+type Confirmation struct {
+	DataCentre string `json:"data_centre"`
+	// VMs is sorted by name.
+	VMs []VMVersion `json:"vms"`
 }
 
-// History gives the latest accepted changes, oldest first.
-func (s *Service) History(_ context.Context) ([]Revision, error) { return nil, nil }
+// VMVersion is one VM's version.
+type VMVersion struct {
+	VM ident.VM `json:"vm"`
+	// Version is 0 when the VM has none or did not answer.
+	Version Version `json:"version"`
+	// Answered is false when the VM could not be asked.
+	Answered bool `json:"answered"`
+}
 
-// Confirmations asks every member which version it has in force, by data centre.
-func (s *Service) Confirmations() []Confirmation { return nil }
+// Confirmations asks every member that is not Gone which version it has in force, and gives
+// the answers by data centre. It takes at most about a second for each 16 silent VMs.
+func (s *Service) Confirmations() []Confirmation {
+	byName := map[string][]VMVersion{}
+	for _, h := range s.replica.Ask(context.Background(), s.Digest()) {
+		byName[h.DataCentre] = append(byName[h.DataCentre], VMVersion{h.VM, Version(h.Version), h.Answered})
+	}
+	var out []Confirmation
+	for _, dc := range slices.Sorted(maps.Keys(byName)) {
+		vms := byName[dc]
+		slices.SortFunc(vms, func(a, b VMVersion) int { return strings.Compare(a.VM.Name, b.VM.Name) })
+		out = append(out, Confirmation{DataCentre: dc, VMs: vms})
+	}
+	return out
+}
--- a/internal/keys/service.go
+++ b/internal/keys/service.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"encoding/json"
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,6 +16,7 @@
 	"github.com/fulmartide/fulmartide/internal/membership"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/spread"
 )
 
 // ObjectName is the platform object that holds the key list as JSON.
@@ -39,201 +40,253 @@
 	Self membership.Member
 }
 
-// Key is one line of the key list.
-type Key struct {
-	ID        string `json:"id"`
-	Workspace string `json:"workspace"`
-	Withdrawn bool   `json:"withdrawn"`
-}
-
-// Withdrawal says how far a withdrawal has come.
-type Withdrawal struct {
-	// Confirmed and Unconfirmed name data centres: all, or not all, of the VMs seen live there
-	// have confirmed that they refuse the key.
-	Confirmed   []string `json:"confirmed"`
-	Unconfirmed []string `json:"unconfirmed"`
-	// Stored says that the platform holds the withdrawal.
-	Stored bool `json:"stored"`
-}
-
-type entry struct {
-	Hash      Hash   `json:"hash"`
-	Workspace string `json:"workspace"`
-	Withdrawn bool   `json:"withdrawn"`
-}
-
-type list struct {
-	Keys map[string]entry `json:"keys"`
-}
-
 // Service is the key ring of this VM.
 type Service struct {
-	opts Options
+	opts    Options
+	replica *spread.Replica
+	// confirmed is the latest instant at which this VM's data centre is known to have heard
+	// of all withdrawals that the platform or another data centre knew. 0 is never.
+	confirmed atomic.Int64
+	exchange  chan membership.Member
+	work      sync.WaitGroup
 
-	mu        sync.Mutex
-	version   uint64
-	byHash    map[Hash]Identity
-	keys      map[string]entry
-	withdrawn map[string]bool
-	cuts      map[string]map[*func()]struct{}
+	mu sync.RWMutex
+	// ctx is set once Run runs; work is only added under the lock and until stopped is set.
+	ctx     context.Context
+	stopped bool
+	ring    *ring
+	cuts    map[string]map[*attachment]struct{}
+	origin  map[string]bool
 }
 
+type attachment struct{ cut func() }
+
 var _ Ring = (*Service)(nil)
 
-// NewService makes a Service.
+// NewService makes a Service and registers its handler with the transport.
 func NewService(o Options) *Service {
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	return &Service{opts: o, withdrawn: map[string]bool{}, cuts: map[string]map[*func()]struct{}{}}
+	if o.Configuration == nil {
+		o.Configuration = func() *configuration.Snapshot { return nil }
+	}
+	s := &Service{
+		opts:     o,
+		exchange: make(chan membership.Member, 1),
+		ring:     newRing(),
+		cuts:     map[string]map[*attachment]struct{}{},
+		origin:   map[string]bool{},
+	}
+	s.replica = spread.New(spread.Options{
+		Object:     ObjectName,
+		Kind:       peer.KindKeys,
+		Store:      o.Store,
+		Transport:  o.Transport,
+		Directory:  o.Directory,
+		Clock:      o.Clock,
+		Log:        o.Log,
+		Decode:     decodeEntries,
+		OnAdopt:    func(t *spread.Table, _ spread.Origin) { s.step(listRead{t}) },
+		OnPlatform: s.confirm,
+		Serve:      s.serve,
+		Beside:     s.pendingIDs,
+		OnBeside:   s.learn,
+	})
+	return s
 }
 
-// Identify gives the identity of a key.
-func (s *Service) Identify(h Hash) (Identity, error) {
+func decodeEntries(value []byte) (map[string]string, error) {
+	var l list
+	if err := json.Unmarshal(value, &l); err != nil {
+		return nil, fault.Wrap(err, fault.Malformed, "restore the keys object", "key list")
+	}
+	return l.entries()
+}
+
+func (l list) entries() (map[string]string, error) {
+	out := make(map[string]string, len(l.Keys))
+	for id, e := range l.Keys {
+		raw, err := json.Marshal(e)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Internal, "report this", "encode key")
+		}
+		out[id] = string(raw)
+	}
+	return out, nil
+}
+
+// Run keeps the key list until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	s.work.Go(func() { s.storeLoop(ctx) })
+	s.work.Go(func() { s.exchangeLoop(ctx) })
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
+	s.replica.Run(ctx)
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.work.Wait()
+}
+
+// spawn runs f beside Run; it does nothing when Run does not run.
+func (s *Service) spawn(f func(ctx context.Context)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id, ok := s.byHash[h]
-	if ok && !s.withdrawn[id.KeyID] {
-		return id, nil
+	if ctx := s.ctx; ctx != nil && !s.stopped {
+		s.work.Go(func() { f(ctx) })
 	}
-	if s.keys == nil {
-		return Identity{}, fault.New(fault.Unavailable, "try again in a second, or at another VM", "this VM has not read the key list yet")
+}
+
+// Identify gives the identity of a key. It fails as Unauthenticated for an unknown or
+// withdrawn key, and as Unavailable before this VM has read the key list or when the
+// workspace's bound for unconfirmed use is over.
+func (s *Service) Identify(h Hash) (Identity, error) {
+	s.mu.RLock()
+	id, err := s.ring.identify(h)
+	s.mu.RUnlock()
+	if err != nil {
+		return Identity{}, err
 	}
-	return Identity{}, fault.New(fault.Unauthenticated, "send a key that an operator has given and not withdrawn", "unknown or withdrawn key")
+	return id, s.checkBound(id.Workspace)
 }
 
-// Attach calls cut once if the key is withdrawn before detach is called.
-func (s *Service) Attach(keyID string, cut func()) (detach func()) {
-	s.mu.Lock()
-	if s.withdrawn[keyID] {
-		s.mu.Unlock()
-		cut()
-		return func() {}
+// checkBound refuses a workspace's keys once its bound for unconfirmed use is over.
+func (s *Service) checkBound(workspace string) error {
+	snap := s.opts.Configuration()
+	if snap == nil {
+		return nil
 	}
-	if s.cuts[keyID] == nil {
-		s.cuts[keyID] = map[*func()]struct{}{}
+	bound := time.Duration(snap.Document.Workspaces[workspace].KeyUnconfirmedSeconds) * time.Second
+	if bound <= 0 || s.unconfirmedFor() <= bound {
+		return nil
 	}
-	s.cuts[keyID][&cut] = struct{}{}
-	s.mu.Unlock()
-	return func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.cuts[keyID], &cut)
+	return fault.New(fault.Unavailable,
+		"use another data centre, or raise the workspace's key_unconfirmed_seconds",
+		"this data centre has heard from neither the platform nor another data centre for longer than the workspace allows")
+}
+
+// unconfirmedFor gives the time since this data centre last heard of all withdrawals.
+func (s *Service) unconfirmedFor() time.Duration {
+	at := s.confirmed.Load()
+	if at == 0 {
+		return math.MaxInt64
 	}
+	return s.opts.Clock.Now().Sub(clock.Instant(at))
 }
 
-// Run keeps the key list until ctx ends.
-func (s *Service) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		_, _, _ = s.read(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(500 * time.Millisecond):
+// confirm notes that all withdrawals known elsewhere at an instant are known here.
+func (s *Service) confirm(at clock.Instant) {
+	for {
+		old := s.confirmed.Load()
+		if int64(at) <= old || s.confirmed.CompareAndSwap(old, int64(at)) {
+			return
 		}
 	}
 }
 
-func (s *Service) read(ctx context.Context) (list, uint64, error) {
-	l := list{Keys: map[string]entry{}}
-	obj, err := s.opts.Store.Get(ctx, ObjectName)
-	if fault.Is(err, fault.NotFound) {
-		s.adopt(l, 0)
-		return l, 0, nil
-	}
-	if err != nil {
-		return l, 0, err
+// Attach calls cut once, in its own goroutine, if the key is withdrawn before detach is called.
+func (s *Service) Attach(keyID string, cut func()) (detach func()) {
+	a := &attachment{cut}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ring.refused(keyID) {
+		go cut()
+		return func() {}
 	}
-	if err := json.Unmarshal(obj.Value, &l); err != nil {
-		return l, 0, err
+	if s.cuts[keyID] == nil {
+		s.cuts[keyID] = map[*attachment]struct{}{}
 	}
-	s.adopt(l, obj.Version)
-	return l, obj.Version, nil
+	s.cuts[keyID][a] = struct{}{}
+	return func() { s.detach(keyID, a) }
 }
 
-func (s *Service) adopt(l list, version uint64) {
+func (s *Service) detach(keyID string, a *attachment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.keys != nil && version <= s.version {
-		return
-	}
-	s.version, s.keys, s.byHash = version, l.Keys, map[Hash]Identity{}
-	for id, e := range l.Keys {
-		if e.Withdrawn {
-			s.cutLocked(id)
-			continue
-		}
-		s.byHash[e.Hash] = Identity{KeyID: id, Workspace: e.Workspace}
+	delete(s.cuts[keyID], a)
+	if len(s.cuts[keyID]) == 0 {
+		delete(s.cuts, keyID)
 	}
 }
 
-func (s *Service) cutLocked(id string) {
-	s.withdrawn[id] = true
-	for cut := range s.cuts[id] {
-		go (*cut)()
+// step gives the ring one input, cuts what must be cut and gives the withdrawals that were news.
+func (s *Service) step(in ringInput) (news []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.ring.Step(s.opts.Clock.Now(), in) {
+		switch a := a.(type) {
+		case cutKeys:
+			s.cut(a.ids)
+		case tellOthers:
+			news = a.ids
+		}
 	}
-	delete(s.cuts, id)
+	return news
 }
 
-// Give makes a key for a workspace. The secret is shown once and never stored.
-func (s *Service) Give(ctx context.Context, workspace string) (id, secret string, err error) {
-	id, secret = randomText(10), randomText(32)
-	e := entry{Hash: HashSecret(secret), Workspace: workspace}
-	return id, secret, s.update(ctx, func(l list) { l.Keys[id] = e })
+// learn takes withdrawals that a peer told of and passes news on.
+func (s *Service) learn(ids []string) {
+	if news := s.step(withdrawals{ids}); len(news) > 0 {
+		s.passOn(news)
+	}
 }
 
-func (s *Service) update(ctx context.Context, change func(list)) error {
-	for {
-		l, v, err := s.read(ctx)
-		if err != nil {
-			return err
-		}
-		change(l)
-		raw, err := json.Marshal(l)
-		if err != nil {
-			return err
-		}
-		nv, err := s.opts.Store.Put(ctx, ObjectName, raw, v)
-		if fault.Is(err, fault.Conflict) {
-			continue
-		}
-		if err == nil {
-			s.adopt(l, nv)
+// cut is called with the lock held.
+func (s *Service) cut(ids []string) {
+	for _, id := range ids {
+		running := s.cuts[id]
+		delete(s.cuts, id)
+		s.opts.Log.Info("key refused from now on", zap.String("key", id), zap.Int("requests_cut", len(running)))
+		for a := range running {
+			go a.cut()
 		}
-		return err
 	}
 }
 
-// Withdraw stops a key for good.
-func (s *Service) Withdraw(ctx context.Context, keyID string) (Withdrawal, error) {
-	s.mu.Lock()
-	s.cutLocked(keyID)
-	s.mu.Unlock()
-	err := s.update(ctx, func(l list) {
-		e := l.Keys[keyID]
-		e.Withdrawn = true
-		l.Keys[keyID] = e
-	})
-	return Withdrawal{Stored: err == nil}, err
+func (s *Service) pendingIDs() []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.ring.pendingIDs()
 }
 
-// List gives the keys, without their hashes, sorted by id.
-func (s *Service) List(_ context.Context) ([]Key, error) { return nil, nil }
+// Fill adds to a heartbeat's digest what this VM holds of keys.
+func (s *Service) Fill(d *membership.Digest) {
+	d.Keys, d.Withdrawn = s.Digest()
+	if age := s.unconfirmedFor(); age >= 0 && age < maxAge {
+		d.Confirmed = uint32(age.Milliseconds()) + 1
+	}
+}
 
-// Confirmations tells how far the withdrawal of a key has come.
-func (s *Service) Confirmations(_ string) Withdrawal { return Withdrawal{} }
+// maxAge is the longest age that a digest can state.
+const maxAge = 24 * time.Hour
 
-// Digest gives the version of the key list and the hash of the withdrawals it does not show.
+// Digest gives the version of the key list and a hash of the withdrawals it does not show.
 func (s *Service) Digest() (version, withdrawn uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.version, 0
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.ring.version, s.ring.pendingSum()
 }
 
 // OnDigest takes another VM's heartbeat digest. It does not block.
-func (s *Service) OnDigest(_ membership.Member, _ membership.Digest) {}
-
-func randomText(bytes int) string {
-	b := make([]byte, bytes)
-	_, _ = rand.Read(b)
-	return hex.EncodeToString(b)
+func (s *Service) OnDigest(from membership.Member, d membership.Digest) {
+	s.replica.OnDigest(from.VM, d.Keys)
+	_, own := s.Digest()
+	if d.Withdrawn != own {
+		select {
+		case s.exchange <- from:
+		default:
+			// An exchange is due already; the next heartbeat asks again.
+		}
+		return
+	}
+	if d.Asked == 0 {
+		return
+	}
+	if from.DataCentre != s.opts.Self.DataCentre {
+		s.confirm(d.Asked)
+	} else if d.Confirmed > 0 {
+		s.confirm(d.Asked.Add(-time.Duration(d.Confirmed) * time.Millisecond))
+	}
 }
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -13,6 +13,8 @@
 // centres and watch the platform.
 const BridgesPerDataCentre = 2
 
+const bridgeDuty = "bridge/"
+
 // Bridges gives the live VMs of a data centre that talk with the other data centres and watch
 // the platform, by falling rendezvous rank. There are none when no VM of it is live.
 func (v *View) Bridges(dataCentre string) []Member {
@@ -22,7 +24,7 @@
 			live = append(live, m)
 		}
 	}
-	return topRanked(live, "bridge/"+dataCentre, BridgesPerDataCentre)
+	return topRanked(live, bridgeDuty+dataCentre, BridgesPerDataCentre)
 }
 
 // BridgeRank gives this VM's place among the bridges of its data centre, or ok false.
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +11,8 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/duty"
+	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/platform"
@@ -28,6 +29,12 @@
 	Keys uint64
 	// Withdrawn is a hash of the withdrawals that the key list does not show yet.
 	Withdrawn uint64
+	// Confirmed is 1 + the age in milliseconds of the latest moment at which the sender's data
+	// centre knew all withdrawals known elsewhere; 0 is never.
+	Confirmed uint32
+	// Asked is set by the receiver: when it asked for this digest, 0 for one that came unasked.
+	// What the digest states was true at that instant or later.
+	Asked clock.Instant `msgpack:"-"`
 }
 
 // Options configure a Service.
@@ -50,20 +57,33 @@
 	OnDigest func(from Member, d Digest)
 }
 
+// inboxInputs is the most inputs that wait for the machine. When it is full a call's evidence is
+// dropped, as the next failed call repeats it; all else waits.
+const inboxInputs = 1024
+
+// goodbyeTimeout bounds the messages of the last moment.
+const goodbyeTimeout = 300 * time.Millisecond
+
+// listTimeout bounds one read of the platform's list.
+const listTimeout = time.Second
+
 // Service keeps this VM's view of the fleet.
 type Service struct {
-	opts Options
-	view atomic.Pointer[View]
+	opts    Options
+	loop    *duty.Loop[input, action]
+	view    atomic.Pointer[View]
+	work    sync.WaitGroup
+	ctx     context.Context
+	running chan struct{}
+	nextID  atomic.Uint64
+	left    atomic.Bool
 
 	mu       sync.Mutex
-	members  map[string]Member
+	waiting  map[uint64]chan *Message
 	onChange []func(*View)
 }
 
-type hello struct {
-	Member Member
-	Digest Digest
-}
+var _ Directory = (*Service)(nil)
 
 // New makes a Service and registers its handler with the transport.
 func New(o Options) *Service {
@@ -76,147 +96,104 @@
 	if o.OnDigest == nil {
 		o.OnDigest = func(Member, Digest) {}
 	}
-	o.Self.State = Alive
-	s := &Service{opts: o, members: map[string]Member{o.Self.VM.Name: o.Self}}
-	s.publish()
-	peer.Handle(o.Transport, peer.KindMembership, func(_ context.Context, _ ident.VM, req *hello) (*hello, error) {
-		s.heard(*req)
-		return s.hello(), nil
+	s := &Service{opts: o, running: make(chan struct{}), waiting: map[uint64]chan *Message{}}
+	m := newMachine(o.Self, o.Seeds)
+	s.view.Store(m.view)
+	s.loop = duty.NewLoop(duty.Options[input, action]{
+		Machine:  m,
+		Clock:    o.Clock,
+		Capacity: inboxInputs,
+		Tick:     func() input { return tick{} },
+		Period:   TickPeriod,
+		Perform:  s.perform,
 	})
+	peer.Handle(o.Transport, peer.KindMembership, s.handle)
 	return s
 }
 
-func (s *Service) hello() *hello {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return &hello{Member: s.members[s.opts.Self.VM.Name], Digest: s.opts.Digest()}
-}
-
 // View gives the present picture of the fleet.
 func (s *Service) View() *View { return s.view.Load() }
 
-// OnChange adds a function that is called after each change of the view.
+// OnChange adds a function that is called after each change of the view. It must not block.
 func (s *Service) OnChange(f func(*View)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.onChange = append(s.onChange, f)
 }
 
-// Suspect reports that a call to a VM failed without an answer.
-func (s *Service) Suspect(vm ident.VM) { s.setState(vm, Suspect) }
+// Suspect reports that a call to a VM failed without an answer. The VM is probed at once.
+func (s *Service) Suspect(vm ident.VM) { s.loop.Offer(evidence{vm}) }
 
-// Leave tells the other VMs of a planned stop.
-func (s *Service) Leave(ctx context.Context) error {
-	s.setState(s.opts.Self.VM, Leaving)
-	s.beat(ctx)
-	return nil
-}
-
-func (s *Service) setState(vm ident.VM, st State) {
-	s.mu.Lock()
-	m, ok := s.members[vm.Name]
-	changed := ok && m.VM == vm && m.State != st && m.State != Gone
-	if changed {
-		m.State = st
-		s.members[vm.Name] = m
-	}
-	s.mu.Unlock()
-	if changed {
-		s.publish()
+// Run keeps the view until ctx ends. After Leave it then tells the others goodbye.
+func (s *Service) Run(ctx context.Context) {
+	s.ctx = ctx
+	close(s.running)
+	s.loop.Run(ctx)
+	s.work.Wait()
+	if s.left.Load() {
+		s.sayGoodbye()
 	}
 }
 
-func (s *Service) heard(h hello) {
-	s.mu.Lock()
-	old := s.members[h.Member.VM.Name]
-	changed := false
-	if old.VM.Incarnation <= h.Member.VM.Incarnation && h.Member.VM.Name != s.opts.Self.VM.Name {
-		if old.Peer.IsValid() {
-			h.Member.Peer = old.Peer
-		}
-		changed = old != h.Member
-		s.members[h.Member.VM.Name] = h.Member
-	}
-	s.mu.Unlock()
-	if changed {
-		s.publish()
+// Leave tells the other VMs of a planned stop: this VM is to own nothing new.
+func (s *Service) Leave(ctx context.Context) error {
+	s.left.Store(true)
+	if err := s.loop.Put(ctx, leave{}); err != nil {
+		return fault.Wrap(err, fault.Timeout, "stop anyway: the other VMs find out by themselves", "leave")
 	}
-	s.opts.OnDigest(h.Member, h.Digest)
+	return nil
 }
 
-func (s *Service) publish() {
-	s.mu.Lock()
-	v := &View{Self: s.members[s.opts.Self.VM.Name]}
-	for _, m := range s.members {
-		if m.State != 0 {
-			v.Members = append(v.Members, m)
+// sayGoodbye tells the other VMs directly that this life is over.
+func (s *Service) sayGoodbye() {
+	ctx, cancel := context.WithTimeout(context.Background(), goodbyeTimeout)
+	defer cancel()
+	v := s.View()
+	rec := Record{VM: v.Self.VM, DataCentre: v.Self.DataCentre, Region: v.Self.Region, Peer: v.Self.Peer, Flags: FlagGone | FlagLeaving}
+	msg := &Message{Op: OpUpdate, Records: []Record{rec}}
+	var wg sync.WaitGroup
+	for _, m := range v.Members {
+		bridge := slices.ContainsFunc(v.Bridges(m.DataCentre), func(b Member) bool { return b.VM == m.VM })
+		if m.VM == v.Self.VM || m.State == Gone || m.DataCentre != v.Self.DataCentre && !bridge {
+			continue
 		}
+		wg.Go(func() {
+			_, _ = peer.Call[Message, Message](ctx, s.opts.Transport, m.Peer, peer.KindMembership, msg)
+		})
 	}
-	slices.SortFunc(v.Members, func(a, b Member) int { return strings.Compare(a.VM.Name, b.VM.Name) })
-	s.view.Store(v)
-	subs := slices.Clone(s.onChange)
-	s.mu.Unlock()
-	for _, f := range subs {
-		f(v)
-	}
+	wg.Wait()
 }
 
-// Run keeps the view until ctx ends.
-func (s *Service) Run(ctx context.Context) {
-	tick := time.NewTicker(500 * time.Millisecond)
-	defer tick.Stop()
-	for {
-		s.readList(ctx)
-		s.beat(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+func (s *Service) handle(ctx context.Context, from ident.VM, msg *Message) (*Message, error) {
+	select {
+	case <-s.running:
+	default:
+		return nil, fault.New(fault.Unavailable, "try again in a second", "this VM is starting")
 	}
-}
-
-func (s *Service) readList(ctx context.Context) {
-	if s.opts.Lister == nil {
-		return
+	id := s.nextID.Add(1)
+	answer := make(chan *Message, 1)
+	if msg.Op != OpUpdate {
+		s.mu.Lock()
+		s.waiting[id] = answer
+		s.mu.Unlock()
+		defer s.forget(id)
 	}
-	vms, err := s.opts.Lister.VMs(ctx)
-	if err != nil {
-		return
+	if err := s.loop.Put(ctx, request{id: id, from: from, msg: msg}); err != nil {
+		return nil, fault.Wrap(err, fault.Timeout, "try again", "membership message")
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, vm := range vms {
-		m := s.members[vm.Name]
-		m.VM.Name, m.DataCentre, m.Peer = vm.Name, vm.DataCentre, vm.Address
-		s.members[vm.Name] = m
+	if msg.Op == OpUpdate {
+		return &Message{}, nil
+	}
+	select {
+	case out := <-answer:
+		return out, nil
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), fault.Timeout, "try again", "membership message")
 	}
 }
 
-func (s *Service) beat(ctx context.Context) {
+func (s *Service) forget(id uint64) {
 	s.mu.Lock()
-	targets := map[netip.AddrPort]ident.VM{}
-	for _, a := range s.opts.Seeds {
-		targets[a] = ident.VM{}
-	}
-	for _, m := range s.members {
-		if m.VM.Name != s.opts.Self.VM.Name {
-			targets[m.Peer] = m.VM
-		}
-	}
-	s.mu.Unlock()
-	var wg sync.WaitGroup
-	for addr, vm := range targets {
-		wg.Go(func() {
-			cctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
-			defer cancel()
-			h, err := peer.Call[hello, hello](cctx, s.opts.Transport, addr, peer.KindMembership, s.hello())
-			if err != nil {
-				s.Suspect(vm)
-				return
-			}
-			s.heard(*h)
-		})
-	}
-	wg.Wait()
+	defer s.mu.Unlock()
+	delete(s.waiting, id)
 }
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,45 @@
+package membership
+
+import "slices"
+
+// stateOf gives a member's state as seen from here.
+func (m *machine) stateOf(e *entry) State {
+	switch {
+	case e.has(FlagGone):
+		return Gone
+	case e.VM.Name == m.self && e.has(FlagLeaving):
+		return Leaving
+	case e.VM.Name == m.self:
+		return Alive
+	case e.has(FlagSuspect), e.unheard, m.isCut(e.DataCentre):
+		return Suspect
+	case e.has(FlagLeaving):
+		return Leaving
+	}
+	return Alive
+}
+
+func (m *machine) member(e *entry) Member {
+	return Member{VM: e.VM, DataCentre: e.DataCentre, Region: e.Region, Peer: m.addressOf(e), State: m.stateOf(e)}
+}
+
+func (m *machine) buildView() *View {
+	v := &View{Self: m.member(m.me())}
+	for _, e := range m.sorted() {
+		v.Members = append(v.Members, m.member(e))
+	}
+	return v
+}
+
+func (m *machine) publishIfChanged() {
+	if !m.dirty {
+		return
+	}
+	m.dirty = false
+	v := m.buildView()
+	if v.Self == m.view.Self && slices.Equal(v.Members, m.view.Members) {
+		return
+	}
+	m.view = v
+	m.act(publish{v})
+}
--- /dev/null
+++ b/internal/spread/codec.go
@@ -0,0 +1,79 @@
+package spread
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fulmartide/fulmartide/internal/fault"
+)
+
+// MaxTableBytes bounds an encoded table before compression.
+const MaxTableBytes = 4 << 20
+
+const remedySameRelease = "run the same release on all VMs"
+
+// EncodeDelta gives the wire form of a delta.
+func EncodeDelta(d Delta) ([]byte, error) {
+	raw, err := msgpack.Marshal(&d)
+	return raw, fault.Wrap(err, fault.Internal, "report this", "encode delta")
+}
+
+// DecodeDelta reads the wire form of a delta.
+func DecodeDelta(raw []byte) (Delta, error) {
+	var d Delta
+	if err := msgpack.Unmarshal(raw, &d); err != nil {
+		return Delta{}, fault.Wrap(err, fault.Malformed, remedySameRelease, "decode delta")
+	}
+	if d.Version <= d.Base {
+		return Delta{}, fault.New(fault.Malformed, remedySameRelease, "delta does not lead to a later version")
+	}
+	return d, nil
+}
+
+type wireTable struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Version uint64
+	Entries map[string]string
+}
+
+// EncodeTable gives the compressed wire form of a whole table.
+func EncodeTable(t *Table) ([]byte, error) {
+	raw, err := msgpack.Marshal(&wireTable{Version: t.Version, Entries: t.Entries})
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "report this", "encode table")
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "report this", "compress table")
+	}
+	if _, err := w.Write(raw); err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "report this", "compress table")
+	}
+	if err := w.Close(); err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "report this", "compress table")
+	}
+	return out.Bytes(), nil
+}
+
+// DecodeTable reads the wire form of a whole table and works out its sum.
+func DecodeTable(raw []byte) (*Table, error) {
+	r := flate.NewReader(bytes.NewReader(raw))
+	plain, err := io.ReadAll(io.LimitReader(r, MaxTableBytes+1))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Malformed, remedySameRelease, "decompress table")
+	}
+	if len(plain) > MaxTableBytes {
+		return nil, fault.New(fault.TooLarge, "remove unused objects", "table over the size limit")
+	}
+	var w wireTable
+	if err := msgpack.Unmarshal(plain, &w); err != nil {
+		return nil, fault.Wrap(err, fault.Malformed, remedySameRelease, "decode table")
+	}
+	return NewTable(w.Version, w.Entries), nil
+}
--- /dev/null
+++ b/internal/spread/table.go
@@ -0,0 +1,137 @@
+// Package spread carries one versioned platform object to every VM. Two VMs of each data
+// centre watch the platform and push each new version to the VMs of their data centre as a
+// delta; heartbeat digests repair what a push missed; a VM only ever goes to higher versions.
+//
+// Two VMs that both hold the watch duty are harmless: both read the same versioned object, a
+// VM that has a version ignores another push of it, and nothing is decided by who pushed.
+package spread
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmartide/fulmartide/internal/fault"
+)
+
+// Table is one version of an object, taken apart into entries. It is never changed.
+type Table struct {
+	// Version is the platform's version of the object; 0 is the object that does not exist.
+	Version uint64
+	// Entries maps an entry's key to its value.
+	Entries map[string]string
+	// Sum is a hash of all entries in any order.
+	Sum uint64
+}
+
+// NewTable makes a Table and works out its sum.
+func NewTable(version uint64, entries map[string]string) *Table {
+	return &Table{Version: version, Entries: entries, Sum: sumOf(entries)}
+}
+
+func sumOf(entries map[string]string) uint64 {
+	var sum uint64
+	for k, v := range entries {
+		sum ^= entryHash(k, v)
+	}
+	return sum
+}
+
+func entryHash(key, value string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(value)
+	return d.Sum64()
+}
+
+// Delta leads from one version of a Table to a later one.
+type Delta struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Base and Version are the versions before and after.
+	Base, Version uint64
+	// Set holds new and changed entries, Delete the keys of removed ones.
+	Set    map[string]string
+	Delete []string
+	// Sum is the later table's sum.
+	Sum uint64
+}
+
+// Diff gives the delta from a to b. A nil a stands for the object that does not exist.
+func Diff(a, b *Table) Delta {
+	if a == nil {
+		a = &Table{}
+	}
+	d := Delta{Base: a.Version, Version: b.Version, Set: map[string]string{}, Sum: b.Sum}
+	for k, v := range b.Entries {
+		if old, ok := a.Entries[k]; !ok || old != v {
+			d.Set[k] = v
+		}
+	}
+	for k := range a.Entries {
+		if _, ok := b.Entries[k]; !ok {
+			d.Delete = append(d.Delete, k)
+		}
+	}
+	slices.Sort(d.Delete)
+	return d
+}
+
+// Apply gives the table that d leads to. It fails as Conflict when d starts from another
+// version, and as Malformed when the outcome does not have the sum that d states.
+func (t *Table) Apply(d Delta) (*Table, error) {
+	if t == nil {
+		t = &Table{}
+	}
+	if d.Base != t.Version || d.Version <= d.Base {
+		return nil, fault.New(fault.Conflict, "pull the versions between", "delta starts from another version")
+	}
+	entries := make(map[string]string, len(t.Entries)+len(d.Set))
+	maps.Copy(entries, t.Entries)
+	sum := t.Sum
+	for _, k := range d.Delete {
+		if v, ok := entries[k]; ok {
+			sum ^= entryHash(k, v)
+			delete(entries, k)
+		}
+	}
+	for k, v := range d.Set {
+		if old, ok := entries[k]; ok {
+			sum ^= entryHash(k, old)
+		}
+		sum ^= entryHash(k, v)
+		entries[k] = v
+	}
+	if sum != d.Sum {
+		return nil, fault.New(fault.Malformed, "pull the whole object", "delta leads to another table than it states")
+	}
+	return &Table{Version: d.Version, Entries: entries, Sum: sum}, nil
+}
+
+// compose gives the delta that has the effect of a and then b.
+func compose(a, b Delta) Delta {
+	out := Delta{Base: a.Base, Version: b.Version, Set: maps.Clone(a.Set), Sum: b.Sum}
+	if out.Set == nil {
+		out.Set = map[string]string{}
+	}
+	deleted := map[string]bool{}
+	for _, k := range a.Delete {
+		deleted[k] = true
+	}
+	for _, k := range b.Delete {
+		delete(out.Set, k)
+		deleted[k] = true
+	}
+	for k, v := range b.Set {
+		out.Set[k] = v
+	}
+	for k := range out.Set {
+		delete(deleted, k)
+	}
+	out.Delete = slices.Sorted(maps.Keys(deleted))
+	return out
+}
--- /dev/null
+++ b/test/spreadfleet/fleet.go
@@ -0,0 +1,185 @@
+package spreadfleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/keys"
+	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/platform"
+)
+
+// Fleet is a set of VMs and their platform.
+type Fleet struct {
+	Platform *Platform
+	// Log gets the lines of all VMs.
+	Log *zap.Logger
+	// Count is told of each frame that a VM sends.
+	Count func(vm string, kind peer.Kind, bytes int)
+
+	mu    sync.Mutex
+	lives uint64
+	vms   map[string]*VM
+}
+
+// New makes a Fleet without VMs.
+func New(seed uint64) *Fleet {
+	return &Fleet{Platform: NewPlatform(seed), Log: zap.NewNop(), Count: func(string, peer.Kind, int) {}, vms: map[string]*VM{}}
+}
+
+// VM is one VM's services.
+type VM struct {
+	Member        membership.Member
+	Membership    *membership.Service
+	Configuration *configuration.Service
+	Keys          *keys.Service
+
+	transport *peer.Transport
+	listener  net.Listener
+	cancel    context.CancelFunc
+	work      sync.WaitGroup
+	stopped   atomic.Bool
+}
+
+// Start starts a VM, or a new life of one that has stopped. seeds are addresses of other VMs.
+func (f *Fleet) Start(name, dataCentre string, seeds ...netip.AddrPort) (*VM, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.lives++
+	life := ident.Incarnation(f.lives)
+	f.mu.Unlock()
+	addr := netip.MustParseAddrPort(ln.Addr().String())
+	self := membership.Member{VM: ident.VM{Name: name, Incarnation: life}, DataCentre: dataCentre, Region: "r", Peer: addr}
+	f.Platform.List(platform.VM{Name: name, DataCentre: dataCentre, Address: addr}, true)
+	v := f.build(self, seeds)
+	v.listener = ln
+	f.mu.Lock()
+	f.vms[name] = v
+	f.mu.Unlock()
+	v.run()
+	return v, nil
+}
+
+func (f *Fleet) build(self membership.Member, seeds []netip.AddrPort) *VM {
+	v := &VM{Member: self}
+	log := f.Log.With(zap.String("at", self.VM.Name))
+	port := f.Platform.For(self.DataCentre)
+	v.transport = peer.New(peer.Options{Self: self.VM, Log: log, Counter: func(sent bool, kind peer.Kind, n int) {
+		if sent {
+			f.Count(self.VM.Name, kind, n)
+		}
+	}})
+	v.Membership = membership.New(membership.Options{
+		Self: self, Clock: clock.Boot{}, Transport: v.transport, Lister: port, Seeds: seeds, Log: log,
+		Digest: func() (d membership.Digest) {
+			v.Configuration.Fill(&d)
+			v.Keys.Fill(&d)
+			return d
+		},
+		OnDigest: func(from membership.Member, d membership.Digest) {
+			v.Configuration.OnDigest(from, d)
+			v.Keys.OnDigest(from, d)
+		},
+	})
+	v.Configuration = configuration.NewService(configuration.Options{
+		Store: port, Transport: v.transport, Directory: v.Membership, Clock: clock.Boot{}, Log: log, Self: self,
+	})
+	v.Keys = keys.NewService(keys.Options{
+		Store: port, Transport: v.transport, Directory: v.Membership, Clock: clock.Boot{}, Log: log, Self: self,
+		Configuration: v.Configuration.Current,
+	})
+	return v
+}
+
+func (v *VM) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	v.cancel = cancel
+	v.work.Go(func() { _ = v.transport.Serve(v.listener) })
+	v.work.Go(func() { v.Membership.Run(ctx) })
+	v.work.Go(func() { v.Configuration.Run(ctx) })
+	v.work.Go(func() { v.Keys.Run(ctx) })
+}
+
+// Kill ends a VM without a word to the others.
+func (v *VM) Kill() {
+	if v.stopped.Swap(true) {
+		return
+	}
+	v.cancel()
+	v.transport.Close()
+	v.work.Wait()
+}
+
+// Stop ends a VM as a planned stop does.
+func (v *VM) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = v.Membership.Leave(ctx)
+	if v.stopped.Swap(true) {
+		return
+	}
+	v.cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		v.work.Wait()
+	}()
+	select {
+	case <-done:
+	case <-time.After(time.Second):
+	}
+	v.transport.Close()
+	<-done
+}
+
+// Close kills all VMs.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, v := range f.vms {
+		wg.Go(v.Kill)
+	}
+	wg.Wait()
+}
+
+// StartAll starts VMs of several data centres: VM i of data centre d is vm-d-i in dc-d.
+func (f *Fleet) StartAll(perDataCentre ...int) ([]*VM, error) {
+	var out []*VM
+	for d, n := range perDataCentre {
+		for i := range n {
+			v, err := f.Start(fmt.Sprintf("vm-%d-%d", d, i), fmt.Sprintf("dc-%d", d))
+			if err != nil {
+				return out, err
+			}
+			out = append(out, v)
+		}
+	}
+	return out, nil
+}
+
+// Await looks at a condition until it holds or a time has passed, and reports which.
+func Await(limit time.Duration, holds func() bool) bool {
+	deadline := time.Now().Add(limit)
+	for !holds() {
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return true
+}
