--- a/internal/ledger/evaluate.go
+++ b/internal/ledger/evaluate.go
@@ -14,8 +14,9 @@
 	lazyUntil clock.Instant
 	// stale: an operation needs a read that is newer than its arrival.
 	stale bool
-	bare  int
-	full  int
+	// records and bodies are the sizes of the page after the write, in bytes.
+	records int
+	bodies  int
 }
 
 func (b *batch) due(now clock.Instant) bool {
@@ -30,7 +31,7 @@
 
 // evaluate answers the operations that the confirmed records decide, and stages the others.
 func (p *page) evaluate(o *owner, now clock.Instant) batch {
-	b := batch{staged: map[keyHash]record{}, bare: p.bare, full: p.full}
+	b := batch{staged: map[keyHash]record{}, records: p.records, bodies: p.bodies}
 	p.waiting = slices.DeleteFunc(p.waiting, func(op *operation) bool {
 		res, decided := p.judge(now, op, &b)
 		if decided {
@@ -102,12 +103,11 @@
 // stageIntent stages the first attempt of a key, if the page has room.
 func (p *page) stageIntent(op *operation, b *batch) (result, bool) {
 	r := op.intent()
-	if b.bare+r.bareSize() > intentBytes || b.full+r.size() > pageBytes {
+	if b.records+r.bareSize() > recordsBytes {
 		return result{err: errPageFull}, true
 	}
 	b.staged[op.place.hash] = r
-	b.bare += r.bareSize()
-	b.full += r.size()
+	b.records += r.bareSize()
 	b.urgent = true
 	return pending, false
 }
@@ -182,10 +182,10 @@
 
 // fit drops the body of an outcome that the page has no room for.
 func (b *batch) fit(out Outcome) Outcome {
-	if b.full+len(out.Body) > pageBytes {
+	if b.bodies+len(out.Body) > bodiesBytes {
 		out.Body = nil
 		out.Truncated = true
 	}
-	b.full += len(out.Body)
+	b.bodies += len(out.Body)
 	return out
 }
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
@@ -174,7 +175,7 @@
 func (s *shard) evictOne() bool {
 	var oldest *page
 	for _, p := range s.pages {
-		if p.quiet() && (oldest == nil || p.used.Before(oldest.used)) {
+		if p.quiet() && (oldest == nil || cmp.Or(cmp.Compare(p.used, oldest.used), cmp.Compare(p.window, oldest.window)) < 0) {
 			oldest = p
 		}
 	}
--- a/internal/ledger/owner_page.go
+++ b/internal/ledger/owner_page.go
@@ -20,8 +20,8 @@
 	superseded bool
 	version    uint64
 	confirmed  map[keyHash]record
-	// bare and full are the sizes of the confirmed records without and with bodies, in bytes.
-	bare, full int
+	// records and bodies are the sizes of the confirmed records and of their bodies, in bytes.
+	records, bodies int
 	// confirmedIn is the owner's step that issued the last read or write that succeeded.
 	confirmedIn uint64
 
@@ -95,10 +95,10 @@
 	p.confirmed = records
 	p.confirmedIn = p.issued
 	p.failures = 0
-	p.bare, p.full = 0, 0
+	p.records, p.bodies = 0, 0
 	for _, r := range records {
-		p.bare += r.bareSize()
-		p.full += r.size()
+		p.records += r.bareSize()
+		p.bodies += len(r.Outcome.Body)
 	}
 }
 
--- a/internal/ledger/page.go
+++ b/internal/ledger/page.go
@@ -37,10 +37,10 @@
 
 const (
 	recordOverheadBytes = 64
-	// intentBytes is the room in a page that is left to intents and to outcomes without body.
-	intentBytes = platform.MaxValueBytes * 6 / 10
-	// pageBytes is the room in a page for everything.
-	pageBytes = platform.MaxValueBytes * 9 / 10
+	// recordsBytes is the room in a page for records without the bodies of their outcomes.
+	recordsBytes = platform.MaxValueBytes * 4 / 10
+	// bodiesBytes is the room in a page for bodies.
+	bodiesBytes = platform.MaxValueBytes * 5 / 10
 )
 
 // bareSize bounds the encoded size of the record without the body of its outcome.
@@ -48,8 +48,6 @@
 	return recordOverheadBytes + len(r.Nonce) + MaxContentType
 }
 
-func (r record) size() int { return r.bareSize() + len(r.Outcome.Body) }
-
 const pageFormat = 1
 
 // storedPage is the value of a page's object.
@@ -59,7 +57,28 @@
 
 	Format  uint8
 	Window  int64
-	Records []record
+	Records records
+}
+
+// records decodes one by one, so that a false length in the input reserves no memory.
+type records []record
+
+var _ msgpack.CustomDecoder = (*records)(nil)
+
+// DecodeMsgpack reads an array of records.
+func (rs *records) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	for range n {
+		var r record
+		if err := d.Decode(&r); err != nil {
+			return err
+		}
+		*rs = append(*rs, r)
+	}
+	return nil
 }
 
 func encodePage(window int64, confirmed, staged map[keyHash]record) ([]byte, error) {
--- /dev/null
+++ b/internal/ledger/service_test.go
@@ -0,0 +1,397 @@
+package ledger_test
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/ledger"
+	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/platform"
+)
+
+// fakeStore is an object API that may fail before or after a call takes effect.
+type fakeStore struct {
+	platform.Store
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	objects map[string]platform.Object
+	// before and after are the shares of calls that fail without and with effect.
+	before, after float64
+	puts          int
+}
+
+func newStore(before, after float64) *fakeStore {
+	return &fakeStore{rng: rand.New(rand.NewPCG(3, 4)), objects: map[string]platform.Object{}, before: before, after: after}
+}
+
+func (s *fakeStore) set(before, after float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.before, s.after = before, after
+}
+
+func (s *fakeStore) Get(_ context.Context, name string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rng.Float64() < s.before {
+		return platform.Object{}, fault.New(fault.Unavailable, "none", "store is away")
+	}
+	o, ok := s.objects[name]
+	if !ok {
+		return o, fault.New(fault.NotFound, "none", "no such object")
+	}
+	return o, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, name string, value []byte, ifVersion uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.puts++
+	if s.rng.Float64() < s.before {
+		return 0, fault.New(fault.Unavailable, "none", "store is away")
+	}
+	if s.objects[name].Version != ifVersion {
+		return 0, fault.New(fault.Conflict, "none", "version differs")
+	}
+	s.objects[name] = platform.Object{Name: name, Version: ifVersion + 1, Value: value}
+	if s.rng.Float64() < s.after {
+		return 0, fault.New(fault.Timeout, "none", "answer lost")
+	}
+	return ifVersion + 1, nil
+}
+
+// fastClock runs ahead of the process clock, so that paced writes need less of the test's time.
+type fastClock struct{ clock.Process }
+
+const clockSpeed = 10
+
+func (c fastClock) Now() clock.Instant { return c.Process.Now() * clockSpeed }
+
+// directory is one VM's view; it can be made to differ from the other VMs' views.
+type directory struct {
+	view atomic.Pointer[membership.View]
+}
+
+func (d *directory) View() *membership.View { return d.view.Load() }
+func (d *directory) Suspect(ident.VM)       {}
+
+type vm struct {
+	member    membership.Member
+	dir       *directory
+	transport *peer.Transport
+	service   *ledger.Service
+	cancel    context.CancelFunc
+	done      chan struct{}
+}
+
+func (v *vm) kill() {
+	v.cancel()
+	v.transport.Close()
+	<-v.done
+}
+
+func startFleet(t *testing.T, n int, store platform.Store) []*vm {
+	t.Helper()
+	fleet := make([]*vm, n)
+	var members []membership.Member
+	for i := range fleet {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		v := &vm{dir: &directory{}, done: make(chan struct{})}
+		v.member = membership.Member{
+			VM:    ident.VM{Name: fmt.Sprint("vm-", i), Incarnation: 1},
+			Peer:  netip.MustParseAddrPort(ln.Addr().String()),
+			State: membership.Alive,
+		}
+		v.transport = peer.New(peer.Options{Self: v.member.VM})
+		v.service = ledger.New(ledger.Options{
+			Self: v.member, Directory: v.dir, Store: store, Transport: v.transport,
+			Clock: fastClock{clock.NewProcess()}, Wall: time.Now, Log: zap.NewNop(),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		v.cancel = cancel
+		go func() { _ = v.transport.Serve(ln) }()
+		go func() { defer close(v.done); v.service.Run(ctx) }()
+		t.Cleanup(v.kill)
+		fleet[i] = v
+		members = append(members, v.member)
+	}
+	for _, v := range fleet {
+		v.dir.view.Store(&membership.View{Self: v.member, Members: members})
+	}
+	return fleet
+}
+
+// without takes a member out of a VM's view, so that two VMs see different owners.
+func (v *vm) without(name string) {
+	old := v.dir.View()
+	view := &membership.View{Self: old.Self}
+	for _, m := range old.Members {
+		if m.VM.Name != name {
+			view.Members = append(view.Members, m)
+		}
+	}
+	v.dir.view.Store(view)
+}
+
+func newKey(n uint64) string {
+	var raw [16]byte
+	binary.BigEndian.PutUint64(raw[:8], uint64(time.Now().UnixMilli())<<16)
+	binary.BigEndian.PutUint64(raw[8:], n)
+	raw[6] |= 0x70
+	raw[8] = raw[8]&0x3f | 0x80
+	h := hex.EncodeToString(raw[:])
+	return strings.Join([]string{h[:8], h[8:12], h[12:16], h[16:20], h[20:]}, "-")
+}
+
+func TestCommitThroughAnyVM(t *testing.T) {
+	fleet := startFleet(t, 3, newStore(0, 0))
+	key := newKey(1)
+	intent := func(nonce string) ledger.Intent {
+		return ledger.Intent{Workspace: "w", Key: key, Fingerprint: 1, Nonce: nonce}
+	}
+	if out, err := fleet[0].service.Begin(t.Context(), intent("a")); out != nil || err != nil {
+		t.Fatal(out, err)
+	}
+	if _, err := fleet[1].service.Begin(t.Context(), intent("b")); !fault.Is(err, fault.OutcomeUnknown) {
+		t.Fatal(err)
+	}
+	big := make([]byte, ledger.MaxOutcomeBody+1)
+	if err := fleet[0].service.Finish(t.Context(), intent("a"), ledger.Outcome{Status: 201, ContentType: "text/plain", Body: big}); err != nil {
+		t.Fatal(err)
+	}
+	out, err := fleet[2].service.Begin(t.Context(), intent("c"))
+	if err != nil || out == nil || out.Status != 201 || !out.Truncated || len(out.Body) != 0 {
+		t.Fatal(out, err)
+	}
+	_, err = fleet[0].service.Begin(t.Context(), ledger.Intent{Workspace: "w", Key: "x", Nonce: "d"})
+	if d := fault.Describe(err); d.Kind != fault.Malformed || d.Run != fault.NotRun {
+		t.Fatal(err)
+	}
+}
+
+// A repeat that comes while the first attempt runs waits for its outcome.
+func TestRepeatWaitsForTheOutcome(t *testing.T) {
+	fleet := startFleet(t, 2, newStore(0, 0))
+	in := ledger.Intent{Workspace: "w", Key: newKey(1), Fingerprint: 1, Nonce: "a"}
+	if out, err := fleet[0].service.Begin(t.Context(), in); out != nil || err != nil {
+		t.Fatal(out, err)
+	}
+	type end struct {
+		out *ledger.Outcome
+		err error
+	}
+	repeated := make(chan end, 1)
+	again := in
+	again.Nonce = "b"
+	go func() {
+		out, err := fleet[1].service.Begin(t.Context(), again)
+		repeated <- end{out, err}
+	}()
+	if err := fleet[0].service.Finish(t.Context(), in, ledger.Outcome{Status: 200}); err != nil {
+		t.Fatal(err)
+	}
+	if e := <-repeated; e.err != nil || e.out == nil || e.out.Status != 200 {
+		t.Fatal(e.out, e.err)
+	}
+}
+
+// A commit refused because the platform was away is given up, so that its repeat runs.
+func TestRefusedCommitRunsWhenRepeated(t *testing.T) {
+	store := newStore(0, 1)
+	fleet := startFleet(t, 2, store)
+	in := ledger.Intent{Workspace: "w", Key: newKey(1), Fingerprint: 1, Nonce: "a"}
+	store.set(1, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := fleet[0].service.Begin(ctx, in)
+	if d := fault.Describe(err); d.Kind != fault.Unavailable || d.Run != fault.NotRun {
+		t.Fatal(err)
+	}
+	store.set(0, 0)
+	for n := 0; ; n++ {
+		in.Nonce = fmt.Sprint("b", n)
+		out, err := fleet[1].service.Begin(t.Context(), in)
+		if err == nil && out == nil {
+			return
+		}
+		if !fault.Is(err, fault.OutcomeUnknown) || n > 20 {
+			t.Fatal(n, out, err)
+		}
+	}
+}
+
+// The sequential ledger that histories are checked against.
+type (
+	commitState struct {
+		nonce string
+		done  int
+	}
+	commitInput struct {
+		call   string
+		key    string
+		nonce  string
+		status int
+	}
+	commitOutput struct {
+		verdict string // run, refused, or outcome with its status
+		status  int
+	}
+)
+
+func stepCommit(s commitState, in commitInput, out commitOutput) (bool, any) {
+	switch {
+	case in.call == "finish":
+		return s.nonce == in.nonce, commitState{s.nonce, in.status}
+	case in.call == "abandon":
+		return s.nonce == in.nonce && s.done == 0, commitState{}
+	case out.verdict == "run":
+		return s.nonce == "", commitState{nonce: in.nonce}
+	case out.verdict == "outcome":
+		return s.done != 0 && s.done == out.status, s
+	}
+	return true, s
+}
+
+var commitModel = porcupine.Model{
+	Init: func() any { return commitState{} },
+	Step: func(state, in, out any) (bool, any) {
+		return stepCommit(state.(commitState), in.(commitInput), out.(commitOutput))
+	},
+	Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range all {
+			key := op.Input.(commitInput).key
+			byKey[key] = append(byKey[key], op)
+		}
+		return slices.Collect(maps.Values(byKey))
+	},
+}
+
+type history struct {
+	mu    sync.Mutex
+	start time.Time
+	ops   []porcupine.Operation
+}
+
+func (h *history) now() int64 { return int64(time.Since(h.start)) }
+
+const never = int64(1) << 60
+
+func (h *history) add(client int, in commitInput, call int64, out commitOutput, ret int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: ret})
+}
+
+// client makes commits through random VMs, repeating keys that others use too.
+func (h *history) client(t *testing.T, id int, fleet []*vm, keys []string, commits int) {
+	rng := rand.New(rand.NewPCG(uint64(id), 9))
+	for n := range commits {
+		v := fleet[rng.IntN(len(fleet))]
+		in := ledger.Intent{Workspace: "w", Key: keys[rng.IntN(len(keys))], Fingerprint: 1, Nonce: fmt.Sprint(id, ".", n)}
+		if !h.begin(t, id, v, in) {
+			continue
+		}
+		switch rng.IntN(4) {
+		case 0: // the caller's VM dies: no outcome
+		case 1:
+			h.end(t, id, "abandon", in, 0, func(ctx context.Context) error { return v.service.Abandon(ctx, in) })
+		default:
+			status := 1 + id*commits + n
+			v := fleet[rng.IntN(len(fleet))]
+			h.end(t, id, "finish", in, status, func(ctx context.Context) error {
+				return v.service.Finish(ctx, in, ledger.Outcome{Status: status})
+			})
+		}
+	}
+}
+
+func (h *history) begin(t *testing.T, id int, v *vm, in ledger.Intent) (ran bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer cancel()
+	call := h.now()
+	got, err := v.service.Begin(ctx, in)
+	out := commitOutput{verdict: "run"}
+	switch {
+	case err != nil:
+		out.verdict = "refused"
+	case got != nil:
+		out = commitOutput{"outcome", got.Status}
+	}
+	if err != nil && !slices.Contains([]fault.Kind{fault.OutcomeUnknown, fault.Unavailable, fault.Stopping}, fault.KindOf(err)) {
+		t.Errorf("begin: %v", err)
+	}
+	h.add(id, commitInput{call: "begin", key: in.Key, nonce: in.Nonce}, call, out, h.now())
+	return out.verdict == "run"
+}
+
+func (h *history) end(t *testing.T, id int, what string, in ledger.Intent, status int, do func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer cancel()
+	call := h.now()
+	ret := never
+	if err := do(ctx); err == nil {
+		ret = h.now()
+	} else if fault.Is(err, fault.Conflict) {
+		t.Errorf("%s: %v", what, err)
+	}
+	h.add(id, commitInput{what, in.Key, in.Nonce, status}, call, commitOutput{}, ret)
+}
+
+// Clients repeat each other's keys through VMs that disagree about owners, over a store that
+// fails before and after the effect, while one VM dies.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	fleet := startFleet(t, 4, newStore(0.1, 0.15))
+	fleet[0].without("vm-1")
+	fleet[1].without("vm-2")
+	keys := make([]string, 40)
+	for i := range keys {
+		keys[i] = newKey(uint64(i))
+	}
+	h := &history{start: time.Now()}
+	var wg sync.WaitGroup
+	const clients, commits = 12, 30
+	var victim sync.Once
+	for id := range clients {
+		wg.Go(func() {
+			h.client(t, id, fleet[:3], keys, commits/2)
+			victim.Do(fleet[3].kill)
+			h.client(t, id+clients, fleet[:3], keys, commits/2)
+		})
+	}
+	wg.Wait()
+	verdicts := map[string]int{}
+	for _, op := range h.ops {
+		verdicts[op.Input.(commitInput).call+" "+op.Output.(commitOutput).verdict]++
+	}
+	t.Log(verdicts)
+	if verdicts["begin run"] < len(keys)/2 || verdicts["begin outcome"] == 0 {
+		t.Errorf("too little happened: %v", verdicts)
+	}
+	if result := porcupine.CheckOperationsTimeout(commitModel, h.ops, time.Minute); result != porcupine.Ok {
+		t.Fatalf("history is not linearizable: %v", result)
+	}
+}
