--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,41 @@
+package logging_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/logging"
+)
+
+func TestOneLineOfPairsForEachEvent(t *testing.T) {
+	var out bytes.Buffer
+	log, err := logging.New(&out, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = fault.New(fault.Timeout, "wait", "two words")
+	log.With(zap.Error(err)).Info("placed", zap.String("endpoint", "d1"), zap.NamedError("cause", err))
+	log.Debug("hidden")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 1 {
+		t.Fatalf("%d lines: %q", len(lines), lines)
+	}
+	for _, want := range []string{"level=info", "msg=placed", "endpoint=d1", `error="two words"`, `cause="two words"`} {
+		if !strings.Contains(lines[0], want) {
+			t.Errorf("%s is missing in %s", want, lines[0])
+		}
+	}
+	if strings.Contains(lines[0], "Trace") {
+		t.Errorf("the line holds a stack: %s", lines[0])
+	}
+}
+
+func TestUnknownLevelNamesTheRemedy(t *testing.T) {
+	if _, err := logging.New(nil, "loud"); !fault.Is(err, fault.Malformed) {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -82,6 +83,10 @@
 	if err != nil {
 		return &attemptFault{stageTransfer, a.Decode, err}
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stalled := time.AfterFunc(s.transferTimeout(a), func() { cancel(errStalled) })
+	defer stalled.Stop()
 	stream, err := engine.Decode(ctx, endpoint.DecodeOrder{
 		Attempt:   s.name(),
 		Model:     s.g.model,
@@ -93,27 +98,59 @@
 		Priority:  s.priority(),
 	})
 	if err != nil {
-		return &attemptFault{stageTransfer, a.Decode, err}
+		return &attemptFault{stageTransfer, a.Decode, stallOr(ctx, err)}
 	}
 	defer stream.Close()
-	return s.relayFrames(ctx, a, stream)
+	return s.relayFrames(ctx, a, stream, stalled)
+}
+
+// errStalled is the cause of a context that ended because a transfer made no progress.
+var errStalled = errors.New("the transfer stalled")
+
+// stallOr gives the stall that ended ctx, if that is why err came.
+func stallOr(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), errStalled) {
+		return fault.Wrap(errStalled, fault.Timeout, "try again", "decode", fault.WithRun(fault.RunUnknown))
+	}
+	return err
 }
 
-// transferTimeout bounds the time from the decode order to the first frame that counts.
-func (s *session) transferTimeout() time.Duration {
+const (
+	// transferSlack is the part of a transfer's timeout that does not depend on its size.
+	transferSlack = 150 * time.Millisecond
+	// transferFactor is how many times its undisturbed time a transfer may take.
+	transferFactor = 3
+)
+
+// transferTimeout bounds the time from the decode order to the first frame that counts, so
+// that a stalled transfer can be made again while the prefill's result is kept.
+func (s *session) transferTimeout(a placement.Assignment) time.Duration {
 	kept := s.keptUntil.Sub(s.c.server.opts.Clock.Now())
-	return max(kept, 0) + endpoint.SilenceLimit
+	if kept <= 2*transferMargin {
+		return endpoint.SilenceLimit
+	}
+	rate := s.linkRate(a)
+	if rate <= 0 {
+		return kept - transferMargin
+	}
+	undisturbed := time.Duration(float64(s.prefill.KVBytes) / float64(rate) * float64(time.Second))
+	return min(transferFactor*undisturbed+transferSlack, kept-transferMargin)
+}
+
+// linkRate gives the rate of the slower link of an assignment, in bytes a second, 0 if unknown.
+func (s *session) linkRate(a placement.Assignment) int64 {
+	endpoints := s.c.snapshot.Document.Endpoints
+	return min(endpoints[a.Prefill].LinkBytesPerSecond, endpoints[a.Decode].LinkBytesPerSecond)
 }
 
-// relayFrames gives the stream's tokens to the caller, each offset once and in order.
-func (s *session) relayFrames(ctx context.Context, a placement.Assignment, stream endpoint.Stream) *attemptFault {
+// relayFrames gives the stream's tokens to the caller, each offset once and in order. It stops
+// the timer stalled at the first sign that the transfer is done.
+func (s *session) relayFrames(ctx context.Context, a placement.Assignment, stream endpoint.Stream, stalled *time.Timer) *attemptFault {
 	at := stageTransfer
-	wait, stop := context.WithTimeout(ctx, s.transferTimeout())
-	defer func() { stop() }()
 	for {
-		frame, err := stream.Next(wait)
+		frame, err := stream.Next(ctx)
 		if err != nil {
-			return &attemptFault{at, a.Decode, err}
+			return &attemptFault{at, a.Decode, stallOr(ctx, err)}
 		}
 		if frame.Attempt != s.name() {
 			s.c.server.metrics.GetOrCreateCounter(`fulmartide_relay_frames_dropped_total{why="attempt"}`).Inc()
@@ -121,8 +158,7 @@
 		}
 		if at == stageTransfer && (frame.Started || frame.Text != "" || frame.Done) {
 			at = stageDecode
-			stop()
-			wait, stop = ctx, func() {}
+			stalled.Stop()
 			s.lease.Progress(placement.StageTransferDone)
 		}
 		done, f := s.takeFrame(frame, a)
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -149,9 +150,9 @@
 	cause := context.Cause(ctx)
 	d := fault.Describe(cause)
 	switch {
-	case cause == context.DeadlineExceeded:
+	case errors.Is(cause, context.DeadlineExceeded):
 		d = fault.Detail{Kind: fault.Timeout, Message: "the call's deadline passed", Remedy: "send the call again when load is lower"}
-	case cause == context.Canceled:
+	case errors.Is(cause, context.Canceled):
 		d = fault.Detail{Kind: fault.Cancelled, Message: "the caller went away", Remedy: "keep the connection open"}
 	}
 	d.Run = run
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -35,6 +35,8 @@
 	keptFor time.Duration
 	// left is the time to the deadline.
 	left time.Duration
+	// gone: the prefill endpoint no longer keeps the result, whatever keptFor says.
+	gone bool
 	// permanent: no other attempt can help, as the caller is gone.
 	permanent bool
 }
@@ -47,7 +49,7 @@
 	switch {
 	case f.permanent, f.left <= 0, f.attempts >= maxAttempts:
 		return stepGiveUp
-	case f.stage == stageTransfer && f.keptFor > transferMargin:
+	case f.stage == stageTransfer && !f.gone && f.keptFor > transferMargin:
 		return stepDecodeElsewhere
 	default:
 		return stepPrefillAgain
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -299,6 +299,7 @@
 		"prefill failed":            {failure{stage: stagePrefill, attempts: 1, left: time.Second}, stepPrefillAgain},
 		"transfer failed, kept":     {failure{stage: stageTransfer, attempts: 1, left: time.Second, keptFor: 400 * time.Millisecond}, stepDecodeElsewhere},
 		"transfer failed, not kept": {failure{stage: stageTransfer, attempts: 1, left: time.Second}, stepPrefillAgain},
+		"transfer failed, gone":     {failure{stage: stageTransfer, attempts: 1, left: time.Second, keptFor: time.Second, gone: true}, stepPrefillAgain},
 		"decode failed":             {failure{stage: stageDecode, attempts: 1, left: time.Second, keptFor: time.Second}, stepPrefillAgain},
 		"too many attempts":         {failure{stage: stageDecode, attempts: maxAttempts, left: time.Second}, stepGiveUp},
 		"past the deadline":         {failure{stage: stageDecode, attempts: 1}, stepGiveUp},
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -92,6 +92,7 @@
 		attempts:  int(s.attempts),
 		keptFor:   s.keptUntil.Sub(s.c.server.opts.Clock.Now()),
 		left:      time.Until(deadline),
+		gone:      fault.Is(f.err, fault.NotFound),
 		permanent: ctx.Err() != nil || f.stage == "",
 	})
 	if next != stepGiveUp && !s.c.server.retries.spend(s.g.model) {
@@ -114,9 +115,7 @@
 
 func (s *session) reassign(ctx context.Context, f *attemptFault, next step) error {
 	again := next == stepPrefillAgain
-	if again {
-		s.prefill = nil
-	}
+	s.freeFailed(ctx, f.endpoint, again)
 	a, err := s.lease.Reassign(ctx, f.endpoint, again)
 	if err != nil {
 		return err
@@ -125,6 +124,30 @@
 	return nil
 }
 
+// freeTimeout bounds the wait for an endpoint that may be used again by the next attempt.
+const freeTimeout = 200 * time.Millisecond
+
+// freeFailed frees what the failed attempt left. The failed endpoint, which is not chosen
+// again, is told in the background; the prefill endpoint is told first, so that a late
+// cancel cannot end the next attempt there.
+func (s *session) freeFailed(ctx context.Context, failed string, again bool) {
+	if addr, ok := endpointAddress(s.c.snapshot, failed); ok {
+		s.c.server.cancels.add(addr, s.c.id)
+		delete(s.touched, addr)
+	}
+	if !again {
+		return
+	}
+	s.prefill = nil
+	for addr := range s.touched {
+		freeing, stop := context.WithTimeout(ctx, freeTimeout)
+		if s.c.server.opts.Dialer.Engine(addr).Cancel(freeing, s.c.id) == nil {
+			delete(s.touched, addr)
+		}
+		stop()
+	}
+}
+
 // giveUp tells the caller truthfully why there is no whole answer.
 func (s *session) giveUp(ctx context.Context, err error) error {
 	run := fault.NotRun
@@ -142,7 +165,7 @@
 
 // cleanup frees what endpoints may still hold, unless the answer is whole.
 func (s *session) cleanup() {
-	if s.finished && s.attempts == 1 {
+	if s.finished {
 		return
 	}
 	for addr := range s.touched {
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -24,6 +24,9 @@
 	"github.com/fulmartide/fulmartide/test/standin/service"
 )
 
+// keepLogs is the environment variable that keeps daemons' logs after a stop.
+const keepLogs = "FULMARTIDE_KEEP_LOGS"
+
 // Options describe a fleet to start.
 type Options struct {
 	Layout Layout
@@ -344,7 +347,7 @@
 	for _, c := range slices.Backward(f.closers) {
 		c()
 	}
-	if len(errs) == 0 {
+	if len(errs) == 0 && os.Getenv(keepLogs) == "" {
 		return os.RemoveAll(f.dir)
 	}
 	return errors.Join(errs...)
