--- a/internal/placement/baseline.go
+++ b/internal/placement/baseline.go
@@ -35,8 +35,7 @@
 	var picked *replica
 	for i := range all {
 		e := all[(first+uint64(i))%uint64(len(all))]
-		if cause, ok := v.accepts(e); !ok {
-			ch.rejected[cause]++
+		if !v.accepts(e, ch) {
 			continue
 		}
 		if picked == nil || (c.policy == PolicyLeastLoaded && reportedLoad(e) < reportedLoad(picked)) {
--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -13,12 +13,13 @@
 // Cell is the state machine of the owner of one cell. It keeps exact claims on each endpoint
 // and the fair queues, and answers each PlaceInput and ReassignInput exactly once.
 type Cell struct {
-	policy   string
-	cost     modelCost
-	byName   map[string]*replica
-	prefills []*replica
-	decodes  []*replica
-	roles    [2]roleState
+	policy      string
+	cost        modelCost
+	byName      map[string]*replica
+	prefills    []*replica
+	decodes     []*replica
+	roles       [2]roleState
+	fastestLink int64
 	// dataCentres numbers data centres, so that comparing them is cheap.
 	dataCentres map[string]int
 	prefix      *prefixIndex
@@ -181,6 +182,7 @@
 func (c *Cell) index() {
 	c.prefills, c.decodes = c.prefills[:0], c.decodes[:0]
 	slots := 0
+	c.fastestLink = 0
 	for _, r := range c.byName {
 		if r.role == configuration.RolePrefill {
 			c.prefills = append(c.prefills, r)
@@ -188,6 +190,7 @@
 		}
 		c.decodes = append(c.decodes, r)
 		slots += r.conf.Slots
+		c.fastestLink = max(c.fastestLink, r.conf.LinkBytesPerSecond)
 	}
 	byName := func(a, b *replica) int { return strings.Compare(a.name, b.name) }
 	slices.SortFunc(c.prefills, byName)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -186,8 +186,7 @@
 	matched := c.prefix.match(now, r.Pieces)
 	whole := c.cost.prefillTime(r.PromptTokens)
 	for _, e := range role.usable {
-		if cause, ok := v.accepts(e); !ok {
-			ch.rejected[cause]++
+		if v.picky && !v.accepts(e, ch) {
 			continue
 		}
 		ch.anyPrefill = true
@@ -225,8 +224,7 @@
 	ch.add(role)
 	v := c.viewOf(configuration.RoleDecode, r)
 	for _, e := range role.usable {
-		if cause, ok := v.accepts(e); !ok {
-			ch.rejected[cause]++
+		if v.picky && !v.accepts(e, ch) {
 			continue
 		}
 		ch.anyDecode = true
@@ -248,6 +246,8 @@
 
 // requestView is what filtering and penalties of one role need to know of a request.
 type requestView struct {
+	// picky is set when a usable endpoint may be excluded.
+	picky   bool
 	avoid   []string
 	adapter string
 	// dataCentre is the number of the request's data centre.
@@ -256,28 +256,30 @@
 
 // viewOf prepares the filter; the adapter counts only if an endpoint has it loaded.
 func (c *Cell) viewOf(role configuration.Role, r *Request) requestView {
-	v := requestView{avoid: r.Avoid, dataCentre: c.dataCentreNumber(r.DataCentre)}
+	v := requestView{avoid: r.Avoid, picky: len(r.Avoid) > 0, dataCentre: c.dataCentreNumber(r.DataCentre)}
 	if r.Adapter == "" {
 		return v
 	}
 	for _, e := range c.roles[roleIndex(role)].usable {
 		if e.has(r.Adapter) {
-			v.adapter = r.Adapter
+			v.adapter, v.picky = r.Adapter, true
 			break
 		}
 	}
 	return v
 }
 
-// accepts gives the cause that excludes a usable endpoint for this request.
-func (v *requestView) accepts(e *replica) (Cause, bool) {
-	if len(v.avoid) > 0 && slices.Contains(v.avoid, e.name) {
-		return CauseAvoided, false
+// accepts reports whether this request may use a usable endpoint, and counts the cause if not.
+func (v *requestView) accepts(e *replica, ch *choice) bool {
+	if slices.Contains(v.avoid, e.name) {
+		ch.rejected[CauseAvoided]++
+		return false
 	}
 	if v.adapter != "" && !e.has(v.adapter) {
-		return CauseNotLoaded, false
+		ch.rejected[CauseNotLoaded]++
+		return false
 	}
-	return 0, true
+	return true
 }
 
 // penalty makes a near endpoint that has not failed lately go first.
--- a/internal/placement/dispatch.go
+++ b/internal/placement/dispatch.go
@@ -81,11 +81,7 @@
 		longest = max(longest, n)
 	}
 	cached := min(int64(longest)*c.cost.pieceTokens, max(0, r.PromptTokens-1))
-	var rate int64
-	for _, e := range c.decodes {
-		rate = max(rate, e.conf.LinkBytesPerSecond)
-	}
-	return c.cost.prefillTime(r.PromptTokens-cached) + c.cost.transferTime(r.PromptTokens, rate) + c.cost.gap(1)
+	return c.cost.prefillTime(r.PromptTokens-cached) + c.cost.transferTime(r.PromptTokens, c.fastestLink) + c.cost.gap(1)
 }
 
 func (c *Cell) queueOf(w *waiting) *fairQueue {
