Placement: release predictions from measured answer lengths; refusals by measured drain

Cause: in the load test at 130% a tenth of the prefills was computed for slots that were not freed in time, and a burst cost the other workspaces 5 to 12% in refusals, since one release prediction served both to commit and to refuse. Change: commit on the 95th percentile of measured lengths, given what has run; refuse by the measured drain of the queue and by what is impossible even with a free slot.

--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -30,8 +30,7 @@
 	moves       []*waiting
 	budget      retryBudget
 	rate        rateMeter
-	// holdRatio is the usual part of the longest decode that requests take.
-	holdRatio float64
+	lengths     lengths
 	// settleUntil holds back decisions of a new owner until endpoints have reported.
 	settleUntil  clock.Instant
 	started      bool
@@ -92,7 +91,7 @@
 		urgent:      newFairQueue(false),
 		mayWait:     newFairQueue(true),
 		budget:      newRetryBudget(),
-		holdRatio:   1,
+		lengths:     newLengths(),
 	}
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -53,7 +53,7 @@
 	// next prompt. What waits longer stays in the fair queue, where order can still change.
 	prefillLookahead = 50 * time.Millisecond
 	// keepPart is the part of a result's keep time within which a predicted release counts.
-	keepPart = 0.5
+	keepPart = 0.25
 	// remotePenalty is added for an endpoint outside the caller's data centre.
 	remotePenalty = 2 * time.Millisecond
 	// failurePenalty is added for each recent failure of an endpoint.
@@ -94,7 +94,9 @@
 	transfer span
 	// first is the predicted time to the first token.
 	first time.Duration
-	score time.Duration
+	// atOnce is the same if a slot were free at once.
+	atOnce time.Duration
+	score  time.Duration
 	// inTime says that the slot and the link are free while the result is kept.
 	inTime bool
 }
@@ -130,7 +132,9 @@
 	// busier is the predicted first token of the best pair whose prefill has to wait longer
 	// than prefillLookahead, 0 when there is none.
 	busier time.Duration
-	// soonest is the earliest predicted first token of any pair, 0 when there is none.
+	// soonest is the earliest first token of any pair if a slot were free at once, 0 when there
+	// is no pair. Slots are mostly freed before their predicted release, so a request is not
+	// refused for want of one before its time is up.
 	soonest time.Duration
 	// anyPrefill and anyDecode say that some endpoint of the role passed the filter.
 	anyPrefill, anyDecode bool
@@ -156,8 +160,8 @@
 
 // consider keeps p when it is better than what was found before.
 func (ch *choice) consider(p pair) {
-	if ch.soonest == 0 || p.first < ch.soonest {
-		ch.soonest = p.first
+	if ch.soonest == 0 || p.atOnce < ch.soonest {
+		ch.soonest = p.atOnce
 	}
 	if !p.inTime {
 		return
@@ -344,6 +348,7 @@
 		decode:   *d,
 		transfer: span{start: start, end: start.Add(took)},
 		first:    first,
+		atOnce:   moved + gap,
 		score:    first + v.penalty(p.replica) + v.penalty(d.replica),
 		inTime:   d.slotAt <= window && start.Sub(now) <= window,
 	}
--- a/internal/placement/dispatch.go
+++ b/internal/placement/dispatch.go
@@ -65,7 +65,7 @@
 		w.target = now.Add(r.FirstToken)
 		w.limit = w.target.Add(-least)
 	default:
-		decode := scale(time.Duration(r.MaxOutputTokens)*c.cost.gap(1), c.holdRatio)
+		decode := scale(time.Duration(r.MaxOutputTokens)*c.cost.gap(1), c.lengths.mean())
 		w.limit = now.Add(max(r.Deadline-least-decode, (r.Deadline-least)/minWaitPart))
 	}
 	return w
@@ -280,7 +280,7 @@
 	if w == nil || w.target == 0 || c.queued[w.request.ID] != w {
 		return
 	}
-	queueing := scale(c.drainTime(c.urgent.ahead(w)), drainTrust)
+	queueing := scale(c.drainTime(c.urgent.ahead(w)+w.cost), drainTrust)
 	if spare := w.limit.Sub(now); queueing > spare {
 		c.refuse(now, w, Rejections{}, missed(queueing-spare, "predicted wait of "+millis(queueing)+" in the queue"))
 	}
--- a/internal/placement/lifecycle.go
+++ b/internal/placement/lifecycle.go
@@ -15,13 +15,8 @@
 	slowdownStep = 0.2
 	// minSlowdown and maxSlowdown bound the measured prefill time over the predicted one.
 	minSlowdown, maxSlowdown = 0.5, 4
-	// holdStepUp and holdStepDown lean the usual decode time towards its longer values.
-	holdStepUp, holdStepDown = 0.1, 0.02
-	// minHoldRatio and maxHoldRatio bound the usual part of the longest decode.
-	minHoldRatio, maxHoldRatio = 0.02, 1
-	// overduePart and minOverdue give the time left to a decode past its predicted end.
-	overduePart = 0.25
-	minOverdue  = 50 * time.Millisecond
+	// minOverdue is the least time left to a decode past its predicted end.
+	minOverdue = 250 * time.Millisecond
 )
 
 // claimPair claims both endpoints and the link of p for r, and gives the claim.
@@ -71,13 +66,12 @@
 	cl.decode.link.remove(cl)
 }
 
-// predictRelease sets the end of a decode that begins at cl.decodeAt.
+// predictRelease sets the end of a decode that begins at cl.decodeAt, in a full batch.
 func (c *Cell) predictRelease(cl *claim) {
-	running := len(cl.decode.decode.claims) + 1
-	gap := c.cost.gap(min(running, max(1, cl.decode.conf.Slots)))
+	gap := c.cost.gap(max(1, cl.decode.capacity(cl.batch)))
 	whole := time.Duration(cl.request.MaxOutputTokens) * gap
 	cl.longest = cl.decodeAt.Add(whole)
-	cl.release = cl.decodeAt.Add(scale(whole, c.holdRatio))
+	cl.release = cl.decodeAt.Add(scale(whole, c.lengths.predict(0)))
 }
 
 // free gives back all that a claim holds.
@@ -168,12 +162,7 @@
 	if cl.stage < StageTransferDone || whole <= 0 || now.Before(cl.decodeAt) {
 		return
 	}
-	seen := min(maxHoldRatio, max(minHoldRatio, float64(now.Sub(cl.decodeAt))/float64(whole)))
-	step := holdStepDown
-	if seen > c.holdRatio {
-		step = holdStepUp
-	}
-	c.holdRatio += step * (seen - c.holdRatio)
+	c.lengths.learn(float64(now.Sub(cl.decodeAt)) / float64(whole))
 }
 
 // refreshReleases moves on the predicted end of decodes that are past it.
@@ -184,11 +173,7 @@
 			if cl.release > now {
 				continue
 			}
-			more := max(minOverdue, scale(now.Sub(cl.decodeAt), overduePart))
-			cl.release = now.Add(more)
-			if cl.longest > now {
-				cl.release = min(cl.release, cl.longest)
-			}
+			cl.release = c.later(now, cl)
 			late = true
 		}
 		if late {
@@ -197,6 +182,17 @@
 	}
 }
 
+// later predicts the end of a decode that is past its predicted end.
+func (c *Cell) later(now clock.Instant, cl *claim) clock.Instant {
+	soonest := now.Add(minOverdue)
+	whole := cl.longest.Sub(cl.decodeAt)
+	if whole <= 0 {
+		return soonest
+	}
+	part := c.lengths.predict(float64(now.Sub(cl.decodeAt)) / float64(whole))
+	return max(soonest, cl.decodeAt.Add(scale(whole, part)))
+}
+
 // dropExpired frees claims whose request must be over.
 func (c *Cell) dropExpired(now clock.Instant) {
 	for _, cl := range c.claims {
