--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -105,7 +105,7 @@
 	}
 	switch in := in.(type) {
 	case PlaceInput:
-		c.place(now, in.Request)
+		c.place(now, bounded(in.Request))
 	case CancelInput:
 		c.cancel(now, in.ID)
 	case ProgressInput:
--- a/internal/placement/lifecycle.go
+++ b/internal/placement/lifecycle.go
@@ -244,11 +244,12 @@
 		prefill = decode
 	}
 	p := &pair{prefill: prefillOption{replica: prefill, cached: in.Assignment.CachedTokens}, decode: decodeOption{replica: decode}}
-	r := in.Request
+	r := bounded(in.Request)
 	r.NeedPrefill = in.Stage < StagePrefillDone && prefill.role == configuration.RolePrefill
 	cl := c.claimPair(now, &r, p)
 	cl.stage = in.Stage
 	cl.assignment = in.Assignment
-	cl.assigned = now.Add(-in.Elapsed)
-	cl.expires = cl.expires.Add(-in.Elapsed)
+	elapsed := clamp(in.Elapsed, 0, maxRequestDuration)
+	cl.assigned = now.Add(-elapsed)
+	cl.expires = cl.expires.Add(-elapsed)
 }
--- a/internal/placement/moves.go
+++ b/internal/placement/moves.go
@@ -10,7 +10,7 @@
 // reassign looks for other endpoints for a placed request. Moves come before the queues:
 // their work is paid for, and a kept result does not last.
 func (c *Cell) reassign(now clock.Instant, in ReassignInput) {
-	r := in.Request
+	r := bounded(in.Request)
 	if c.queued[r.ID] != nil {
 		return
 	}
--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -109,7 +109,7 @@
 }
 
 // recentWindow covers the lag of a load report.
-const recentWindow = time.Second
+const recentWindow = 1500 * time.Millisecond
 
 func (m *recentMax) note(now clock.Instant, v int) {
 	if now.Sub(m.began) >= recentWindow {
