Placement: predictions include the measured overhead of messages and engine steps

Cause: predictions left out what lies between the predicted and the real start of a decode. Change: the lateness of decodes that had a free slot is learnt and added, at most 150 ms.

--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -31,6 +31,7 @@
 	budget      retryBudget
 	rate        rateMeter
 	lengths     lengths
+	overhead    overhead
 	// settleUntil holds back decisions of a new owner until endpoints have reported.
 	settleUntil  clock.Instant
 	started      bool
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -340,7 +340,7 @@
 	moved := start.Add(took).Sub(now)
 	running := d.replica.decode.runningAt(max(ready, now.Add(d.slotAt)))
 	gap := c.cost.gap(min(running+1, max(1, d.replica.conf.Slots)))
-	first := max(moved, d.slotAt) + gap
+	first := max(moved, d.slotAt) + gap + c.overhead.value
 	v := requestView{dataCentre: c.dataCentreNumber(r.DataCentre)}
 	window := p.done + scale(c.cost.keep, keepPart)
 	return pair{
@@ -348,7 +348,7 @@
 		decode:   *d,
 		transfer: span{start: start, end: start.Add(took)},
 		first:    first,
-		atOnce:   moved + gap,
+		atOnce:   moved + gap + c.overhead.value,
 		score:    first + v.penalty(p.replica) + v.penalty(d.replica),
 		inTime:   d.slotAt <= window && start.Sub(now) <= window,
 	}
--- a/internal/placement/lengths.go
+++ b/internal/placement/lengths.go
@@ -1,5 +1,7 @@
 package placement
 
+import "time"
+
 // lengths is the recent distribution of decode times, each as a part of the longest that the
 // request's limit of output tokens allows.
 type lengths struct {
@@ -68,3 +70,22 @@
 	}
 	return sum / l.total
 }
+
+// overhead is what the predicted start of a decode leaves out: messages, orders and the
+// engines' own steps. It leans towards the larger values seen.
+type overhead struct{ value time.Duration }
+
+const (
+	maxOverhead                      = 150 * time.Millisecond
+	overheadStepUp, overheadStepDown = 0.1, 0.02
+)
+
+// learn takes the time by which a decode started later than predicted.
+func (o *overhead) learn(late time.Duration) {
+	late = clamp(late, 0, maxOverhead)
+	step := overheadStepDown
+	if late > o.value {
+		step = overheadStepUp
+	}
+	o.value += scale(late-o.value, step)
+}
--- a/internal/placement/lifecycle.go
+++ b/internal/placement/lifecycle.go
@@ -36,6 +36,9 @@
 		ExpectedFirstToken: p.first,
 	}
 	cl.decodeAt = now.Add(p.first)
+	if p.decode.slotAt == 0 && r.NeedPrefill {
+		cl.startAt = p.transfer.end
+	}
 	if r.NeedPrefill {
 		cl.prefillTokens = r.PromptTokens - p.prefill.cached
 		cl.prefillAt = now.Add(p.prefill.wait)
@@ -151,6 +154,9 @@
 		return
 	}
 	cl.decode.health.succeeded()
+	if cl.startAt != 0 {
+		c.overhead.learn(now.Sub(cl.startAt))
+	}
 	cl.decodeAt = now
 	c.predictRelease(cl)
 	cl.decode.decode.refresh()
--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -140,6 +140,8 @@
 	// batch is the limit that the request's gap target sets.
 	batch    int
 	assigned clock.Instant
+	// startAt is the predicted end of the transfer; 0 where a slot had still to be freed.
+	startAt clock.Instant
 	// prefillAt and decodeAt are the predicted or actual starts of the two parts.
 	prefillAt, decodeAt clock.Instant
 	// release is when the decode slot is predicted to be free; longest is the latest.
