--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -53,7 +53,7 @@
 	// next prompt. What waits longer stays in the fair queue, where order can still change.
 	prefillLookahead = 50 * time.Millisecond
 	// keepPart is the part of a result's keep time within which a predicted release counts.
-	keepPart = 0.5
+	keepPart = 0.25
 	// remotePenalty is added for an endpoint outside the caller's data centre.
 	remotePenalty = 2 * time.Millisecond
 	// failurePenalty is added for each recent failure of an endpoint.
@@ -94,7 +94,9 @@
 	transfer span
 	// first is the predicted time to the first token.
 	first time.Duration
-	score time.Duration
+	// atOnce is the same if a slot were free at once.
+	atOnce time.Duration
+	score  time.Duration
 	// inTime says that the slot and the link are free while the result is kept.
 	inTime bool
 }
@@ -130,7 +132,9 @@
 	// busier is the predicted first token of the best pair whose prefill has to wait longer
 	// than prefillLookahead, 0 when there is none.
 	busier time.Duration
-	// soonest is the earliest predicted first token of any pair, 0 when there is none.
+	// soonest is the earliest first token of any pair if a slot were free at once, 0 when there
+	// is no pair. Slots are mostly freed before their predicted release, so a request is not
+	// refused for want of one before its time is up.
 	soonest time.Duration
 	// anyPrefill and anyDecode say that some endpoint of the role passed the filter.
 	anyPrefill, anyDecode bool
@@ -156,8 +160,8 @@
 
 // consider keeps p when it is better than what was found before.
 func (ch *choice) consider(p pair) {
-	if ch.soonest == 0 || p.first < ch.soonest {
-		ch.soonest = p.first
+	if ch.soonest == 0 || p.atOnce < ch.soonest {
+		ch.soonest = p.atOnce
 	}
 	if !p.inTime {
 		return
@@ -186,8 +190,7 @@
 	matched := c.prefix.match(now, r.Pieces)
 	whole := c.cost.prefillTime(r.PromptTokens)
 	for _, e := range role.usable {
-		if cause, ok := v.accepts(e); !ok {
-			ch.rejected[cause]++
+		if v.picky && !v.accepts(e, ch) {
 			continue
 		}
 		ch.anyPrefill = true
@@ -225,8 +228,7 @@
 	ch.add(role)
 	v := c.viewOf(configuration.RoleDecode, r)
 	for _, e := range role.usable {
-		if cause, ok := v.accepts(e); !ok {
-			ch.rejected[cause]++
+		if v.picky && !v.accepts(e, ch) {
 			continue
 		}
 		ch.anyDecode = true
@@ -248,6 +250,8 @@
 
 // requestView is what filtering and penalties of one role need to know of a request.
 type requestView struct {
+	// picky is set when a usable endpoint may be excluded.
+	picky   bool
 	avoid   []string
 	adapter string
 	// dataCentre is the number of the request's data centre.
@@ -256,28 +260,30 @@
 
 // viewOf prepares the filter; the adapter counts only if an endpoint has it loaded.
 func (c *Cell) viewOf(role configuration.Role, r *Request) requestView {
-	v := requestView{avoid: r.Avoid, dataCentre: c.dataCentreNumber(r.DataCentre)}
+	v := requestView{avoid: r.Avoid, picky: len(r.Avoid) > 0, dataCentre: c.dataCentreNumber(r.DataCentre)}
 	if r.Adapter == "" {
 		return v
 	}
 	for _, e := range c.roles[roleIndex(role)].usable {
 		if e.has(r.Adapter) {
-			v.adapter = r.Adapter
+			v.adapter, v.picky = r.Adapter, true
 			break
 		}
 	}
 	return v
 }
 
-// accepts gives the cause that excludes a usable endpoint for this request.
-func (v *requestView) accepts(e *replica) (Cause, bool) {
-	if len(v.avoid) > 0 && slices.Contains(v.avoid, e.name) {
-		return CauseAvoided, false
+// accepts reports whether this request may use a usable endpoint, and counts the cause if not.
+func (v *requestView) accepts(e *replica, ch *choice) bool {
+	if slices.Contains(v.avoid, e.name) {
+		ch.rejected[CauseAvoided]++
+		return false
 	}
 	if v.adapter != "" && !e.has(v.adapter) {
-		return CauseNotLoaded, false
+		ch.rejected[CauseNotLoaded]++
+		return false
 	}
-	return 0, true
+	return true
 }
 
 // penalty makes a near endpoint that has not failed lately go first.
@@ -334,7 +340,7 @@
 	moved := start.Add(took).Sub(now)
 	running := d.replica.decode.runningAt(max(ready, now.Add(d.slotAt)))
 	gap := c.cost.gap(min(running+1, max(1, d.replica.conf.Slots)))
-	first := max(moved, d.slotAt) + gap
+	first := max(moved, d.slotAt) + gap + c.overhead.value
 	v := requestView{dataCentre: c.dataCentreNumber(r.DataCentre)}
 	window := p.done + scale(c.cost.keep, keepPart)
 	return pair{
@@ -342,6 +348,7 @@
 		decode:   *d,
 		transfer: span{start: start, end: start.Add(took)},
 		first:    first,
+		atOnce:   moved + gap + c.overhead.value,
 		score:    first + v.penalty(p.replica) + v.penalty(d.replica),
 		inTime:   d.slotAt <= window && start.Sub(now) <= window,
 	}
