Experiment: seeded load, exact replay, audit and comparison of policies

Decisions need a measurement that is quick and repeatable. The command launches a fleet for each run, sends open-loop arrivals, replays each plan through one exact bucket, audits what must hold, and writes JSON, a table and plots.

--- a/internal/experiment/call.go
+++ b/internal/experiment/call.go
@@ -88,6 +88,8 @@
 	Run      fault.Run
 	Message  string
 	NoAnswer bool
+	// NoConnection is set when the VM took no connection, so that nothing was sent.
+	NoConnection bool
 	// Corrupt tells what was wrong with an answer: a token missing, doubled or of another call.
 	Corrupt string
 	// Tokens counts the tokens that came.
--- /dev/null
+++ b/internal/experiment/compare.go
@@ -0,0 +1,141 @@
+package experiment
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// Spread is the median and range of a figure over seeds.
+type Spread struct {
+	Median float64 `json:"median"`
+	Low    float64 `json:"low"`
+	High   float64 `json:"high"`
+}
+
+func spreadOf(values []float64) Spread {
+	slices.Sort(values)
+	n := len(values)
+	if n == 0 {
+		return Spread{}
+	}
+	return Spread{Median: (values[(n-1)/2] + values[n/2]) / 2, Low: values[0], High: values[n-1]}
+}
+
+// Figure is one measured figure of a report.
+type Figure struct {
+	Name string
+	Unit string
+	// Better is higher or lower.
+	Better string
+	Of     func(Report) float64
+}
+
+// Figures lists what is compared.
+func Figures() []Figure {
+	percent := func(of func(Report) float64) func(Report) float64 {
+		return func(r Report) float64 { return 100 * of(r) }
+	}
+	return []Figure{
+		{"goodput", "%", "higher", percent(func(r Report) float64 { return r.Goodput })},
+		{"chat goodput", "%", "higher", percent(func(r Report) float64 { return r.ChatGoodput })},
+		{"wasted prefill", "%", "lower", percent(func(r Report) float64 { return r.WastedPrefill })},
+		{"worst workspace", "%", "higher", percent(func(r Report) float64 { return r.WorstWorkspace })},
+		{"wrongful refusals", "calls", "lower", func(r Report) float64 { return float64(r.WrongfulRefusals) }},
+		{"capacity refusals", "calls", "lower", func(r Report) float64 { return float64(r.CapacityRefusals) }},
+		{"first token p50", "ms", "lower", func(r Report) float64 { return r.FirstToken.P50 }},
+		{"first token p95", "ms", "lower", func(r Report) float64 { return r.FirstToken.P95 }},
+		{"first token p99", "ms", "lower", func(r Report) float64 { return r.FirstToken.P99 }},
+		{"gap p95", "ms", "lower", func(r Report) float64 { return r.Gap.P95 }},
+		{"platform calls", "1/s", "lower", func(r Report) float64 { return r.PlatformCallsPerSecond }},
+	}
+}
+
+// Group is the runs of one policy at one load.
+type Group struct {
+	Policy  string   `json:"policy"`
+	Load    float64  `json:"load"`
+	Reports []Report `json:"reports"`
+}
+
+// Groups sorts reports by load, and by policy in the order of the spec.
+func Groups(s Spec, reports []Report) []Group {
+	var out []Group
+	for _, load := range s.Loads {
+		for _, p := range s.Policies {
+			g := Group{Policy: p.Name, Load: load}
+			for _, r := range reports {
+				if r.Policy == p.Name && r.Load == load {
+					g.Reports = append(g.Reports, r)
+				}
+			}
+			out = append(out, g)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Group) int { return cmp.Compare(a.Load, b.Load) })
+	return out
+}
+
+// Spread gives a figure's median and range over the group's seeds.
+func (g Group) Spread(f Figure) Spread {
+	values := make([]float64, 0, len(g.Reports))
+	for _, r := range g.Reports {
+		values = append(values, f.Of(r))
+	}
+	return spreadOf(values)
+}
+
+// AuditFaults adds up the audits of the group.
+func (g Group) AuditFaults() (unclean int, examples []string) {
+	for _, r := range g.Reports {
+		if !r.Audit.Clean() {
+			unclean++
+			examples = append(examples, fmt.Sprintf("seed %d: %+v", r.Seed, r.Audit))
+		}
+	}
+	return unclean, examples
+}
+
+// WriteText writes the comparison as a table: median, and range in brackets.
+func WriteText(w io.Writer, s Spec, reports []Report) error {
+	groups := Groups(s, reports)
+	fmt.Fprintf(w, "experiment %s, layout %s, balance %s, seeds %v, %g s measured after %g s\n\n",
+		s.Name, s.Layout, s.Balance, s.Seeds, s.DurationSeconds-s.WarmupSeconds, s.WarmupSeconds)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	header := []string{"figure"}
+	for _, g := range groups {
+		header = append(header, fmt.Sprintf("%s at %.0f%%", g.Policy, 100*g.Load))
+	}
+	fmt.Fprintln(table, strings.Join(header, "\t"))
+	for _, f := range Figures() {
+		row := []string{f.Name + ", " + f.Unit}
+		for _, g := range groups {
+			v := g.Spread(f)
+			row = append(row, fmt.Sprintf("%.2f [%.2f %.2f]", v.Median, v.Low, v.High))
+		}
+		fmt.Fprintln(table, strings.Join(row, "\t"))
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return writeAudits(w, groups)
+}
+
+func writeAudits(w io.Writer, groups []Group) error {
+	for _, g := range groups {
+		unclean, examples := g.AuditFaults()
+		if _, err := fmt.Fprintf(w, "\naudit of %s at %.0f%%: %d of %d runs not clean\n", g.Policy, 100*g.Load, unclean, len(g.Reports)); err != nil {
+			return err
+		}
+		for _, e := range examples {
+			fmt.Fprintln(w, "  "+e)
+		}
+		for _, r := range g.Reports {
+			fmt.Fprintf(w, "  seed %d: %d calls within plan, %.1f chats/s, misses %v, worst %s\n", r.Seed, r.WithinPlan, r.ChatsPerSecond, r.Misses, r.WorstWorkspaceName)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,273 @@
+package experiment
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/fault"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func testFleet() Fleet {
+	return Fleet{
+		Workspaces: []Workspace{
+			{"a", configuration.Plan{TokensPerSecond: 3000, BurstTokens: 30000}},
+			{"b", configuration.Plan{TokensPerSecond: 1000, BurstTokens: 30000}},
+		},
+		Model: configuration.Model{
+			PrefillTokensPerSecond: 30_000, GapBaseMicros: 12_000, GapPerSlotMicros: 1200, PieceTokens: 2048, FirstTokenMillis: 820, GapMillis: 57,
+		},
+		PrefillEngines: 4, DecodeSlots: 160, Slots: 20,
+	}
+}
+
+var uuid7 = regexp.MustCompile(`^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$`)
+
+// TestArrivals checks the calls of one seed: the same each time, at the rate that was asked,
+// with a burst where one was asked, and with marks and keys in their forms.
+func TestArrivals(t *testing.T) {
+	s, f := DefaultSpec(), testFleet()
+	s.DurationSeconds = 60
+	calls := Arrivals(s, f, 0.5, 7)
+	if again := Arrivals(s, f, 0.5, 7); !slices.Equal(calls, again) {
+		t.Fatal("the same seed gave other calls")
+	}
+	if other := Arrivals(s, f, 0.5, 8); slices.Equal(calls, other) {
+		t.Fatal("another seed gave the same calls")
+	}
+	chats := map[string]int{}
+	start := time.UnixMilli(1_700_000_000_000)
+	for i, c := range Stamp(calls, start) {
+		if i > 0 && c.At < calls[i-1].At {
+			t.Fatal("calls are out of order")
+		}
+		if c.Kind == Commit && (!uuid7.MatchString(c.IdempotencyKey) || c.IdempotencyKey[:4] != "018b") {
+			t.Fatalf("key %q", c.IdempotencyKey)
+		}
+		if c.Kind != Chat {
+			continue
+		}
+		chats[c.Workspace]++
+		if !strings.Contains(c.Prompt, "{tag:"+c.Tag+"}") || !strings.Contains(c.Prompt, fmt.Sprintf("{stop:%d}", c.StopAt)) || c.MaxTokens < c.StopAt {
+			t.Fatalf("chat %+v", c)
+		}
+	}
+	want := f.Capacity() * 0.5 * 60
+	if got := float64(chats["a"] + chats["b"]); got < 0.8*want || got > 1.2*want || chats["a"] < 2*chats["b"] {
+		t.Fatalf("%v chats, want about %.0f, three quarters by a", chats, want)
+	}
+	s.Bursts = []Burst{{Workspace: 1, Factor: 4, FromSeconds: 0, ToSeconds: 60}}
+	burst := 0
+	for _, c := range Arrivals(s, f, 0.5, 7) {
+		if c.Kind == Chat && c.Workspace == "b" {
+			burst++
+		}
+	}
+	if burst < 3*chats["b"] {
+		t.Fatalf("%d calls in a burst of four times %d", burst, chats["b"])
+	}
+}
+
+func TestBalance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(t, "vms")
+		s := Spec{Balance: rapid.SampledFrom([]string{BalanceUniform, BalanceSkewed, BalanceMoving}).Draw(t, "balance")}
+		counts := make([]int, n)
+		at := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "at"))
+		for i := range 1000 {
+			counts[s.VMIndex(Call{Pick: float64(i) / 1000, At: at}, n)]++
+		}
+		if n > 1 && s.Balance != BalanceUniform && slices.Max(counts) != 800 {
+			t.Fatalf("%s over %d VMs gives %v", s.Balance, n, counts)
+		}
+		if slices.Min(counts) == 0 {
+			t.Fatalf("%s over %d VMs leaves one out: %v", s.Balance, n, counts)
+		}
+	})
+}
+
+func drawOutcomes(t *rapid.T) []Outcome {
+	var out []Outcome
+	at := time.Duration(0)
+	for range rapid.IntRange(1, 40).Draw(t, "calls") {
+		at += time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "wait"))
+		c := Call{
+			Kind: Chat, Prompt: strings.Repeat("x", rapid.IntRange(1, 2000).Draw(t, "prompt")),
+			MaxTokens: 100, StopAt: rapid.Int64Range(1, 100).Draw(t, "stop"),
+		}
+		answered := at + time.Duration(rapid.Int64Range(0, int64(100*time.Millisecond)).Draw(t, "answered"))
+		ended := answered + time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "took"))
+		out = append(out, Outcome{Call: c, Sent: at, Answered: answered, Ended: ended, Whole: true})
+	}
+	return out
+}
+
+// TestReplayAndOverspendAgree: what one exact bucket admits never counts as overspend, and
+// twice the plan in one moment always does.
+func TestReplayAndOverspendAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := configuration.Plan{
+			TokensPerSecond: rapid.Int64Range(1, 2000).Draw(t, "rate"),
+			BurstTokens:     rapid.Int64Range(1, 3000).Draw(t, "burst"),
+		}
+		outcomes := drawOutcomes(t)
+		within := WithinPlan(p, outcomes, time.Second)
+		var admitted []Outcome
+		for i, o := range outcomes {
+			if within[i] {
+				admitted = append(admitted, o)
+			}
+		}
+		if len(outcomes) > 0 && within[0] != (outcomes[0].Call.Reserved() <= p.BurstTokens) {
+			t.Fatalf("the first call of %d tokens at burst %d: within %v", outcomes[0].Call.Reserved(), p.BurstTokens, within[0])
+		}
+		if over := Overspend(p, admitted); over > 1 {
+			t.Fatalf("an exact bucket overspent by %f", over)
+		}
+		if len(admitted) == 0 {
+			return
+		}
+		var doubled []Outcome
+		for range 2*p.BurstTokens/admitted[0].Call.Used() + 2 {
+			o := admitted[0]
+			o.Answered, o.Ended = o.Sent, o.Sent
+			doubled = append(doubled, o)
+		}
+		if Overspend(p, doubled) < float64(p.BurstTokens) {
+			t.Fatalf("%d calls at once were not seen as overspend", len(doubled))
+		}
+	})
+}
+
+// TestClient feeds good and broken answers to the client.
+func TestClient(t *testing.T) {
+	token := func(tag string, i int64) string { return fmt.Sprintf("%s%d ", tag, i) }
+	chunk := func(text string) string {
+		return fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", text)
+	}
+	const end = "data: {\"choices\":[{\"delta\":{\"content\":\"\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"
+	const refusedAfter = "data: {\"error\":{\"kind\":\"unavailable\",\"message\":\"m\",\"run\":\"unknown\"}}\n\n"
+	cases := map[string]struct {
+		status int
+		body   string
+		whole  bool
+		want   func(Outcome) bool
+	}{
+		"whole":        {200, chunk("x0 ") + chunk("x1 ") + end, true, func(o Outcome) bool { return o.Tokens == 2 && o.FirstToken > 0 }},
+		"merged":       {200, chunk("x0 x1 ") + end, true, func(o Outcome) bool { return o.Tokens == 2 }},
+		"short":        {200, chunk("x0 ") + end, false, func(o Outcome) bool { return o.Corrupt != "" }},
+		"long":         {200, chunk("x0 ") + chunk("x1 ") + chunk("x2 ") + end, false, func(o Outcome) bool { return o.Corrupt != "" }},
+		"doubled":      {200, chunk("x0 ") + chunk("x0 ") + end, false, func(o Outcome) bool { return o.Corrupt != "" }},
+		"crossed":      {200, chunk("y0 ") + chunk("x1 ") + end, false, func(o Outcome) bool { return o.Corrupt != "" }},
+		"broken off":   {200, chunk("x0 "), false, func(o Outcome) bool { return o.NoAnswer && o.Run == fault.RunUnknown && o.Corrupt == "" }},
+		"failed late":  {200, chunk("x0 ") + refusedAfter, false, func(o Outcome) bool { return o.Kind == fault.Unavailable && !o.Refused() }},
+		"refused":      {429, `{"error":{"kind":"over_plan","message":"m","run":"not_run"}}`, false, Outcome.Refused},
+		"other answer": {502, "<html>", false, func(o Outcome) bool { return o.NoAnswer && !o.Refused() }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Authorization") != "Bearer sk" {
+					t.Error("no key came")
+				}
+				w.Header().Set("X-Request-Id", "r.a.1.1")
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			}))
+			defer s.Close()
+			client := Client{HTTP: NewHTTPClient(), Secret: func(string) string { return "sk" }, Token: token}
+			defer client.HTTP.CloseIdleConnections()
+			to := Target{VM: "a", Callers: netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))}
+			o := client.Do(t.Context(), time.Now(), to, Call{Kind: Chat, Tag: "x", MaxTokens: 5, StopAt: 2})
+			if o.Whole != c.whole || !c.want(o) || o.RequestID != "r.a.1.1" {
+				t.Fatalf("outcome %+v", o)
+			}
+		})
+	}
+}
+
+// TestAnalyze checks the figures of a run that was made by hand, and their comparison.
+func TestAnalyze(t *testing.T) {
+	s, f := DefaultSpec(), testFleet()
+	s.Name, s.WarmupSeconds = "byhand", 1
+	chat := func(workspace string, at time.Duration, size int) Outcome {
+		c := Call{At: at, Workspace: workspace, Kind: Chat, Class: configuration.Urgent, Prompt: strings.Repeat("x", size), MaxTokens: 10, StopAt: 5}
+		return Outcome{
+			Call: c, Sent: at, Answered: at, FirstToken: at + 100*time.Millisecond, Ended: at + time.Second, Whole: true, Tokens: 5, Gap: 20 * time.Millisecond,
+		}
+	}
+	fail := func(o Outcome, kind fault.Kind, run fault.Run) Outcome {
+		o.Whole, o.Kind, o.Run = false, kind, run
+		return o
+	}
+	late := chat("a", 4*time.Second, 100)
+	late.FirstToken = late.Sent + time.Second
+	corrupt := chat("a", 5*time.Second, 100)
+	corrupt.Whole, corrupt.Corrupt = false, "token 1 twice"
+	m := Measured{
+		Spec: s, Fleet: f, Policy: "default", Load: 0.85, Seed: 1,
+		Engines:   EngineTotals{PrefillTokens: 100, PrefillTokensDecoded: 90},
+		Withdrawn: map[string]time.Duration{"b": 7 * time.Second},
+		Outcomes: []Outcome{
+			chat("a", 500*time.Millisecond, 100), // warm-up
+			chat("a", 2*time.Second, 100),
+			fail(chat("a", 3*time.Second, 100), fault.OverPlan, fault.NotRun),
+			late,
+			corrupt,
+			fail(chat("a", 6*time.Second, 100), fault.Overloaded, fault.NotRun),
+			fail(chat("a", 7*time.Second, 100), fault.Unavailable, fault.RunUnknown),
+			fail(chat("a", 8*time.Second, 400_000), fault.OverPlan, fault.NotRun), // over the burst
+			chat("b", 2*time.Second, 100),
+			chat("b", 20*time.Second, 100), // long after the withdrawal
+		},
+	}
+	r := Analyze(m)
+	if r.Offered != 8 || r.WithinPlan != 7 || r.WrongfulRefusals != 1 || r.CapacityRefusals != 1 {
+		t.Fatalf("report %+v", r)
+	}
+	if r.Goodput != 2.0/7 || r.WorstWorkspace != 1 || r.WorstWorkspaceName != "" || r.FirstToken.Count != 3 {
+		t.Fatalf("report %+v", r)
+	}
+	if r.WastedPrefill < 0.099 || r.WastedPrefill > 0.101 || r.Audit.CorruptAnswers != 1 || r.Audit.LateKeyUses != 1 || r.Audit.Clean() {
+		t.Fatalf("report %+v", r)
+	}
+	var text bytes.Buffer
+	if err := WriteText(&text, s, []Report{r, r}); err != nil || !strings.Contains(text.String(), "28.57 [28.57 28.57]") || !strings.Contains(text.String(), "2 of 2 runs not clean") {
+		t.Fatalf("error %v, text\n%s", err, text.String())
+	}
+	files, err := SavePlots(t.TempDir(), s, []Report{r})
+	if err != nil || len(files) != len(Figures()) {
+		t.Fatalf("plots %v, error %v", files, err)
+	}
+	if raw, err := os.ReadFile(files[0]); err != nil || !bytes.Contains(raw, []byte("load (% of capacity)")) {
+		t.Fatalf("plot without its axis, error %v", err)
+	}
+}
+
+func TestSpec(t *testing.T) {
+	good := "layout = \"hinokuni\"\nloads = [0.6, 1.3]\n[[faults]]\nat_seconds = 5\nkind = \"kill\"\nevery_seconds = 20\n"
+	if s, err := ParseSpec([]byte(good)); err != nil || len(s.Loads) != 2 || s.Faults[0].Kind != FaultKill || s.ReadsPerChat == 0 {
+		t.Fatalf("spec %+v, error %v", s, err)
+	}
+	for _, bad := range []string{
+		"layuot = 1", "loads = []", "loads = [0.0]", "balance = \"even\"", "duration_seconds = 1.0", "[[faults]]\nkind = \"fire\"", "[[faults]]\nkind = \"kill\"\nat_seconds = -1.0", "[",
+	} {
+		if _, err := ParseSpec([]byte(bad)); !fault.Is(err, fault.Malformed) {
+			t.Fatalf("%q: error %v", bad, err)
+		}
+	}
+}
--- /dev/null
+++ b/test/cmd/experiment/audit.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/experiment"
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/test/fleet"
+)
+
+// audit adds what only the stand-ins know to a report.
+func (r *run) audit(ctx context.Context, report *experiment.Report, outcomes []experiment.Outcome) {
+	a := &report.Audit
+	settle, cancel := context.WithTimeout(ctx, freeLimit)
+	defer cancel()
+	if err := r.fleet.AwaitFreed(settle); err != nil {
+		for _, held := range r.fleet.Held() {
+			a.HeldMemory += len(held)
+		}
+		a.Note(err.Error())
+	}
+	commits := r.commitRuns()
+	for key, runs := range commits {
+		if runs > 1 {
+			a.DoubledCommits++
+			a.Note(fmt.Sprintf("commit %s ran %d times", key, runs))
+		}
+	}
+	for _, o := range outcomes {
+		if o.Call.Kind == experiment.Commit && o.Whole && commits[o.Call.IdempotencyKey] == 0 {
+			a.PhantomCommits++
+			a.Note(o.RequestID + ": commit was answered but never ran")
+		}
+		if o.Run == fault.NotRun && o.RequestID != "" && !o.Whole && r.reachedEndpoint(o.RequestID) {
+			a.UntrueNotRun++
+			a.Note(fmt.Sprintf("%s: refused as not run (%s: %s), but an endpoint saw it", o.RequestID, o.Kind, o.Message))
+		}
+	}
+	r.auditCredentials(a)
+}
+
+func (r *run) commitRuns() map[string]int {
+	out := make(map[string]int)
+	for _, s := range r.fleet.Services {
+		for key, runs := range s.Stats().Commits {
+			out[key] += runs
+		}
+	}
+	return out
+}
+
+func (r *run) reachedEndpoint(request string) bool {
+	for _, e := range r.fleet.Engines {
+		if e.Saw(request) {
+			return true
+		}
+	}
+	for _, s := range r.fleet.Services {
+		if s.Saw(request) {
+			return true
+		}
+	}
+	return false
+}
+
+var credentialHeaders = []string{"Authorization", "X-Api-Key", "Cookie", "Proxy-Authorization"}
+
+func (r *run) auditCredentials(a *experiment.Audit) {
+	for _, name := range credentialHeaders {
+		for endpoint, e := range r.fleet.Engines {
+			r.leak(a, endpoint, name, e.Stats().Headers[name])
+		}
+		for endpoint, s := range r.fleet.Services {
+			r.leak(a, endpoint, name, s.Stats().Headers[name])
+		}
+	}
+}
+
+func (r *run) leak(a *experiment.Audit, endpoint, header string, calls int64) {
+	if calls > 0 {
+		a.LeakedCredentials += int(calls)
+		a.Note(fmt.Sprintf("%s received %s %d times", endpoint, header, calls))
+	}
+}
+
+// usage is what a process has used since its start.
+type usage struct {
+	cpu          time.Duration
+	peakRSS      int64
+	controlBytes float64
+}
+
+// snapshot is the state of the counters at one moment, by process id.
+type snapshot struct {
+	daemons  map[int]usage
+	platform map[string]int64
+}
+
+func (r *run) sample() snapshot {
+	s := snapshot{daemons: make(map[int]usage), platform: r.fleet.Platform.Stats().Calls}
+	for _, d := range r.fleet.Daemons() {
+		if d.Alive() {
+			s.daemons[d.PID()] = usageOf(d)
+		}
+	}
+	return s
+}
+
+// addUsage reports what was used since before.
+func (r *run) addUsage(report *experiment.Report, before snapshot, elapsed time.Duration) {
+	now := r.sample()
+	report.PlatformCalls = make(map[string]int64)
+	total := int64(0)
+	for kind, n := range now.platform {
+		report.PlatformCalls[kind] = n - before.platform[kind]
+		if kind != "refused" {
+			total += n - before.platform[kind]
+		}
+	}
+	report.PlatformCallsPerSecond = float64(total) / elapsed.Seconds()
+	for _, d := range r.fleet.Daemons() {
+		u, ok := now.daemons[d.PID()]
+		if !ok {
+			continue
+		}
+		was := before.daemons[d.PID()]
+		report.Daemons = append(report.Daemons, experiment.DaemonUsage{
+			VM: d.VM, CPUShare: (u.cpu - was.cpu).Seconds() / elapsed.Seconds(), PeakRSSBytes: u.peakRSS,
+			ControlBytesPerSecond: (u.controlBytes - was.controlBytes) / elapsed.Seconds(),
+		})
+	}
+}
+
+const (
+	// ticksPerSecond is the kernel's unit of processor time in /proc.
+	ticksPerSecond = 100
+	utimeField     = 11
+	kibibyte       = 1024
+)
+
+func usageOf(d *fleet.Daemon) usage {
+	var u usage
+	if raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.PID())); err == nil {
+		_, rest, _ := strings.Cut(string(raw), ") ")
+		if fields := strings.Fields(rest); len(fields) > utimeField+1 {
+			user, _ := strconv.ParseInt(fields[utimeField], 10, 64)
+			system, _ := strconv.ParseInt(fields[utimeField+1], 10, 64)
+			u.cpu = time.Duration(user+system) * time.Second / ticksPerSecond
+		}
+	}
+	if raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.PID())); err == nil {
+		_, rest, _ := strings.Cut(string(raw), "VmHWM:")
+		if fields := strings.Fields(rest); len(fields) > 0 {
+			kib, _ := strconv.ParseInt(fields[0], 10, 64)
+			u.peakRSS = kib * kibibyte
+		}
+	}
+	u.controlBytes = controlBytes(d)
+	return u
+}
+
+const sentBytesMetric = `fulmartide_peer_bytes_total{direction="sent"`
+
+func controlBytes(d *fleet.Daemon) float64 {
+	client := http.Client{Timeout: probeLimit}
+	resp, err := client.Get("http://" + d.Operator.String() + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	total := 0.0
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), sentBytesMetric) {
+			fields := strings.Fields(lines.Text())
+			value, _ := strconv.ParseFloat(fields[len(fields)-1], 64)
+			total += value
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/test/cmd/experiment/balancer.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/experiment"
+	"github.com/fulmartide/fulmartide/test/fleet"
+)
+
+const (
+	probePeriod = 250 * time.Millisecond
+	probeLimit  = 200 * time.Millisecond
+	// probeFailures is how many probes in a row take a VM out.
+	probeFailures = 2
+)
+
+// balancer knows which VMs take calls, as the platform's balancer does: by asking each for
+// its readiness.
+type balancer struct {
+	fleet  *fleet.Fleet
+	client *http.Client
+
+	mu     sync.Mutex
+	failed map[int]int
+}
+
+func newBalancer(f *fleet.Fleet) *balancer {
+	transport := &http.Transport{DisableKeepAlives: true}
+	return &balancer{fleet: f, client: &http.Client{Transport: transport, Timeout: probeLimit}, failed: make(map[int]int)}
+}
+
+// targets gives the VMs that take calls.
+func (b *balancer) targets() []experiment.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []experiment.Target
+	for _, d := range b.fleet.Daemons() {
+		if b.failed[d.PID()] < probeFailures {
+			out = append(out, experiment.Target{VM: d.VM, Callers: d.Callers})
+		}
+	}
+	return out
+}
+
+func (b *balancer) run(ctx context.Context) {
+	ticks := time.NewTicker(probePeriod)
+	defer ticks.Stop()
+	for {
+		var wg sync.WaitGroup
+		for _, d := range b.fleet.Daemons() {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				b.probe(d)
+			}()
+		}
+		wg.Wait()
+		select {
+		case <-ticks.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *balancer) probe(d *fleet.Daemon) {
+	resp, err := b.client.Get("http://" + d.Operator.String() + "/readyz")
+	ok := err == nil && resp.StatusCode == http.StatusOK
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if ok {
+		b.failed[d.PID()] = 0
+		return
+	}
+	b.failed[d.PID()]++
+}
