Operator API: commands, queries, client

Cause: operators need one API for the tool, commands and queries apart. Change: command.NewHandler, query.NewHandler, api types and client; explain and endpoint load reach other VMs through KindOperator. Conclusion: the daemon can mount both handlers.

--- /dev/null
+++ b/internal/operator/query/handler.go
@@ -0,0 +1,170 @@
+// Package query serves the operators' queries: what only reads.
+package query
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/keys"
+	"github.com/fulmartide/fulmartide/internal/limiter"
+	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/operator/api"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/placement"
+)
+
+// Configuration is the part of the configuration service that queries use.
+type Configuration interface {
+	Current() *configuration.Snapshot
+	History(ctx context.Context) ([]configuration.Revision, error)
+	Confirmations() []configuration.Confirmation
+}
+
+// Keys is the part of the key service that queries use.
+type Keys interface {
+	List(ctx context.Context) ([]keys.Key, error)
+	Confirmations(keyID string) keys.Withdrawal
+}
+
+// Limiter gives the shares that this VM holds.
+type Limiter interface {
+	Status() []limiter.ShareStatus
+}
+
+// Placement gives the load of the cells that this VM owns.
+type Placement interface {
+	Summary() []placement.EndpointStatus
+}
+
+// Event is one step of a request.
+type Event struct {
+	At      time.Time
+	Stage   string
+	Message string
+	Fields  map[string]string
+}
+
+// Explainer keeps the steps of this VM's latest requests.
+type Explainer interface {
+	// Explain gives the steps of a request, or false when it is not kept.
+	Explain(id string) ([]Event, bool)
+}
+
+// Deps are what the handler reads.
+type Deps struct {
+	// Self is this VM.
+	Self          membership.Member
+	Directory     membership.Directory
+	Configuration Configuration
+	Keys          Keys
+	Limiter       Limiter
+	Placement     Placement
+	Explainer     Explainer
+	// Transport carries queries to other VMs; NewHandler registers the handler of
+	// KindOperator.
+	Transport *peer.Transport
+}
+
+// NewHandler serves the paths under /operator/query/. It is called before the transport serves.
+func NewHandler(d Deps) http.Handler {
+	h := &handler{d}
+	peer.Handle(d.Transport, peer.KindOperator, h.serve)
+	mux := http.NewServeMux()
+	mux.Handle("GET "+api.PathConfiguration, api.Query(h.configuration))
+	mux.Handle("GET "+api.PathHistory, api.Query(h.history))
+	mux.Handle("GET "+api.PathConfirmations, api.Query(h.confirmations))
+	mux.Handle("GET "+api.PathKeys, api.Query(h.keys))
+	mux.Handle("GET "+api.PathKeyConfirmations, api.Query(h.keyConfirmations))
+	mux.Handle("GET "+api.PathStatus, api.Query(h.status))
+	mux.Handle("GET "+api.PathEndpoints, api.Query(h.endpoints))
+	mux.Handle("GET "+api.PathExplain, api.Query(h.explain))
+	mux.HandleFunc("/", api.NotFound)
+	return mux
+}
+
+type handler struct{ deps Deps }
+
+func (h *handler) configuration(context.Context, string) (*api.ConfigurationResponse, error) {
+	snap := h.deps.Configuration.Current()
+	if snap == nil {
+		return &api.ConfigurationResponse{}, nil
+	}
+	return &api.ConfigurationResponse{Version: snap.Version, Applied: snap.Applied, Document: snap.Document}, nil
+}
+
+func (h *handler) history(ctx context.Context, _ string) (*api.HistoryResponse, error) {
+	revisions, err := h.deps.Configuration.History(ctx)
+	return &api.HistoryResponse{Revisions: revisions}, err
+}
+
+func (h *handler) confirmations(context.Context, string) (*api.ConfirmationsResponse, error) {
+	return &api.ConfirmationsResponse{DataCentres: h.deps.Configuration.Confirmations()}, nil
+}
+
+func (h *handler) keys(ctx context.Context, _ string) (*api.KeysResponse, error) {
+	list, err := h.deps.Keys.List(ctx)
+	return &api.KeysResponse{Keys: list}, err
+}
+
+func (h *handler) keyConfirmations(_ context.Context, id string) (*api.WithdrawResponse, error) {
+	if id == "" {
+		return nil, fault.New(fault.Malformed, "take the id from the list of keys", "key id is missing")
+	}
+	return &api.WithdrawResponse{KeyID: id, Withdrawal: h.deps.Keys.Confirmations(id)}, nil
+}
+
+func (h *handler) status(context.Context, string) (*api.StatusResponse, error) {
+	resp := &api.StatusResponse{
+		VM:         h.deps.Self.VM,
+		DataCentre: h.deps.Self.DataCentre,
+		Region:     h.deps.Self.Region,
+		Shares:     h.deps.Limiter.Status(),
+	}
+	if snap := h.deps.Configuration.Current(); snap != nil {
+		resp.Configuration = snap.Version
+	}
+	for _, m := range h.deps.Directory.View().Members {
+		resp.Members = append(resp.Members, api.Member{
+			VM: m.VM, DataCentre: m.DataCentre, Region: m.Region, Peer: m.Peer.String(), State: stateName(m.State),
+		})
+	}
+	return resp, nil
+}
+
+func stateName(s membership.State) string {
+	switch s {
+	case membership.Alive:
+		return "alive"
+	case membership.Suspect:
+		return "suspect"
+	case membership.Leaving:
+		return "leaving"
+	case membership.Gone:
+		return "gone"
+	}
+	return "unknown"
+}
+
+func (h *handler) endpoints(ctx context.Context, _ string) (*api.EndpointsResponse, error) {
+	resp := &api.EndpointsResponse{}
+	snap := h.deps.Configuration.Current()
+	if snap == nil {
+		return resp, nil
+	}
+	loads, silent := h.loads(ctx)
+	resp.Version = snap.Version
+	resp.Silent = silent
+	for _, name := range slices.Sorted(maps.Keys(snap.Document.Endpoints)) {
+		e := api.Endpoint{Name: name, Endpoint: snap.Document.Endpoints[name]}
+		if load, ok := loads[name]; ok {
+			e.Load = &load
+		}
+		resp.Endpoints = append(resp.Endpoints, e)
+	}
+	return resp, nil
+}
