Command-line tool fulmartide

Cause: operators drive the product through a tool that scripts can use. A list left out and an empty one differed in config diff, so that showing and diffing again was not empty: made equal. Conclusion: usable once the daemon mounts the handlers.

--- /dev/null
+++ b/internal/cli/config.go
@@ -0,0 +1,263 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/operator/api"
+)
+
+type configCommands struct {
+	Check   checkCommand   `cmd:"" help:"Check a configuration file, without calling a VM."`
+	Show    showCommand    `cmd:"" help:"Show the configuration in force."`
+	Diff    diffCommand    `cmd:"" help:"Show what a file would change."`
+	Apply   applyCommand   `cmd:"" help:"Put a file in force."`
+	History historyCommand `cmd:"" help:"List the latest changes."`
+}
+
+type checkCommand struct {
+	File string `arg:"" help:"TOML file, or - for standard input."`
+}
+
+// Run lists every fault of the file.
+func (c checkCommand) Run(s *session) error {
+	_, faults, err := loadDocument(c.File, s.In)
+	if err != nil {
+		return err
+	}
+	if len(faults) == 0 {
+		return s.print(faultList{[]fileFault{}}, func(w io.Writer) { fmt.Fprintf(w, "%s: no faults\n", c.File) })
+	}
+	return s.printFaults(faults)
+}
+
+type faultList struct {
+	Faults []fileFault `json:"faults"`
+}
+
+func (s *session) printFaults(faults []fileFault) error {
+	if s.json {
+		if err := s.print(faultList{faults}, nil); err != nil {
+			return err
+		}
+	}
+	for _, f := range faults {
+		fmt.Fprintln(s.Err, f)
+	}
+	fmt.Fprintf(s.Err, "fulmartide: malformed: %d faults\nremedy: correct them all and check the file again\n", len(faults))
+	return exit(ExitFault)
+}
+
+// load reads a file that must have no faults.
+func (s *session) load(path string) (configuration.Document, error) {
+	doc, faults, err := loadDocument(path, s.In)
+	if err == nil && len(faults) > 0 {
+		err = s.printFaults(faults)
+	}
+	return doc, err
+}
+
+type showCommand struct{}
+
+// Run prints the configuration as TOML that apply accepts.
+func (showCommand) Run(s *session) error {
+	if err := s.need(); err != nil {
+		return err
+	}
+	resp, err := s.client.Configuration(s.ctx)
+	if err != nil {
+		return err
+	}
+	raw, err := toml.Marshal(resp.Document)
+	if err != nil {
+		return err
+	}
+	if s.json {
+		return s.print(resp, nil)
+	}
+	_, err = fmt.Fprintf(s.Out, "# version %d, in force since %s\n%s", resp.Version, resp.Applied.UTC().Format(time.RFC3339), raw)
+	return err
+}
+
+type diffCommand struct {
+	File string `arg:"" help:"TOML file, or - for standard input."`
+}
+
+// diffResult is the JSON form of a diff.
+type diffResult struct {
+	Version configuration.Version  `json:"version"`
+	Changes []configuration.Change `json:"changes"`
+}
+
+// Run prints the objects that the file adds, removes and changes.
+func (c diffCommand) Run(s *session) error {
+	if err := s.need(); err != nil {
+		return err
+	}
+	doc, err := s.load(c.File)
+	if err != nil {
+		return err
+	}
+	d, err := s.diff(doc)
+	if err != nil {
+		return err
+	}
+	return s.print(d, func(w io.Writer) {
+		fmt.Fprintf(w, "against version %d:\n", d.Version)
+		writeChanges(w, d.Changes)
+	})
+}
+
+func (s *session) diff(doc configuration.Document) (diffResult, error) {
+	resp, err := s.client.Configuration(s.ctx)
+	if err != nil {
+		return diffResult{}, err
+	}
+	changes, err := configuration.Diff(canonical(resp.Document), doc)
+	if changes == nil {
+		changes = []configuration.Change{}
+	}
+	return diffResult{resp.Version, changes}, err
+}
+
+type applyCommand struct {
+	File      string        `arg:"" help:"TOML file, or - for standard input."`
+	IfVersion *uint64       `help:"Apply only if this version is in force. Default: the version in force when the tool asks." placeholder:"VERSION"`
+	Wait      time.Duration `help:"Longest wait for all VMs to confirm; 0 does not wait." default:"10s"`
+}
+
+// applyResult is the JSON form of an apply.
+type applyResult struct {
+	Version     configuration.Version        `json:"version"`
+	Changes     []configuration.Change       `json:"changes"`
+	DataCentres []configuration.Confirmation `json:"data_centres,omitempty"`
+	Confirmed   bool                         `json:"confirmed"`
+}
+
+// Run applies the file and waits for the VMs.
+func (c applyCommand) Run(s *session) error {
+	if err := s.need(); err != nil {
+		return err
+	}
+	doc, err := s.load(c.File)
+	if err != nil {
+		return err
+	}
+	d, err := s.diff(doc)
+	if err != nil {
+		return err
+	}
+	base := d.Version
+	if c.IfVersion != nil {
+		base = configuration.Version(*c.IfVersion)
+	}
+	if len(d.Changes) == 0 && base == d.Version {
+		return s.print(applyResult{d.Version, d.Changes, nil, true}, func(w io.Writer) { fmt.Fprintf(w, "version %d: nothing to change\n", d.Version) })
+	}
+	applied, err := s.client.Apply(s.ctx, api.ApplyRequest{Document: doc, IfVersion: base})
+	if err != nil {
+		return err
+	}
+	return c.confirm(s, applyResult{Version: applied.Version, Changes: d.Changes})
+}
+
+// confirm waits for the VMs and prints how far the version has come.
+func (c applyCommand) confirm(s *session, r applyResult) error {
+	var err error
+	if c.Wait > 0 {
+		r.DataCentres, err = s.awaitVersion(r.Version, c.Wait)
+	}
+	r.Confirmed = err == nil && c.Wait > 0 && whole(r.DataCentres, r.Version)
+	if err != nil {
+		fmt.Fprintf(s.Err, "fulmartide: version %d is accepted, but the VMs could not be asked: %v\n", r.Version, err)
+	}
+	if err := s.print(r, func(w io.Writer) { writeApplied(w, r) }); err != nil {
+		return err
+	}
+	if c.Wait > 0 && !r.Confirmed {
+		return exit(ExitPartial)
+	}
+	return nil
+}
+
+// confirmPeriod is the time between two questions about confirmations.
+const confirmPeriod = 250 * time.Millisecond
+
+// awaitVersion asks until every VM has the version or the wait is over.
+func (s *session) awaitVersion(version configuration.Version, limit time.Duration) ([]configuration.Confirmation, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, limit)
+	defer cancel()
+	var last []configuration.Confirmation
+	for {
+		resp, err := s.client.Confirmations(ctx)
+		if err == nil {
+			last = resp.DataCentres
+		}
+		if whole(last, version) {
+			return last, nil
+		}
+		select {
+		case <-ctx.Done():
+			if last == nil {
+				return nil, err
+			}
+			return last, nil
+		case <-time.After(confirmPeriod):
+		}
+	}
+}
+
+// whole says that every VM of every data centre has the version.
+func whole(all []configuration.Confirmation, version configuration.Version) bool {
+	for _, c := range all {
+		if api.Settled(c, version) < len(c.VMs) {
+			return false
+		}
+	}
+	return len(all) > 0
+}
+
+func writeApplied(w io.Writer, r applyResult) {
+	fmt.Fprintf(w, "version %d accepted, %d objects changed\n", r.Version, len(r.Changes))
+	for _, c := range r.DataCentres {
+		row(w, c.DataCentre, fmt.Sprintf("%d of %d VMs confirmed", api.Settled(c, r.Version), len(c.VMs)), laggards(c, r.Version))
+	}
+}
+
+// laggards names the VMs that have not confirmed a version.
+func laggards(c configuration.Confirmation, version configuration.Version) string {
+	text := ""
+	for _, v := range c.VMs {
+		switch {
+		case !v.Answered:
+			text += " " + v.VM.Name + " did not answer"
+		case v.Version < version:
+			text += fmt.Sprintf(" %s is at %d", v.VM.Name, v.Version)
+		}
+	}
+	return text
+}
+
+type historyCommand struct{}
+
+// Run lists the latest changes, newest last.
+func (historyCommand) Run(s *session) error {
+	if err := s.need(); err != nil {
+		return err
+	}
+	resp, err := s.client.History(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(resp, func(w io.Writer) {
+		row(w, "REPLACED", "AT", "BY", "CHANGED", "OBJECTS")
+		for _, r := range resp.Revisions {
+			row(w, r.Base, r.At.UTC().Format(time.RFC3339), r.By, r.Changed, names(r.Objects))
+		}
+	})
+}
--- /dev/null
+++ b/internal/cli/key.go
@@ -0,0 +1,106 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/operator/api"
+)
+
+type keyCommands struct {
+	Give     giveCommand     `cmd:"" help:"Make a key for a workspace and print its secret, once."`
+	Withdraw withdrawCommand `cmd:"" help:"Stop a key for good."`
+	List     keyListCommand  `cmd:"" help:"List the keys."`
+}
+
+type giveCommand struct {
+	Workspace string `arg:"" help:"Workspace that the key is for."`
+}
+
+// Run makes a key.
+func (c giveCommand) Run(s *session) error {
+	if err := s.need(); err != nil {
+		return err
+	}
+	resp, err := s.client.Give(s.ctx, api.GiveRequest{Workspace: c.Workspace})
+	if err != nil {
+		return err
+	}
+	return s.print(resp, func(w io.Writer) {
+		row(w, "key id", resp.ID)
+		row(w, "workspace", resp.Workspace)
+		row(w, "secret", resp.Secret)
+		fmt.Fprintln(s.Err, "The secret is not stored and not shown again.")
+	})
+}
+
+type withdrawCommand struct {
+	KeyID string        `arg:"" help:"Id of the key, as key list shows it."`
+	Wait  time.Duration `help:"Longest wait for the data centres and the platform to confirm; 0 does not wait." default:"5s"`
+}
+
+// Run withdraws a key and says which data centres have confirmed it.
+func (c withdrawCommand) Run(s *session) error {
+	if err := s.need(); err != nil {
+		return err
+	}
+	resp, err := s.client.Withdraw(s.ctx, api.WithdrawRequest{KeyID: c.KeyID})
+	if err != nil {
+		return err
+	}
+	if !resp.Whole() && c.Wait > 0 {
+		resp = s.awaitWithdrawal(resp, c.Wait)
+	}
+	err = s.print(resp, func(w io.Writer) {
+		row(w, "key id", resp.KeyID)
+		row(w, "confirmed", names(resp.Confirmed))
+		row(w, "not confirmed", names(resp.Unconfirmed))
+		row(w, "stored by the platform", yesNo(resp.Stored))
+	})
+	if err != nil || resp.Whole() {
+		return err
+	}
+	fmt.Fprintln(s.Err, "fulmartide: the withdrawal is not confirmed everywhere\nremedy: repeat it later, and through a VM of each data centre that has not confirmed")
+	return exit(ExitPartial)
+}
+
+// awaitWithdrawal asks until the withdrawal is whole or the wait is over.
+func (s *session) awaitWithdrawal(last api.WithdrawResponse, limit time.Duration) api.WithdrawResponse {
+	ctx, cancel := context.WithTimeout(s.ctx, limit)
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return last
+		case <-time.After(confirmPeriod):
+		}
+		resp, err := s.client.KeyConfirmations(ctx, last.KeyID)
+		if err == nil {
+			last = resp
+		}
+		if last.Whole() {
+			return last
+		}
+	}
+}
+
+type keyListCommand struct{}
+
+// Run lists the keys without their secrets.
+func (keyListCommand) Run(s *session) error {
+	if err := s.need(); err != nil {
+		return err
+	}
+	resp, err := s.client.Keys(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(resp, func(w io.Writer) {
+		row(w, "KEY ID", "WORKSPACE", "WITHDRAWN")
+		for _, k := range resp.Keys {
+			row(w, k.ID, k.Workspace, yesNo(k.Withdrawn))
+		}
+	})
+}
--- a/internal/operator/api/client.go
+++ b/internal/operator/api/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -24,18 +25,23 @@
 // Client calls the operator API of the first VM that answers.
 type Client struct {
 	addresses []netip.AddrPort
+	timeout   time.Duration
 	http      *http.Client
 }
 
-// NewClient makes a client that tries addresses in order.
-func NewClient(addresses []netip.AddrPort) *Client {
+// NewClient makes a client that tries addresses in order and waits for each answer for timeout.
+func NewClient(addresses []netip.AddrPort, timeout time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		addresses: addresses,
+		timeout:   timeout,
 		http:      &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
 	}
 }
 
+// Addresses gives the number of VMs that the client tries.
+func (c *Client) Addresses() int { return len(c.addresses) }
+
 // Close ends the client's idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -143,9 +149,12 @@
 			break
 		}
 	}
-	return fault.New(fault.Unavailable, "name VMs that run with --vm, and check that their operator ports can be reached", "no VM answered: "+strings.Join(tried, "; "))
+	return fault.Wrap(ErrUnreachable, fault.Unavailable, "name VMs that run with --vm, and check that their operator ports can be reached", strings.Join(tried, "; "))
 }
 
+// ErrUnreachable is the cause of an error when no VM answered.
+var ErrUnreachable = errors.New("no VM answered")
+
 // transportError is a failure below the API.
 type transportError struct{ error }
 
@@ -156,6 +165,8 @@
 
 // try makes one request. reached says that the VM may have got it.
 func (c *Client) try(ctx context.Context, address netip.AddrPort, r call, into any) (reached bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { reached = true }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+address.String()+r.path, bytes.NewReader(r.body))
