--- /dev/null
+++ b/internal/operator/query/peers_test.go
@@ -0,0 +1,132 @@
+package query_test
+
+import (
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/operator/api"
+	"github.com/fulmartide/fulmartide/internal/operator/query"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/placement"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// vm is one VM whose cells hold one endpoint named after it.
+type vm struct {
+	query.Configuration
+
+	member    membership.Member
+	members   []membership.Member
+	transport *peer.Transport
+	client    *api.Client
+}
+
+func (v *vm) View() *membership.View {
+	return &membership.View{Self: v.member, Members: v.members}
+}
+func (*vm) Suspect(ident.VM) {}
+
+func (v *vm) Current() *configuration.Snapshot {
+	doc := configuration.Document{Endpoints: map[string]configuration.Endpoint{}}
+	for _, m := range v.members {
+		doc.Endpoints["at-"+m.VM.Name] = configuration.Endpoint{Slots: 20}
+	}
+	return &configuration.Snapshot{Version: 3, Document: doc}
+}
+
+func (v *vm) Summary() []placement.EndpointStatus {
+	return []placement.EndpointStatus{{Endpoint: "at-" + v.member.VM.Name, Running: int(v.member.VM.Incarnation)}}
+}
+
+func (v *vm) Explain(id string) ([]query.Event, bool) {
+	if id != (ident.RequestID{VM: v.member.VM, Seq: 5}).String() {
+		return nil, false
+	}
+	return []query.Event{{At: time.Unix(5, 0).UTC(), Stage: "relay", Message: "by " + v.member.VM.Name, Fields: map[string]string{"a": "b"}}}, true
+}
+
+func startFleet(t *testing.T, n int) []*vm {
+	t.Helper()
+	fleet := make([]*vm, n)
+	var members []membership.Member
+	for i := range fleet {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		v := &vm{}
+		v.member = membership.Member{
+			VM:    ident.VM{Name: fmt.Sprint("vm-", i), Incarnation: ident.Incarnation(10 + i)},
+			Peer:  netip.MustParseAddrPort(ln.Addr().String()),
+			State: membership.Alive,
+		}
+		v.transport = peer.New(peer.Options{Self: v.member.VM})
+		server := httptest.NewServer(query.NewHandler(query.Deps{
+			Self: v.member, Directory: v, Configuration: v, Placement: v, Explainer: v, Transport: v.transport,
+		}))
+		go func() { _ = v.transport.Serve(ln) }()
+		v.client = api.NewClient([]netip.AddrPort{netip.MustParseAddrPort(server.Listener.Addr().String())}, 5*time.Second)
+		t.Cleanup(func() { v.client.Close(); server.Close(); v.transport.Close() })
+		members = append(members, v.member)
+		fleet[i] = v
+	}
+	for _, v := range fleet {
+		v.members = members
+	}
+	return fleet
+}
+
+func TestExplainAsksTheVMThatServedTheRequest(t *testing.T) {
+	fleet := startFleet(t, 2)
+	for _, asked := range fleet {
+		for _, served := range fleet {
+			id := ident.RequestID{VM: served.member.VM, Seq: 5}
+			got, err := asked.client.Explain(t.Context(), id.String())
+			if err != nil || len(got.Events) != 1 {
+				t.Fatal(got, err)
+			}
+			e := got.Events[0]
+			if e.Message != "by "+served.member.VM.Name || !e.At.Equal(time.Unix(5, 0)) || e.Fields["a"] != "b" {
+				t.Fatalf("%+v", e)
+			}
+			id.Seq = 6
+			if _, err := asked.client.Explain(t.Context(), id.String()); !fault.Is(err, fault.NotFound) {
+				t.Fatal(err)
+			}
+		}
+	}
+	fleet[1].transport.Close()
+	id := ident.RequestID{VM: fleet[1].member.VM, Seq: 5}
+	if _, err := fleet[0].client.Explain(t.Context(), id.String()); !fault.Is(err, fault.Unavailable) {
+		t.Fatal(err)
+	}
+}
+
+func TestEndpointLoadComesFromAllVMs(t *testing.T) {
+	fleet := startFleet(t, 4)
+	fleet[3].transport.Close()
+	got, err := fleet[0].client.Endpoints(t.Context())
+	if err != nil || got.Version != 3 || len(got.Endpoints) != 4 || !slices.Equal(got.Silent, []string{"vm-3"}) {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	for i, e := range got.Endpoints[:3] {
+		if e.Load == nil || e.Load.Running != 10+i {
+			t.Fatalf("%+v", e)
+		}
+	}
+	if got.Endpoints[3].Load != nil {
+		t.Fatal("load of a silent VM")
+	}
+}
