Operator API joined to the daemon

Cause: the tool's commands and queries need the services of a running VM. Change: command and query handlers on the operator address; relay traces answer explain.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,6 +50,7 @@
 	ledger     *ledger.Service
 	relay      *relay.Server
 	sweep      *sweep.Service
+	queries    http.Handler
 
 	wg sync.WaitGroup
 }
@@ -123,6 +124,7 @@
 		Self: d.self, Directory: d.membership, Transport: d.transport, Dialer: dialer, Configuration: d.config.Current,
 		Clock: d.clock, Log: d.log.Named("sweep"), Live: d.relay.Live,
 	})
+	d.queries = d.queryHandler()
 }
 
 func (d *daemon) seeds() []netip.AddrPort {
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -6,6 +6,9 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/operator/command"
+	"github.com/fulmartide/fulmartide/internal/operator/query"
+	"github.com/fulmartide/fulmartide/internal/relay"
 )
 
 func (d *daemon) operatorServer() *http.Server {
@@ -13,9 +16,31 @@
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", d.ready)
 	mux.HandleFunc("GET /metrics", d.writeMetrics)
+	mux.Handle("/operator/command/", command.NewHandler(command.Deps{Configuration: d.config, Keys: d.keys, Log: d.log.Named("operator")}))
+	mux.Handle("/operator/query/", d.queries)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
+func (d *daemon) queryHandler() http.Handler {
+	return query.NewHandler(query.Deps{
+		Self: d.self, Directory: d.membership, Configuration: d.config, Keys: d.keys, Limiter: d.limiter,
+		Placement: d.placer, Explainer: explainer{d.relay}, Transport: d.transport,
+	})
+}
+
+// explainer gives the relay's trace events to queries.
+type explainer struct{ relay *relay.Server }
+
+// Explain gives the steps of a request that this VM served.
+func (e explainer) Explain(id string) ([]query.Event, bool) {
+	events, ok := e.relay.Explain(id)
+	out := make([]query.Event, 0, len(events))
+	for _, v := range events {
+		out = append(out, query.Event(v))
+	}
+	return out, ok
+}
+
 // ready tells the balancer whether to send calls here.
 func (d *daemon) ready(w http.ResponseWriter, _ *http.Request) {
 	switch {
