Limiter: full shares take over debits that their overflow would have paid

Change: exact overflow history per bucket; holders of low shares offer settled debits to the others.

--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -26,8 +26,12 @@
 	seq uint64
 }
 
+// maxSettled bounds the parts that are kept after their settlement, to be recovered.
+const maxSettled = 1024
+
 // part is a debit that may still be refunded. room is the least distance between the balance
-// and the cap from this debit to the next one still held, in units.
+// and the cap from this debit to the next one still held, in units. A settled part is kept
+// for a while with the tokens that were used.
 type part struct {
 	order     uint64
 	id        partID
@@ -35,6 +39,7 @@
 	room      int64
 	at        clock.Instant
 	tentative bool
+	settled   bool
 }
 
 // bucket is one exact token bucket. A refund restores the balance that it would have had if
@@ -44,18 +49,19 @@
 	rate  int64
 	burst int64
 	// level is the balance in units as of at.
-	level int64
-	at    clock.Instant
-	// fullSince is when the balance reached the cap, while it is there.
-	fullSince clock.Instant
+	level     int64
+	at        clock.Instant
 	held      []part
+	settled   int
+	overflow  overflow
 	byID      map[partID]uint64
 	nextOrder uint64
 }
 
 // newBucket makes a bucket that is full or empty at now.
 func newBucket(now clock.Instant, l Limit, full bool) *bucket {
-	b := &bucket{rate: l.Rate, burst: l.Burst, at: now, fullSince: now, byID: map[partID]uint64{}}
+	b := &bucket{rate: l.Rate, burst: l.Burst, at: now, byID: map[partID]uint64{}}
+	b.overflow.reset(now)
 	if full {
 		b.level = b.limit()
 	}
@@ -72,18 +78,17 @@
 	if elapsed <= 0 {
 		return
 	}
-	before := b.at
+	before, level := b.at, b.level
+	missing := max(0, b.limit()-level)
 	b.at = now
-	if b.full() {
-		return
-	}
-	missing := b.limit() - b.level
+	full := now
 	if b.rate > 0 && elapsed >= (missing+b.rate-1)/b.rate {
-		b.level = b.limit()
-		b.fullSince = before.Add(time.Duration((missing + b.rate - 1) / b.rate))
+		b.level = max(level, b.limit())
+		full = before.Add(time.Duration((missing + b.rate - 1) / b.rate))
 	} else {
 		b.level += b.rate * elapsed
 	}
+	b.overflow.pass(before, full, now, level, b.rate)
 	b.noteRoom()
 }
 
@@ -113,7 +118,8 @@
 func (b *bucket) debit(now clock.Instant, id partID, tokens int64, tentative bool) {
 	b.advance(now)
 	b.level -= tokens * unit
-	if len(b.held) == maxHeld {
+	b.overflow.lower(now, b.level)
+	for len(b.held) == maxHeld || len(b.held) > 0 && b.held[0].settled && now.Sub(b.held[0].at) > overflowMemory {
 		b.drop(0)
 	}
 	b.nextOrder++
@@ -132,26 +138,33 @@
 func (b *bucket) settle(now clock.Instant, id partID, used int64) bool {
 	b.advance(now)
 	i, ok := b.find(id)
-	if !ok {
+	if !ok || b.held[i].settled {
 		return false
 	}
 	used = min(max(used, 0), b.held[i].tokens)
-	credit := (b.held[i].tokens - used) * unit
-	for k := i; k < len(b.held); k++ {
-		credit = min(credit, b.held[k].room)
-		b.held[k].room -= credit
+	b.refund(i, b.held[i].tokens-used)
+	if used == 0 || b.settled >= maxSettled {
+		b.drop(i)
+		return true
 	}
-	b.credit(now, credit)
-	b.drop(i)
+	b.held[i].settled = true
+	b.settled++
 	return true
 }
 
-func (b *bucket) credit(now clock.Instant, units int64) {
-	wasFull := b.full()
-	b.level += units
-	if b.full() && !wasFull {
-		b.fullSince = now
+// refund takes tokens off a part as if they had never been debited. What would have been
+// above the cap in the meantime counts as overflow.
+func (b *bucket) refund(i int, tokens int64) {
+	b.held[i].tokens -= tokens
+	credit := tokens * unit
+	for k := i; k < len(b.held); k++ {
+		if over := credit - b.held[k].room; over > 0 {
+			b.overflow.add(b.held[k].at, over)
+			credit = b.held[k].room
+		}
+		b.held[k].room -= credit
 	}
+	b.level += credit
 }
 
 // drop forgets a part; the part before it answers for its stretch of time too.
@@ -159,6 +172,9 @@
 	if i > 0 {
 		b.held[i-1].room = min(b.held[i-1].room, b.held[i].room)
 	}
+	if b.held[i].settled {
+		b.settled--
+	}
 	delete(b.byID, b.held[i].id)
 	b.held = slices.Delete(b.held, i, i+1)
 }
@@ -171,7 +187,7 @@
 	b.advance(now)
 	b.rate, b.burst = l.Rate, l.Burst
 	b.level = min(b.level, b.limit())
-	b.fullSince = now
+	b.overflow.reset(now)
 	b.noteRoom()
 }
 
@@ -193,7 +209,7 @@
 		if now.Sub(p.at) > tentativeLimit {
 			return false
 		}
-		if p.tentative {
+		if p.tentative && !p.settled {
 			return true
 		}
 	}
--- a/internal/limiter/handlers.go
+++ b/internal/limiter/handlers.go
@@ -68,9 +68,26 @@
 			return nil, err
 		}
 	}
+	if len(req.Recover) > 0 {
+		return s.serveRecover(ctx, req.Recover)
+	}
 	return s.appliedRecord(req.Version), nil
 }
 
+func (s *Service) serveRecover(ctx context.Context, items []RecoverItem) (*controlReply, error) {
+	call, reply := s.calls.open()
+	defer s.calls.drop(call)
+	if err := s.loop.Put(ctx, RecoverIn{Call: call, Items: items}); err != nil {
+		return nil, err
+	}
+	select {
+	case out := <-reply:
+		return &controlReply{Recovered: out.(RecoveredOut).Tokens}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // putAndWait returns once the machine has taken the input.
 func (s *Service) putAndWait(ctx context.Context, in Input) error {
 	if err := s.loop.Put(ctx, in); err != nil {
--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -58,6 +58,7 @@
 	waiting    []waiter
 	ended      endedParts
 	claims     claims
+	recovery   recovery
 
 	rec        *Record
 	recVersion uint64
@@ -73,7 +74,7 @@
 
 // NewHolder makes the machine of one VM life in a data centre.
 func NewHolder(self ident.VM, dataCentre string) *Holder {
-	return &Holder{self: self, dataCentre: dataCentre, ended: newEndedParts(), claims: newClaims()}
+	return &Holder{self: self, dataCentre: dataCentre, ended: newEndedParts(), claims: newClaims(), recovery: newRecovery()}
 }
 
 // Step implements duty.Machine.
@@ -105,6 +106,10 @@
 		h.claims.acked[in.VM] = max(h.claims.acked[in.VM], in.Version)
 	case StopIn:
 		h.stopping = true
+	case RecoverIn:
+		h.cover(now, in)
+	case RecoveredIn:
+		h.onRecovered(now, in)
 	case StaleIn:
 		if h.claims.stale.due(now, stalePeriod) {
 			h.emit(ReadRecordOut{})
@@ -140,6 +145,9 @@
 		h.applyLimits(now)
 	}
 	h.claim(now)
+	if h.recovery.timer.due(now, recoverPeriod) {
+		h.recover(now)
+	}
 	if h.claims.sweep.due(now, recordPeriod) {
 		h.sweep(now)
 	}
@@ -310,7 +318,7 @@
 				Rate:       b.rate,
 				Burst:      b.burst,
 				Balance:    b.available(now),
-				Held:       len(b.held),
+				Held:       len(b.held) - b.settled,
 			})
 		}
 	}
--- a/internal/limiter/machine.go
+++ b/internal/limiter/machine.go
@@ -40,6 +40,8 @@
 	listPeriod = 2 * time.Second
 	// layoutPeriod is the time between reads of the other data centres' records.
 	layoutPeriod = 30 * time.Second
+	// recoverPeriod is the time between a shard's recover requests.
+	recoverPeriod = 250 * time.Millisecond
 	// rebalanceDelay is how long another VM must have been the preferred holder of a shard
 	// before it gets the shard.
 	rebalanceDelay = 5 * time.Second
@@ -102,6 +104,16 @@
 	StopIn struct{}
 	// StaleIn: a call to a holder of the present record failed.
 	StaleIn struct{}
+	// RecoverIn asks this VM to take over debits that another share made.
+	RecoverIn struct {
+		Call  uint64
+		Items []RecoverItem
+	}
+	// RecoveredIn answers a RecoverOut with the tokens taken over of each item.
+	RecoveredIn struct {
+		Number uint64
+		Tokens []int64
+	}
 	// StatusIn asks for a StatusOut.
 	StatusIn struct{ Call uint64 }
 )
@@ -165,6 +177,18 @@
 		// Leaving is the number of shards that other VMs are to take over.
 		Leaving int
 	}
+	// RecoverOut asks the holder of a shard in another data centre for a RecoveredIn.
+	RecoverOut struct {
+		Number     uint64
+		DataCentre string
+		Shard      int
+		Items      []RecoverItem
+	}
+	// RecoveredOut answers a RecoverIn.
+	RecoveredOut struct {
+		Call   uint64
+		Tokens []int64
+	}
 	// NoticeOut is an event for the log.
 	NoticeOut struct {
 		Event string
--- a/internal/limiter/wire.go
+++ b/internal/limiter/wire.go
@@ -1,6 +1,8 @@
 package limiter
 
 import (
+	"time"
+
 	"github.com/fulmartide/fulmartide/internal/ident"
 )
 
@@ -89,6 +91,8 @@
 	// Record is the record as written, at version Version.
 	Record  []byte
 	Version uint64
+	// Recover asks for overflow of a shard held by the receiver.
+	Recover []RecoverItem
 	// Balances are those of the shards that the sender handed to the receiver.
 	Balances []balance
 }
@@ -101,6 +105,19 @@
 
 	Version uint64
 	Record  []byte
+	// Recovered answers Recover with tokens, item by item.
+	Recovered []int64
+}
+
+// RecoverItem is a debit of Tokens, Age before the message was sent, that the sender's share
+// made and the receiver's share may take over.
+type RecoverItem struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Workspace string
+	Age       time.Duration
+	Tokens    int64
 }
 
 // balance is one bucket in a handover.
--- a/internal/limiter/worker.go
+++ b/internal/limiter/worker.go
@@ -31,34 +31,44 @@
 
 // worker carries out the machine's actions that wait for others.
 type worker struct {
-	s    *Service
-	jobs chan func(context.Context)
+	s *Service
+	// jobs wait for the platform or for control messages, sends only for connections.
+	jobs, sends chan func(context.Context)
 }
 
 func newWorker(s *Service) *worker {
-	return &worker{s: s, jobs: make(chan func(context.Context), jobCapacity)}
+	return &worker{
+		s:     s,
+		jobs:  make(chan func(context.Context), jobCapacity),
+		sends: make(chan func(context.Context), jobCapacity),
+	}
 }
 
 func (w *worker) run(ctx context.Context) {
 	var g errgroup.Group
 	for range workers {
-		g.Go(func() error {
-			for {
-				select {
-				case <-ctx.Done():
-					return nil
-				case job := <-w.jobs:
-					job(ctx)
-				}
-			}
-		})
+		g.Go(func() error { return serveJobs(ctx, w.jobs) })
+		g.Go(func() error { return serveJobs(ctx, w.sends) })
 	}
 	_ = g.Wait()
 }
 
-func (w *worker) do(job func(context.Context)) {
+func serveJobs(ctx context.Context, jobs <-chan func(context.Context)) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case job := <-jobs:
+			job(ctx)
+		}
+	}
+}
+
+func (w *worker) do(job func(context.Context)) { w.offer(w.jobs, job) }
+
+func (w *worker) offer(to chan<- func(context.Context), job func(context.Context)) {
 	select {
-	case w.jobs <- job:
+	case to <- job:
 	default:
 		w.s.opts.Log.Warn("limiter", zap.String("event", "job dropped"))
 	}
@@ -90,6 +100,10 @@
 		w.do(func(ctx context.Context) { w.askPeers(ctx, a.Verify) })
 	case AnnounceOut:
 		w.do(func(ctx context.Context) { w.announce(ctx, a) })
+	case RecoveredOut:
+		s.calls.answer(a.Call, a)
+	case RecoverOut:
+		w.offer(w.sends, func(ctx context.Context) { w.recover(ctx, a) })
 	case HandoverOut:
 		w.do(func(ctx context.Context) { w.handover(ctx, a) })
 	}
@@ -211,6 +225,23 @@
 	}
 }
 
+// recover asks another data centre's holder to take over debits; a failure loses nothing.
+func (w *worker) recover(ctx context.Context, a RecoverOut) {
+	holder, ok := w.s.records.holder(ctx, a.DataCentre, a.Shard)
+	if !ok {
+		return
+	}
+	m, ok := w.s.member(holder)
+	if !ok {
+		w.s.renew(a.DataCentre)
+		return
+	}
+	reply, err := w.s.control(ctx, m, &controlRequest{DataCentre: a.DataCentre, Recover: a.Items})
+	if err == nil {
+		w.put(ctx, RecoveredIn{Number: a.Number, Tokens: reply.Recovered})
+	}
+}
+
 // control sends one control message and waits for its reply.
 func (s *Service) control(ctx context.Context, to membership.Member, req *controlRequest) (*controlReply, error) {
 	call, cancel := context.WithTimeout(ctx, controlTimeout)
@@ -224,7 +255,7 @@
 		s.loop.Offer(SettleIn{From: to, Batch: b})
 		return
 	}
-	s.worker.do(func(ctx context.Context) {
+	s.worker.offer(s.worker.sends, func(ctx context.Context) {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		if m, ok := s.member(to); ok {
--- /dev/null
+++ b/test/cmd/limitermeasure/arrivals.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/limiter"
+	"github.com/fulmartide/fulmartide/test/cmd/limitermeasure/fleet"
+)
+
+const (
+	workspaces = 5
+	rate       = 20000
+	burst      = 100000
+	warmUp     = 10 * time.Second
+	listLag    = 5 * time.Second
+)
+
+// pattern says which VM gets the next arrival.
+type pattern struct {
+	name string
+	pick func(rng *rand.Rand, now time.Duration, vms []string) string
+	// kill is the VM that is killed at a third of the run and replaced at two thirds.
+	kill bool
+}
+
+func uniform(rng *rand.Rand, _ time.Duration, vms []string) string { return vms[rng.IntN(len(vms))] }
+
+func skewed(rng *rand.Rand, _ time.Duration, vms []string) string {
+	if rng.IntN(100) < 80 {
+		return vms[0]
+	}
+	return vms[rng.IntN(len(vms))]
+}
+
+func moving(rng *rand.Rand, now time.Duration, vms []string) string {
+	if rng.IntN(100) < 80 {
+		return vms[int(now/(5*time.Second))%len(vms)]
+	}
+	return vms[rng.IntN(len(vms))]
+}
+
+var patterns = []pattern{
+	{name: "uniform", pick: uniform},
+	{name: "80% at one", pick: skewed},
+	{name: "moving", pick: moving},
+	{name: "VM killed", pick: uniform, kill: true},
+}
+
+func plans() configuration.Document {
+	doc := configuration.Document{
+		DataCentres: map[string]configuration.DataCentre{},
+		Plans:       map[string]configuration.Plan{"p": {TokensPerSecond: rate, BurstTokens: burst}},
+		Workspaces:  map[string]configuration.Workspace{},
+	}
+	for i := range workspaces {
+		doc.Workspaces[fmt.Sprintf("ws-%d", i)] = configuration.Workspace{Plan: "p"}
+	}
+	return doc
+}
+
+// small is the layout of a small site: 6 VMs in 4 data centres of one region.
+func small(seed uint64, policy string) *fleet.Fleet {
+	doc := plans()
+	vms := map[string][]string{
+		"lisboa-a": {"la-1", "la-2"},
+		"lisboa-b": {"lb-1", "lb-2"},
+		"porto-a":  {"pa-1"},
+		"coimbra":  {"ca-1"},
+	}
+	for dc := range vms {
+		doc.DataCentres[dc] = configuration.DataCentre{Region: "pt-centro", ShareWeight: 1}
+	}
+	f := fleet.New(fleet.Options{
+		Seed: seed, Policy: policy, Document: doc, VMs: vms,
+		Far: 15 * time.Millisecond, Near: time.Millisecond, Local: 100 * time.Microsecond,
+	})
+	f.Run(warmUp)
+	return f
+}
+
+// drive sends Poisson arrivals of all workspaces, whose used tokens come to load × rate.
+func drive(f *fleet.Fleet, p pattern, load float64, o options) {
+	rng := rand.New(rand.NewPCG(o.Seed, 2))
+	vms := f.Names()
+	start := f.Now
+	if p.kill {
+		f.After(o.Length/3, func() { f.Kill("la-1", listLag) })
+		f.After(o.Length*2/3, func() { f.Start("la-1", "lisboa-a") })
+	}
+	meanUsed := float64(meanTokens) * 0.65
+	gap := meanUsed / (load * rate * workspaces) * float64(time.Second)
+	for f.Now.Sub(start) < o.Length {
+		f.Run(time.Duration(rng.ExpFloat64() * gap))
+		f.Arrive(arrival(rng, p, f.Now.Sub(start), vms))
+	}
+	f.Run(30 * time.Second)
+}
+
+// Sizes of requests in tokens.
+const (
+	smallRequest = 200
+	largeRequest = 8000
+	meanTokens   = 2114
+)
+
+// arrival makes one request with a size between smallRequest and largeRequest, uniform in
+// its logarithm.
+func arrival(rng *rand.Rand, p pattern, now time.Duration, vms []string) fleet.Request {
+	tokens := size(rng)
+	return fleet.Request{
+		Workspace: fmt.Sprintf("ws-%d", rng.IntN(workspaces)),
+		VM:        p.pick(rng, now, vms),
+		Tokens:    tokens,
+		Used:      int64(float64(tokens) * (0.3 + 0.7*rng.Float64())),
+		Length:    200*time.Millisecond + time.Duration(rng.Int64N(int64(10*time.Second))),
+	}
+}
+
+// large runs the machines at the size of a large fleet and prints what each VM sends.
+func large(o options) int64 {
+	const dataCentres, vmsEach, spaces, perSecond = 8, 50, 680, 5800
+	doc := configuration.Document{
+		DataCentres: map[string]configuration.DataCentre{},
+		Plans:       map[string]configuration.Plan{"p": {TokensPerSecond: rate, BurstTokens: burst}},
+		Workspaces:  map[string]configuration.Workspace{},
+	}
+	vms := map[string][]string{}
+	for d := range dataCentres {
+		dc := fmt.Sprintf("dc-%d", d)
+		doc.DataCentres[dc] = configuration.DataCentre{Region: fmt.Sprintf("region-%d", d%3), ShareWeight: 1}
+		for v := range vmsEach {
+			vms[dc] = append(vms[dc], fmt.Sprintf("%s-%02d", dc, v))
+		}
+	}
+	for i := range spaces {
+		doc.Workspaces[fmt.Sprintf("workspace-%03d", i)] = configuration.Workspace{Plan: "p"}
+	}
+	f := fleet.New(fleet.Options{
+		Seed: o.Seed, Policy: limiter.PolicyPooled, Document: doc, VMs: vms,
+		Far: 15 * time.Millisecond, Near: time.Millisecond, Local: 100 * time.Microsecond,
+	})
+	f.Run(warmUp)
+	f.Traffic = fleet.Traffic{}
+	reads, writes := f.Platform.Reads, f.Platform.Writes
+	rng := rand.New(rand.NewPCG(o.Seed, 3))
+	names := f.Names()
+	var start clock.Instant = f.Now
+	for f.Now.Sub(start) < o.LargeIn {
+		f.Run(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
+		r := arrival(rng, patterns[0], 0, names)
+		r.Workspace = fmt.Sprintf("workspace-%03d", rng.IntN(spaces))
+		f.Arrive(r)
+	}
+	length := f.Now.Sub(start).Seconds()
+	printLarge(f, length, dataCentres*vmsEach, f.Platform.Reads-reads, f.Platform.Writes-writes)
+	return sum(f).overspend
+}
+
+func size(rng *rand.Rand) int64 {
+	n := int64(smallRequest)
+	for limit := rng.Float64(); n < largeRequest; n = n * 21 / 20 {
+		if limit -= 1.0 / 76; limit < 0 {
+			break
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/test/cmd/limitermeasure/bytes.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/test/cmd/limitermeasure/fleet"
+)
+
+// frameBytes gives what the transport adds to the body of a call, a reply and a one-way
+// message, measured on a connection.
+func frameBytes() (call, reply, oneWay int) {
+	var mu sync.Mutex
+	sent := map[peer.Kind]int{}
+	arrived := make(chan struct{}, 1)
+	count := func(out bool, k peer.Kind, n int) {
+		mu.Lock()
+		defer mu.Unlock()
+		if out && k != 0 {
+			sent[k] += n
+		}
+	}
+	server := peer.New(peer.Options{Self: ident.VM{Name: "server", Incarnation: 1 << 60}, Counter: func(out bool, k peer.Kind, n int) {
+		if out {
+			count(true, k+100, n)
+		}
+	}})
+	client := peer.New(peer.Options{Self: ident.VM{Name: "client", Incarnation: 1 << 60}, Counter: count})
+	defer server.Close()
+	defer client.Close()
+	body := []byte{0xc0}
+	server.Handle(peer.KindLimiterReserve, func(context.Context, ident.VM, []byte) ([]byte, error) { return body, nil })
+	server.Handle(peer.KindLimiterSettle, func(context.Context, ident.VM, []byte) ([]byte, error) {
+		arrived <- struct{}{}
+		return nil, nil
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	go func() { _ = server.Serve(ln) }()
+	addr := netip.MustParseAddrPort(ln.Addr().String())
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if _, err := client.Call(ctx, addr, peer.KindLimiterReserve, body); err != nil {
+		panic(err)
+	}
+	if err := client.Send(ctx, addr, peer.KindLimiterSettle, body); err != nil {
+		panic(err)
+	}
+	<-arrived
+	mu.Lock()
+	defer mu.Unlock()
+	return sent[peer.KindLimiterReserve] - len(body), sent[peer.KindLimiterReserve+100] - len(body), sent[peer.KindLimiterSettle] - len(body)
+}
+
+func printLarge(f *fleet.Fleet, seconds float64, vms, reads, writes int) {
+	call, reply, oneWay := frameBytes()
+	r := sum(f)
+	frame := map[fleet.Kind]int{fleet.Reserve: call, fleet.Reply: reply, fleet.Settle: oneWay, fleet.Control: call, fleet.Recover: call}
+	names := map[fleet.Kind]string{fleet.Reserve: "reserve", fleet.Reply: "reply", fleet.Settle: "settle", fleet.Control: "control", fleet.Recover: "recover"}
+	fmt.Printf("\nlarge fleet: %d VMs, %.0f requests/s, wrongful %d of %d, asks/req %.2f, p50 %v, p99 %v\n", vms, float64(r.requests)/seconds,
+		r.wrongful, r.requests, r.per(r.asks), r.quantile(0.5), r.quantile(0.99))
+	total := 0.0
+	for k := fleet.Reserve; k <= fleet.Recover; k++ {
+		n, body := f.Traffic.Messages[k], f.Traffic.Bytes[k]
+		perVM := float64(body+n*frame[k]) / seconds / float64(vms)
+		total += perVM
+		fmt.Printf("%-8s %6.2f messages/s a VM, body %5.1f B, frame %d B, sent %7.1f B/s a VM\n", names[k],
+			float64(n)/seconds/float64(vms), float64(body)/float64(max(1, n)), frame[k], perVM)
+	}
+	fmt.Printf("all      %.0f B/s a VM sent, %.1f B a request; platform %.1f reads/s, %.1f writes/s for the fleet\n",
+		total, total*float64(vms)*seconds/float64(r.requests), float64(reads)/seconds, float64(writes)/seconds)
+}
--- a/test/cmd/limitermeasure/fleet/fleet.go
+++ b/test/cmd/limitermeasure/fleet/fleet.go
@@ -329,3 +329,6 @@
 
 // Names gives the VMs that were started and not replaced.
 func (f *Fleet) Names() []string { return sortedNames(f.nodes) }
+
+// After runs something later.
+func (f *Fleet) After(d time.Duration, run func()) { f.after(d, run) }
--- a/test/cmd/limitermeasure/fleet/judge.go
+++ b/test/cmd/limitermeasure/fleet/judge.go
@@ -19,6 +19,7 @@
 	Reply
 	Settle
 	Control
+	Recover
 	kinds
 )
 
--- a/test/cmd/limitermeasure/fleet/node.go
+++ b/test/cmd/limitermeasure/fleet/node.go
@@ -23,6 +23,7 @@
 	asked    map[string]bool
 	seq      uint64
 	calls    map[uint64]func(limiter.ReserveReply)
+	recovers map[uint64]func([]int64)
 	nextCall uint64
 	queue    map[ident.VM][]limiter.Settlement
 	view     *membership.View
@@ -45,6 +46,7 @@
 		versions: map[string]uint64{},
 		asked:    map[string]bool{},
 		calls:    map[uint64]func(limiter.ReserveReply){},
+		recovers: map[uint64]func([]int64){},
 		queue:    map[ident.VM][]limiter.Settlement{},
 		local:    map[string]*replay{},
 	}
@@ -114,7 +116,7 @@
 		n.platform(func() func() {
 			r, version := f.Platform.get(limiter.RecordName(n.self.DataCentre))
 			return func() { n.step(limiter.RecordIn{Record: r, Version: version, Verify: a.Verify}) }
-		}, func() { n.step(limiter.ReadFailedIn{Verify: a.Verify}) })
+		}, func() { n.step(limiter.ReadFailedIn(a)) })
 	case limiter.WriteRecordOut:
 		n.writeRecord(a)
 	case limiter.ReadListOut:
@@ -133,6 +135,13 @@
 		for _, vm := range a.To {
 			n.announce(vm, a)
 		}
+	case limiter.RecoveredOut:
+		if call := n.recovers[a.Call]; call != nil {
+			delete(n.recovers, a.Call)
+			call(a.Tokens)
+		}
+	case limiter.RecoverOut:
+		n.recover(a)
 	case limiter.HandoverOut:
 		n.toLife(a.To, Control, a.Balances, func(to *node) { to.step(limiter.HandoverIn{Balances: a.Balances}) })
 	case limiter.ForwardOut:
@@ -222,6 +231,23 @@
 	})
 }
 
+// recover carries a request for overflow to a holder and its answer back.
+func (n *node) recover(a limiter.RecoverOut) {
+	vm, ok := n.holder(a.DataCentre, a.Shard)
+	if !ok {
+		return
+	}
+	n.toLife(vm, Recover, a.Items, func(to *node) {
+		to.nextCall++
+		to.recovers[to.nextCall] = func(tokens []int64) {
+			to.toLife(n.self.VM, Recover, tokens, func(back *node) {
+				back.step(limiter.RecoveredIn{Number: a.Number, Tokens: tokens})
+			})
+		}
+		to.step(limiter.RecoverIn{Call: to.nextCall, Items: a.Items})
+	})
+}
+
 // life finds one VM life.
 func (f *Fleet) lifeOf(vm ident.VM) *node {
 	if n := f.nodes[vm.Name]; n != nil && n.self.VM == vm {
--- /dev/null
+++ b/test/cmd/limitermeasure/main.go
@@ -0,0 +1,90 @@
+// Command limitermeasure compares the limiter's policies on seeded arrivals, and works out
+// messages and bytes at the size of a large fleet. Overspend must be 0 for pooled.
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/fulmartide/fulmartide/internal/limiter"
+	"github.com/fulmartide/fulmartide/test/cmd/limitermeasure/fleet"
+)
+
+type options struct {
+	Seed    uint64        `help:"Seed of arrivals, delays and faults." default:"1"`
+	Length  time.Duration `help:"Simulated time of each scenario." default:"60s"`
+	Large   bool          `help:"Also run the large fleet: 400 VMs, 680 workspaces, 5,800 requests a second." default:"true" negatable:""`
+	LargeIn time.Duration `name:"large-length" help:"Simulated time of the large fleet." default:"5s"`
+}
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Description("Measures the limiter's policies; prints trials of the pure machines under simulated time."))
+	overspent := compare(o)
+	if o.Large {
+		overspent += large(o)
+	}
+	if overspent > 0 {
+		fmt.Println("FAIL: pooled overspent by", overspent, "tokens")
+		os.Exit(1)
+	}
+}
+
+func compare(o options) (overspent int64) {
+	fmt.Printf("seed %d, %v each, 6 VMs in 4 data centres, 5 workspaces of 20000 tokens/s with burst 100000\n", o.Seed, o.Length)
+	fmt.Println("arrivals     load  policy  requests  refused  wrongful  overspend  asks/req  msgs/req  body B/req  p50      p99")
+	for _, p := range patterns {
+		for _, load := range []float64{0.7, 0.95, 1.5} {
+			for _, policy := range []string{limiter.PolicyPooled, limiter.PolicyStatic, limiter.PolicyHome} {
+				f := small(o.Seed, policy)
+				drive(f, p, load, o)
+				r := sum(f)
+				if policy == limiter.PolicyPooled {
+					overspent += r.overspend
+				}
+				fmt.Printf("%-12s %.2f  %-6s  %8d  %7d  %8d  %9d  %8.2f  %8.2f  %10.1f  %-7v  %v\n", p.name, load, policy,
+					r.requests, r.refused, r.wrongful, r.overspend, r.per(r.asks), r.per(r.messages), r.per(r.bytes),
+					r.quantile(0.5), r.quantile(0.99))
+			}
+		}
+	}
+	return overspent
+}
+
+// result sums up the judges of one run.
+type result struct {
+	requests, refused, wrongful, asks, messages, bytes int
+	overspend                                          int64
+	latency                                            []time.Duration
+}
+
+func sum(f *fleet.Fleet) result {
+	var r result
+	for _, j := range f.Judges {
+		r.requests += j.Admitted + j.Refused
+		r.refused += j.Refused
+		r.wrongful += j.Wrongful
+		r.asks += j.Asks
+		r.overspend += j.Overspend()
+		r.latency = append(r.latency, j.Latency...)
+	}
+	for k := range f.Traffic.Messages {
+		r.messages += f.Traffic.Messages[k]
+		r.bytes += f.Traffic.Bytes[k]
+	}
+	slices.Sort(r.latency)
+	return r
+}
+
+func (r result) per(n int) float64 { return float64(n) / float64(max(1, r.requests)) }
+
+func (r result) quantile(q float64) time.Duration {
+	if len(r.latency) == 0 {
+		return 0
+	}
+	return r.latency[int(q*float64(len(r.latency)-1))].Round(10 * time.Microsecond)
+}
