Limiter: fleets begin with full shares; tests for lost holders, weights, removal and gatherers

Cause: shares began empty on a fleet's first start, since the first layout gave nothing; found by the test that empties all shares. Change: an object that never changes holds the layout the fleet began with; its data centres begin full, later ones by the growth rule. Former holders are told of a takeover too.

--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -157,12 +157,18 @@
 func (b *bucket) refund(i int, tokens int64) {
 	b.held[i].tokens -= tokens
 	credit := tokens * unit
+	first := slotOf(b.held[i].at) + 1
 	for k := i; k < len(b.held); k++ {
 		if over := credit - b.held[k].room; over > 0 {
 			b.overflow.add(b.held[k].at, over)
 			credit = b.held[k].room
 		}
 		b.held[k].room -= credit
+		last := slotOf(b.at)
+		if k+1 < len(b.held) {
+			last = slotOf(b.held[k+1].at) - 1
+		}
+		b.overflow.raise(max(first, slotOf(b.held[k].at)), last, credit)
 	}
 	b.level += credit
 }
--- a/internal/limiter/bucket_test.go
+++ b/internal/limiter/bucket_test.go
@@ -158,3 +158,54 @@
 		t.Fatal("ended parts are not the newest ones")
 	}
 }
+
+// TestOverflowCoversOnlyWhatItPaidFor moves debits between two buckets and checks the used
+// tokens of both together against the sum of their limits.
+func TestOverflowCoversOnlyWhatItPaidFor(t *testing.T) {
+	covered := int64(0)
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limit{Rate: rapid.Int64Range(1, 60).Draw(t, "rate"), Burst: rapid.Int64Range(1, 40).Draw(t, "burst")}
+		buckets := []*bucket{newBucket(0, l, true), newBucket(0, l, true)}
+		now := clock.Instant(2 * recoverTransit)
+		var uses []use
+		open := map[uint64]int{}
+		owner := map[uint64]int{}
+		for n := range rapid.IntRange(10, 80).Draw(t, "steps") {
+			now += clock.Instant(rapid.Int64Range(0, int64(300*time.Millisecond)).Draw(t, "dt"))
+			k := rapid.IntRange(0, 1).Draw(t, "bucket")
+			b, other := buckets[k], buckets[1-k]
+			switch op := rapid.IntRange(0, 3).Draw(t, "op"); {
+			case op < 2 && b.available(now) > 0:
+				tokens := b.available(now)
+				if op == 1 {
+					tokens = rapid.Int64Range(1, tokens).Draw(t, "tokens")
+				}
+				b.debit(now, partID{seq: uint64(n)}, tokens, false)
+				open[uint64(n)], owner[uint64(n)] = len(uses), k
+				uses = append(uses, use{at: now, used: tokens})
+			case op == 2 && len(open) > 0:
+				seq := rapid.SampledFrom(sorted(open)).Draw(t, "settle")
+				u := &uses[open[seq]]
+				u.used = rapid.Int64Range(0, u.used).Draw(t, "used")
+				buckets[owner[seq]].settle(now, partID{seq: seq}, u.used)
+				delete(open, seq)
+			case op == 3:
+				var o offer
+				b.offer(now, "w", &o)
+				transit := time.Duration(rapid.Int64Range(0, int64(recoverTransit)).Draw(t, "transit"))
+				late := now.Add(transit)
+				other.advance(late)
+				for i, item := range o.items {
+					got := other.overflow.cover(late, late.Add(-item.Age), item.Tokens)
+					b.recovered(late, o.ids[i], got)
+					covered += got
+				}
+				now = late
+			}
+		}
+		checkWindows(t, uses, Limit{Rate: 2 * l.Rate, Burst: 2 * l.Burst})
+	})
+	if covered == 0 {
+		t.Fatal("no debit was ever covered")
+	}
+}
--- a/internal/limiter/claims.go
+++ b/internal/limiter/claims.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -11,9 +12,11 @@
 
 // claims is the part of a holder that deals with the record of its data centre.
 type claims struct {
-	verify, read, stale, list, others, write, announce, sweep timer
+	verify, read, readFirst, stale, list, others, write, announce, sweep timer
 
 	missing bool
+	// first is the layout that the fleet began with.
+	first *Layout
 	// pending is the record of a write without a known outcome.
 	pending   *Record
 	ifVersion uint64
@@ -69,7 +72,7 @@
 	coordinator := h.coordinates()
 	switch {
 	case h.rec == nil:
-		if coordinator && h.claims.missing {
+		if coordinator && h.claims.missing && h.knowsFirst(now) {
 			h.write(now, h.firstRecord())
 		}
 	case coordinator && h.takeOver(now):
@@ -94,18 +97,31 @@
 	return m.VM, ok
 }
 
-// firstRecord names the first holders. Its first layout gives nothing, so nothing is
-// granted before the other data centres are seen to keep within the second.
+// knowsFirst reports whether the fleet's first layout is known, and else asks for it.
+func (h *Holder) knowsFirst(now clock.Instant) bool {
+	if h.claims.first == nil && h.claims.readFirst.due(now, retryPeriod) {
+		doc := &h.snapshot.Document
+		h.emit(FirstLayoutOut{Layout: Layout{Version: uint64(h.snapshot.Version), Weights: WeightsOf(doc), Confirmed: true}})
+	}
+	return h.claims.first != nil
+}
+
+// firstRecord names the first holders. In a data centre that the fleet did not begin with,
+// the first layout gives nothing, and nothing is granted before the others are seen to keep
+// within the second.
 func (h *Holder) firstRecord() *Record {
-	r := &Record{Shards: make([]holding, Shards)}
+	r := &Record{Shards: make([]holding, Shards), Layouts: []Layout{*h.claims.first}}
+	how := startFull
+	if h.claims.first.Weights[h.dataCentre] == 0 {
+		how = startEmpty
+		r.Layouts = []Layout{
+			{Weights: Weights{}, Confirmed: true},
+			{Version: uint64(h.snapshot.Version), Weights: WeightsOf(&h.snapshot.Document), Confirmed: true},
+		}
+	}
 	for i := range r.Shards {
 		vm, _ := h.preferredHolder(i)
-		r.Shards[i] = holding{VM: vm, Term: 1, Start: startFull}
-	}
-	doc := &h.snapshot.Document
-	r.Layouts = []layout{
-		{Weights: Weights{}, Confirmed: true},
-		{Version: uint64(h.snapshot.Version), Weights: WeightsOf(doc), Confirmed: true},
+		r.Shards[i] = holding{VM: vm, Term: 1, Start: how}
 	}
 	return r
 }
@@ -231,23 +247,33 @@
 	}
 	switch in.Outcome {
 	case WriteDone:
-		r := h.claims.pending
+		r, former := h.claims.pending, h.rec
 		h.applyRecord(now, r, in.Version)
-		h.emit(AnnounceOut{Record: r, Version: in.Version, To: h.neighbours()})
+		h.emit(AnnounceOut{Record: r, Version: in.Version, To: h.listeners(former)})
 	case WriteConflict:
 		h.emit(ReadRecordOut{})
 	case WriteUnknown:
 	}
 }
 
-// neighbours gives the other VMs of this data centre that may listen.
-func (h *Holder) neighbours() []ident.VM {
+// listeners gives the other VMs of this data centre that may listen, and the former holders
+// that the record does not name any more, in case one still runs.
+func (h *Holder) listeners(former *Record) []ident.VM {
 	var out []ident.VM
 	for _, m := range h.view.Members {
 		if m.DataCentre == h.dataCentre && m.VM != h.self && m.State != membership.Gone {
 			out = append(out, m.VM)
 		}
 	}
+	if former == nil {
+		return out
+	}
+	now := h.rec.holders()
+	for _, vm := range former.holders() {
+		if vm != h.self && !slices.Contains(now, vm) && !slices.Contains(out, vm) {
+			out = append(out, vm)
+		}
+	}
 	return out
 }
 
--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -102,7 +102,11 @@
 			},
 			"pause": func(t *rapid.T) {
 				lag := rapid.SampledFrom([]int{0, 1000, 3000}).Draw(t, "lag")
-				f.Pause(vms.Draw(t, "vm"), pause(100, 30000), time.Duration(lag)*time.Millisecond)
+				length := pause(100, 30000)
+				if lag > 0 {
+					length += limiter.PauseLimit // what the list drops does not come back sooner
+				}
+				f.Pause(vms.Draw(t, "vm"), length, time.Duration(lag)*time.Millisecond)
 			},
 			"stop": func(t *rapid.T) { f.Stop(vms.Draw(t, "vm"), 10*time.Second) },
 			"cut": func(t *rapid.T) {
@@ -149,3 +153,153 @@
 		}
 	})
 }
+
+// drain sends requests of one token to a VM until 20 in a row are refused, a request each
+// millisecond, and gives the number admitted.
+func drain(f *fleet.Fleet, vm string) int {
+	admitted, refused := 0, 0
+	for range 600 {
+		f.Arrive(fleet.Request{Workspace: "w", VM: vm, Tokens: 1, Used: 1, Length: 10 * time.Millisecond, Done: func(ok bool) {
+			if ok {
+				admitted++
+				refused = 0
+			} else {
+				refused++
+			}
+		}})
+		if f.Run(time.Millisecond); refused >= 20 {
+			break
+		}
+	}
+	f.Run(time.Second)
+	return admitted
+}
+
+// TestLosingAHolder empties all shares, changes the holder of a share in some way, and
+// empties them again: the share comes back, and no token of the plan twice.
+func TestLosingAHolder(t *testing.T) {
+	const rate, burst = 30, 600
+	plan := configuration.Plan{TokensPerSecond: rate, BurstTokens: burst}
+	tests := map[string]func(f *fleet.Fleet, holder string){
+		"killed": func(f *fleet.Fleet, holder string) {
+			f.Kill(holder, time.Second)
+			f.Run(8 * time.Second)
+		},
+		"restarted": func(f *fleet.Fleet, holder string) {
+			f.Kill(holder, time.Hour)
+			f.Run(100 * time.Millisecond)
+			f.Start(holder, "a")
+			f.Run(8 * time.Second)
+		},
+		"stopped": func(f *fleet.Fleet, holder string) {
+			f.Stop(holder, 2*time.Second)
+			drain(f, holder)
+			f.Run(8 * time.Second)
+		},
+		"paused and replaced": func(f *fleet.Fleet, holder string) {
+			f.Pause(holder, 30*time.Second, time.Second)
+			f.Run(28 * time.Second)
+			drain(f, "b1")
+			f.Run(30*time.Second - 29*time.Second)
+		},
+		"paused and replaced, platform away at the end": func(f *fleet.Fleet, holder string) {
+			f.Pause(holder, 30*time.Second, time.Second)
+			f.Run(28 * time.Second)
+			drain(f, "b1")
+			f.Platform.Away = true
+			f.Run(2 * time.Second)
+		},
+		"paused and not replaced": func(f *fleet.Fleet, holder string) {
+			f.Pause(holder, 6*time.Second, 0)
+			f.Run(8 * time.Second)
+		},
+		"paused and not replaced, platform away": func(f *fleet.Fleet, holder string) {
+			f.Platform.Away = true
+			f.Pause(holder, 6*time.Second, 0)
+			f.Run(10 * time.Second)
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(1, document(plan, 1, 1, 1), fleet.Faults{})
+			if n := drain(f, "b1"); n < burst {
+				t.Fatalf("%d tokens admitted of a burst of %d", n, burst)
+			}
+			holder := f.Holder("a", "w")
+			change(f, holder)
+			drain(f, holder)
+			for _, vm := range f.Names() {
+				drain(f, vm)
+			}
+			if over := f.Judge("w").Overspend(); over > 0 {
+				t.Errorf("%d tokens over the plan", over)
+			}
+			f.Run(time.Minute)
+			if n := drain(f, "b1"); n < burst {
+				t.Errorf("after the change only %d tokens of %d came back", n, burst)
+			}
+		})
+	}
+}
+
+// TestChangingWeightsNeverAddsUpToMore empties the shares while data centres learn of new
+// weights at different times, one of them cut off.
+func TestChangingWeightsNeverAddsUpToMore(t *testing.T) {
+	plan := configuration.Plan{TokensPerSecond: 60, BurstTokens: 600}
+	f := newFleet(2, document(plan, 1, 1, 8), fleet.Faults{})
+	drain(f, "a1")
+	for i, weights := range [][]int{{8, 1, 1}, {1, 8, 1}, {8, 1, 1}, {1, 1, 8}} {
+		f.Cut("c", i%2 == 0)
+		f.Configure(document(plan, weights...))
+		for _, vm := range []string{"a1", "b1", "c1", "a1", "b1", "c1"} {
+			drain(f, vm)
+		}
+		f.Run(20 * time.Second)
+	}
+	f.Cut("c", false)
+	f.Run(time.Minute)
+	if over := f.Judge("w").Overspend(); over > 0 {
+		t.Errorf("%d tokens over the plan", over)
+	}
+	if n := drain(f, "a1"); n < 600 {
+		t.Errorf("only %d tokens of 600 are there in the end", n)
+	}
+}
+
+// TestRemovingAWorkspaceGainsNothing removes and adds a workspace whose shares are empty.
+func TestRemovingAWorkspaceGainsNothing(t *testing.T) {
+	plan := configuration.Plan{TokensPerSecond: 1, BurstTokens: 300}
+	f := newFleet(3, document(plan, 1, 1, 1), fleet.Faults{})
+	drain(f, "a1")
+	gone := document(plan, 1, 1, 1)
+	gone.Workspaces = nil
+	for _, doc := range []configuration.Document{gone, document(plan, 1, 1, 1)} {
+		f.Configure(doc)
+		f.Run(20 * time.Second)
+	}
+	if n := drain(f, "a1"); n > 60 {
+		t.Fatalf("%d tokens admitted after the workspace came back", n)
+	}
+}
+
+// TestTwoGatherersDoNotRefuseEachOther: two requests that each need parts of several shares
+// arrive at once; one bucket would admit one of them, so one must be admitted.
+func TestTwoGatherersDoNotRefuseEachOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plan := configuration.Plan{TokensPerSecond: 1, BurstTokens: 90}
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), document(plan, 1, 1, 1), fleet.Faults{})
+		admitted := 0
+		for _, vm := range []string{"a1", "b1", "c1"}[:rapid.IntRange(2, 3).Draw(t, "requests")] {
+			f.Arrive(fleet.Request{Workspace: "w", VM: vm, Tokens: 60, Used: 60, Length: time.Second, Done: func(ok bool) {
+				if ok {
+					admitted++
+				}
+			}})
+			f.Run(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+		}
+		f.Run(3 * time.Second)
+		if admitted != 1 {
+			t.Fatalf("%d requests of 60 tokens admitted of a burst of 90", admitted)
+		}
+	})
+}
--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -100,6 +100,8 @@
 		h.onList(now, in)
 	case OthersIn:
 		h.onOthers(in)
+	case FirstLayoutIn:
+		h.claims.first = &in.Layout
 	case HandoverIn:
 		h.onHandover(now, in)
 	case AckIn:
--- a/internal/limiter/layouts.go
+++ b/internal/limiter/layouts.go
@@ -24,12 +24,12 @@
 	switch {
 	case version > newest.Version && !maps.Equal(weights, newest.Weights):
 		next := h.rec.clone()
-		next.Layouts = append(next.Layouts, layout{Version: version, Weights: weights})
+		next.Layouts = append(next.Layouts, Layout{Version: version, Weights: weights})
 		h.write(now, next)
 	case !newest.Confirmed:
 		h.confirmLayout(now)
 	default:
-		if h.claims.others.due(now, h.othersPeriod()) {
+		if h.knowsFirst(now) && h.claims.others.due(now, h.othersPeriod()) {
 			h.emit(ReadOthersOut{Version: h.recVersion})
 		}
 	}
@@ -64,7 +64,7 @@
 // onOthers drops the older layouts once all other data centres keep within the newest, or
 // renews the newest one's version for a data centre that waits for it.
 func (h *Holder) onOthers(in OthersIn) {
-	if in.Version != h.recVersion || h.rec == nil || h.claims.pending != nil || !h.coordinates() {
+	if h.claims.first == nil || in.Version != h.recVersion || h.rec == nil || h.claims.pending != nil || !h.coordinates() {
 		return
 	}
 	newest := *h.rec.newest()
@@ -76,12 +76,16 @@
 		agreed = agreed && other.admits(newest)
 		settled = settled && other.settled(newest)
 	}
+	for dc := range h.claims.first.Weights {
+		absent := dc != h.dataCentre && in.Records[dc] == nil
+		agreed, settled = agreed && !absent, settled && !absent
+	}
 	next := h.rec.clone()
 	version := uint64(h.snapshot.Version)
 	current := maps.Equal(newest.Weights, WeightsOf(&h.snapshot.Document))
 	switch {
 	case len(next.Layouts) > 1 && agreed:
-		next.Layouts = []layout{newest}
+		next.Layouts = []Layout{newest}
 	case !settled && current && version > newest.Version:
 		next.newest().Version = version
 	default:
--- a/internal/limiter/machine.go
+++ b/internal/limiter/machine.go
@@ -93,6 +93,8 @@
 		Records map[string]*Record
 		Version uint64
 	}
+	// FirstLayoutIn is the layout that the fleet began with.
+	FirstLayoutIn struct{ Layout Layout }
 	// HandoverIn brings the balances of shards handed over.
 	HandoverIn struct{ Balances []balance }
 	// AckIn: a VM applies the record of a version.
@@ -149,6 +151,8 @@
 	ReadListOut struct{}
 	// ReadOthersOut asks for an OthersIn.
 	ReadOthersOut struct{ Version uint64 }
+	// FirstLayoutOut asks for a FirstLayoutIn; Layout is stored if there is none yet.
+	FirstLayoutOut struct{ Layout Layout }
 	// AnnounceOut pushes the record to VMs of the data centre; ackIns follow.
 	AnnounceOut struct {
 		Record  *Record
--- a/internal/limiter/overflow.go
+++ b/internal/limiter/overflow.go
@@ -8,11 +8,11 @@
 
 const (
 	// overflowSlot is the time that one slot of an overflow history covers.
-	overflowSlot = 500 * time.Millisecond
+	overflowSlot = 64 * time.Millisecond
 	// overflowSlots is the number of slots kept.
-	overflowSlots = 64
+	overflowSlots = 512
 	// overflowMemory is the greatest age of a debit that overflow can cover.
-	overflowMemory = (overflowSlots - 4) * overflowSlot
+	overflowMemory = (overflowSlots - 32) * overflowSlot
 	// recoverTransit is the longest way of a recover request that is answered in time.
 	recoverTransit = time.Second
 )
@@ -75,6 +75,15 @@
 	}
 }
 
+// raise notes that the balance was higher by units in the slots from first to last.
+func (o *overflow) raise(first, last, units int64) {
+	for index := max(first, last-overflowSlots+1); index <= last && units > 0; index++ {
+		if s := &o.slots[index%overflowSlots]; s.index == index {
+			s.low += units
+		}
+	}
+}
+
 // cover takes over up to want tokens of a debit made before the instant at, no longer before
 // than recoverTransit. The balance must have been there from the debit on, and the overflow
 // after at must make up for it.
--- a/internal/limiter/record.go
+++ b/internal/limiter/record.go
@@ -15,6 +15,11 @@
 // RecordName names a data centre's object.
 func RecordName(dataCentre string) string { return recordPrefix + dataCentre }
 
+// FirstLayoutName is the object that holds the layout the fleet began with. All data centres
+// of that layout may begin with full shares: they sum to each plan, and nothing was granted
+// before.
+const FirstLayoutName = "limits-first-layout"
+
 // start says how a new holder of a shard begins.
 type start string
 
@@ -34,9 +39,9 @@
 	Start start    `json:"start"`
 }
 
-// layout is a division of plans among data centres. Confirmed means that all holders of the
+// Layout is a division of plans among data centres. Confirmed means that all holders of the
 // record's data centre keep within it.
-type layout struct {
+type Layout struct {
 	Version   uint64  `json:"version"`
 	Weights   Weights `json:"weights"`
 	Confirmed bool    `json:"confirmed"`
@@ -46,7 +51,7 @@
 // any of Layouts gives.
 type Record struct {
 	Shards  []holding `json:"shards"`
-	Layouts []layout  `json:"layouts"`
+	Layouts []Layout  `json:"layouts"`
 }
 
 // DecodeRecord reads the value of a record's object.
@@ -70,11 +75,29 @@
 	return raw
 }
 
+// DecodeLayout reads the value of the object FirstLayoutName.
+func DecodeLayout(raw []byte) (Layout, error) {
+	var l Layout
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return Layout{}, fault.Wrap(err, fault.Malformed, "delete the object only with all VMs stopped", "first layout of shares")
+	}
+	return l, nil
+}
+
+// Encode gives the value of the object FirstLayoutName.
+func (l Layout) Encode() []byte {
+	raw, err := json.Marshal(l)
+	if err != nil {
+		panic(err) // no field of a layout can fail to encode
+	}
+	return raw
+}
+
 func (r *Record) clone() *Record {
 	return &Record{Shards: slices.Clone(r.Shards), Layouts: slices.Clone(r.Layouts)}
 }
 
-func (r *Record) newest() *layout { return &r.Layouts[len(r.Layouts)-1] }
+func (r *Record) newest() *Layout { return &r.Layouts[len(r.Layouts)-1] }
 
 // share gives the least share of a plan over all layouts.
 func (r *Record) share(plan Limit, dataCentre string) Limit {
@@ -89,13 +112,13 @@
 
 // admits reports whether this data centre keeps within l and knows of no newer layout, so
 // that others may use l.
-func (r *Record) admits(l layout) bool {
+func (r *Record) admits(l Layout) bool {
 	mine := r.newest()
 	return mine.Confirmed && mine.Version >= l.Version && maps.Equal(mine.Weights, l.Weights)
 }
 
 // settled reports whether the record divides plans by l alone.
-func (r *Record) settled(l layout) bool {
+func (r *Record) settled(l Layout) bool {
 	return len(r.Layouts) == 1 && maps.Equal(r.Layouts[0].Weights, l.Weights)
 }
 
--- a/internal/limiter/recover.go
+++ b/internal/limiter/recover.go
@@ -28,6 +28,8 @@
 	sent  clock.Instant
 	shard int
 	term  uint64
+	// page chooses among the debits of a bucket that do not fit one request.
+	page  int
 	items []RecoverItem
 	ids   []partID
 }
@@ -53,7 +55,7 @@
 
 func (h *Holder) offer(now clock.Instant, i int) {
 	s := &h.shards[i]
-	o := offer{sent: now, shard: i, term: s.term}
+	o := offer{sent: now, shard: i, term: s.term, page: h.recovery.turn[i] / max(1, len(h.snapshot.Document.DataCentres))}
 	for _, name := range sorted(s.buckets) {
 		s.buckets[name].offer(now, name, &o)
 	}
@@ -73,6 +75,7 @@
 		return
 	}
 	room := b.limit() - b.level
+	skip := o.page % (b.settled/recoverItems + 1) * recoverItems
 	for i := len(b.held) - 1; i >= 0 && len(o.items) < recoverItems; i-- {
 		p := b.held[i]
 		room = min(room, p.room)
@@ -80,7 +83,10 @@
 		if tokens == 0 {
 			return
 		}
-		if p.settled {
+		if !p.settled {
+			continue
+		}
+		if skip--; skip < 0 {
 			o.items = append(o.items, RecoverItem{Workspace: workspace, Age: now.Sub(p.at), Tokens: tokens})
 			o.ids = append(o.ids, p.id)
 		}
@@ -130,7 +136,7 @@
 		b.recovered(now, id, min(in.Tokens[k], o.items[k].Tokens))
 	}
 	if productive {
-		h.recovery.turn[o.shard]--
+		h.recovery.turn[o.shard] += len(h.snapshot.Document.DataCentres) - 1
 	}
 }
 
--- a/internal/limiter/service.go
+++ b/internal/limiter/service.go
@@ -186,9 +186,15 @@
 
 // member finds a VM that may be called.
 func (s *Service) member(vm ident.VM) (membership.Member, bool) {
+	m, ok := s.known(vm)
+	return m, ok && (m.State == membership.Alive || m.State == membership.Leaving)
+}
+
+// known finds a VM of the view in any state.
+func (s *Service) known(vm ident.VM) (membership.Member, bool) {
 	for _, m := range s.view().Members {
 		if m.VM == vm {
-			return m, m.State == membership.Alive || m.State == membership.Leaving
+			return m, true
 		}
 	}
 	return membership.Member{}, false
--- a/internal/limiter/worker.go
+++ b/internal/limiter/worker.go
@@ -96,6 +96,8 @@
 		w.do(w.readList)
 	case ReadOthersOut:
 		w.do(func(ctx context.Context) { w.readOthers(ctx, a.Version) })
+	case FirstLayoutOut:
+		w.do(func(ctx context.Context) { w.firstLayout(ctx, a.Layout) })
 	case AskPeersOut:
 		w.do(func(ctx context.Context) { w.askPeers(ctx, a.Verify) })
 	case AnnounceOut:
@@ -122,6 +124,24 @@
 	w.put(ctx, RecordIn{Record: k.record, Version: k.version, Verify: verify})
 }
 
+// firstLayout reads the layout that the fleet began with, and stores l if there is none. The
+// object never changes, so the outcome of a write is what a read finds.
+func (w *worker) firstLayout(ctx context.Context, l Layout) {
+	call, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	o, err := w.s.opts.Store.Get(call, FirstLayoutName)
+	if fault.Is(err, fault.NotFound) {
+		_, _ = w.s.opts.Store.Put(call, FirstLayoutName, l.Encode(), 0)
+		o, err = w.s.opts.Store.Get(call, FirstLayoutName)
+	}
+	if err != nil {
+		return
+	}
+	if first, err := DecodeLayout(o.Value); err == nil {
+		w.put(ctx, FirstLayoutIn{Layout: first})
+	}
+}
+
 func (w *worker) writeRecord(ctx context.Context, a WriteRecordOut) {
 	call, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
@@ -201,7 +221,7 @@
 	g.SetLimit(announceCalls)
 	for _, vm := range a.To {
 		g.Go(func() error {
-			if m, ok := w.s.member(vm); ok {
+			if m, ok := w.s.known(vm); ok {
 				if reply, err := w.s.control(ctx, m, req); err == nil {
 					w.put(ctx, AckIn{VM: vm, Version: reply.Version})
 				}
--- a/test/cmd/limitermeasure/fleet/fleet.go
+++ b/test/cmd/limitermeasure/fleet/fleet.go
@@ -332,3 +332,9 @@
 
 // After runs something later.
 func (f *Fleet) After(d time.Duration, run func()) { f.after(d, run) }
+
+// Holder gives the VM that holds a workspace's share of a data centre.
+func (f *Fleet) Holder(dataCentre, workspace string) string {
+	r, _ := f.Platform.get(limiter.RecordName(dataCentre))
+	return r.Shards[limiter.ShardOf(workspace)].VM.Name
+}
--- a/test/cmd/limitermeasure/fleet/node.go
+++ b/test/cmd/limitermeasure/fleet/node.go
@@ -127,6 +127,15 @@
 			}
 			return func() { n.step(limiter.ListIn{Names: names}) }
 		}, func() {})
+	case limiter.FirstLayoutOut:
+		n.platform(func() func() {
+			f.Platform.put(limiter.FirstLayoutName, a.Layout.Encode(), 0)
+			first, err := limiter.DecodeLayout(f.Platform.objects[limiter.FirstLayoutName].value)
+			if err != nil {
+				panic(err)
+			}
+			return func() { n.step(limiter.FirstLayoutIn{Layout: first}) }
+		}, func() {})
 	case limiter.ReadOthersOut:
 		n.readOthers(a)
 	case limiter.AskPeersOut:
--- a/test/cmd/limitermeasure/fleet/request.go
+++ b/test/cmd/limitermeasure/fleet/request.go
@@ -30,6 +30,7 @@
 	draw    *limiter.Draw
 	sent    []sentAsk
 	voided  int
+	waited  map[string]bool
 	exactly bool
 }
 
@@ -49,7 +50,7 @@
 		n = f.nodes[name]
 	}
 	j := f.Judge(r.Workspace)
-	req := &request{Request: r, n: n, began: f.Now}
+	req := &request{Request: r, n: n, began: f.Now, waited: map[string]bool{}}
 	if c := j.exact.take(f.Now, r.Tokens); c != nil {
 		req.exactly = true
 		f.after(r.Length, func() { c.settle(r.Used) })
@@ -121,6 +122,12 @@
 		r.advance()
 	}
 	s.holder, s.reached = n.holder(a.DataCentre, limiter.ShardOf(r.Workspace))
+	if !s.reached && n.records[a.DataCentre] == nil && !r.waited[a.DataCentre] {
+		// the first ask of a data centre waits for its record
+		r.waited[a.DataCentre] = true
+		f.after(3*platformDelay, func() { n.do(func() { r.ask(a) }) })
+		return
+	}
 	r.sent = append(r.sent, s)
 	f.Judge(r.Workspace).Asks++
 	if !s.reached {
