--- a/internal/limiter/machine.go
+++ b/internal/limiter/machine.go
@@ -40,6 +40,8 @@
 	listPeriod = 2 * time.Second
 	// layoutPeriod is the time between reads of the other data centres' records.
 	layoutPeriod = 30 * time.Second
+	// recoverPeriod is the time between a shard's recover requests.
+	recoverPeriod = 250 * time.Millisecond
 	// rebalanceDelay is how long another VM must have been the preferred holder of a shard
 	// before it gets the shard.
 	rebalanceDelay = 5 * time.Second
@@ -91,6 +93,8 @@
 		Records map[string]*Record
 		Version uint64
 	}
+	// FirstLayoutIn is the layout that the fleet began with.
+	FirstLayoutIn struct{ Layout Layout }
 	// HandoverIn brings the balances of shards handed over.
 	HandoverIn struct{ Balances []balance }
 	// AckIn: a VM applies the record of a version.
@@ -102,6 +106,16 @@
 	StopIn struct{}
 	// StaleIn: a call to a holder of the present record failed.
 	StaleIn struct{}
+	// RecoverIn asks this VM to take over debits that another share made.
+	RecoverIn struct {
+		Call  uint64
+		Items []RecoverItem
+	}
+	// RecoveredIn answers a RecoverOut with the tokens taken over of each item.
+	RecoveredIn struct {
+		Number uint64
+		Tokens []int64
+	}
 	// StatusIn asks for a StatusOut.
 	StatusIn struct{ Call uint64 }
 )
@@ -137,6 +151,8 @@
 	ReadListOut struct{}
 	// ReadOthersOut asks for an OthersIn.
 	ReadOthersOut struct{ Version uint64 }
+	// FirstLayoutOut asks for a FirstLayoutIn; Layout is stored if there is none yet.
+	FirstLayoutOut struct{ Layout Layout }
 	// AnnounceOut pushes the record to VMs of the data centre; ackIns follow.
 	AnnounceOut struct {
 		Record  *Record
@@ -165,6 +181,18 @@
 		// Leaving is the number of shards that other VMs are to take over.
 		Leaving int
 	}
+	// RecoverOut asks the holder of a shard in another data centre for a RecoveredIn.
+	RecoverOut struct {
+		Number     uint64
+		DataCentre string
+		Shard      int
+		Items      []RecoverItem
+	}
+	// RecoveredOut answers a RecoverIn.
+	RecoveredOut struct {
+		Call   uint64
+		Tokens []int64
+	}
 	// NoticeOut is an event for the log.
 	NoticeOut struct {
 		Event string
