--- a/internal/configuration/apply.go
+++ b/internal/configuration/apply.go
@@ -58,7 +58,8 @@
 	return st, nil
 }
 
-func decodeEntries(value []byte) (map[string]string, error) {
+// DecodeEntries takes the platform's value of the object apart, as Entries does a document.
+func DecodeEntries(value []byte) (map[string]string, error) {
 	st, err := decodeStored(value)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/configuration/document_test.go
@@ -0,0 +1,189 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/spread"
+)
+
+func good() Document {
+	return Normalize(Document{
+		DataCentres: map[string]DataCentre{"lisboa-a": {Region: "pt-centro"}},
+		Plans:       map[string]Plan{"gold": {Models: []string{"m"}, Adapters: []string{"ad"}, TokensPerSecond: 10, BurstTokens: 100}},
+		Workspaces:  map[string]Workspace{"w": {Plan: "gold"}},
+		Models: map[string]Model{"m": {
+			Adapters: []string{"ad"}, KVBytesPerToken: 1, PrefillTokensPerSecond: 1, GapBaseMicros: 1, KeepMillis: 1, FirstTokenMillis: 1, GapMillis: 1,
+		}},
+		Routes: map[string]Route{"lots": {Method: "GET", Path: "/lots", Service: "market", Idempotent: true}},
+		Endpoints: map[string]Endpoint{
+			"p": {Role: RolePrefill, DataCentre: "lisboa-a", Address: "10.0.0.1:1", Model: "m", Slots: 1, LinkBytesPerSecond: 1},
+			"s": {Role: RoleService, DataCentre: "lisboa-a", Address: "10.0.0.2:1", Service: "market", Slots: 1},
+		},
+	})
+}
+
+// breakages each break one rule of good: the fault must name this object and field.
+var breakages = []struct {
+	object, field string
+	do            func(*Document)
+}{
+	{"data_centres/lisboa-a", "region", func(d *Document) { d.DataCentres["lisboa-a"] = DataCentre{ShareWeight: 1} }},
+	{"data_centres/lisboa-a", "share_weight", func(d *Document) { d.DataCentres["lisboa-a"] = DataCentre{Region: "r", ShareWeight: -1} }},
+	{"plans/gold", "models", func(d *Document) { edit(d.Plans, "gold", func(p *Plan) { p.Models = []string{"x"} }) }},
+	{"plans/gold", "adapters", func(d *Document) { edit(d.Plans, "gold", func(p *Plan) { p.Adapters = []string{"x"} }) }},
+	{"plans/gold", "tokens_per_second", func(d *Document) { edit(d.Plans, "gold", func(p *Plan) { p.TokensPerSecond = -1 }) }},
+	{"plans/gold", "burst_tokens", func(d *Document) { edit(d.Plans, "gold", func(p *Plan) { p.BurstTokens = 0 }) }},
+	{"plans/gold", "weight", func(d *Document) { edit(d.Plans, "gold", func(p *Plan) { p.Weight = -1 }) }},
+	{"workspaces/w", "plan", func(d *Document) { edit(d.Workspaces, "w", func(w *Workspace) { w.Plan = "x" }) }},
+	{"workspaces/w", "key_unconfirmed_seconds", func(d *Document) { edit(d.Workspaces, "w", func(w *Workspace) { w.KeyUnconfirmedSeconds = -1 }) }},
+	{"models/m", "kv_bytes_per_token", func(d *Document) { edit(d.Models, "m", func(m *Model) { m.KVBytesPerToken = 0 }) }},
+	{"models/m", "keep_millis", func(d *Document) { edit(d.Models, "m", func(m *Model) { m.KeepMillis = 0 }) }},
+	{"models/m", "gap_per_slot_micros", func(d *Document) { edit(d.Models, "m", func(m *Model) { m.GapPerSlotMicros = -1 }) }},
+	{"routes/lots", "method", func(d *Document) { edit(d.Routes, "lots", func(r *Route) { r.Method = "FETCH" }) }},
+	{"routes/lots", "path", func(d *Document) { edit(d.Routes, "lots", func(r *Route) { r.Path = "lots" }) }},
+	{"routes/lots", "service", func(d *Document) { edit(d.Routes, "lots", func(r *Route) { r.Service = "" }) }},
+	{"routes/lots", "commit", func(d *Document) { edit(d.Routes, "lots", func(r *Route) { r.Commit = true }) }},
+	{"routes/lots", "class", func(d *Document) { edit(d.Routes, "lots", func(r *Route) { r.Class = "x" }) }},
+	{"routes/lots2", "path", func(d *Document) { d.Routes["lots2"] = d.Routes["lots"] }},
+	{"endpoints/p", "data_centre", func(d *Document) { edit(d.Endpoints, "p", func(e *Endpoint) { e.DataCentre = "x" }) }},
+	{"endpoints/p", "address", func(d *Document) { edit(d.Endpoints, "p", func(e *Endpoint) { e.Address = "host:1" }) }},
+	{"endpoints/s", "address", func(d *Document) { edit(d.Endpoints, "s", func(e *Endpoint) { e.Address = "10.0.0.1:1" }) }},
+	{"endpoints/p", "slots", func(d *Document) { edit(d.Endpoints, "p", func(e *Endpoint) { e.Slots = 0 }) }},
+	{"endpoints/p", "model", func(d *Document) { edit(d.Endpoints, "p", func(e *Endpoint) { e.Model = "x" }) }},
+	{"endpoints/p", "link_bytes_per_second", func(d *Document) { edit(d.Endpoints, "p", func(e *Endpoint) { e.LinkBytesPerSecond = 0 }) }},
+	{"endpoints/s", "service", func(d *Document) { edit(d.Endpoints, "s", func(e *Endpoint) { e.Service = "" }) }},
+	{"endpoints/s", "role", func(d *Document) { edit(d.Endpoints, "s", func(e *Endpoint) { e.Role = "x" }) }},
+	{"workspaces/a b", "name", func(d *Document) { d.Workspaces["a b"] = Workspace{Plan: "gold"} }},
+}
+
+func edit[T any](objects map[string]T, name string, change func(*T)) {
+	object := objects[name]
+	change(&object)
+	objects[name] = object
+}
+
+func TestEachFaultIsNamedWithItsRemedy(t *testing.T) {
+	if faults := Check(good(), platform.MaxValueBytes); len(faults) != 0 {
+		t.Fatalf("a good document has faults: %v", faults)
+	}
+	for _, b := range breakages {
+		doc := good()
+		b.do(&doc)
+		found := slices.ContainsFunc(Check(doc, platform.MaxValueBytes), func(f Fault) bool {
+			return f.Object == b.object && f.Field == b.field && f.Message != "" && f.Remedy != ""
+		})
+		if !found {
+			t.Errorf("no fault for %s %s: %v", b.object, b.field, Check(doc, platform.MaxValueBytes))
+		}
+	}
+	if faults := Check(good(), 100); len(faults) != 1 || faults[0].Object != "document" {
+		t.Errorf("size fault: %v", faults)
+	}
+}
+
+func TestAllFaultsAreListedAtOnce(t *testing.T) {
+	doc := good()
+	for _, object := range []string{"data_centres/lisboa-a", "plans/gold", "workspaces/w", "models/m", "routes/lots", "endpoints/p"} {
+		i := slices.IndexFunc(breakages, func(b struct {
+			object, field string
+			do            func(*Document)
+		},
+		) bool {
+			return b.object == object
+		})
+		breakages[i].do(&doc)
+	}
+	err := checkError(Check(doc, platform.MaxValueBytes))
+	if !fault.Is(err, fault.Malformed) {
+		t.Fatalf("got %v", err)
+	}
+	for _, object := range []string{"data_centres/lisboa-a", "plans/gold", "workspaces/w", "models/m", "routes/lots", "endpoints/p"} {
+		if !strings.Contains(err.Error(), object) {
+			t.Errorf("%s is missing in %v", object, err)
+		}
+	}
+}
+
+func TestEntriesAndNormalizeRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		doc := good()
+		for _, b := range rapid.SliceOfN(rapid.SampledFrom(breakages), 0, 5).Draw(t, "breakages") {
+			b.do(&doc)
+		}
+		doc = Normalize(doc)
+		if again := Normalize(doc); !reflect.DeepEqual(doc, again) {
+			t.Fatal("Normalize is not idempotent")
+		}
+		entries, err := Entries(doc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := FromEntries(entries)
+		if err != nil || !reflect.DeepEqual(doc, back) {
+			t.Fatalf("%v: %+v is not %+v", err, back, doc)
+		}
+		changes, err := Diff(good(), doc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range changes {
+			if c.Before == c.After || c.Before == "" && c.After == "" {
+				t.Fatalf("no change: %+v", c)
+			}
+		}
+	})
+}
+
+// TestFleetDocumentFitsOneObject works out the sizes at 2,000 endpoints, 680 workspaces and 24
+// models.
+func TestFleetDocumentFitsOneObject(t *testing.T) {
+	doc := good()
+	for i := range 24 {
+		doc.Models[fmt.Sprintf("model-%02d", i)] = doc.Models["m"]
+	}
+	for i := range 680 {
+		doc.Workspaces[fmt.Sprintf("workspace-%04d", i)] = Workspace{Plan: "gold", KeyUnconfirmedSeconds: 600}
+	}
+	for i := range 2000 {
+		doc.Endpoints[fmt.Sprintf("kagoshima-dc-decode-%04d", i)] = Endpoint{
+			Role: RoleDecode, DataCentre: "lisboa-a", Address: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250), Model: "m", Slots: 20, LinkBytesPerSecond: 12_500_000_000, ChecksFence: true,
+		}
+	}
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if faults := Check(doc, platform.MaxValueBytes); len(faults) != 0 {
+		t.Fatal(faults)
+	}
+	before, err := Entries(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	edit(doc.Endpoints, "kagoshima-dc-decode-0007", func(e *Endpoint) { e.Leaving = true })
+	after, err := Entries(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	delta, err := spread.EncodeDelta(spread.Diff(spread.NewTable(1, before), spread.NewTable(2, after)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, err := spread.EncodeTable(spread.NewTable(2, after))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("document %d bytes, one endpoint's change %d, whole table between VMs %d", len(raw), len(delta), len(whole))
+	if len(delta) > 600 {
+		t.Errorf("one change takes %d bytes", len(delta))
+	}
+}
--- a/internal/configuration/service.go
+++ b/internal/configuration/service.go
@@ -62,7 +62,7 @@
 		Directory: o.Directory,
 		Clock:     o.Clock,
 		Log:       o.Log,
-		Decode:    decodeEntries,
+		Decode:    DecodeEntries,
 		OnAdopt:   s.adopt,
 	})
 	return s
--- a/internal/keys/change.go
+++ b/internal/keys/change.go
@@ -21,6 +21,8 @@
 	writeLimit = 3 * time.Second
 	// writePause is the wait after the platform did not answer.
 	writePause = 150 * time.Millisecond
+	// storeWait is how long Withdraw waits for the platform once the VMs have answered.
+	storeWait = 500 * time.Millisecond
 	// storePeriod is the time between looks for withdrawals that the platform lacks.
 	storePeriod = 500 * time.Millisecond
 	// storeStagger keeps the bridges of all data centres from writing at one moment.
@@ -85,10 +87,14 @@
 	s.mu.Unlock()
 	s.step(withdrawals{[]string{keyID}})
 	stored := make(chan bool, 1)
-	go func() { stored <- s.store(ctx, []string{keyID}) == nil }()
+	s.spawn(func(ctx context.Context) { stored <- s.store(ctx, []string{keyID}) == nil })
 	var w Withdrawal
 	w.Confirmed, w.Unconfirmed = s.tellFleet(ctx, keyID)
-	w.Stored = <-stored
+	select {
+	case w.Stored = <-stored:
+	case <-time.After(storeWait):
+	case <-ctx.Done():
+	}
 	return w, nil
 }
 
