Placement: adapters and roles follow demand, by fenced orders

Cause: an adapter that no endpoint has loaded could not be served, and roles were fixed. Change: a planner in the cell orders loads by demand and one role change at a time with hysteresis and drain; orders need a claim whose object version is the fencing number, and endpoints that ignore it are left alone for 12 s after a change of holder. Found by rapid: a claim whose write's answer was lost skipped that wait (mended). Conclusion: off without Options.Store.

--- a/internal/placement/baseline.go
+++ b/internal/placement/baseline.go
@@ -29,7 +29,7 @@
 	state := &c.roles[roleIndex(role)]
 	ch.add(state)
 	all := state.usable
-	v := c.viewOf(role, r)
+	v := c.viewOf(r)
 	c.turn[roleIndex(role)]++
 	first := c.turn[roleIndex(role)]
 	var picked *replica
--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -47,6 +47,7 @@
 	choice      choice
 	prefillBest best[prefillOption]
 	decodeBest  best[decodeOption]
+	planner     planner
 	out         []Action
 }
 
@@ -93,9 +94,13 @@
 		mayWait:     newFairQueue(true),
 		budget:      newRetryBudget(),
 		lengths:     newLengths(),
+		planner:     newPlanner(),
 	}
 }
 
+// AllowOrders lets the Cell order endpoints to load adapters and to change their role.
+func (c *Cell) AllowOrders() { c.planner.enabled = true }
+
 // Step takes one input. The actions are valid until the next Step.
 func (c *Cell) Step(now clock.Instant, in Input) []Action {
 	clear(c.out)
@@ -125,6 +130,8 @@
 		c.cacheReported(now, in)
 	case ConfigurationInput:
 		c.configure(in)
+	case OrderDoneInput:
+		c.orderDone(now, in)
 	case TickInput:
 		c.tick(now)
 	}
@@ -271,13 +278,6 @@
 // dataCentreNumber gives the number of a data centre, 0 for one without endpoints.
 func (c *Cell) dataCentreNumber(name string) int { return c.dataCentres[name] }
 
-func (c *Cell) ofRole(role configuration.Role) []*replica {
-	if role == configuration.RolePrefill {
-		return c.prefills
-	}
-	return c.decodes
-}
-
 func (c *Cell) loadReported(now clock.Instant, in LoadInput) {
 	r := c.byName[in.Endpoint]
 	if r == nil {
@@ -348,6 +348,7 @@
 		c.dropExpired(now)
 		c.refreshReleases(now)
 	}
+	c.plan(now)
 	if !now.Before(c.nextStatus) {
 		c.nextStatus = now.Add(statusPeriod)
 		c.urgent.forgetIdle()
--- a/internal/placement/cell_test.go
+++ b/internal/placement/cell_test.go
@@ -65,6 +65,7 @@
 		stages:    map[ident.RequestID]Stage{},
 		refused:   map[ident.RequestID]bool{},
 	}
+	m.cell.AllowOrders()
 	m.cell.Step(m.now, ConfigurationInput{Model: testModel, Endpoints: endpoints})
 	m.now = m.now.Add(settleTime)
 	return m
@@ -104,7 +105,7 @@
 	for _, name := range []string{d.Assignment.Prefill, d.Assignment.Decode} {
 		e := m.cell.byName[name]
 		kept := !r.NeedPrefill && name == r.Kept
-		if e == nil || (!kept && (e.leaving || e.health.ejected)) || slices.Contains(r.Avoid, name) {
+		if e == nil || (!kept && (e.leaving || e.health.ejected || e.changing)) || slices.Contains(r.Avoid, name) {
 			t.Fatalf("%v was assigned to %s, which must get nothing", d.ID, name)
 		}
 	}
@@ -184,6 +185,7 @@
 		ID:              id,
 		Workspace:       rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"),
 		Weight:          rapid.IntRange(0, 3).Draw(t, "weight"),
+		Adapter:         rapid.SampledFrom([]string{"", "", "", "style"}).Draw(t, "adapter"),
 		Model:           "m",
 		Class:           class,
 		PromptTokens:    int64(rapid.IntRange(1, 12_000).Draw(t, "prompt")),
@@ -252,10 +254,12 @@
 			m.step(t, ReassignInput{Request: r, Failed: failed, Started: m.stages[id] >= StageTransferDone})
 		},
 		"load": func(t *rapid.T) {
-			l := endpoint.Load{Running: rapid.IntRange(0, 6).Draw(t, "running"), Role: rapid.SampledFrom([]string{"", "leaving"}).Draw(t, "role")}
+			l := endpoint.Load{Running: rapid.IntRange(0, 6).Draw(t, "running"), Role: rapid.SampledFrom([]string{"", "leaving", "prefill", "decode"}).Draw(t, "role")}
+			l.Adapters = rapid.SampledFrom([][]string{nil, {"style"}}).Draw(t, "adapters")
 			m.step(t, LoadInput{Endpoint: name(t), Load: l})
 		},
-		"silent": func(t *rapid.T) { m.step(t, SilentInput{Endpoint: name(t)}) },
+		"orderDone": func(t *rapid.T) { m.step(t, OrderDoneInput{Endpoint: name(t), Failed: rapid.Bool().Draw(t, "failed")}) },
+		"silent":    func(t *rapid.T) { m.step(t, SilentInput{Endpoint: name(t)}) },
 		"cache": func(t *rapid.T) {
 			e := endpoint.CacheEvent{
 				Seq:     rapid.Uint64Range(1, 50).Draw(t, "seq"),
@@ -314,6 +318,7 @@
 func (m *cellModel) changeOwner(t *rapid.T) {
 	former := m.cell
 	m.cell = NewCell(former.policy)
+	m.cell.AllowOrders()
 	m.step(t, ConfigurationInput{Model: testModel, Endpoints: m.endpoints})
 	for id, r := range m.placed {
 		cl := former.claims[id]
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -23,6 +23,8 @@
 	CauseAvoided
 	// CauseNotLoaded: the model or adapter is not loaded.
 	CauseNotLoaded
+	// CauseChanging: it is about to change its role.
+	CauseChanging
 	// CauseFull: no slot is free, or free soon enough.
 	CauseFull
 	// CauseSlower: another is predicted to be faster.
@@ -30,7 +32,7 @@
 	causes
 )
 
-var causeNames = [causes]string{"leaving", "ejected", "avoided", "not_loaded", "full", "slower"}
+var causeNames = [causes]string{"leaving", "ejected", "avoided", "not_loaded", "changing", "full", "slower"}
 
 // Rejections counts endpoints by the cause for which they were passed over.
 type Rejections [causes]uint16
@@ -69,6 +71,8 @@
 		return CauseEjected, true
 	case !e.serves(e.conf.Model):
 		return CauseNotLoaded, true
+	case e.changing:
+		return CauseChanging, true
 	}
 	return 0, false
 }
@@ -186,7 +190,7 @@
 	}
 	role := &c.roles[roleIndex(configuration.RolePrefill)]
 	ch.add(role)
-	v := c.viewOf(configuration.RolePrefill, r)
+	v := c.viewOf(r)
 	matched := c.prefix.match(now, r.Pieces)
 	whole := c.cost.prefillTime(r.PromptTokens)
 	for _, e := range role.usable {
@@ -226,7 +230,7 @@
 	batch := c.batchFor(r)
 	role := &c.roles[roleIndex(configuration.RoleDecode)]
 	ch.add(role)
-	v := c.viewOf(configuration.RoleDecode, r)
+	v := c.viewOf(r)
 	for _, e := range role.usable {
 		if v.picky && !v.accepts(e, ch) {
 			continue
@@ -258,17 +262,11 @@
 	dataCentre int
 }
 
-// viewOf prepares the filter; the adapter counts only if an endpoint has it loaded.
-func (c *Cell) viewOf(role configuration.Role, r *Request) requestView {
+// viewOf prepares the filter.
+func (c *Cell) viewOf(r *Request) requestView {
 	v := requestView{avoid: r.Avoid, picky: len(r.Avoid) > 0, dataCentre: c.dataCentreNumber(r.DataCentre)}
-	if r.Adapter == "" {
-		return v
-	}
-	for _, e := range c.roles[roleIndex(role)].usable {
-		if e.has(r.Adapter) {
-			v.adapter, v.picky = r.Adapter, true
-			break
-		}
+	if r.Adapter != "" {
+		v.adapter, v.picky = r.Adapter, true
 	}
 	return v
 }
--- a/internal/placement/dispatch.go
+++ b/internal/placement/dispatch.go
@@ -48,6 +48,7 @@
 		c.lastUrgent = now
 		c.urgentLately = true
 	}
+	c.planner.noteDemand(now, &r)
 	w := c.newWaiting(now, r)
 	c.queued[r.ID] = w
 	if evicted := c.queueOf(w).push(w); evicted != nil {
@@ -164,9 +165,9 @@
 }
 
 // noEndpoint refuses a request that no endpoint may serve. Work that may wait stays while
-// the endpoints are only ejected.
+// endpoints may come back, or load what it needs.
 func (c *Cell) noEndpoint(now clock.Instant, w *waiting, ch *choice) verdict {
-	mayRecover := ch.rejected[CauseEjected] > 0
+	mayRecover := ch.rejected[CauseEjected]+ch.rejected[CauseNotLoaded]+ch.rejected[CauseChanging] > 0
 	if mayRecover && w.request.Class == configuration.MayWait && now.Before(w.limit) {
 		return blocked
 	}
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -46,14 +46,14 @@
 }
 
 type job struct {
-	request      Request
-	began        clock.Instant
-	assignment   Assignment
-	output       int64
-	tokens       float64
-	kept         clock.Instant
-	imported     clock.Instant
-	first, start clock.Instant
+	request    Request
+	began      clock.Instant
+	assignment Assignment
+	output     int64
+	tokens     float64
+	kept       clock.Instant
+	imported   clock.Instant
+	first      clock.Instant
 }
 
 // tally counts one workspace's requests.
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -92,6 +92,8 @@
 	Status *CellStatus
 	// Ejection tells that an endpoint was ejected or readmitted.
 	Ejection *Ejection
+	// Order asks for an order to an endpoint.
+	Order *OrderAction
 }
 
 // CellStatus tells how a cell stands.
--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -19,6 +19,9 @@
 	// role is the reported role, or the configured one before a report.
 	role    configuration.Role
 	leaving bool
+	// changing is set while the endpoint gets no work before a change of role, ordered once it
+	// was ordered.
+	changing, ordered bool
 	// unlisted is set once the configuration has dropped the endpoint.
 	unlisted bool
 	health   health
--- a/internal/placement/runner.go
+++ b/internal/placement/runner.go
@@ -35,6 +35,9 @@
 	used   atomic.Int64
 	stop   context.CancelFunc
 	poller *poller
+	orders *orderer
+	// given are orders to be carried out; the Cell has at most maxOrders under way.
+	given chan *OrderAction
 	// dead is closed when run has ended.
 	dead chan struct{}
 
@@ -56,8 +59,14 @@
 func newRunner(o Options, spec *cellSpec) *runner {
 	r := &runner{opts: o, cell: spec.name, region: spec.region, asked: map[ident.RequestID]*asked{}, dead: make(chan struct{})}
 	r.used.Store(int64(o.Clock.Now()))
+	cell := NewCell(o.Policy)
+	if o.Store != nil && o.Dialer != nil {
+		cell.AllowOrders()
+	}
+	r.orders = newOrderer(o, spec.name)
+	r.given = make(chan *OrderAction, 2*maxOrders)
 	r.loop = duty.NewLoop(duty.Options[Input, Action]{
-		Machine:  NewCell(o.Policy),
+		Machine:  cell,
 		Clock:    o.Clock,
 		Capacity: inboxCapacity,
 		Tick:     func() Input { return TickInput{} },
@@ -76,6 +85,7 @@
 	wg.Go(func() { r.loop.Run(ctx) })
 	wg.Go(func() { r.poller.run(ctx) })
 	wg.Go(func() { r.dropOrphans(ctx) })
+	wg.Go(func() { r.giveOrders(ctx) })
 	wg.Wait()
 }
 
@@ -222,6 +232,8 @@
 		r.answer(a.Decision)
 	case a.Status != nil:
 		r.status.Store(a.Status)
+	case a.Order != nil:
+		r.handOrder(a.Order)
 	case a.Ejection != nil:
 		e := a.Ejection
 		countEjection(e)
@@ -229,6 +241,28 @@
 	}
 }
 
+// handOrder queues an order; one that finds no room counts as failed.
+func (r *runner) handOrder(a *OrderAction) {
+	select {
+	case r.given <- a:
+	default:
+		r.loop.Offer(OrderDoneInput{Endpoint: a.Endpoint, Failed: true})
+	}
+}
+
+// giveOrders carries out orders one by one.
+func (r *runner) giveOrders(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case a := <-r.given:
+			taken := r.orders.give(ctx, a)
+			r.put(ctx, OrderDoneInput{Endpoint: a.Endpoint, Failed: !taken})
+		}
+	}
+}
+
 func (r *runner) answer(d *Decision) {
 	r.mu.Lock()
 	if a := r.asked[d.ID]; a != nil && a.decision == nil {
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -15,6 +15,7 @@
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/membership"
 	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/platform"
 )
 
 // The policies of a Service.
@@ -40,6 +41,8 @@
 	// Configuration gives the snapshot in force, nil before the first.
 	Configuration func() *configuration.Snapshot
 	Clock         clock.Clock
+	// Store keeps the claims to give orders to endpoints. Without one none are given.
+	Store platform.Store
 	// Policy is predictive, round_robin or least_loaded.
 	Policy string
 	// Log gets a line for each decision.
