Operator API: data centres that nobody knows a VM of have not confirmed

Cause: a trial on a fleet just started printed 'confirmed' and exit 0 while the answering VM knew only its own data centre. Change: confirmations and withdrawals name every data centre of the configuration; explain tells an unknown VM from a restarted one. Conclusion: 'confirmed' now speaks of all configured data centres.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -228,11 +228,19 @@
 		},
 		{
 			name: "apply with a VM behind", args: "config apply - --wait 300ms", stdin: changed, fleet: func(f *fleet) { f.behind = 1 }, code: cli.ExitPartial,
-			out: []string{"version 8 accepted", "lisboa-a 1 of 1", "porto-a 0 of 1 VMs confirmed vm-2 is at 7"},
+			out: []string{"version 8 accepted", "lisboa-a 1 of 1", "porto-a 0 of 1 VMs confirmed, vm-2 is at 7"},
 		},
 		{
 			name: "apply with a data centre cut off", args: "config apply - --wait 300ms", stdin: changed, fleet: func(f *fleet) { f.silent = true }, code: cli.ExitPartial,
-			out: []string{"porto-a 0 of 1 VMs confirmed vm-2 did not answer"},
+			out: []string{"porto-a 0 of 1 VMs confirmed, vm-2 did not answer"},
+		},
+		{
+			name: "apply with a data centre unheard of", args: "config apply - --wait 300ms", stdin: changed + "[data_centres.coimbra-a]\nregion = \"pt-centro\"\n", code: cli.ExitPartial,
+			out: []string{"coimbra-a not confirmed: no VM of it is known"},
+		},
+		{
+			name: "withdraw with a data centre unheard of", args: "key withdraw K1 --wait 300ms", code: cli.ExitPartial,
+			fleet: func(f *fleet) { f.withdrawal = keys.Withdrawal{Stored: true}; f.later = f.withdrawal }, out: []string{"not confirmed lisboa-a"},
 		},
 		{name: "apply a bad file", args: "config apply -", stdin: "[plans.gold]\nweight = -1\n", code: 1, err: []string{"-:2: plans/gold.weight: below 1"}},
 		{name: "history", args: "config history", out: []string{"6 1970-01-01T00:00:00Z vm-2 2 plans/gold, plans/free"}},
@@ -262,6 +270,7 @@
 		{name: "explain as JSON", args: "explain r.vm-1.10.1 -o json", out: []string{`"stage": "placement"`}},
 		{name: "explain a forgotten one", args: "explain r.vm-1.10.2", code: 1, err: []string{"not_found: no steps are kept", "search the log of VM vm-1"}},
 		{name: "explain one of a dead process", args: "explain r.vm-1.9.1", code: 1, err: []string{"not_found: the process that served"}},
+		{name: "explain one of a VM unheard of", args: "explain r.vm-9.9.1", code: 1, err: []string{"not_found: this VM knows no VM vm-9"}},
 		{name: "explain nonsense", args: "explain nonsense", code: 1, err: []string{"malformed", "copy the request id"}},
 		{name: "unknown command", args: "fly", code: cli.ExitUsage, err: []string{"usage", "remedy: run fulmartide --help"}},
 		{name: "unknown output", args: "status -o xml", code: cli.ExitUsage, err: []string{"usage"}},
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -214,30 +215,29 @@
 
 // whole says that every VM of every data centre has the version.
 func whole(all []configuration.Confirmation, version configuration.Version) bool {
-	for _, c := range all {
-		if api.Settled(c, version) < len(c.VMs) {
-			return false
-		}
-	}
-	return len(all) > 0
+	behind := slices.ContainsFunc(all, func(c configuration.Confirmation) bool { return !api.Whole(c, version) })
+	return len(all) > 0 && !behind
 }
 
 func writeApplied(w io.Writer, r applyResult) {
 	fmt.Fprintf(w, "version %d accepted, %d objects changed\n", r.Version, len(r.Changes))
 	for _, c := range r.DataCentres {
-		row(w, c.DataCentre, fmt.Sprintf("%d of %d VMs confirmed", api.Settled(c, r.Version), len(c.VMs)), laggards(c, r.Version))
+		fmt.Fprintf(w, "%s\t%s\n", c.DataCentre, reach(c, r.Version))
 	}
 }
 
-// laggards names the VMs that have not confirmed a version.
-func laggards(c configuration.Confirmation, version configuration.Version) string {
-	text := ""
+// reach says how many VMs of a data centre have a version, and names those that have not.
+func reach(c configuration.Confirmation, version configuration.Version) string {
+	if len(c.VMs) == 0 {
+		return "not confirmed: no VM of it is known"
+	}
+	text := fmt.Sprintf("%d of %d VMs confirmed", api.Settled(c, version), len(c.VMs))
 	for _, v := range c.VMs {
 		switch {
 		case !v.Answered:
-			text += " " + v.VM.Name + " did not answer"
+			text += ", " + v.VM.Name + " did not answer"
 		case v.Version < version:
-			text += fmt.Sprintf(" %s is at %d", v.VM.Name, v.Version)
+			text += fmt.Sprintf(", %s is at %d", v.VM.Name, v.Version)
 		}
 	}
 	return text
--- a/internal/operator/api/client.go
+++ b/internal/operator/api/client.go
@@ -15,7 +15,6 @@
 	"strings"
 	"time"
 
-	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/fault"
 )
 
@@ -198,14 +197,3 @@
 	}
 	return f.Error.Error()
 }
-
-// Settled counts the VMs of a data centre that have a version or a later one in force.
-func Settled(c configuration.Confirmation, version configuration.Version) int {
-	n := 0
-	for _, v := range c.VMs {
-		if v.Answered && v.Version >= version {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/operator/command/handler.go
+++ b/internal/operator/command/handler.go
@@ -88,6 +88,7 @@
 		return nil, fault.New(fault.Malformed, "take the id from the list of keys", "key id is missing")
 	}
 	w, err := h.deps.Keys.Withdraw(ctx, req.KeyID)
+	w = api.AddUnconfirmed(w, h.deps.Configuration.Current())
 	h.note("key withdraw", err, zap.String("key", req.KeyID), zap.Strings("confirmed", w.Confirmed),
 		zap.Strings("unconfirmed", w.Unconfirmed), zap.Bool("stored", w.Stored))
 	if err != nil {
--- a/internal/operator/query/handler.go
+++ b/internal/operator/query/handler.go
@@ -103,7 +103,8 @@
 }
 
 func (h *handler) confirmations(context.Context, string) (*api.ConfirmationsResponse, error) {
-	return &api.ConfirmationsResponse{DataCentres: h.deps.Configuration.Confirmations()}, nil
+	all := h.deps.Configuration.Confirmations()
+	return &api.ConfirmationsResponse{DataCentres: api.AddDataCentres(all, h.deps.Configuration.Current())}, nil
 }
 
 func (h *handler) keys(ctx context.Context, _ string) (*api.KeysResponse, error) {
@@ -115,7 +116,8 @@
 	if id == "" {
 		return nil, fault.New(fault.Malformed, "take the id from the list of keys", "key id is missing")
 	}
-	return &api.WithdrawResponse{KeyID: id, Withdrawal: h.deps.Keys.Confirmations(id)}, nil
+	w := api.AddUnconfirmed(h.deps.Keys.Confirmations(id), h.deps.Configuration.Current())
+	return &api.WithdrawResponse{KeyID: id, Withdrawal: w}, nil
 }
 
 func (h *handler) status(context.Context, string) (*api.StatusResponse, error) {
--- a/internal/operator/query/peers.go
+++ b/internal/operator/query/peers.go
@@ -62,14 +62,20 @@
 }
 
 func (h *handler) steps(ctx context.Context, r ident.RequestID, id string) (events []Event, found bool, err error) {
+	if r.VM.Name == h.deps.Self.VM.Name && r.VM != h.deps.Self.VM {
+		return nil, false, errGone(id, r.VM)
+	}
 	if r.VM == h.deps.Self.VM {
 		events, found = h.deps.Explainer.Explain(id)
 		return events, found, nil
 	}
 	members := h.deps.Directory.View().Members
-	i := slices.IndexFunc(members, func(m membership.Member) bool { return m.VM == r.VM })
+	i := slices.IndexFunc(members, func(m membership.Member) bool { return m.VM.Name == r.VM.Name })
 	if i < 0 {
-		return nil, false, fault.New(fault.NotFound, "search the kept logs of VM "+r.VM.Name+" for the id", "the process that served request "+id+" is gone")
+		return nil, false, fault.New(fault.NotFound, "search the kept logs of VM "+r.VM.Name+" for the id", "this VM knows no VM "+r.VM.Name)
+	}
+	if members[i].VM != r.VM {
+		return nil, false, errGone(id, r.VM)
 	}
 	out, err := h.ask(ctx, members[i], &request{RequestID: id})
 	if err != nil {
@@ -78,6 +84,10 @@
 	return out.Events, out.Found, nil
 }
 
+func errGone(id string, vm ident.VM) error {
+	return fault.New(fault.NotFound, "search the kept logs of VM "+vm.Name+" for the id", "the process that served request "+id+" is gone")
+}
+
 func (h *handler) ask(ctx context.Context, m membership.Member, req *request) (*reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
