--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -260,6 +260,14 @@
 		{name: "status", args: "status", out: []string{"vm vm-1/10", "configuration 7", "vm-1/10 lisboa-a pt-centro 127.0.0.1:7001 alive", "banco lisboa-a 500 900 42 0"}},
 		{name: "status as JSON", args: "status -o json", out: []string{`"configuration": 7`, `"balance": 42`}},
 		{name: "list endpoints", args: "endpoint list", out: []string{"d1 decode lisboa-a 127.0.0.1:9001 m 20 19 3 known"}},
+		{
+			name: "list a leaving endpoint that its owner has not heard of", args: "endpoint list", out: []string{"19 3 leaving"},
+			fleet: func(f *fleet) {
+				e := f.snap.Document.Endpoints["d1"]
+				e.Leaving = true
+				f.snap.Document.Endpoints["d1"] = e
+			},
+		},
 		{name: "list endpoints as JSON", args: "endpoint list -o json", out: []string{`"name": "d1"`, `"running": 19`}},
 		{name: "drain", args: "endpoint drain d1", out: []string{"endpoint d1 leaving yes version 8 confirmed by all VMs yes"}},
 		{name: "drain as JSON", args: "endpoint drain d1 -o json " + noWait, out: []string{`"changed": true`}},
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -73,13 +73,13 @@
 
 func writeEndpoint(w io.Writer, e api.Endpoint) {
 	state, running, queued := "known", "-", "-"
-	if e.Leaving {
-		state = "leaving"
-	}
 	if e.Load != nil {
 		running, queued = fmt.Sprint(e.Load.Running), fmt.Sprint(e.Load.Queued)
 		state = e.Load.State
 	}
+	if e.Leaving {
+		state = "leaving"
+	}
 	row(w, e.Name, e.Role, e.DataCentre, e.Address, e.Model+e.Service, e.Slots, running, queued, state)
 }
 
