--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -13,12 +13,13 @@
 // Cell is the state machine of the owner of one cell. It keeps exact claims on each endpoint
 // and the fair queues, and answers each PlaceInput and ReassignInput exactly once.
 type Cell struct {
-	policy   string
-	cost     modelCost
-	byName   map[string]*replica
-	prefills []*replica
-	decodes  []*replica
-	roles    [2]roleState
+	policy      string
+	cost        modelCost
+	byName      map[string]*replica
+	prefills    []*replica
+	decodes     []*replica
+	roles       [2]roleState
+	fastestLink int64
 	// dataCentres numbers data centres, so that comparing them is cheap.
 	dataCentres map[string]int
 	prefix      *prefixIndex
@@ -29,8 +30,8 @@
 	moves       []*waiting
 	budget      retryBudget
 	rate        rateMeter
-	// holdRatio is the usual part of the longest decode that requests take.
-	holdRatio float64
+	lengths     lengths
+	overhead    overhead
 	// settleUntil holds back decisions of a new owner until endpoints have reported.
 	settleUntil  clock.Instant
 	started      bool
@@ -91,7 +92,7 @@
 		urgent:      newFairQueue(false),
 		mayWait:     newFairQueue(true),
 		budget:      newRetryBudget(),
-		holdRatio:   1,
+		lengths:     newLengths(),
 	}
 }
 
@@ -105,7 +106,7 @@
 	}
 	switch in := in.(type) {
 	case PlaceInput:
-		c.place(now, in.Request)
+		c.place(now, bounded(in.Request))
 	case CancelInput:
 		c.cancel(now, in.ID)
 	case ProgressInput:
@@ -181,6 +182,7 @@
 func (c *Cell) index() {
 	c.prefills, c.decodes = c.prefills[:0], c.decodes[:0]
 	slots := 0
+	c.fastestLink = 0
 	for _, r := range c.byName {
 		if r.role == configuration.RolePrefill {
 			c.prefills = append(c.prefills, r)
@@ -188,6 +190,7 @@
 		}
 		c.decodes = append(c.decodes, r)
 		slots += r.conf.Slots
+		c.fastestLink = max(c.fastestLink, r.conf.LinkBytesPerSecond)
 	}
 	byName := func(a, b *replica) int { return strings.Compare(a.name, b.name) }
 	slices.SortFunc(c.prefills, byName)
