Limiter: a VM that starts during a platform outage learns share holders from its peers

Cause: holders' records were read from the platform only; a VM replaced during an outage found no share and refused all. Ruled out: configuration and keys (both came from peers).

--- a/internal/limiter/records.go
+++ b/internal/limiter/records.go
@@ -16,6 +16,8 @@
 type records struct {
 	store platform.Store
 	own   string
+	// fromPeers asks VMs for a record that the platform does not give.
+	fromPeers func(ctx context.Context, dataCentre string)
 
 	mu    sync.Mutex
 	known map[string]*knownRecord
@@ -49,12 +51,16 @@
 	return k
 }
 
-// holder gives the holder of a shard; it reads the record if there is none yet.
+// holder gives the holder of a shard. Without a record it asks VMs, which costs the platform
+// nothing, then the platform.
 func (r *records) holder(ctx context.Context, dataCentre string, shard int) (ident.VM, bool) {
 	rec := r.get(dataCentre)
-	if rec == nil && dataCentre != r.own && r.mayRead(dataCentre) {
-		_ = r.refresh(ctx, dataCentre)
-		rec = r.get(dataCentre)
+	if rec == nil && r.mayRead(dataCentre) {
+		r.fromPeers(ctx, dataCentre)
+		if rec = r.get(dataCentre); rec == nil {
+			r.refresh(ctx, dataCentre)
+			rec = r.get(dataCentre)
+		}
 	}
 	if rec == nil {
 		return ident.VM{}, false
@@ -80,9 +86,15 @@
 	return true
 }
 
-func (r *records) refresh(ctx context.Context, dataCentre string) error {
-	_, err := r.read(ctx, RecordName(dataCentre))
-	return err
+// refresh reads a record from the platform, or else from VMs. The own data centre's record is
+// the holder machine's to read.
+func (r *records) refresh(ctx context.Context, dataCentre string) {
+	if dataCentre == r.own {
+		return
+	}
+	if _, err := r.read(ctx, RecordName(dataCentre)); err != nil {
+		r.fromPeers(ctx, dataCentre)
+	}
 }
 
 // read gets one record from the platform and keeps it. A missing one gives version 0.
--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -113,10 +113,6 @@
 	return b.do(vm, experiment.Call{Workspace: b.layout.Workspaces[0].Name, Kind: experiment.Commit, IdempotencyKey: key})
 }
 
-func (b *bench) read(vm string) experiment.Outcome {
-	return b.do(vm, experiment.Call{Workspace: b.layout.Workspaces[0].Name, Kind: experiment.Read})
-}
-
 func (b *bench) do(vm string, call experiment.Call) experiment.Outcome {
 	o := b.client.Do(b.t.Context(), b.begin, experiment.Target{VM: vm, Callers: b.Daemon(vm).Callers}, call)
 	if o.Corrupt != "" {
