--- a/internal/limiter/service.go
+++ b/internal/limiter/service.go
@@ -109,6 +109,12 @@
 	return s
 }
 
+// Ready reports whether requests can be admitted: the holders of the own data centre's shares
+// are known.
+func (s *Service) Ready() bool {
+	return s.opts.Policy != PolicyPooled || s.records.get(s.opts.Self.DataCentre) != nil
+}
+
 // Run serves until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var wg sync.WaitGroup
