--- a/internal/limiter/draw.go
+++ b/internal/limiter/draw.go
@@ -245,10 +245,10 @@
 func (d *Draw) Admitted() bool { return d.stage == stageDone && d.missing() <= 0 }
 
 // waitLimit bounds the time to wait that a refusal states.
-const waitLimit = time.Hour
+const waitLimit = 24 * time.Hour
 
-// Wait gives the time until the shares that answered will have the tokens, and false when
-// they never will. What the draw released counts as there.
+// Wait gives the time, up to waitLimit, until the shares that answered will have the tokens,
+// and false when their bursts are too small. What the draw released counts as there.
 func (d *Draw) Wait() (time.Duration, bool) {
 	have := func(t time.Duration) int64 {
 		var sum int64
@@ -261,7 +261,13 @@
 		}
 		return sum
 	}
-	if have(waitLimit) < d.tokens {
+	var most int64
+	for _, s := range d.shares {
+		if d.answered[s.dataCentre] {
+			most += s.limit.Burst
+		}
+	}
+	if most < d.tokens {
 		return 0, false
 	}
 	low, high := time.Duration(0), waitLimit
--- a/test/cmd/limitermeasure/fleet/judge.go
+++ b/test/cmd/limitermeasure/fleet/judge.go
@@ -63,9 +63,16 @@
 	return j
 }
 
+// plan notes a new configuration. A workspace that comes back after its removal has at most
+// what its new plan accrues since the removal: a holder that took over in the meantime
+// cannot tell it from a new workspace.
 func (j *Judge) plan(now clock.Instant, snap *configuration.Snapshot) {
 	next, _ := limiter.PlanOf(&snap.Document, j.Workspace)
 	last := j.changes[len(j.changes)-1].limit
+	if last == (limiter.Limit{}) {
+		last = next
+		j.changes[len(j.changes)-1].limit = next
+	}
 	both := limiter.Limit{Rate: max(last.Rate, next.Rate), Burst: max(last.Burst, next.Burst)}
 	j.changes = append(j.changes, change{at: now, limit: both}, change{at: now.Add(configSpread + limiter.PauseLimit), limit: next})
 }
