--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -117,6 +117,15 @@
 	if !f.nodes["vm-0-0"].view.IsGone(old) || f.state("vm-0-0", "vm-1-1") != Alive {
 		t.Fatal("a later life did not replace the earlier one")
 	}
+	f.kill("vm-1-1")
+	f.boot("vm-1-1")
+	f.listed["vm-1-1"] = false
+	f.run(6 * time.Second)
+	f.kill("vm-1-1")
+	f.run(10 * time.Second)
+	if st := f.state("vm-0-0", "vm-1-1"); st != Suspect {
+		t.Fatalf("a silent VM that the lagging list has never named is %v", st)
+	}
 	f.step(f.nodes["vm-0-2"], leave{})
 	f.run(time.Second)
 	if st := f.state("vm-1-0", "vm-0-2"); st != Leaving {
--- a/internal/spread/replica.go
+++ b/internal/spread/replica.go
@@ -69,6 +69,8 @@
 	work  sync.WaitGroup
 	calls callCounters
 	held  atomic.Pointer[Table]
+	// seen is the latest version read from the platform; it may still wait for the machine.
+	seen atomic.Uint64
 }
 
 // New makes a Replica and registers its handler.
--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -9,14 +9,23 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/platform"
 )
 
 const (
 	// WatchLimit bounds one watch, so that one on a silent connection cannot hide a change for
-	// long. A read follows each watch that shows nothing.
+	// long. A look at the version follows each watch that shows nothing.
 	WatchLimit = 2 * time.Second
+	// MaxWatchedBytes is the largest object that is watched. A watch gives the whole object, so
+	// larger ones are looked at by version alone, every PollPeriod, and mostly come as deltas
+	// from the VM that wrote them.
+	MaxWatchedBytes = 32 << 10
+	// PollPeriod is the time between looks at a large object's version.
+	PollPeriod = time.Second
+	// peerGrace is how long peers may take to bring a large object's change.
+	peerGrace = 400 * time.Millisecond
 	// readTimeout bounds one read.
 	readTimeout = time.Second
 	// refusedWatchWait is the wait before the read that follows a watch that was refused.
@@ -27,8 +36,8 @@
 )
 
 type callCounters struct {
-	reads, watches *metrics.Counter
-	spread         *metrics.Histogram
+	reads, watches, lists *metrics.Counter
+	spread                *metrics.Histogram
 }
 
 func newCallCounters(object string) callCounters {
@@ -38,6 +47,7 @@
 	return callCounters{
 		reads:   metrics.GetOrCreateCounter(name("read")),
 		watches: metrics.GetOrCreateCounter(name("watch")),
+		lists:   metrics.GetOrCreateCounter(name("list")),
 		spread:  metrics.GetOrCreateHistogram(fmt.Sprintf(`fulmartide_spread_data_centre_seconds{object=%q}`, object)),
 	}
 }
@@ -76,11 +86,12 @@
 	}
 }
 
-// watchOnce waits for a change for a bounded time and reads the object if none came.
+// watchOnce waits for a change for a bounded time and then looks at the version.
 func (r *Replica) watchOnce(ctx context.Context) error {
-	after := uint64(0)
-	if t := r.held.Load(); t != nil {
-		after = t.Version
+	after := r.after()
+	if r.bytes() > MaxWatchedBytes {
+		sleep(ctx, PollPeriod)
+		return r.look(ctx)
 	}
 	asked := r.opts.Clock.Now()
 	wctx, cancel := context.WithTimeout(ctx, WatchLimit)
@@ -88,15 +99,68 @@
 	r.calls.watches.Inc()
 	obj, err := r.opts.Store.Watch(wctx, r.opts.Object, after)
 	if err == nil {
-		r.opts.OnPlatform(asked)
-		return r.accept(ctx, obj)
+		return r.accept(ctx, obj, asked)
 	}
 	if !fault.Is(err, fault.Timeout) {
 		sleep(ctx, refusedWatchWait)
 	}
+	return r.look(ctx)
+}
+
+// after gives the latest version that this VM holds or has read.
+func (r *Replica) after() uint64 {
+	after := r.seen.Load()
+	if t := r.held.Load(); t != nil {
+		after = max(after, t.Version)
+	}
+	return after
+}
+
+// bytes gives the size of the table in force.
+func (r *Replica) bytes() int {
+	n := 0
+	if t := r.held.Load(); t != nil {
+		for k, v := range t.Entries {
+			n += len(k) + len(v)
+		}
+	}
+	return n
+}
+
+// look reads the object's version alone, and the object if the version is news that peers do
+// not bring within peerGrace.
+func (r *Replica) look(ctx context.Context) error {
+	asked := r.opts.Clock.Now()
+	version, err := r.version(ctx)
+	if err != nil {
+		return err
+	}
+	if version <= r.after() {
+		r.opts.OnPlatform(asked)
+		return nil
+	}
+	if r.bytes() > MaxWatchedBytes && sleep(ctx, peerGrace) && version <= r.after() {
+		return nil
+	}
 	return r.read(ctx)
 }
 
+func (r *Replica) version(ctx context.Context) (uint64, error) {
+	rctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	r.calls.lists.Inc()
+	objects, err := r.opts.Store.List(rctx, r.opts.Object)
+	if err != nil {
+		return 0, err
+	}
+	for _, o := range objects {
+		if o.Name == r.opts.Object {
+			return o.Version, nil
+		}
+	}
+	return 0, nil
+}
+
 func (r *Replica) read(ctx context.Context) error {
 	asked := r.opts.Clock.Now()
 	rctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -110,12 +174,13 @@
 	if err != nil {
 		return err
 	}
-	r.opts.OnPlatform(asked)
-	return r.accept(ctx, obj)
+	return r.accept(ctx, obj, asked)
 }
 
-func (r *Replica) accept(ctx context.Context, obj platform.Object) error {
+// accept puts an object that was asked for at an instant in force, if it is later.
+func (r *Replica) accept(ctx context.Context, obj platform.Object, asked clock.Instant) error {
 	if t := r.held.Load(); t != nil && obj.Version <= t.Version {
+		r.opts.OnPlatform(asked)
 		return nil
 	}
 	entries, err := r.opts.Decode(obj.Value)
@@ -123,7 +188,12 @@
 		r.opts.Log.Error("object unreadable", zap.String("object", r.opts.Object), zap.Uint64("version", obj.Version), zap.Error(err))
 		return err
 	}
-	return r.loop.Put(ctx, Read{Table: NewTable(obj.Version, entries)})
+	r.seen.Store(obj.Version)
+	if err := r.loop.Put(ctx, Read{Table: NewTable(obj.Version, entries)}); err != nil {
+		return err
+	}
+	r.opts.OnPlatform(asked)
+	return nil
 }
 
 // backOff waits with jitter and gives the next wait.
--- a/test/spreadfleet/platform.go
+++ b/test/spreadfleet/platform.go
@@ -72,6 +72,13 @@
 	return out
 }
 
+// CallsOf gives the number of calls of one name since the last TakeCalls.
+func (p *Platform) CallsOf(name string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls[name]
+}
+
 // List adds a VM to the list, or takes it off.
 func (p *Platform) List(vm platform.VM, on bool) {
 	p.mu.Lock()
