--- a/internal/experiment/analyze.go
+++ b/internal/experiment/analyze.go
@@ -59,7 +59,10 @@
 		}
 	}
 	within := WithinPlan(w.Plan, own, typical)
-	wr := WorkspaceReport{Name: w.Name, Behaved: true, OverspendTokens: int(Overspend(w.Plan, own))}
+	wr := WorkspaceReport{
+		Name: w.Name, Behaved: true,
+		OverspendTokens: int(Overspend(w.Plan, own)), RefusedWithTokensLeft: RefusedWithTokensLeft(w.Plan, own),
+	}
 	for i, o := range own {
 		a.audit(o)
 		if a.withdrawn(o) {
@@ -108,14 +111,18 @@
 		a.chatsWithin++
 	}
 	cause := missCause(o, a.m.Fleet.Model)
+	bin := a.bin(o.Sent)
+	bin.WithinPlan++
 	if cause == "" {
 		wr.Good++
+		bin.Good++
 		if chat {
 			a.chatsGood++
 		}
 		return
 	}
 	a.report.Misses[string(o.Call.Kind)+" "+cause]++
+	bin.Misses[string(o.Call.Kind)+" "+cause]++
 	switch {
 	case o.Refused() && (o.Kind == fault.Overloaded || o.Kind == fault.TargetMissed):
 		a.report.CapacityRefusals++
@@ -124,6 +131,16 @@
 	}
 }
 
+// bin gives the part of the timeline that holds a moment.
+func (a *analysis) bin(at time.Duration) *Bin {
+	i := int(at.Seconds()) / BinSeconds
+	for len(a.report.Timeline) <= i {
+		next := Bin{FromSeconds: len(a.report.Timeline) * BinSeconds, Misses: make(map[string]int)}
+		a.report.Timeline = append(a.report.Timeline, next)
+	}
+	return &a.report.Timeline[i]
+}
+
 func (a *analysis) add(wr WorkspaceReport) {
 	r := &a.report
 	if wr.Behaved && wr.Goodput < r.WorstWorkspace {
@@ -132,6 +149,7 @@
 	r.Offered += wr.Offered
 	r.WithinPlan += wr.WithinPlan
 	r.WrongfulRefusals += wr.WrongfulRefusals
+	r.RefusedWithTokensLeft += wr.RefusedWithTokensLeft
 	r.Audit.OverspendTokens += wr.OverspendTokens
 	r.Workspaces = append(r.Workspaces, wr)
 	a.good += wr.Good
--- a/internal/experiment/arrivals.go
+++ b/internal/experiment/arrivals.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/configuration"
@@ -50,19 +51,52 @@
 // Capacity gives the most chats a second that the fleet's engines can serve: the lower of
 // prefill and decode at full batches, without cached prefixes.
 func (f Fleet) Capacity() float64 {
-	rng := rand.New(rand.NewPCG(1, 1))
-	var prompts, answers float64
-	for range sampleCount {
-		prompts += float64(promptLength(rng))
-		answers += float64(answerLength(rng))
-	}
-	prompts, answers = prompts/sampleCount, answers/sampleCount
-	prefill := float64(f.PrefillEngines) * float64(f.Model.PrefillTokensPerSecond) / prompts
+	m := meanSizes()
+	prefill := float64(f.PrefillEngines) * float64(f.Model.PrefillTokensPerSecond) / m.prompt
 	gap := float64(f.Model.GapBaseMicros+int64(f.Slots)*f.Model.GapPerSlotMicros) / 1e6
-	decode := float64(f.DecodeSlots) / (answers * gap)
+	decode := float64(f.DecodeSlots) / (m.answer * gap)
 	return min(prefill, decode)
 }
 
+// ScalePlan gives a plan whose rate keeps its share of the sum of all workspaces' rates, where
+// the sum is headroom times the tokens that chats reserve a second at this load.
+func (f Fleet) ScalePlan(p configuration.Plan, load, headroom, burstSeconds float64) configuration.Plan {
+	m := meanSizes()
+	demand := f.Capacity() * load * (m.prompt + m.maxTokens)
+	p.TokensPerSecond = int64(float64(p.TokensPerSecond) / f.sumOfRates() * demand * headroom)
+	p.BurstTokens = max(minBurst, int64(float64(p.TokensPerSecond)*burstSeconds))
+	return p
+}
+
+// minBurst admits two of the largest requests at once.
+const minBurst = 2 * (promptMax + answerMax + maxTokensStep)
+
+func (f Fleet) sumOfRates() float64 {
+	total := 0.0
+	for _, w := range f.Workspaces {
+		total += float64(w.Plan.TokensPerSecond)
+	}
+	return total
+}
+
+// means are mean sizes of chats in tokens.
+type means struct{ prompt, answer, maxTokens float64 }
+
+var meanSizes = sync.OnceValue(func() means {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var m means
+	for range sampleCount {
+		answer := answerLength(rng)
+		m.prompt += float64(promptLength(rng)) / sampleCount
+		m.answer += float64(answer) / sampleCount
+		m.maxTokens += float64(roundUp(answer)) / sampleCount
+	}
+	return m
+})
+
+// roundUp gives the bound that a caller sets on an answer of n tokens.
+func roundUp(n int64) int64 { return (n + maxTokensStep - 1) / maxTokensStep * maxTokensStep }
+
 func promptLength(rng *rand.Rand) int64 {
 	return logNormal(rng, promptMedian, promptSigma, promptMin, promptMax)
 }
@@ -78,10 +112,7 @@
 // Arrivals gives the calls of one run in order of time. The same spec, load and seed give the
 // same calls.
 func Arrivals(s Spec, f Fleet, load float64, seed uint64) []Call {
-	total := 0.0
-	for _, w := range f.Workspaces {
-		total += float64(w.Plan.TokensPerSecond)
-	}
+	total := f.sumOfRates()
 	var out []Call
 	for i, w := range f.Workspaces {
 		g := generator{
@@ -148,7 +179,7 @@
 			c.Class = configuration.MayWait
 		}
 		c.StopAt = answerLength(g.rng)
-		c.MaxTokens = (c.StopAt + maxTokensStep - 1) / maxTokensStep * maxTokensStep
+		c.MaxTokens = roundUp(c.StopAt)
 		c.Tag = fmt.Sprintf("%s-%d-%d", g.workspace, g.seed, len(out))
 		c.Prompt = g.prompt(c.Tag, c.StopAt)
 		out = append(out, c)
--- a/internal/experiment/bucket.go
+++ b/internal/experiment/bucket.go
@@ -90,6 +90,31 @@
 	}
 }
 
+// RefusedWithTokensLeft counts the calls of one workspace that were refused as over plan
+// although one exact bucket, charged with just the calls that were admitted before, held their
+// tokens. Beside WithinPlan it does not depend on which of several large calls came first.
+func RefusedWithTokensLeft(p configuration.Plan, outcomes []Outcome) int {
+	order := slices.Clone(outcomes)
+	slices.SortStableFunc(order, func(a, b Outcome) int { return cmp.Compare(a.Sent, b.Sent) })
+	b := newBucket(p)
+	var due []giveBack
+	refused := 0
+	for _, o := range order {
+		due = b.refundDue(due, o.Sent)
+		b.advance(o.Sent)
+		if o.Kind == fault.OverPlan {
+			if b.tokens >= float64(o.Call.Reserved()) {
+				refused++
+			}
+			continue
+		}
+		b.tokens -= float64(o.Call.Reserved())
+		due = append(due, refundOf(o, 0))
+		slices.SortFunc(due, func(x, y giveBack) int { return cmp.Compare(x.at, y.at) })
+	}
+	return refused
+}
+
 // Overspend gives the most tokens by which the whole answers of one workspace exceeded its
 // plan in any window, 0 when they never did. A window holds the calls that were certainly
 // admitted within it: sent after its start, answered before its end. What earlier calls gave
--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -45,6 +45,7 @@
 		{"wasted prefill", "%", "lower", percent(func(r Report) float64 { return r.WastedPrefill })},
 		{"worst workspace", "%", "higher", percent(func(r Report) float64 { return r.WorstWorkspace })},
 		{"wrongful refusals", "calls", "lower", func(r Report) float64 { return float64(r.WrongfulRefusals) }},
+		{"refused with tokens left", "calls", "lower", func(r Report) float64 { return float64(r.RefusedWithTokensLeft) }},
 		{"capacity refusals", "calls", "lower", func(r Report) float64 { return float64(r.CapacityRefusals) }},
 		{"first token p50", "ms", "lower", func(r Report) float64 { return r.FirstToken.P50 }},
 		{"first token p95", "ms", "lower", func(r Report) float64 { return r.FirstToken.P95 }},
@@ -121,10 +122,10 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	return writeAudits(w, groups)
+	return writeAudits(w, s, groups)
 }
 
-func writeAudits(w io.Writer, groups []Group) error {
+func writeAudits(w io.Writer, s Spec, groups []Group) error {
 	for _, g := range groups {
 		unclean, examples := g.AuditFaults()
 		if _, err := fmt.Fprintf(w, "\naudit of %s at %.0f%%: %d of %d runs not clean\n", g.Policy, 100*g.Load, unclean, len(g.Reports)); err != nil {
@@ -135,7 +136,20 @@
 		}
 		for _, r := range g.Reports {
 			fmt.Fprintf(w, "  seed %d: %d calls within plan, %.1f chats/s, misses %v, worst %s\n", r.Seed, r.WithinPlan, r.ChatsPerSecond, r.Misses, r.WorstWorkspaceName)
+			writeTimeline(w, s, r)
 		}
 	}
 	return nil
 }
+
+// writeTimeline shows the parts of a run with faults in which calls were missed.
+func writeTimeline(w io.Writer, s Spec, r Report) {
+	if len(s.Faults) == 0 {
+		return
+	}
+	for _, b := range r.Timeline {
+		if b.Good < b.WithinPlan {
+			fmt.Fprintf(w, "    sent at %d s to %d s: %d of %d good, misses %v\n", b.FromSeconds, b.FromSeconds+BinSeconds, b.Good, b.WithinPlan, b.Misses)
+		}
+	}
+}
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -70,6 +70,17 @@
 	if got := float64(chats["a"] + chats["b"]); got < 0.8*want || got > 1.2*want || chats["a"] < 2*chats["b"] {
 		t.Fatalf("%v chats, want about %.0f, three quarters by a", chats, want)
 	}
+	scaled := 0.0
+	for _, w := range f.Workspaces {
+		scaled += float64(f.ScalePlan(w.Plan, 0.5, 2, 1).TokensPerSecond)
+	}
+	reserved := 0.0
+	for _, c := range calls {
+		reserved += float64(c.Reserved()) / 60
+	}
+	if scaled < 1.6*reserved || scaled > 2.4*reserved {
+		t.Fatalf("plans scaled to %.0f tokens a second, twice the demand of %.0f", scaled, reserved)
+	}
 	s.Bursts = []Burst{{Workspace: 1, Factor: 4, FromSeconds: 0, ToSeconds: 60}}
 	burst := 0
 	for _, c := range Arrivals(s, f, 0.5, 7) {
@@ -135,6 +146,21 @@
 		if len(outcomes) > 0 && within[0] != (outcomes[0].Call.Reserved() <= p.BurstTokens) {
 			t.Fatalf("the first call of %d tokens at burst %d: within %v", outcomes[0].Call.Reserved(), p.BurstTokens, within[0])
 		}
+		replayed := slices.Clone(outcomes)
+		for i := range replayed {
+			if !within[i] {
+				replayed[i].Whole, replayed[i].Kind, replayed[i].Run = false, fault.OverPlan, fault.NotRun
+			}
+		}
+		if n := RefusedWithTokensLeft(p, replayed); n != 0 {
+			t.Fatalf("an exact bucket refused %d calls with tokens left", n)
+		}
+		for i := range replayed {
+			replayed[i].Whole, replayed[i].Kind, replayed[i].Run = false, fault.OverPlan, fault.NotRun
+		}
+		if n := RefusedWithTokensLeft(p, replayed); n < len(admitted) {
+			t.Fatalf("%d refusals with tokens left among calls that were all refused, want %d or more", n, len(admitted))
+		}
 		if over := Overspend(p, admitted); over > 1 {
 			t.Fatalf("an exact bucket overspent by %f", over)
 		}
@@ -236,7 +262,7 @@
 		},
 	}
 	r := Analyze(m)
-	if r.Offered != 8 || r.WithinPlan != 7 || r.WrongfulRefusals != 1 || r.CapacityRefusals != 1 {
+	if r.Offered != 8 || r.WithinPlan != 7 || r.WrongfulRefusals != 1 || r.CapacityRefusals != 1 || r.RefusedWithTokensLeft != 1 {
 		t.Fatalf("report %+v", r)
 	}
 	if r.Goodput != 2.0/7 || r.WorstWorkspace != 1 || r.WorstWorkspaceName != "" || r.FirstToken.Count != 3 {
@@ -245,6 +271,9 @@
 	if r.WastedPrefill < 0.099 || r.WastedPrefill > 0.101 || r.Audit.CorruptAnswers != 1 || r.Audit.LateKeyUses != 1 || r.Audit.Clean() {
 		t.Fatalf("report %+v", r)
 	}
+	if b := r.Timeline[1]; b.FromSeconds != 2 || b.WithinPlan != 3 || b.Good != 2 || b.Misses["chat over_plan"] != 1 {
+		t.Fatalf("timeline %+v", r.Timeline)
+	}
 	var text bytes.Buffer
 	if err := WriteText(&text, s, []Report{r, r}); err != nil || !strings.Contains(text.String(), "28.57 [28.57 28.57]") || !strings.Contains(text.String(), "2 of 2 runs not clean") {
 		t.Fatalf("error %v, text\n%s", err, text.String())
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -24,7 +24,9 @@
 	// Behaved is set when all its calls were within plan.
 	Behaved          bool `json:"behaved"`
 	WrongfulRefusals int  `json:"wrongful_refusals"`
-	OverspendTokens  int  `json:"overspend_tokens"`
+	// RefusedWithTokensLeft is explained at the function of that name.
+	RefusedWithTokensLeft int `json:"refused_with_tokens_left"`
+	OverspendTokens       int `json:"overspend_tokens"`
 }
 
 // EngineTotals are sums over all engines.
@@ -81,6 +83,17 @@
 	}
 }
 
+// BinSeconds is the length of one Bin.
+const BinSeconds = 2
+
+// Bin is a part of a run, by the time at which calls were sent.
+type Bin struct {
+	FromSeconds int            `json:"from_seconds"`
+	WithinPlan  int            `json:"within_plan"`
+	Good        int            `json:"good"`
+	Misses      map[string]int `json:"misses,omitempty"`
+}
+
 // Report is the result of one run.
 type Report struct {
 	Policy string  `json:"policy"`
@@ -102,10 +115,14 @@
 	WorstWorkspaceName string  `json:"worst_workspace_name"`
 	// WrongfulRefusals were within plan, and not forced by capacity.
 	WrongfulRefusals int `json:"wrongful_refusals"`
+	// RefusedWithTokensLeft is explained at the function of that name.
+	RefusedWithTokensLeft int `json:"refused_with_tokens_left"`
 	// CapacityRefusals were within plan, and refused as overloaded or out of reach of a target.
 	CapacityRefusals int `json:"capacity_refusals"`
 	// Misses counts the calls within plan that were not good, by cause.
-	Misses     map[string]int    `json:"misses"`
+	Misses map[string]int `json:"misses"`
+	// Timeline shows when the misses happened.
+	Timeline   []Bin             `json:"timeline"`
 	FirstToken Quantiles         `json:"first_token"`
 	Gap        Quantiles         `json:"gap"`
 	Plain      Quantiles         `json:"plain"`
--- a/internal/experiment/spec.go
+++ b/internal/experiment/spec.go
@@ -30,6 +30,10 @@
 	// ReadsPerChat and CommitsPerChat set the calls to the plain service.
 	ReadsPerChat   float64 `toml:"reads_per_chat" json:"reads_per_chat"`
 	CommitsPerChat float64 `toml:"commits_per_chat" json:"commits_per_chat"`
+	// PlanHeadroom sets the sum of all plans' rates relative to the demand at each load, with
+	// bursts of PlanBurstSeconds; 0 keeps the layout's plans.
+	PlanHeadroom     float64 `toml:"plan_headroom" json:"plan_headroom"`
+	PlanBurstSeconds float64 `toml:"plan_burst_seconds" json:"plan_burst_seconds"`
 	// Balance is uniform, skewed (80% to one VM) or moving (80% to a VM that changes).
 	Balance string `toml:"balance" json:"balance"`
 	// Policies are compared, interleaved run by run.
@@ -110,7 +114,8 @@
 	return Spec{
 		Name: "experiment", Layout: "partilha", Loads: []float64{0.85}, Seeds: []uint64{1},
 		DurationSeconds: 20, WarmupSeconds: 4, ReadsPerChat: 0.5, CommitsPerChat: 0.15, Balance: BalanceUniform,
-		Policies: []Policy{{Name: "default"}},
+		PlanBurstSeconds: 4,
+		Policies:         []Policy{{Name: "default"}},
 	}
 }
 
@@ -137,6 +142,8 @@
 	switch {
 	case s.DurationSeconds <= s.WarmupSeconds || s.WarmupSeconds < 0:
 		return specFault("duration_seconds must be above warmup_seconds")
+	case s.PlanHeadroom < 0 || s.PlanBurstSeconds <= 0:
+		return specFault("plan_headroom must not be below 0, and plan_burst_seconds must be above 0")
 	case len(s.Loads) == 0 || len(s.Seeds) == 0 || len(s.Policies) == 0:
 		return specFault("loads, seeds and policies must not be empty")
 	case slices.ContainsFunc(s.Loads, func(l float64) bool { return l <= 0 }):
--- a/test/cmd/experiment/main.go
+++ b/test/cmd/experiment/main.go
@@ -23,6 +23,7 @@
 	Binary  string    `help:"A built fulmartided; without it one is built." type:"existingfile" optional:""`
 	Seeds   []uint64  `help:"Seeds in place of the file's."`
 	Loads   []float64 `help:"Loads in place of the file's."`
+	Logs    string    `help:"Directory to keep the daemons' logs in."`
 	Verbose bool      `help:"Show each call that was not good."`
 }
 
@@ -70,7 +71,7 @@
 	for _, load := range spec.Loads {
 		for _, seed := range spec.Seeds {
 			for _, policy := range spec.Policies {
-				r := run{spec: spec, layout: layout, policy: policy, load: load, seed: seed, binary: binary, verbose: c.Verbose}
+				r := run{spec: spec, layout: layout, policy: policy, load: load, seed: seed, binary: binary, logs: c.Logs, verbose: c.Verbose}
 				report, err := r.execute(ctx)
 				if err != nil {
 					return fmt.Errorf("policy %s, load %g, seed %d: %w", policy.Name, load, seed, err)
--- a/test/cmd/experiment/run.go
+++ b/test/cmd/experiment/run.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -31,6 +33,7 @@
 	load    float64
 	seed    uint64
 	binary  string
+	logs    string
 	verbose bool
 
 	fleet     *fleet.Fleet
@@ -42,8 +45,9 @@
 }
 
 func (r *run) execute(ctx context.Context) (experiment.Report, error) {
+	r.scalePlans()
 	f, err := fleet.Start(ctx, fleet.Options{
-		Layout: r.layout, Binary: r.binary, Policy: settings.Policy{Placement: r.policy.Placement, Limiter: r.policy.Limiter},
+		Layout: r.layout, Binary: r.binary, Dir: r.logDir(), Policy: settings.Policy{Placement: r.policy.Placement, Limiter: r.policy.Limiter},
 	})
 	if err != nil {
 		return experiment.Report{}, err
@@ -67,6 +71,26 @@
 	return report, ctx.Err()
 }
 
+// logDir names the directory for the logs of this run; empty keeps none.
+func (r *run) logDir() string {
+	if r.logs == "" {
+		return ""
+	}
+	return filepath.Join(r.logs, fmt.Sprintf("%s-%s-%g-%d", r.spec.Name, r.policy.Name, r.load, r.seed))
+}
+
+// scalePlans sizes the plans as the experiment file asks.
+func (r *run) scalePlans() {
+	if r.spec.PlanHeadroom == 0 {
+		return
+	}
+	f := r.measuredFleet()
+	r.layout.Plans = maps.Clone(r.layout.Plans)
+	for name, p := range r.layout.Plans {
+		r.layout.Plans[name] = f.ScalePlan(p, r.load, r.spec.PlanHeadroom, r.spec.PlanBurstSeconds)
+	}
+}
+
 // drive sends the load while the fault script runs, and waits for the last answer.
 func (r *run) drive(ctx context.Context) []experiment.Outcome {
 	r.client = experiment.Client{
@@ -146,19 +170,23 @@
 	return t
 }
 
-const maxShown = 20
+// maxShown is how many calls of each cause are shown.
+const maxShown = 2
 
+// show names some calls that were not whole, for each cause.
 func (r *run) show(outcomes []experiment.Outcome) {
 	if !r.verbose {
 		return
 	}
-	shown := 0
+	shown := make(map[string]int)
 	for _, o := range outcomes {
-		if o.Whole || shown >= maxShown {
+		cause := fmt.Sprintf("%s %q run %q %v", o.Call.Kind, o.Kind, o.Run, o.Corrupt != "")
+		shown[cause]++
+		if o.Whole || shown[cause] > maxShown {
 			continue
 		}
-		shown++
-		fmt.Fprintf(os.Stderr, "  %s %s by %s through %s at %s: kind %q run %q %s%s after %d tokens\n",
-			o.RequestID, o.Call.Kind, o.Call.Workspace, o.VM, o.Sent.Round(time.Millisecond), o.Kind, o.Run, o.Message, o.Corrupt, o.Tokens)
+		fmt.Fprintf(os.Stderr, "  %s %s by %s through %s, sent %s, ended %s: kind %q run %q %s%s after %d tokens\n",
+			o.RequestID, o.Call.Kind, o.Call.Workspace, o.VM, o.Sent.Round(time.Millisecond), o.Ended.Round(time.Millisecond),
+			o.Kind, o.Run, o.Message, o.Corrupt, o.Tokens)
 	}
 }
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -42,6 +42,8 @@
 	LogLevel string
 	// Drain is the daemons' stop.drain_seconds. Default 10.
 	Drain int64
+	// Dir keeps the daemons' settings and logs; empty keeps them only when a stop fails.
+	Dir string
 	// AdjustEngine, if set, changes an engine's options before it starts.
 	AdjustEngine func(name string, o *engine.Options)
 	// AdjustDocument, if set, changes the first configuration.
@@ -88,7 +90,7 @@
 	o.ListLag = cmp.Or(o.ListLag, time.Second)
 	o.LogLevel = cmp.Or(o.LogLevel, "info")
 	o.Drain = cmp.Or(o.Drain, 10)
-	dir, err := os.MkdirTemp("", "fulmartide-fleet-")
+	dir, err := logDir(o.Dir)
 	if err != nil {
 		return nil, err
 	}
@@ -109,6 +111,13 @@
 	return f, nil
 }
 
+func logDir(dir string) (string, error) {
+	if dir == "" {
+		return os.MkdirTemp("", "fulmartide-fleet-")
+	}
+	return dir, os.MkdirAll(dir, 0o755)
+}
+
 func (f *Fleet) start(ctx context.Context) error {
 	if f.binary == "" {
 		binary, err := Build(ctx, f.dir, f.opts.Race)
@@ -347,7 +356,7 @@
 	for _, c := range slices.Backward(f.closers) {
 		c()
 	}
-	if len(errs) == 0 && os.Getenv(keepLogs) == "" {
+	if len(errs) == 0 && os.Getenv(keepLogs) == "" && f.opts.Dir == "" {
 		return os.RemoveAll(f.dir)
 	}
 	return errors.Join(errs...)
