Command overhead: the router's own time to the first token

Cause: the target (1 ms median, 3 ms p99 on loopback) needs a difference measured in one run. Change: calls through one VM and straight to the same engines, in turns.

--- /dev/null
+++ b/test/cmd/overhead/main.go
@@ -0,0 +1,123 @@
+// Command overhead measures the time that the router adds to the first token: calls through one
+// VM and calls straight to the same engines, in turns.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/alecthomas/kong"
+
+	"github.com/fulmartide/fulmartide/internal/endpoint"
+	"github.com/fulmartide/fulmartide/internal/experiment"
+	"github.com/fulmartide/fulmartide/test/fleet"
+	"github.com/fulmartide/fulmartide/test/standin/engine"
+)
+
+type command struct {
+	Calls int    `help:"Calls each way." default:"1000"`
+	Log   string `help:"Daemon's log level." default:"info"`
+}
+
+func main() {
+	var c command
+	k := kong.Parse(&c, kong.Description("Measure the router's own time to the first token."))
+	k.FatalIfErrorf(c.run(context.Background()))
+}
+
+// tokens is the length of each answer.
+const tokens = 2
+
+func (c *command) run(ctx context.Context) error {
+	layout := fleet.Partilha()
+	layout.DataCentres = []fleet.DataCentre{{Name: "lisboa-a", VMs: 1, Prefill: 1, Decode: 1}}
+	layout.Delay = 0
+	f, err := fleet.Start(ctx, fleet.Options{Layout: layout, LogLevel: c.Log})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Stop() }()
+	client := experiment.Client{HTTP: experiment.NewHTTPClient(), Model: layout.ModelName, Secret: fleet.Secret, Token: engine.TokenOfTag}
+	daemon := f.Daemons()[0]
+	direct, routed := hdrhistogram.New(1, int64(time.Minute), 3), hdrhistogram.New(1, int64(time.Minute), 3)
+	dialer := endpoint.NewHTTPDialer()
+	begin := time.Now()
+	for i := range c.Calls {
+		tag := fmt.Sprintf("overhead-%d", i)
+		call := experiment.Call{
+			Workspace: layout.Workspaces[0].Name, Kind: experiment.Chat, Tag: tag,
+			Prompt: fmt.Sprintf("{tag:%s}{stop:%d}", tag, tokens), MaxTokens: tokens, StopAt: tokens,
+		}
+		o := client.Do(ctx, begin, experiment.Target{VM: daemon.VM, Callers: daemon.Callers}, call)
+		if !o.Whole {
+			return fmt.Errorf("call %d through the router: %+v", i, o)
+		}
+		took, err := callDirect(ctx, dialer, f, i, call)
+		if err != nil {
+			return err
+		}
+		if i < c.Calls/10 {
+			continue // connections and caches warm up
+		}
+		_ = routed.RecordValue(int64(o.FirstToken - o.Sent))
+		_ = direct.RecordValue(int64(took))
+	}
+	report("direct", direct)
+	report("routed", routed)
+	for _, q := range []float64{50, 99} {
+		added := time.Duration(routed.ValueAtQuantile(q) - direct.ValueAtQuantile(q))
+		fmt.Printf("added p%.0f: %s\n", q, added)
+	}
+	return nil
+}
+
+func report(name string, h *hdrhistogram.Histogram) {
+	fmt.Printf("%s first token: n=%d p50=%s p99=%s\n", name, h.TotalCount(), time.Duration(h.ValueAtQuantile(50)), time.Duration(h.ValueAtQuantile(99)))
+}
+
+// callDirect gives the time to the first token of a call that goes straight to the engines.
+func callDirect(ctx context.Context, dialer endpoint.Dialer, f *fleet.Fleet, i int, call experiment.Call) (time.Duration, error) {
+	source, err := address(f, "lisboa-a-prefill1")
+	if err != nil {
+		return 0, err
+	}
+	target, err := address(f, "lisboa-a-decode1")
+	if err != nil {
+		return 0, err
+	}
+	attempt := endpoint.Attempt{Request: fmt.Sprintf("r.direct.1.%d", i), Number: 1}
+	begin := time.Now()
+	kept, err := dialer.Engine(source).Prefill(ctx, endpoint.PrefillOrder{
+		Attempt: attempt, Model: "summary", Prompt: "<user>" + call.Prompt + "\n", Tokens: call.PromptTokens(),
+	})
+	if err != nil {
+		return 0, err
+	}
+	stream, err := dialer.Engine(target).Decode(ctx, endpoint.DecodeOrder{
+		Attempt: attempt, Model: "summary", Source: source, Handle: kept.Handle, MaxTokens: tokens,
+	})
+	if err != nil {
+		return 0, err
+	}
+	defer stream.Close()
+	took := time.Duration(0)
+	for {
+		frame, err := stream.Next(ctx)
+		if err != nil {
+			return 0, err
+		}
+		if frame.Text != "" && took == 0 {
+			took = time.Since(begin)
+		}
+		if frame.Done {
+			return took, nil
+		}
+	}
+}
+
+func address(f *fleet.Fleet, name string) (netip.AddrPort, error) {
+	return netip.ParseAddrPort(f.Document.Endpoints[name].Address)
+}
