--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -136,6 +136,7 @@
 		}
 		for _, r := range g.Reports {
 			fmt.Fprintf(w, "  seed %d: %d calls within plan, %.1f chats/s, misses %v, worst %s\n", r.Seed, r.WithinPlan, r.ChatsPerSecond, r.Misses, r.WorstWorkspaceName)
+			writeUsage(w, r)
 			writeTimeline(w, s, r)
 		}
 	}
@@ -153,3 +154,13 @@
 		}
 	}
 }
+
+// writeUsage shows what the daemons used.
+func writeUsage(w io.Writer, r Report) {
+	const mebibyte = 1 << 20
+	for _, d := range r.Daemons {
+		fmt.Fprintf(w, "    %s: %.1f%% of a core, %.0f MiB at the peak, %.0f bytes/s to other VMs\n",
+			d.VM, 100*d.CPUShare, float64(d.PeakRSSBytes)/mebibyte, d.ControlBytesPerSecond)
+	}
+	fmt.Fprintf(w, "    platform calls: %v\n", r.PlatformCalls)
+}
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -274,8 +274,10 @@
 	if b := r.Timeline[1]; b.FromSeconds != 2 || b.WithinPlan != 3 || b.Good != 2 || b.Misses["chat over_plan"] != 1 {
 		t.Fatalf("timeline %+v", r.Timeline)
 	}
+	r.Daemons = []DaemonUsage{{VM: "lisboa-a-vm1", CPUShare: 0.125, PeakRSSBytes: 64 << 20, ControlBytesPerSecond: 2900}}
 	var text bytes.Buffer
-	if err := WriteText(&text, s, []Report{r, r}); err != nil || !strings.Contains(text.String(), "28.57 [28.57 28.57]") || !strings.Contains(text.String(), "2 of 2 runs not clean") {
+	if err := WriteText(&text, s, []Report{r, r}); err != nil || !strings.Contains(text.String(), "28.57 [28.57 28.57]") || !strings.Contains(text.String(), "2 of 2 runs not clean") ||
+		!strings.Contains(text.String(), "lisboa-a-vm1: 12.5% of a core, 64 MiB at the peak, 2900 bytes/s") {
 		t.Fatalf("error %v, text\n%s", err, text.String())
 	}
 	files, err := SavePlots(t.TempDir(), s, []Report{r})
