--- a/test/cmd/experiment/run.go
+++ b/test/cmd/experiment/run.go
@@ -98,12 +98,13 @@
 	}
 	r.client.ReadPath, r.client.CommitPath = r.layout.ReadPath, r.layout.CommitPath
 	defer r.client.HTTP.CloseIdleConnections()
+	r.balancer = newBalancer(r.fleet)
+	r.balancer.probeAll()
 	calls := experiment.Arrivals(r.spec, r.measuredFleet(), r.load, r.seed)
 	r.start = time.Now()
 	calls = experiment.Stamp(calls, r.start)
 	script, stop := context.WithCancel(ctx)
 	defer stop()
-	r.balancer = newBalancer(r.fleet)
 	var background, inFlight sync.WaitGroup
 	background.Add(2)
 	go func() {
