--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -70,8 +70,6 @@
 
 func (b *bucket) limit() int64 { return b.burst * unit }
 
-func (b *bucket) full() bool { return b.level >= b.limit() }
-
 // advance adds what has accrued up to now. Time that goes back adds nothing.
 func (b *bucket) advance(now clock.Instant) {
 	elapsed := int64(now - b.at)
--- a/internal/limiter/machine.go
+++ b/internal/limiter/machine.go
@@ -34,8 +34,10 @@
 	recordPeriod = 15 * time.Second
 	// retryPeriod is the time between tries of a platform call that matters now.
 	retryPeriod = 500 * time.Millisecond
-	// stalePeriod is the least time between reads of a record that seems out of date.
-	stalePeriod = time.Second
+	// stalePeriod is the least time between a VM's reads of a record that seems out of date
+	// from the platform, and peerStalePeriod from the VMs of another data centre.
+	stalePeriod     = 5 * time.Second
+	peerStalePeriod = time.Second
 	// listPeriod is the time between reads of the platform's list while a holder is missing.
 	listPeriod = 2 * time.Second
 	// layoutPeriod is the time between reads of the other data centres' records.
--- a/internal/limiter/records.go
+++ b/internal/limiter/records.go
@@ -12,10 +12,13 @@
 )
 
 // records is what a requester knows of the holders in all data centres. The own data
-// centre's record comes from the holder machine, the others are read when they are needed.
+// centre's record comes from the holder machine; the others are asked of their own VMs when
+// they are needed, and read from the platform when none of those answers.
 type records struct {
 	store platform.Store
 	own   string
+	// ask gets the record of a data centre from one of its VMs, if it is above a version.
+	ask func(ctx context.Context, dataCentre string, above uint64) (*controlReply, error)
 
 	mu    sync.Mutex
 	known map[string]*knownRecord
@@ -53,7 +56,7 @@
 func (r *records) holder(ctx context.Context, dataCentre string, shard int) (ident.VM, bool) {
 	rec := r.get(dataCentre)
 	if rec == nil && dataCentre != r.own && r.mayRead(dataCentre) {
-		_ = r.refresh(ctx, dataCentre)
+		r.refresh(ctx, dataCentre)
 		rec = r.get(dataCentre)
 	}
 	if rec == nil {
@@ -73,16 +76,25 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.entry(dataCentre)
-	if time.Since(k.lastRead) < stalePeriod {
+	if time.Since(k.lastRead) < peerStalePeriod {
 		return false
 	}
 	k.lastRead = time.Now()
 	return true
 }
 
-func (r *records) refresh(ctx context.Context, dataCentre string) error {
-	_, err := r.read(ctx, RecordName(dataCentre))
-	return err
+func (r *records) refresh(ctx context.Context, dataCentre string) {
+	r.mu.Lock()
+	above := r.entry(dataCentre).version
+	r.mu.Unlock()
+	reply, err := r.ask(ctx, dataCentre, above)
+	if err != nil || reply.Version == 0 {
+		_, _ = r.read(ctx, RecordName(dataCentre))
+		return
+	}
+	if rec, err := DecodeRecord(reply.Record); err == nil {
+		r.put(dataCentre, rec, reply.Version)
+	}
 }
 
 // read gets one record from the platform and keeps it. A missing one gives version 0.
--- a/internal/limiter/reserve.go
+++ b/internal/limiter/reserve.go
@@ -192,7 +192,7 @@
 		s.worker.do(func(ctx context.Context) {
 			call, cancel := context.WithTimeout(ctx, platformTimeout)
 			defer cancel()
-			_ = s.records.refresh(call, dataCentre)
+			s.records.refresh(call, dataCentre)
 		})
 	}
 }
--- a/internal/limiter/service.go
+++ b/internal/limiter/service.go
@@ -93,6 +93,7 @@
 	s := &Service{opts: o, hints: Hints{}, baseline: newBaseline(), calls: newCalls()}
 	s.worker = newWorker(s)
 	s.records = newRecords(o.Store, o.Self.DataCentre)
+	s.records.ask = s.askRecord
 	s.settler = newSettler(s.sendSettlements)
 	s.loop = duty.NewLoop(duty.Options[Input, Action]{
 		Machine:  NewHolder(o.Self.VM, o.Self.DataCentre),
--- a/internal/limiter/worker.go
+++ b/internal/limiter/worker.go
@@ -262,6 +262,21 @@
 	}
 }
 
+// askRecord gets the record of another data centre from one of its live VMs.
+func (s *Service) askRecord(ctx context.Context, dataCentre string, above uint64) (*controlReply, error) {
+	var live []membership.Member
+	for _, m := range s.view().Members {
+		if m.DataCentre == dataCentre && m.State == membership.Alive {
+			live = append(live, m)
+		}
+	}
+	if len(live) == 0 {
+		return nil, fault.New(fault.Unavailable, "read the platform", "no live VM in the data centre")
+	}
+	to := live[s.seq.Add(1)%uint64(len(live))]
+	return s.control(ctx, to, &controlRequest{DataCentre: dataCentre, Version: above})
+}
+
 // control sends one control message and waits for its reply.
 func (s *Service) control(ctx context.Context, to membership.Member, req *controlRequest) (*controlReply, error) {
 	call, cancel := context.WithTimeout(ctx, controlTimeout)
--- a/test/cmd/limitermeasure/arrivals.go
+++ b/test/cmd/limitermeasure/arrivals.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/limiter"
 	"github.com/fulmartide/fulmartide/test/cmd/limitermeasure/fleet"
@@ -144,19 +143,21 @@
 		Far: 15 * time.Millisecond, Near: time.Millisecond, Local: 100 * time.Microsecond,
 	})
 	f.Run(warmUp)
-	f.Traffic = fleet.Traffic{}
-	reads, writes := f.Platform.Reads, f.Platform.Writes
 	rng := rand.New(rand.NewPCG(o.Seed, 3))
 	names := f.Names()
-	var start clock.Instant = f.Now
-	for f.Now.Sub(start) < o.LargeIn {
-		f.Run(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
-		r := arrival(rng, patterns[0], 0, names)
-		r.Workspace = fmt.Sprintf("workspace-%03d", rng.IntN(spaces))
-		f.Arrive(r)
+	arrive := func(length time.Duration) {
+		for start := f.Now; f.Now.Sub(start) < length; {
+			f.Run(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
+			r := arrival(rng, patterns[0], 0, names)
+			r.Workspace = fmt.Sprintf("workspace-%03d", rng.IntN(spaces))
+			f.Arrive(r)
+		}
 	}
-	length := f.Now.Sub(start).Seconds()
-	printLarge(f, length, dataCentres*vmsEach, f.Platform.Reads-reads, f.Platform.Writes-writes)
+	arrive(warmUp) // requests in flight and known records as in steady use
+	f.Traffic = fleet.Traffic{}
+	reads, writes, before := f.Platform.Reads, f.Platform.Writes, sum(f).requests
+	arrive(o.LargeIn)
+	printLarge(f, o.LargeIn.Seconds(), dataCentres*vmsEach, sum(f).requests-before, f.Platform.Reads-reads, f.Platform.Writes-writes)
 	return sum(f).overspend
 }
 
--- a/test/cmd/limitermeasure/bytes.go
+++ b/test/cmd/limitermeasure/bytes.go
@@ -60,13 +60,13 @@
 	return sent[peer.KindLimiterReserve] - len(body), sent[peer.KindLimiterReserve+100] - len(body), sent[peer.KindLimiterSettle] - len(body)
 }
 
-func printLarge(f *fleet.Fleet, seconds float64, vms, reads, writes int) {
+func printLarge(f *fleet.Fleet, seconds float64, vms, requests, reads, writes int) {
 	call, reply, oneWay := frameBytes()
 	r := sum(f)
 	frame := map[fleet.Kind]int{fleet.Reserve: call, fleet.Reply: reply, fleet.Settle: oneWay, fleet.Control: call, fleet.Recover: call}
 	names := map[fleet.Kind]string{fleet.Reserve: "reserve", fleet.Reply: "reply", fleet.Settle: "settle", fleet.Control: "control", fleet.Recover: "recover"}
-	fmt.Printf("\nlarge fleet: %d VMs, %.0f requests/s, wrongful %d of %d, asks/req %.2f, p50 %v, p99 %v\n", vms, float64(r.requests)/seconds,
-		r.wrongful, r.requests, r.per(r.asks), r.quantile(0.5), r.quantile(0.99))
+	fmt.Printf("\nlarge fleet: %d VMs, %.0f requests/s, wrongful %d and refused %d of %d since the start, asks/req %.2f, p50 %v, p99 %v\n", vms, float64(requests)/seconds,
+		r.wrongful, r.refused, r.requests, r.per(r.asks), r.quantile(0.5), r.quantile(0.99))
 	total := 0.0
 	for k := fleet.Reserve; k <= fleet.Recover; k++ {
 		n, body := f.Traffic.Messages[k], f.Traffic.Bytes[k]
@@ -76,5 +76,5 @@
 			float64(n)/seconds/float64(vms), float64(body)/float64(max(1, n)), frame[k], perVM)
 	}
 	fmt.Printf("all      %.0f B/s a VM sent, %.1f B a request; platform %.1f reads/s, %.1f writes/s for the fleet\n",
-		total, total*float64(vms)*seconds/float64(r.requests), float64(reads)/seconds, float64(writes)/seconds)
+		total, total*float64(vms)*seconds/float64(requests), float64(reads)/seconds, float64(writes)/seconds)
 }
--- a/test/cmd/limitermeasure/fleet/request.go
+++ b/test/cmd/limitermeasure/fleet/request.go
@@ -173,6 +173,9 @@
 	}
 	n.asked[dataCentre] = true
 	n.f.after(time.Second, func() { n.asked[dataCentre] = false })
+	if dataCentre != n.self.DataCentre && n.askRecord(dataCentre) {
+		return
+	}
 	n.platform(func() func() {
 		r, version := n.f.Platform.get(limiter.RecordName(dataCentre))
 		return func() {
@@ -185,6 +188,25 @@
 	}, func() {})
 }
 
+// askRecord gets a data centre's record from one of its live VMs.
+func (n *node) askRecord(dataCentre string) bool {
+	for _, m := range n.currentView().Members {
+		to := n.f.nodes[m.VM.Name]
+		if m.DataCentre != dataCentre || m.State != membership.Alive || to.records[dataCentre] == nil {
+			continue
+		}
+		return n.toLife(m.VM, Control, dataCentre, func(to *node) {
+			rec, version := to.records[dataCentre], to.versions[dataCentre]
+			body := []byte{}
+			if version > n.versions[dataCentre] {
+				body = rec.Encode()
+			}
+			to.toLife(n.self.VM, Control, body, func(back *node) { back.learn(dataCentre, rec, version) })
+		})
+	}
+	return false
+}
+
 func (r *request) heed(dataCentre string, reply limiter.ReserveReply) {
 	switch reply.Status {
 	case limiter.StatusUnreachable, limiter.StatusNotHolder:
