--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -50,6 +50,8 @@
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
 	case !d.limiter.Ready():
 		http.Error(w, "no share holders known yet", http.StatusServiceUnavailable)
+	case !d.warmed.Load():
+		http.Error(w, "opening connections", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ready\n"))
 	}
--- a/internal/limiter/peerrecords.go
+++ b/internal/limiter/peerrecords.go
@@ -2,36 +2,53 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fulmartide/fulmartide/internal/membership"
 )
 
-// recordAsks is the most VMs that are asked for one record.
-const recordAsks = 3
+const (
+	// recordAsks is the most VMs that are asked for one record.
+	recordAsks = 3
+	// bootstrapPeriod is the time between asks of a VM that has no record yet.
+	bootstrapPeriod = 300 * time.Millisecond
+	// bootstrapLimit is how long a VM without a record waits before it serves from the shares
+	// of other data centres alone.
+	bootstrapLimit = 3 * time.Second
+)
+
+// bootstrap asks VMs of the own data centre for its record until the holder machine has one,
+// so that a VM that starts while the platform is away can serve.
+func (s *Service) bootstrap(ctx context.Context) {
+	t := time.NewTicker(bootstrapPeriod)
+	defer t.Stop()
+	limit := time.AfterFunc(bootstrapLimit, func() { s.waited.Store(true) })
+	defer limit.Stop()
+	for s.records.get(s.opts.Self.DataCentre) == nil {
+		s.ownRecordFromPeers(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
 
-// recordFromPeers asks live VMs of a data centre for its record, while the platform does not
-// answer. The record only tells where to ask: a VM that no longer holds a share says so. The
-// own data centre's record goes to the holder machine, which publishes it.
-func (s *Service) recordFromPeers(ctx context.Context, dataCentre string) {
+// ownRecordFromPeers gives the holder machine the record that another VM of its data centre
+// applies.
+func (s *Service) ownRecordFromPeers(ctx context.Context) {
 	asked := 0
 	for _, m := range s.view().Members {
-		if m.DataCentre != dataCentre || m.VM == s.opts.Self.VM || m.State != membership.Alive {
+		if m.DataCentre != s.opts.Self.DataCentre || m.VM == s.opts.Self.VM || m.State != membership.Alive {
 			continue
 		}
 		if asked++; asked > recordAsks {
 			return
 		}
-		reply, err := s.control(ctx, m, &controlRequest{DataCentre: dataCentre})
-		if err != nil || len(reply.Record) == 0 {
-			continue
-		}
-		if dataCentre == s.opts.Self.DataCentre {
+		reply, err := s.control(ctx, m, &controlRequest{DataCentre: m.DataCentre})
+		if err == nil && len(reply.Record) > 0 {
 			s.worker.learn(ctx, reply)
 			return
 		}
-		if rec, err := DecodeRecord(reply.Record); err == nil {
-			s.records.put(dataCentre, rec, reply.Version)
-			return
-		}
 	}
 }
--- a/internal/limiter/service.go
+++ b/internal/limiter/service.go
@@ -77,6 +77,7 @@
 	baseline *baseline
 	calls    calls
 	seq      atomic.Uint64
+	waited   atomic.Bool // no record of the own data centre for bootstrapLimit
 
 	mu    sync.Mutex
 	hints Hints
@@ -93,7 +94,7 @@
 	s := &Service{opts: o, hints: Hints{}, baseline: newBaseline(), calls: newCalls()}
 	s.worker = newWorker(s)
 	s.records = newRecords(o.Store, o.Self.DataCentre)
-	s.records.fromPeers = s.recordFromPeers
+	s.records.ask = s.askRecord
 	s.settler = newSettler(s.sendSettlements)
 	s.loop = duty.NewLoop(duty.Options[Input, Action]{
 		Machine:  NewHolder(o.Self.VM, o.Self.DataCentre),
@@ -110,9 +111,12 @@
 }
 
 // Ready reports whether requests can be admitted: the holders of the own data centre's shares
-// are known.
+// are known, or could not be learnt for a while, so that only other shares can serve.
 func (s *Service) Ready() bool {
-	return s.opts.Policy != PolicyPooled || s.records.get(s.opts.Self.DataCentre) != nil
+	if s.opts.Policy != PolicyPooled {
+		return true
+	}
+	return s.waited.Load() || s.records.get(s.opts.Self.DataCentre) != nil
 }
 
 // Run serves until ctx ends.
@@ -122,6 +126,7 @@
 		wg.Go(func() { part(ctx) })
 	}
 	if s.opts.Policy == PolicyPooled {
+		wg.Go(func() { s.bootstrap(ctx) })
 		s.loop.Run(ctx)
 	}
 	wg.Wait()
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -149,6 +149,12 @@
 
 var errClosed = fault.New(fault.Stopping, "ask another VM", "transport is closed")
 
+// Connect opens the connection to addr if there is none, and waits until it can be used.
+func (t *Transport) Connect(ctx context.Context, addr netip.AddrPort) error {
+	_, err := t.connTo(ctx, addr)
+	return err
+}
+
 // Call sends a request to addr and waits for its reply or the end of ctx.
 // When it fails as Unavailable or Timeout the request may have been handled.
 func (t *Transport) Call(ctx context.Context, addr netip.AddrPort, kind Kind, body []byte) ([]byte, error) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,13 @@
 	Log      Log      `toml:"log"`
 	Stop     Stop     `toml:"stop"`
 	Policy   Policy   `toml:"policy"`
+	Start    Start    `toml:"start"`
+}
+
+// Start says what a new process does before it takes calls.
+type Start struct {
+	// Warm opens connections to other VMs and endpoints before the VM says ready. Default true.
+	Warm bool `toml:"warm"`
 }
 
 // Policy chooses decision policies; the others are baselines for measurements.
@@ -114,6 +121,7 @@
 		Log:      Log{Level: "info"},
 		Stop:     Stop{DrainSeconds: 30},
 		Policy:   Policy{Placement: "predictive", Limiter: "pooled"},
+		Start:    Start{Warm: true},
 	}
 }
 
