A pause is noted before any input; withdrawals retried less often

Cause: after a pause the outcomes of stale calls could come before the first tick and accuse running VMs (found when a mutant without the pause rule passed the state machine); with the platform away 16 bridges retried a pending withdrawal every 150 ms.

--- a/internal/keys/change.go
+++ b/internal/keys/change.go
@@ -25,6 +25,8 @@
 	storeWait = 500 * time.Millisecond
 	// storePeriod is the time between looks for withdrawals that the platform lacks.
 	storePeriod = 500 * time.Millisecond
+	// storeRetry is that time after the platform did not answer.
+	storeRetry = 3 * time.Second
 	// storeStagger keeps the bridges of all data centres from writing at one moment.
 	storeStagger = 200 * time.Millisecond
 	// askLimit bounds the questions of Confirmations.
@@ -216,7 +218,11 @@
 // store writes withdrawals to the platform. A key that the list lacks is written as withdrawn
 // too: that outdates any write of it that may still be on its way.
 func (s *Service) store(ctx context.Context, ids []string) error {
-	return s.update(ctx, func(l list) bool {
+	return s.update(ctx, markWithdrawn(ids))
+}
+
+func markWithdrawn(ids []string) func(list) bool {
+	return func(l list) bool {
 		changed := false
 		for _, id := range ids {
 			if e := l.Keys[id]; !e.Withdrawn {
@@ -226,18 +232,27 @@
 			}
 		}
 		return changed
-	})
+	}
 }
 
 // storeLoop stores withdrawals that the platform lacks: those made here, and on bridges all.
 func (s *Service) storeLoop(ctx context.Context) {
-	for pause(ctx, storePeriod) {
+	wait := storePeriod
+	for pause(ctx, wait) {
+		wait = storePeriod
 		if len(s.unstored()) == 0 || !pause(ctx, s.stagger()) {
 			continue
 		}
-		if ids := s.unstored(); len(ids) > 0 {
-			err := s.store(ctx, ids)
-			s.opts.Log.Info("withdrawals stored", zap.Strings("keys", ids), zap.Error(err))
+		ids := s.unstored()
+		if len(ids) == 0 {
+			continue
+		}
+		tryCtx, cancel := context.WithTimeout(ctx, writeLimit)
+		err := s.updateOnce(tryCtx, markWithdrawn(ids))
+		cancel()
+		s.opts.Log.Info("withdrawals stored", zap.Strings("keys", ids), zap.Error(err))
+		if err != nil && !fault.Is(err, fault.Conflict) {
+			wait = storeRetry
 		}
 	}
 }
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -28,10 +28,6 @@
 	cut    map[[2]string]bool
 	listUp bool
 	listed map[string]bool
-	// bytes counts message bodies by operation; replies count as the operation asked for.
-	bytes, count map[Op]int
-	sentBy       map[string]int
-	platformCall int
 }
 
 type node struct {
@@ -70,7 +66,7 @@
 func newFleet(seed uint64, perDataCentre ...int) *fleet {
 	f := &fleet{
 		now: 1, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, cut: map[[2]string]bool{}, listUp: true,
-		listed: map[string]bool{}, bytes: map[Op]int{}, count: map[Op]int{}, sentBy: map[string]int{},
+		listed: map[string]bool{},
 	}
 	for d, n := range perDataCentre {
 		for i := range n {
@@ -153,16 +149,6 @@
 
 func (f *fleet) delay() time.Duration { return time.Millisecond + time.Duration(f.rng.IntN(3e6)) }
 
-func (f *fleet) meter(from *node, op Op, msg *Message) {
-	raw, err := msgpack.Marshal(msg)
-	if err != nil {
-		panic(err)
-	}
-	f.bytes[op] += len(raw)
-	f.count[op]++
-	f.sentBy[from.vm.Name] += len(raw)
-}
-
 // deliver hands a message to the VM at an address and gives false if it is lost.
 func (f *fleet) deliver(from *node, to netip.AddrPort, do func(*node)) {
 	if f.rng.Float64() < f.loss {
@@ -201,7 +187,6 @@
 		f.call(n, life, a)
 	case send:
 		msg := copyOf(a.msg)
-		f.meter(n, a.msg.Op, msg)
 		f.deliver(n, a.to, func(to *node) { f.step(to, request{from: life, msg: copyOf(msg)}) })
 	case reply:
 		if answer := n.requestReplies[a.id]; answer != nil {
@@ -220,23 +205,28 @@
 	if msg.Op == OpPing {
 		msg.Digest = &Digest{Configuration: 1, Keys: 1, Withdrawn: 1, Confirmed: 1000}
 	}
-	f.meter(n, msg.Op, msg)
 	done := false
-	finish := func(r *Message) {
+	called := f.now
+	bound := PingTimeout
+	if a.indirect {
+		bound = IndirectTimeout
+	}
+	var finish func(r *Message)
+	finish = func(r *Message) {
 		if done || n.vm != life || !n.alive {
 			return
 		}
-		done = true
 		if n.paused {
-			n.waiting = append(n.waiting, func() { f.step(n, outcome{a.op, r}) })
+			n.waiting = append(n.waiting, func() { finish(r) })
 			return
 		}
+		if f.now.Sub(called) >= bound {
+			// The deadline passed in a pause, and wins over a reply that waited.
+			r = nil
+		}
+		done = true
 		f.step(n, outcome{a.op, r})
 	}
-	bound := PingTimeout
-	if a.indirect {
-		bound = IndirectTimeout
-	}
 	f.after(bound, func() { finish(nil) })
 	f.deliver(n, a.to, func(to *node) {
 		to.nextReq++
@@ -246,7 +236,6 @@
 			if msg.Op == OpPing {
 				r.Digest = &Digest{Configuration: 1, Keys: 1, Withdrawn: 1, Confirmed: 1000}
 			}
-			f.meter(to, msg.Op, r)
 			f.deliver(to, n.addr, func(*node) {
 				if r.From == answering {
 					finish(r)
@@ -258,7 +247,6 @@
 }
 
 func (f *fleet) readList(n *node, life ident.VM) {
-	f.platformCall++
 	var vms []platform.VM
 	for _, name := range f.order {
 		if f.listed[name] {
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -103,6 +103,7 @@
 // Step takes one input.
 func (m *machine) Step(now clock.Instant, in input) []action {
 	m.now, m.out = now, nil
+	m.notePause(in)
 	switch in := in.(type) {
 	case tick:
 		m.tick()
--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -133,6 +133,44 @@
 	}
 }
 
+// TestPausedVMAccusesNobody lets a VM stand still while its calls are under way, and checks that
+// it comes back as live and that its stale calls make no other VM suspect.
+func TestPausedVMAccusesNobody(t *testing.T) {
+	for _, sizes := range [][]int{{2}, {4, 2}} {
+		var slowest time.Duration
+		for seed := range uint64(6) {
+			f := newFleet(seed, sizes...)
+			f.run(5 * time.Second)
+			paused := f.nodes["vm-0-1"]
+			for len(paused.m.calls) == 0 {
+				f.run(500 * time.Microsecond)
+			}
+			paused.paused = true
+			f.run(30 * time.Second)
+			if st := f.state("vm-0-0", "vm-0-1"); st != Suspect {
+				t.Fatalf("a paused VM is %v", st)
+			}
+			f.resume("vm-0-1")
+			back := time.Duration(-1)
+			for at := f.now; f.now.Sub(at) < 4*time.Second; f.run(20 * time.Millisecond) {
+				for _, name := range f.order {
+					if st := f.state("vm-0-1", name); st != Alive {
+						t.Fatalf("%v VMs, seed %d: the VM that was paused sees %s as %v", sizes, seed, name, st)
+					}
+				}
+				if f.state(f.order[len(f.order)-1], "vm-0-1") == Alive && f.state("vm-0-0", "vm-0-1") == Alive && back < 0 {
+					back = f.now.Sub(at)
+				}
+			}
+			if back < 0 {
+				t.Fatalf("%v VMs, seed %d: not live again", sizes, seed)
+			}
+			slowest = max(slowest, back)
+		}
+		t.Logf("%v VMs: live again for all at most %v after the pause", sizes, slowest)
+	}
+}
+
 func TestRecordOrderIsTotalAndLaterLifeWins(t *testing.T) {
 	record := rapid.Custom(func(t *rapid.T) Record {
 		return Record{
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -11,7 +11,6 @@
 )
 
 func (m *machine) tick() {
-	m.notePause()
 	m.forgetGone()
 	m.pingNeighbour()
 	m.probeUnheard()
@@ -20,10 +19,13 @@
 	m.tickList()
 }
 
-// notePause disowns all calls under way when this process has stood still.
-func (m *machine) notePause() {
+// notePause disowns all calls under way when this process has stood still. It runs before any
+// input, as the outcomes of such calls may come before the first tick.
+func (m *machine) notePause(in input) {
 	paused := m.lastTick != 0 && m.now.Sub(m.lastTick) > pauseGap
-	m.lastTick = m.now
+	if _, ticked := in.(tick); ticked || paused {
+		m.lastTick = m.now
+	}
 	if !paused {
 		return
 	}
