A moved VM is reached while the list lags

Cause: the platform's address for a name won over the stated one even when the VM's next life ran elsewhere and the list still gave the old address. Change: the list's address counts for the address that the VM stated when the list began to give it; tests for the lagging list and for another data centre as confirmation of keys.

--- a/internal/keys/service_test.go
+++ b/internal/keys/service_test.go
@@ -145,14 +145,23 @@
 	await(t, "the platform to hold the withdrawal", func() bool { return fresh.Keys.Confirmations(id).Stored })
 }
 
+// TestBoundForUnconfirmedUse checks that another data centre confirms as the platform does, and
+// that without either a bound workspace is refused, and only such.
 func TestBoundForUnconfirmedUse(t *testing.T) {
-	f, vms := startFleet(t, 4, 2)
+	f, vms := startFleet(t, 4, 2, 1)
 	_, bound := give(t, vms[0], "bound")
 	_, free := give(t, vms[0], "w")
 	await(t, "the keys", func() bool { return everywhere(vms, bound, true)() && everywhere(vms, free, true)() })
 	f.Platform.SetAway(true)
+	for deadline := time.Now().Add(6 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if !everywhere(vms, bound, true)() {
+			t.Fatal("refused although another data centre confirms")
+		}
+	}
+	vms[2].Kill()
+	vms = vms[:2]
 	took := await(t, "the bound", everywhere(vms, bound, false))
-	t.Logf("refused by all %v after the platform went away, bound 4s", took)
+	t.Logf("refused by all %v after the last confirmation was cut, bound 4s", took)
 	if _, err := vms[1].Keys.Identify(keys.HashSecret(bound)); !fault.Is(err, fault.Unavailable) {
 		t.Fatalf("past the bound: %v", err)
 	}
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -34,7 +34,7 @@
 	m              *machine
 	vm             ident.VM
 	dc             string
-	addr           netip.AddrPort
+	addr, listAddr netip.AddrPort
 	alive, paused  bool
 	waiting        []func()
 	view           *View
@@ -74,7 +74,7 @@
 			f.order = append(f.order, name)
 			f.listed[name] = true
 			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(d), 0, byte(i)}), 7000)
-			f.nodes[name] = &node{dc: fmt.Sprintf("dc-%d", d), addr: addr}
+			f.nodes[name] = &node{dc: fmt.Sprintf("dc-%d", d), addr: addr, listAddr: addr}
 		}
 	}
 	for _, name := range f.order {
@@ -250,7 +250,7 @@
 	var vms []platform.VM
 	for _, name := range f.order {
 		if f.listed[name] {
-			vms = append(vms, platform.VM{Name: name, DataCentre: f.nodes[name].dc, Address: f.nodes[name].addr})
+			vms = append(vms, platform.VM{Name: name, DataCentre: f.nodes[name].dc, Address: f.nodes[name].listAddr})
 		}
 	}
 	ok := f.listUp
--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -78,7 +78,7 @@
 		return strings.Compare(a, b)
 	})
 	for _, name := range names {
-		add(m.addresses[name])
+		add(m.addresses[name].addr)
 	}
 	for _, seed := range m.seeds {
 		add(seed)
@@ -132,16 +132,26 @@
 	for _, vm := range vms {
 		on[vm.Name] = true
 		m.homes[vm.Name] = vm.DataCentre
-		if m.addresses[vm.Name] != vm.Address {
-			m.addresses[vm.Name] = vm.Address
-			m.touch()
-		}
+		m.takeAddress(vm.Name, vm.Address)
 	}
 	for _, e := range m.sorted() {
 		m.checkListed(e, on[e.VM.Name])
 	}
 }
 
+func (m *machine) takeAddress(name string, addr netip.AddrPort) {
+	old := m.addresses[name]
+	if old.addr == addr && old.stated.IsValid() {
+		return
+	}
+	now := listedAddress{addr: addr}
+	if e := m.table[name]; e != nil {
+		now.stated = e.Peer
+	}
+	m.addresses[name] = now
+	m.touch()
+}
+
 // checkListed notes that a VM is listed, or that it was and is no more. The list lags, so a VM
 // that is heard stays; one that is not heard is gone for good.
 func (m *machine) checkListed(e *entry, on bool) {
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -43,7 +43,7 @@
 	table table
 	seeds []netip.AddrPort
 	// addresses and homes are what the platform's list says of each name.
-	addresses map[string]netip.AddrPort
+	addresses map[string]listedAddress
 	homes     map[string]string
 
 	calls  map[uint64]asked
@@ -72,6 +72,14 @@
 	out   []action
 }
 
+// listedAddress is the address that the platform's list gives for a name.
+type listedAddress struct {
+	addr netip.AddrPort
+	// stated is the address that the VM itself stated when the list began to give addr. A VM
+	// that states another has moved, and the list lags.
+	stated netip.AddrPort
+}
+
 // derived is worked out from the table when it is first asked for after a change.
 type derived struct {
 	order   []*entry
@@ -87,7 +95,7 @@
 		self:      self.VM.Name,
 		table:     table{self.VM.Name: {Record: rec}},
 		seeds:     seeds,
-		addresses: map[string]netip.AddrPort{},
+		addresses: map[string]listedAddress{},
 		homes:     map[string]string{},
 		calls:     map[uint64]asked{},
 		rng:       rand.New(rand.NewPCG(xxhash.Sum64String(self.VM.Name), uint64(self.VM.Incarnation))),
@@ -202,10 +210,11 @@
 	return out
 }
 
-// addressOf gives the platform's address for a VM's name, or the one that the VM states.
+// addressOf gives the platform's address for a VM's name, or the one that the VM states when
+// the list has none or lags.
 func (m *machine) addressOf(e *entry) netip.AddrPort {
-	if a, ok := m.addresses[e.VM.Name]; ok && a.IsValid() {
-		return a
+	if a := m.addresses[e.VM.Name]; a.addr.IsValid() && a.stated == e.Peer {
+		return a.addr
 	}
 	return e.Peer
 }
@@ -244,7 +253,11 @@
 		r.Flags |= e.Flags & FlagListed
 		e.Record = r
 	} else {
+		moved := r.Peer != e.Peer
 		*e = entry{Record: r}
+		if moved {
+			m.listSoon()
+		}
 	}
 	m.noteChange(e, before, reason)
 	return true
@@ -258,8 +271,11 @@
 	e := &entry{Record: r}
 	m.table[r.VM.Name] = e
 	m.noteChange(e, 0, reason)
-	if _, listed := m.addresses[r.VM.Name]; !listed {
+	a, listed := m.addresses[r.VM.Name]
+	if !listed {
 		m.listSoon()
+	} else if !a.stated.IsValid() {
+		m.addresses[r.VM.Name] = listedAddress{addr: a.addr, stated: r.Peer}
 	}
 	return true
 }
--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -171,6 +172,36 @@
 	}
 }
 
+// TestMovedVMIsReachedWhileTheListLags starts a VM's next life at another address, which the list
+// names only later, and checks that the list's address wins over the stated one otherwise.
+func TestMovedVMIsReachedWhileTheListLags(t *testing.T) {
+	f := newFleet(5, 5, 2)
+	moved := f.nodes["vm-0-1"]
+	direct, proxy := moved.addr, netip.MustParseAddrPort("10.9.9.9:1")
+	moved.listAddr = proxy
+	f.run(4 * time.Second)
+	if m, _ := f.nodes["vm-1-0"].view.Find("vm-0-1"); m.Peer != proxy {
+		t.Fatalf("the list says %v, the view %v", proxy, m.Peer)
+	}
+	moved.listAddr = direct
+	f.run(50 * time.Second)
+	if bad := converged(f); bad != "" {
+		t.Fatal(bad)
+	}
+	f.kill("vm-0-1")
+	moved.addr = netip.MustParseAddrPort("10.0.0.200:7000")
+	f.boot("vm-0-1")
+	for range 2 {
+		f.run(3 * time.Second)
+		for at := f.now; f.now.Sub(at) < 40*time.Second; f.run(100 * time.Millisecond) {
+			if bad := converged(f); bad != "" {
+				t.Fatal(bad)
+			}
+		}
+		moved.listAddr = moved.addr
+	}
+}
+
 func TestRecordOrderIsTotalAndLaterLifeWins(t *testing.T) {
 	record := rapid.Custom(func(t *rapid.T) Record {
 		return Record{
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -195,7 +195,7 @@
 	if e := m.table[name]; e != nil {
 		return m.addressOf(e)
 	}
-	return m.addresses[name]
+	return m.addresses[name].addr
 }
 
 // unanswered asks third VMs about a member that did not answer.
