--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -133,6 +134,74 @@
 	}
 }
 
+// TestPausedVMAccusesNobody lets a VM stand still while its calls are under way, and checks that
+// it comes back as live and that its stale calls make no other VM suspect.
+func TestPausedVMAccusesNobody(t *testing.T) {
+	for _, sizes := range [][]int{{2}, {4, 2}} {
+		var slowest time.Duration
+		for seed := range uint64(6) {
+			f := newFleet(seed, sizes...)
+			f.run(5 * time.Second)
+			paused := f.nodes["vm-0-1"]
+			for len(paused.m.calls) == 0 {
+				f.run(500 * time.Microsecond)
+			}
+			paused.paused = true
+			f.run(30 * time.Second)
+			if st := f.state("vm-0-0", "vm-0-1"); st != Suspect {
+				t.Fatalf("a paused VM is %v", st)
+			}
+			f.resume("vm-0-1")
+			back := time.Duration(-1)
+			for at := f.now; f.now.Sub(at) < 4*time.Second; f.run(20 * time.Millisecond) {
+				for _, name := range f.order {
+					if st := f.state("vm-0-1", name); st != Alive {
+						t.Fatalf("%v VMs, seed %d: the VM that was paused sees %s as %v", sizes, seed, name, st)
+					}
+				}
+				if f.state(f.order[len(f.order)-1], "vm-0-1") == Alive && f.state("vm-0-0", "vm-0-1") == Alive && back < 0 {
+					back = f.now.Sub(at)
+				}
+			}
+			if back < 0 {
+				t.Fatalf("%v VMs, seed %d: not live again", sizes, seed)
+			}
+			slowest = max(slowest, back)
+		}
+		t.Logf("%v VMs: live again for all at most %v after the pause", sizes, slowest)
+	}
+}
+
+// TestMovedVMIsReachedWhileTheListLags starts a VM's next life at another address, which the list
+// names only later, and checks that the list's address wins over the stated one otherwise.
+func TestMovedVMIsReachedWhileTheListLags(t *testing.T) {
+	f := newFleet(5, 5, 2)
+	moved := f.nodes["vm-0-1"]
+	direct, proxy := moved.addr, netip.MustParseAddrPort("10.9.9.9:1")
+	moved.listAddr = proxy
+	f.run(4 * time.Second)
+	if m, _ := f.nodes["vm-1-0"].view.Find("vm-0-1"); m.Peer != proxy {
+		t.Fatalf("the list says %v, the view %v", proxy, m.Peer)
+	}
+	moved.listAddr = direct
+	f.run(50 * time.Second)
+	if bad := converged(f); bad != "" {
+		t.Fatal(bad)
+	}
+	f.kill("vm-0-1")
+	moved.addr = netip.MustParseAddrPort("10.0.0.200:7000")
+	f.boot("vm-0-1")
+	for range 2 {
+		f.run(3 * time.Second)
+		for at := f.now; f.now.Sub(at) < 40*time.Second; f.run(100 * time.Millisecond) {
+			if bad := converged(f); bad != "" {
+				t.Fatal(bad)
+			}
+		}
+		moved.listAddr = moved.addr
+	}
+}
+
 func TestRecordOrderIsTotalAndLaterLifeWins(t *testing.T) {
 	record := rapid.Custom(func(t *rapid.T) Record {
 		return Record{
