--- a/internal/ledger/host.go
+++ b/internal/ledger/host.go
@@ -19,6 +19,9 @@
 	// storeTimeout bounds one call to the platform.
 	storeTimeout = time.Second
 	inboxInputs  = 1024
+	// answerMargin is how long before its caller's deadline an operation is given up, so that
+	// the caller learns whether it left a record.
+	answerMargin = 4 * tickPeriod
 )
 
 // host runs the owner machine of this VM and does its reads and writes.
@@ -86,7 +89,7 @@
 	case r := <-done:
 		return r
 	case <-ctx.Done():
-		return op.expired()
+		return unanswered(req.Kind)
 	case <-h.ctx.Done():
 		return result{err: errStopped}
 	}
@@ -97,6 +100,7 @@
 	if end, ok := ctx.Deadline(); ok {
 		wait = time.Until(end)
 	}
+	wait -= min(wait/2, answerMargin)
 	return &operation{
 		id:          h.nextID.Add(1),
 		kind:        req.Kind,
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -16,10 +16,11 @@
 type reply struct {
 	Outcome *Outcome      `msgpack:"o"`
 	Fault   *fault.Detail `msgpack:"f"`
+	Clean   bool          `msgpack:"c"`
 }
 
 func newReply(r result) *reply {
-	out := &reply{Outcome: r.outcome}
+	out := &reply{Outcome: r.outcome, Clean: r.clean}
 	if r.err != nil {
 		d := fault.Describe(r.err)
 		out.Fault = &d
@@ -29,7 +30,7 @@
 
 func (r *reply) result() result {
 	if r.Fault != nil {
-		return result{err: r.Fault.Error()}
+		return result{err: r.Fault.Error(), clean: r.Clean}
 	}
 	return result{outcome: r.Outcome}
 }
--- a/internal/ledger/operation.go
+++ b/internal/ledger/operation.go
@@ -30,6 +30,8 @@
 	deadline clock.Instant
 	// step is the owner's step in which the operation came.
 	step uint64
+	// issued says that a write with this operation was issued.
+	issued bool
 }
 
 // intent gives the record that a begin stages.
@@ -41,6 +43,20 @@
 type result struct {
 	outcome *Outcome
 	err     error
+	// clean says of an error that the operation surely left no record.
+	clean bool
+}
+
+// settled is false when another owner may do better.
+func (r result) settled() bool {
+	if r.err == nil {
+		return true
+	}
+	switch fault.KindOf(r.err) {
+	case fault.Unavailable, fault.Timeout, fault.Stopping:
+		return false
+	}
+	return true
 }
 
 var (
@@ -57,7 +73,14 @@
 
 // expired is the answer to an operation whose deadline passed.
 func (op *operation) expired() result {
-	if op.kind == opBegin {
+	r := unanswered(op.kind)
+	r.clean = !op.issued
+	return r
+}
+
+// unanswered is the end of an operation that the owner said nothing about.
+func unanswered(kind operationKind) result {
+	if kind == opBegin {
 		return result{err: errStoreAway}
 	}
 	return result{err: errNoRecovery}
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -274,6 +274,7 @@
 	p.busy = true
 	p.issued = o.step
 	p.staged = b.staged
+	p.markIssued()
 	o.emit(writePage{p.shard, p.window, value, p.version, len(b.staged)})
 }
 
--- a/internal/ledger/owner_page.go
+++ b/internal/ledger/owner_page.go
@@ -102,6 +102,15 @@
 	}
 }
 
+// markIssued marks the operations that the write under way may record.
+func (p *page) markIssued() {
+	for _, op := range p.waiting {
+		if r, ok := p.staged[op.place.hash]; ok && r.Nonce == op.nonce {
+			op.issued = true
+		}
+	}
+}
+
 // written takes in the success of the write under way.
 func (p *page) written(version uint64) {
 	maps.Copy(p.confirmed, p.staged)
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,9 +22,6 @@
 	attemptTimeout = 2 * time.Second
 	// maxAttempts is the most owners that one operation tries.
 	maxAttempts = 4
-	// maxAbandons is the most attempts that are given up in the background at once; beyond it
-	// the intent stays and repeats learn that the outcome is unknown.
-	maxAbandons = 256
 )
 
 // Options configure a Service.
@@ -49,10 +45,9 @@
 // Service is the ledger of one VM: it serves the callers of this VM and, for the shards that
 // this VM owns, those of all VMs.
 type Service struct {
-	opts     Options
-	host     *host
-	abandons chan struct{}
-	wg       sync.WaitGroup
+	opts       Options
+	host       *host
+	background *background
 }
 
 var _ Ledger = (*Service)(nil)
@@ -65,16 +60,21 @@
 	if o.Wall == nil {
 		o.Wall = time.Now
 	}
-	s := &Service{opts: o, host: newHost(o), abandons: make(chan struct{}, maxAbandons)}
+	s := &Service{opts: o, host: newHost(o), background: newBackground()}
 	peer.Handle(o.Transport, peer.KindLedgerBegin, s.serve)
 	peer.Handle(o.Transport, peer.KindLedgerFinish, s.serve)
 	return s
 }
 
-// Run serves until ctx ends. Operations that wait then fail as Stopping.
+// Run serves until ctx ends, and then for a moment more while outcomes are handed over.
+// Operations that wait after that fail as Stopping.
 func (s *Service) Run(ctx context.Context) {
-	s.host.run(ctx)
-	s.wg.Wait()
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	context.AfterFunc(ctx, func() {
+		s.background.close()
+		stop()
+	})
+	s.host.run(serving)
 }
 
 func (s *Service) serve(ctx context.Context, _ ident.VM, req *request) (*reply, error) {
@@ -96,49 +96,55 @@
 	}
 	r, doubtful := s.do(ctx, at, &request{Kind: opBegin, Intent: in})
 	if r.err != nil && doubtful {
-		s.abandonLater(in)
+		_ = s.Abandon(ctx, in)
 	}
 	s.note(opBegin, in, at, r)
 	return r.outcome, r.err
 }
 
-// Finish records the outcome of a commit; see Ledger.
+// Finish hands over the outcome of a commit; see Ledger.
 func (s *Service) Finish(ctx context.Context, in Intent, out Outcome) error {
-	at, err := locate(in.Workspace, in.Key)
-	if err != nil {
-		return err
-	}
-	r, _ := s.do(ctx, at, &request{Kind: opFinish, Intent: in, Outcome: out.trimmed()})
-	s.note(opFinish, in, at, r)
-	return r.err
+	return s.later(ctx, &request{Kind: opFinish, Intent: in, Outcome: out.trimmed()})
 }
 
 // Abandon says that a commit surely did not and will not run; see Ledger.
 func (s *Service) Abandon(ctx context.Context, in Intent) error {
-	at, err := locate(in.Workspace, in.Key)
+	return s.later(ctx, &request{Kind: opAbandon, Intent: in})
+}
+
+// later has an operation recorded in the background. When too many wait there, it is tried
+// once before later returns.
+func (s *Service) later(ctx context.Context, req *request) error {
+	if _, err := locate(req.Intent.Workspace, req.Intent.Key); err != nil {
+		return err
+	}
+	if s.background.start(func(ctx context.Context) bool { return final(s.record(ctx, req)) }) {
+		return nil
+	}
+	return s.record(ctx, req)
+}
+
+// record has an operation recorded and waits for it.
+func (s *Service) record(ctx context.Context, req *request) error {
+	at, err := locate(req.Intent.Workspace, req.Intent.Key)
 	if err != nil {
 		return err
 	}
-	r, _ := s.do(ctx, at, &request{Kind: opAbandon, Intent: in})
-	s.note(opAbandon, in, at, r)
+	r, _ := s.do(ctx, at, req)
+	s.note(req.Kind, req.Intent, at, r)
 	return r.err
 }
 
-// abandonLater gives up an attempt whose begin failed.
-func (s *Service) abandonLater(in Intent) {
-	select {
-	case s.abandons <- struct{}{}:
-	default:
-		return
-	}
-	s.wg.Add(1)
-	go func() {
-		defer s.wg.Done()
-		defer func() { <-s.abandons }()
-		ctx, cancel := context.WithTimeout(s.host.ctx, defaultTimeout)
-		defer cancel()
-		_ = s.Abandon(ctx, in)
-	}()
+// final says that another try would change nothing.
+func final(err error) bool {
+	if err == nil {
+		return true
+	}
+	switch fault.KindOf(err) {
+	case fault.Unavailable, fault.Timeout, fault.Stopping, fault.Overloaded:
+		return false
+	}
+	return true
 }
 
 // trimmed drops what is too long to be kept.
@@ -166,11 +172,11 @@
 			break
 		}
 		tried[owner.VM.Name] = true
-		var settled bool
-		if r, settled = s.ask(ctx, owner, req); settled {
+		r = s.ask(ctx, owner, req)
+		if r.settled() {
 			break
 		}
-		doubtful = true
+		doubtful = doubtful || !r.clean
 	}
 	return r, doubtful
 }
@@ -189,23 +195,14 @@
 	return m, ok
 }
 
-// ask makes one try. settled is false when another owner may do better.
-func (s *Service) ask(ctx context.Context, owner membership.Member, req *request) (r result, settled bool) {
+// ask makes one try.
+func (s *Service) ask(ctx context.Context, owner membership.Member, req *request) result {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	if owner.VM.Name == s.opts.Self.VM.Name {
-		r = s.host.do(ctx, req)
-	} else {
-		r = s.askPeer(ctx, owner, req)
-	}
-	if r.err == nil {
-		return r, true
-	}
-	switch fault.KindOf(r.err) {
-	case fault.Unavailable, fault.Timeout, fault.Stopping:
-		return r, false
+		return s.host.do(ctx, req)
 	}
-	return r, true
+	return s.askPeer(ctx, owner, req)
 }
 
 func (s *Service) askPeer(ctx context.Context, owner membership.Member, req *request) result {
--- a/internal/ledger/service_test.go
+++ b/internal/ledger/service_test.go
@@ -110,6 +110,13 @@
 	<-v.done
 }
 
+// shutDown stops the VM as planned: its duties end before its connections.
+func (v *vm) shutDown() {
+	v.cancel()
+	<-v.done
+	v.transport.Close()
+}
+
 func startFleet(t *testing.T, n int, store platform.Store) []*vm {
 	t.Helper()
 	fleet := make([]*vm, n)
@@ -179,7 +186,7 @@
 		t.Fatal(err)
 	}
 	big := make([]byte, ledger.MaxOutcomeBody+1)
-	if err := fleet[0].service.Finish(t.Context(), intent("a"), ledger.Outcome{Status: 201, ContentType: "text/plain", Body: big}); err != nil {
+	if err := fleet[0].service.FinishAndWait(t.Context(), intent("a"), ledger.Outcome{Status: 201, ContentType: "text/plain", Body: big}); err != nil {
 		t.Fatal(err)
 	}
 	out, err := fleet[2].service.Begin(t.Context(), intent("c"))
@@ -243,6 +250,42 @@
 	}
 }
 
+// A planned stop hands over the outcomes that are not recorded yet, and an outage that ends
+// leaves no outcome behind.
+func TestOutcomesOutliveAStopAndAnOutage(t *testing.T) {
+	store := newStore(0, 0)
+	fleet := startFleet(t, 2, store)
+	stopped := ledger.Intent{Workspace: "w", Key: newKey(1), Fingerprint: 1, Nonce: "a"}
+	outage := ledger.Intent{Workspace: "w", Key: newKey(2), Fingerprint: 1, Nonce: "b"}
+	for _, in := range []ledger.Intent{stopped, outage} {
+		if out, err := fleet[0].service.Begin(t.Context(), in); out != nil || err != nil {
+			t.Fatal(out, err)
+		}
+	}
+	if err := fleet[0].service.Finish(t.Context(), stopped, ledger.Outcome{Status: 201}); err != nil {
+		t.Fatal(err)
+	}
+	fleet[0].shutDown()
+	fleet[1].without("vm-0")
+	store.set(1, 0)
+	if err := fleet[1].service.Finish(t.Context(), outage, ledger.Outcome{Status: 202}); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(time.Second, func() { store.set(0, 0) })
+	for status, in := range map[int]ledger.Intent{201: stopped, 202: outage} {
+		for n := 0; ; n++ {
+			in.Nonce = fmt.Sprint("c", n)
+			out, err := fleet[1].service.Begin(t.Context(), in)
+			if err == nil && out != nil && out.Status == status {
+				break
+			}
+			if err == nil || n > 100 {
+				t.Fatal(n, out, err)
+			}
+		}
+	}
+}
+
 // The sequential ledger that histories are checked against.
 type (
 	commitState struct {
@@ -318,12 +361,12 @@
 		switch rng.IntN(4) {
 		case 0: // the caller's VM dies: no outcome
 		case 1:
-			h.end(t, id, "abandon", in, 0, func(ctx context.Context) error { return v.service.Abandon(ctx, in) })
+			h.end(t, id, "abandon", in, 0, func(ctx context.Context) error { return v.service.AbandonAndWait(ctx, in) })
 		default:
 			status := 1 + id*commits + n
 			v := fleet[rng.IntN(len(fleet))]
 			h.end(t, id, "finish", in, status, func(ctx context.Context) error {
-				return v.service.Finish(ctx, in, ledger.Outcome{Status: status})
+				return v.service.FinishAndWait(ctx, in, ledger.Outcome{Status: status})
 			})
 		}
 	}
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -49,10 +49,10 @@
 	// known outcome, Conflict, TooOld, Malformed, Overloaded or Unavailable: this call did not
 	// run and must not be run under this nonce any more.
 	Begin(ctx context.Context, in Intent) (*Outcome, error)
-	// Finish records the outcome of a commit that Begin let run. It waits for the record, which
-	// is written with the next batch, so a caller need not be kept waiting for it.
+	// Finish hands over the outcome of a commit that Begin let run. It does not wait for the
+	// record, which is written with one of the next batches and tried again for a while.
 	Finish(ctx context.Context, in Intent, out Outcome) error
 	// Abandon says that a commit that Begin let run was surely never given to an endpoint and
-	// never will be under this nonce, so that a repeat may run.
+	// never will be under this nonce, so that a repeat may run. It does not wait either.
 	Abandon(ctx context.Context, in Intent) error
 }
