--- a/internal/ledger/evaluate.go
+++ b/internal/ledger/evaluate.go
@@ -135,10 +135,10 @@
 	}
 	r, ok := p.confirmed[op.place.hash]
 	if !ok {
-		return p.judgeMissing(op, b, result{err: errForgotten})
+		return p.judgeFresh(op, b, result{err: errForgotten})
 	}
 	if r.Nonce != op.nonce || r.State == stateAbandoned {
-		return result{err: errOther}, true
+		return p.judgeFresh(op, b, result{err: errOther})
 	}
 	if r.State == stateDone {
 		return result{}, true
@@ -157,10 +157,10 @@
 	}
 	r, ok := p.confirmed[op.place.hash]
 	if !ok {
-		return p.judgeMissing(op, b, result{})
+		return p.judgeFresh(op, b, result{})
 	}
 	if r.Nonce != op.nonce || r.State == stateAbandoned {
-		return result{}, true
+		return p.judgeFresh(op, b, result{})
 	}
 	if r.State == stateDone {
 		return result{err: errOther}, true
@@ -171,8 +171,9 @@
 	return pending, false
 }
 
-// judgeMissing answers with final once a read newer than the operation shows no record.
-func (p *page) judgeMissing(op *operation, b *batch, final result) (result, bool) {
+// judgeFresh answers with final once the picture of the page is newer than the operation: the
+// attempt may have been recorded by another owner.
+func (p *page) judgeFresh(op *operation, b *batch, final result) (result, bool) {
 	if p.confirmedIn < op.step {
 		b.stale = true
 		return pending, false
--- a/internal/ledger/owner_test.go
+++ b/internal/ledger/owner_test.go
@@ -111,6 +111,8 @@
 	delete(w.ops, ans.id)
 	a := w.try(op.nonce)
 	switch {
+	case op.kind == opFinish && a.state == "ran" && fault.Is(ans.result.err, fault.Conflict):
+		w.t.Fatalf("the outcome of %s was refused: %v", a.nonce, ans.result.err)
 	case op.kind == opFinish && ans.result.err == nil && a.state == "ran":
 		a.state = "finished"
 	case op.kind != opBegin || a.state != "begun":
