Command capacity: processor time, memory and bytes of a daemon along five axes

Cause: docs/CAPACITY.md needs slopes that were measured. Change: real daemons on loopback with 1..n VMs, endpoints, workspaces, requests or tokens; rows and least-squares slopes.

--- /dev/null
+++ b/test/cmd/capacity/main.go
@@ -0,0 +1,218 @@
+// Command capacity measures what a daemon costs as the fleet and its load grow: processor time,
+// memory and bytes between VMs, with the slope of each. Daemons are real processes on loopback.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/experiment"
+	"github.com/fulmartide/fulmartide/test/fleet"
+	"github.com/fulmartide/fulmartide/test/standin/engine"
+)
+
+type command struct {
+	Axis    string        `arg:"" enum:"vms,endpoints,workspaces,requests,tokens" help:"What grows: vms, endpoints, workspaces, requests or tokens."`
+	Values  []int         `arg:"" help:"Its values, such as 1 6 24."`
+	Settle  time.Duration `help:"Time before measuring." default:"4s"`
+	Measure time.Duration `help:"Time of measuring." default:"10s"`
+}
+
+func main() {
+	var c command
+	k := kong.Parse(&c, kong.Description("Measure what a daemon costs as the fleet grows."))
+	k.FatalIfErrorf(c.run(context.Background()))
+}
+
+// row is what one run gives, per daemon.
+type row struct {
+	value   int
+	cpu     float64 // % of a core
+	rssMiB  float64
+	bytes   float64 // sent and received between VMs, B/s
+	calls   float64 // platform calls of the whole fleet, 1/s
+	answers int
+}
+
+func (c *command) run(ctx context.Context) error {
+	dir, err := os.MkdirTemp("", "fulmartide-capacity-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary, err := fleet.Build(ctx, dir, false)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%-12s %10s %10s %12s %14s %8s\n", c.Axis, "cpu %", "rss MiB", "peer B/s", "platform 1/s", "answers")
+	var rows []row
+	for _, v := range c.Values {
+		r, err := c.one(ctx, filepath.Clean(binary), v)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%-12d %10.2f %10.1f %12.0f %14.1f %8d\n", r.value, r.cpu, r.rssMiB, r.bytes, r.calls, r.answers)
+		rows = append(rows, r)
+	}
+	fmt.Printf("slope per %s: cpu %.4f %%, rss %.4f MiB, peer %.2f B/s, platform %.3f 1/s\n", c.Axis,
+		slope(rows, func(r row) float64 { return r.cpu }), slope(rows, func(r row) float64 { return r.rssMiB }),
+		slope(rows, func(r row) float64 { return r.bytes }), slope(rows, func(r row) float64 { return r.calls }))
+	return nil
+}
+
+// slope gives the least-squares slope of a figure over the values.
+func slope(rows []row, of func(row) float64) float64 {
+	var sx, sy, sxx, sxy float64
+	for _, r := range rows {
+		x, y := float64(r.value), of(r)
+		sx, sy, sxx, sxy = sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	n := float64(len(rows))
+	if d := n*sxx - sx*sx; d != 0 {
+		return (n*sxy - sx*sy) / d
+	}
+	return 0
+}
+
+// load is what callers send to the whole fleet.
+type load struct {
+	perSecond float64
+	tokens    int64
+}
+
+// shape gives the layout and load of one run.
+func (c *command) shape(v int) (fleet.Layout, load) {
+	l := fleet.Partilha()
+	l.Delay = 0
+	var sent load
+	switch c.Axis {
+	case "vms":
+		l.DataCentres = []fleet.DataCentre{{Name: "lisboa-a", VMs: v, Prefill: 1, Decode: 1, Services: 1}}
+	case "endpoints":
+		for i := range l.DataCentres {
+			l.DataCentres[i].Prefill, l.DataCentres[i].Decode = v/12, v/6
+		}
+	case "workspaces":
+		l.Workspaces = nil
+		for i := range v {
+			l.Workspaces = append(l.Workspaces, fleet.Workspace{Name: fmt.Sprintf("workspace-%04d", i), Plan: "large"})
+		}
+	case "requests":
+		sent = load{perSecond: float64(v), tokens: 4}
+	case "tokens":
+		sent = load{perSecond: 20, tokens: int64(v)}
+	}
+	return l, sent
+}
+
+func (c *command) one(ctx context.Context, binary string, v int) (row, error) {
+	l, sent := c.shape(v)
+	f, err := fleet.Start(ctx, fleet.Options{
+		Layout: l, Binary: binary,
+		AdjustEngine: func(_ string, o *engine.Options) { o.GapBase, o.GapPerSlot = time.Millisecond, 0 },
+		AdjustDocument: func(d *configuration.Document) {
+			for name, p := range d.Plans {
+				p.TokensPerSecond, p.BurstTokens = 10_000_000, 40_000_000
+				d.Plans[name] = p
+			}
+		},
+	})
+	if err != nil {
+		return row{}, err
+	}
+	stop, answers := drive(ctx, f, l, sent)
+	time.Sleep(c.Settle)
+	before, err := read(f)
+	if err != nil {
+		return row{}, err
+	}
+	startAnswers := answers()
+	time.Sleep(c.Measure)
+	after, err := read(f)
+	if err != nil {
+		return row{}, err
+	}
+	got := answers() - startAnswers
+	stop()
+	n, seconds := float64(len(f.Daemons())), after.at.Sub(before.at).Seconds()
+	return row{
+		value:   v,
+		cpu:     100 * (after.cpu - before.cpu) / seconds / n,
+		rssMiB:  after.rss / n / (1 << 20),
+		bytes:   (after.bytes - before.bytes) / seconds / n,
+		calls:   (after.calls - before.calls) / seconds,
+		answers: got,
+	}, f.Stop()
+}
+
+// drive sends chats to all VMs in turn until stop is called.
+func drive(ctx context.Context, f *fleet.Fleet, l fleet.Layout, sent load) (stop func(), answers func() int) {
+	if sent.perSecond == 0 {
+		return func() {}, func() int { return 0 }
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	client := experiment.Client{HTTP: experiment.NewHTTPClient(), Model: l.ModelName, Secret: fleet.Secret, Token: engine.TokenOfTag}
+	var mu sync.Mutex
+	whole := 0
+	var wg sync.WaitGroup
+	vms := f.Daemons()
+	wg.Go(func() {
+		tick := time.NewTicker(time.Duration(float64(time.Second) / sent.perSecond))
+		defer tick.Stop()
+		for i := 0; ctx.Err() == nil; i++ {
+			<-tick.C
+			d := vms[i%len(vms)]
+			tag := fmt.Sprintf("capacity-%d", i)
+			call := experiment.Call{
+				Workspace: l.Workspaces[i%len(l.Workspaces)].Name, Kind: experiment.Chat, Tag: tag,
+				Prompt: fmt.Sprintf("{tag:%s}{stop:%d}", tag, sent.tokens), MaxTokens: sent.tokens, StopAt: sent.tokens,
+			}
+			wg.Go(func() {
+				if client.Do(ctx, time.Now(), experiment.Target{VM: d.VM, Callers: d.Callers}, call).Whole {
+					mu.Lock()
+					whole++
+					mu.Unlock()
+				}
+			})
+		}
+	})
+	return func() { cancel(); wg.Wait() }, func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return whole
+	}
+}
+
+// reading is the sum over all daemons at one time.
+type reading struct {
+	at                     time.Time
+	cpu, rss, bytes, calls float64
+}
+
+func read(f *fleet.Fleet) (reading, error) {
+	out := reading{at: time.Now()}
+	for _, d := range f.Daemons() {
+		cpu, rss, err := usage(d.PID())
+		if err != nil {
+			return out, err
+		}
+		bytes, err := peerBytes(d)
+		if err != nil {
+			return out, err
+		}
+		out.cpu += cpu
+		out.rss += rss
+		out.bytes += bytes
+	}
+	for _, n := range f.Platform.Stats().Calls {
+		out.calls += float64(n)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/test/cmd/capacity/usage.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/fulmartide/fulmartide/test/fleet"
+)
+
+const (
+	// ticksPerSecond is the unit of processor time in /proc.
+	ticksPerSecond = 100
+	// userField and systemField are the fields of /proc/PID/stat after the command's name.
+	userField, systemField = 11, 12
+)
+
+// usage gives a process's processor time in seconds and its resident memory in bytes.
+func usage(pid int) (cpu, rss float64, err error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	fields := strings.Fields(rest)
+	user, _ := strconv.ParseFloat(fields[userField], 64)
+	system, _ := strconv.ParseFloat(fields[systemField], 64)
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	pages, _ := strconv.ParseFloat(strings.Fields(string(statm))[1], 64)
+	return (user + system) / ticksPerSecond, pages * float64(os.Getpagesize()), nil
+}
+
+// peerBytes gives the bytes that a daemon sent and received between VMs since its start.
+func peerBytes(d *fleet.Daemon) (float64, error) {
+	resp, err := http.Get("http://" + d.Operator.String() + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	sum := 0.0
+	for scan := bufio.NewScanner(resp.Body); scan.Scan(); {
+		name, value, found := strings.Cut(scan.Text(), " ")
+		if found && strings.HasPrefix(name, "fulmartide_peer_bytes_total") {
+			n, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				return 0, err
+			}
+			sum += n
+		}
+	}
+	return sum, nil
+}
