--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,6 +52,8 @@
 	relay      *relay.Server
 	sweep      *sweep.Service
 	queries    http.Handler
+	dialer     *endpoint.HTTPDialer
+	warmed     atomic.Bool
 
 	wg sync.WaitGroup
 }
@@ -91,6 +94,7 @@
 // build makes the duties; each registers its handlers with the transport.
 func (d *daemon) build() {
 	dialer := endpoint.NewHTTPDialer()
+	d.dialer = dialer
 	d.membership = membership.New(membership.Options{
 		Self: d.self, Clock: d.clock, Transport: d.transport, Lister: d.platform,
 		Seeds: d.seeds(), Log: d.log.Named("membership"), Digest: d.digest, OnDigest: d.onDigest,
@@ -153,6 +157,7 @@
 	if err != nil {
 		return err
 	}
+	d.spawn(func() { d.warm(duties) })
 	operator := d.operatorServer()
 	d.spawn(func() { _ = operator.Serve(d.listeners.operator) })
 	d.spawn(func() { serveCallers(callers, d.listeners.callers) })
--- a/internal/limiter/records.go
+++ b/internal/limiter/records.go
@@ -12,12 +12,13 @@
 )
 
 // records is what a requester knows of the holders in all data centres. The own data
-// centre's record comes from the holder machine, the others are read when they are needed.
+// centre's record comes from the holder machine; the others are asked of their own VMs when
+// they are needed, and read from the platform when none of those answers.
 type records struct {
 	store platform.Store
 	own   string
-	// fromPeers asks VMs for a record that the platform does not give.
-	fromPeers func(ctx context.Context, dataCentre string)
+	// ask gets the record of a data centre from one of its VMs, if it is above a version.
+	ask func(ctx context.Context, dataCentre string, above uint64) (*controlReply, error)
 
 	mu    sync.Mutex
 	known map[string]*knownRecord
@@ -51,16 +52,12 @@
 	return k
 }
 
-// holder gives the holder of a shard. Without a record it asks VMs, which costs the platform
-// nothing, then the platform.
+// holder gives the holder of a shard; it reads the record if there is none yet.
 func (r *records) holder(ctx context.Context, dataCentre string, shard int) (ident.VM, bool) {
 	rec := r.get(dataCentre)
-	if rec == nil && r.mayRead(dataCentre) {
-		r.fromPeers(ctx, dataCentre)
-		if rec = r.get(dataCentre); rec == nil {
-			r.refresh(ctx, dataCentre)
-			rec = r.get(dataCentre)
-		}
+	if rec == nil && dataCentre != r.own && r.mayRead(dataCentre) {
+		r.refresh(ctx, dataCentre)
+		rec = r.get(dataCentre)
 	}
 	if rec == nil {
 		return ident.VM{}, false
@@ -79,21 +76,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.entry(dataCentre)
-	if time.Since(k.lastRead) < stalePeriod {
+	if time.Since(k.lastRead) < peerStalePeriod {
 		return false
 	}
 	k.lastRead = time.Now()
 	return true
 }
 
-// refresh reads a record from the platform, or else from VMs. The own data centre's record is
-// the holder machine's to read.
 func (r *records) refresh(ctx context.Context, dataCentre string) {
-	if dataCentre == r.own {
+	r.mu.Lock()
+	above := r.entry(dataCentre).version
+	r.mu.Unlock()
+	reply, err := r.ask(ctx, dataCentre, above)
+	if err != nil || reply.Version == 0 {
+		_, _ = r.read(ctx, RecordName(dataCentre))
 		return
 	}
-	if _, err := r.read(ctx, RecordName(dataCentre)); err != nil {
-		r.fromPeers(ctx, dataCentre)
+	if rec, err := DecodeRecord(reply.Record); err == nil {
+		r.put(dataCentre, rec, reply.Version)
 	}
 }
 
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -32,6 +32,8 @@
 	Layout Layout
 	// Policy is written to every daemon's settings. Zero values take the defaults.
 	Policy settings.Policy
+	// Cold leaves out the daemons' warming at start.
+	Cold bool
 	// Binary is a built fulmartided; empty builds one.
 	Binary string
 	// Race builds the daemon with the race detector.
@@ -266,6 +268,7 @@
 	s.Stop.DrainSeconds = f.opts.Drain
 	s.Policy.Placement = cmp.Or(f.opts.Policy.Placement, s.Policy.Placement)
 	s.Policy.Limiter = cmp.Or(f.opts.Policy.Limiter, s.Policy.Limiter)
+	s.Start.Warm = !f.opts.Cold
 	d, err := launch(ctx, f.binary, f.dir, s)
 	if err != nil {
 		return nil, err
