--- a/internal/ledger/background.go
+++ b/internal/ledger/background.go
@@ -14,8 +14,6 @@
 	// againFirst and againLast bound the growing time between its tries.
 	againFirst = 250 * time.Millisecond
 	againLast  = 8 * time.Second
-	// handoverLimit is how long a stop waits for them.
-	handoverLimit = 1500 * time.Millisecond
 )
 
 // background runs operations that nobody waits for until they are done, too old, or the
@@ -74,17 +72,18 @@
 	}
 }
 
-// close takes no more operations, waits a moment for those that run, and ends them.
-func (b *background) close() {
+// close takes no more operations, waits until ctx ends for those that run, and ends them. It is
+// idempotent.
+func (b *background) close(ctx context.Context) {
 	b.mu.Lock()
-	b.closed = true
-	if b.running == 0 {
+	if !b.closed && b.running == 0 {
 		close(b.idle)
 	}
+	b.closed = true
 	b.mu.Unlock()
 	select {
 	case <-b.idle:
-	case <-time.After(handoverLimit):
+	case <-ctx.Done():
 	}
 	b.stop()
 	<-b.idle
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -66,17 +66,17 @@
 	return s
 }
 
-// Run serves until ctx ends, and then for a moment more while outcomes are handed over.
-// Operations that wait after that fail as Stopping.
+// Run serves until ctx ends. Operations that wait then fail as Stopping, and what Stop did not
+// wait for is given up.
 func (s *Service) Run(ctx context.Context) {
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	context.AfterFunc(ctx, func() {
-		s.background.close()
-		stop()
-	})
-	s.host.run(serving)
+	s.host.run(ctx)
+	s.background.close(ctx)
 }
 
+// Stop waits until ctx ends for the outcomes that are being recorded in the background, and
+// takes no more. It is called before Run's context and the transport end.
+func (s *Service) Stop(ctx context.Context) { s.background.close(ctx) }
+
 func (s *Service) serve(ctx context.Context, _ ident.VM, req *request) (*reply, error) {
 	return newReply(s.host.do(ctx, req)), nil
 }
