Silent connections are found by short calls too; hostile lengths reserve nothing; ledger drained on stop

Cause: the silence clock restarted whenever no call was outstanding, so calls shorter than the limit never found a silent connection; the codec reserves memory for any claimed list length; a planned stop lost outcomes of the last half second; engine calls did not name their VM, so a cut between data centres was not felt by them in tests. Change: the clock runs from the first unanswered frame and covers one-way messages; messages are walked before decoding; Ledger.Stop in the stop sequence; engine calls name the VM.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -93,7 +93,7 @@
 
 // build makes the duties; each registers its handlers with the transport.
 func (d *daemon) build() {
-	dialer := endpoint.NewHTTPDialer()
+	dialer := endpoint.NewHTTPDialer(endpoint.WithVM(d.self.VM.Name))
 	d.dialer = dialer
 	d.membership = membership.New(membership.Options{
 		Self: d.self, Clock: d.clock, Transport: d.transport, Lister: d.platform,
@@ -196,6 +196,7 @@
 	last, cancelLast := context.WithTimeout(context.Background(), dutyStopTime)
 	defer cancelLast()
 	_ = callers.Shutdown(last)
+	d.ledger.Stop(last)
 	d.limiter.Stop(last)
 	stopDuties()
 	_ = operator.Close()
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -23,28 +23,29 @@
 	done    chan struct{}
 	onClose func()
 
-	mu       sync.Mutex
-	err      error
-	pending  map[uint64]chan *frame
-	serving  map[uint64]context.CancelFunc
-	lastRead time.Time
-	lastUse  time.Time
-	from     ident.VM
+	mu      sync.Mutex
+	err     error
+	pending map[uint64]chan *frame
+	serving map[uint64]context.CancelFunc
+	// unanswered is when the first frame since the last one read was sent, zero for none. It
+	// outlives a call that gave up, so that short calls find a silent connection too.
+	unanswered time.Time
+	lastUse    time.Time
+	from       ident.VM
 }
 
 func newConn(t *Transport, nc net.Conn) *conn {
 	now := time.Now()
 	c := &conn{
-		t:        t,
-		nc:       nc,
-		outbox:   make(chan *frame, OutboxFrames),
-		ready:    make(chan struct{}),
-		done:     make(chan struct{}),
-		onClose:  func() {},
-		pending:  map[uint64]chan *frame{},
-		serving:  map[uint64]context.CancelFunc{},
-		lastRead: now,
-		lastUse:  now,
+		t:       t,
+		nc:      nc,
+		outbox:  make(chan *frame, OutboxFrames),
+		ready:   make(chan struct{}),
+		done:    make(chan struct{}),
+		onClose: func() {},
+		pending: map[uint64]chan *frame{},
+		serving: map[uint64]context.CancelFunc{},
+		lastUse: now,
 	}
 	return c
 }
@@ -73,7 +74,7 @@
 		return
 	}
 	c.nc = nc
-	c.lastRead = time.Now()
+	c.unanswered = time.Time{}
 	c.mu.Unlock()
 	c.start()
 }
@@ -173,13 +174,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if len(c.pending) == 0 {
-		c.lastRead = now
+	if c.unanswered.IsZero() {
+		c.unanswered = now
 	}
 	c.pending[id] = reply
 	c.lastUse = now
 }
 
+// expectSign starts the silence clock for a message that has no reply: a ping follows it, so
+// that a silent connection does not swallow such messages for long.
+func (c *conn) expectSign() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastUse = time.Now()
+	if c.unanswered.IsZero() {
+		c.unanswered = c.lastUse
+	}
+}
+
 func (c *conn) dropPending(id uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -238,11 +250,13 @@
 // keepAlive pings a connection with work outstanding and ends a silent or unused one.
 func (c *conn) keepAlive(w *bufio.Writer) error {
 	c.mu.Lock()
-	busy := len(c.pending) > 0
-	silent := time.Since(c.lastRead)
+	if len(c.pending) > 0 && c.unanswered.IsZero() {
+		c.unanswered = time.Now()
+	}
+	waits, silent := !c.unanswered.IsZero(), time.Since(c.unanswered)
 	unused := time.Since(c.lastUse)
 	c.mu.Unlock()
-	if !busy {
+	if !waits {
 		if c.addr.IsValid() && unused > IdleLimit {
 			return errIdle
 		}
@@ -270,7 +284,7 @@
 		}
 		c.t.opts.Counter(false, f.Kind, n)
 		c.mu.Lock()
-		c.lastRead = time.Now()
+		c.unanswered = time.Time{}
 		c.mu.Unlock()
 		c.dispatch(f)
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -81,8 +82,18 @@
 
 func decodeFrame(body []byte) (*frame, error) {
 	var f frame
-	if err := msgpack.Unmarshal(body, &f); err != nil {
+	if err := unmarshal(body, &f); err != nil {
 		return nil, fmt.Errorf("decode frame: %w", err)
 	}
 	return &f, nil
 }
+
+// unmarshal decodes body into v. It walks the body first: the codec reserves memory for
+// whatever length a list claims, so a short message could otherwise ask for gigabytes.
+func unmarshal(body []byte, v any) error {
+	walk := msgpack.NewDecoder(bytes.NewReader(body))
+	if err := walk.Skip(); err != nil {
+		return fmt.Errorf("message is shorter than it claims: %w", err)
+	}
+	return msgpack.Unmarshal(body, v)
+}
--- /dev/null
+++ b/internal/peer/frame_test.go
@@ -0,0 +1,47 @@
+package peer
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fulmartide/fulmartide/internal/ident"
+)
+
+type item struct{ A, B, C, D int64 }
+
+// TestClaimedLengthsReserveNoMemory: five bytes that claim four billion items.
+func TestClaimedLengthsReserveNoMemory(t *testing.T) {
+	hostile := []byte{0xdd, 0xff, 0xff, 0xff, 0xff}
+	var items []item
+	if err := unmarshal(hostile, &items); err == nil {
+		t.Error("accepted")
+	}
+	if cap(items) > 1024 {
+		t.Errorf("reserved %d items", cap(items))
+	}
+}
+
+func FuzzFrame(f *testing.F) {
+	body, err := msgpack.Marshal(&frame{Type: frameCall, Kind: KindPlace, ID: 7, From: ident.VM{Name: "vm"}, Body: msgpack.RawMessage{nilByte}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		got, err := decodeFrame(raw)
+		if err != nil {
+			return
+		}
+		out, err := encodeFrame(got)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, _, err := readFrame(bytes.NewReader(out))
+		if err != nil || again.Type != got.Type || again.ID != got.ID || again.From != got.From {
+			t.Fatalf("%+v became %+v, %v", got, again, err)
+		}
+	})
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -171,6 +171,7 @@
 	if err != nil {
 		return err
 	}
+	c.expectSign()
 	return c.enqueue(&frame{Type: frameOneWay, Kind: kind, Body: body})
 }
 
@@ -210,7 +211,7 @@
 		return nil, err
 	}
 	var resp Resp
-	if err := msgpack.Unmarshal(out, &resp); err != nil {
+	if err := unmarshal(out, &resp); err != nil {
 		return nil, fault.Wrap(err, fault.Malformed, "run the same release on all VMs", "decode reply")
 	}
 	return &resp, nil
@@ -229,7 +230,7 @@
 func Handle[Req, Resp any](t *Transport, kind Kind, h func(ctx context.Context, from ident.VM, req *Req) (*Resp, error)) {
 	t.Handle(kind, func(ctx context.Context, from ident.VM, body []byte) ([]byte, error) {
 		var req Req
-		if err := msgpack.Unmarshal(body, &req); err != nil {
+		if err := unmarshal(body, &req); err != nil {
 			return nil, fault.Wrap(err, fault.Malformed, "run the same release on all VMs", "decode message")
 		}
 		resp, err := h(ctx, from, &req)
