Frames carry small integers and no sender

Cause: a request cost 246 B/s per request a second for each VM in messages between VMs; every frame carried an empty sender and integers of nine bytes. Change: the sender is in a connection's first frame only; integers take as few bytes as they need.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -89,7 +89,7 @@
 }
 
 func (c *conn) start() {
-	c.outbox <- &frame{Type: frameHello, From: c.t.opts.Self}
+	c.outbox <- &frame{Type: frameHello, From: &c.t.opts.Self}
 	c.t.wg.Add(2)
 	go c.readLoop()
 	go c.writeLoop()
@@ -293,9 +293,11 @@
 func (c *conn) dispatch(f *frame) {
 	switch f.Type {
 	case frameHello:
-		c.mu.Lock()
-		c.from = f.From
-		c.mu.Unlock()
+		if f.From != nil {
+			c.mu.Lock()
+			c.from = *f.From
+			c.mu.Unlock()
+		}
 	case frameReply:
 		c.mu.Lock()
 		reply := c.pending[f.ID]
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -39,16 +39,17 @@
 	ID   uint64
 	// BudgetMillis is the time that the caller still waits, 0 for none stated.
 	BudgetMillis uint32
-	From         ident.VM
-	Fault        *fault.Detail
-	Body         msgpack.RawMessage
+	// From is set in the first frame of a connection only.
+	From  *ident.VM
+	Fault *fault.Detail
+	Body  msgpack.RawMessage
 }
 
 func encodeFrame(f *frame) ([]byte, error) {
 	if f.Body == nil {
 		f.Body = msgpack.RawMessage{nilByte}
 	}
-	body, err := msgpack.Marshal(f)
+	body, err := marshal(f)
 	if err != nil {
 		return nil, fmt.Errorf("encode frame: %w", err)
 	}
@@ -88,6 +89,19 @@
 	return &f, nil
 }
 
+// marshal encodes v with each integer in as few bytes as it needs.
+func marshal(v any) ([]byte, error) {
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	var buf bytes.Buffer
+	enc.Reset(&buf)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(v); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
 // unmarshal decodes body into v. It walks the body first: the codec reserves memory for
 // whatever length a list claims, so a short message could otherwise ask for gigabytes.
 func unmarshal(body []byte, v any) error {
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"reflect"
 	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -24,7 +25,7 @@
 }
 
 func FuzzFrame(f *testing.F) {
-	body, err := msgpack.Marshal(&frame{Type: frameCall, Kind: KindPlace, ID: 7, From: ident.VM{Name: "vm"}, Body: msgpack.RawMessage{nilByte}})
+	body, err := msgpack.Marshal(&frame{Type: frameCall, Kind: KindPlace, ID: 7, From: &ident.VM{Name: "vm"}, Body: msgpack.RawMessage{nilByte}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -40,7 +41,7 @@
 			t.Fatal(err)
 		}
 		again, _, err := readFrame(bytes.NewReader(out))
-		if err != nil || again.Type != got.Type || again.ID != got.ID || again.From != got.From {
+		if err != nil || again.Type != got.Type || again.ID != got.ID || !reflect.DeepEqual(again.From, got.From) {
 			t.Fatalf("%+v became %+v, %v", got, again, err)
 		}
 	})
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -16,7 +16,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/fault"
@@ -202,7 +201,7 @@
 
 // Call sends req to addr with t and decodes the reply.
 func Call[Req, Resp any](ctx context.Context, t *Transport, addr netip.AddrPort, kind Kind, req *Req) (*Resp, error) {
-	body, err := msgpack.Marshal(req)
+	body, err := marshal(req)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "report this", "encode message")
 	}
@@ -219,7 +218,7 @@
 
 // Send hands msg to addr as a one-way message, which may be lost.
 func Send[Msg any](ctx context.Context, t *Transport, addr netip.AddrPort, kind Kind, msg *Msg) error {
-	body, err := msgpack.Marshal(msg)
+	body, err := marshal(msg)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "report this", "encode message")
 	}
@@ -237,6 +236,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return msgpack.Marshal(resp)
+		return marshal(resp)
 	})
 }
--- a/test/cmd/capacity/main.go
+++ b/test/cmd/capacity/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"sync"
@@ -36,11 +37,30 @@
 	value   int
 	cpu     float64 // % of a core
 	rssMiB  float64
-	bytes   float64 // sent and received between VMs, B/s
-	calls   float64 // platform calls of the whole fleet, 1/s
+	kinds   map[string]float64 // sent and received between VMs by kind of message, B/s
+	calls   float64            // platform calls of the whole fleet, 1/s
 	answers int
 }
 
+func (r row) bytes() float64 {
+	sum := 0.0
+	for _, b := range r.kinds {
+		sum += b
+	}
+	return sum
+}
+
+// rates gives the differences of two sums over time, whole and without those that are 0.
+func rates(before, after map[string]float64, over float64) map[string]float64 {
+	out := map[string]float64{}
+	for kind, b := range after {
+		if rate := math.Round((b - before[kind]) / over); rate > 0 {
+			out[kind] = rate
+		}
+	}
+	return out
+}
+
 func (c *command) run(ctx context.Context) error {
 	dir, err := os.MkdirTemp("", "fulmartide-capacity-")
 	if err != nil {
@@ -58,12 +78,13 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("%-12d %10.2f %10.1f %12.0f %14.1f %8d\n", r.value, r.cpu, r.rssMiB, r.bytes, r.calls, r.answers)
+		fmt.Printf("%-12d %10.2f %10.1f %12.0f %14.1f %8d\n", r.value, r.cpu, r.rssMiB, r.bytes(), r.calls, r.answers)
+		fmt.Printf("  B/s by kind of message: %v\n", r.kinds)
 		rows = append(rows, r)
 	}
 	fmt.Printf("slope per %s: cpu %.4f %%, rss %.4f MiB, peer %.2f B/s, platform %.3f 1/s\n", c.Axis,
 		slope(rows, func(r row) float64 { return r.cpu }), slope(rows, func(r row) float64 { return r.rssMiB }),
-		slope(rows, func(r row) float64 { return r.bytes }), slope(rows, func(r row) float64 { return r.calls }))
+		slope(rows, func(r row) float64 { return r.bytes() }), slope(rows, func(r row) float64 { return r.calls }))
 	return nil
 }
 
@@ -146,7 +167,7 @@
 		value:   v,
 		cpu:     100 * (after.cpu - before.cpu) / seconds / n,
 		rssMiB:  after.rss / n / (1 << 20),
-		bytes:   (after.bytes - before.bytes) / seconds / n,
+		kinds:   rates(before.kinds, after.kinds, seconds*n),
 		calls:   (after.calls - before.calls) / seconds,
 		answers: got,
 	}, f.Stop()
@@ -192,24 +213,23 @@
 
 // reading is the sum over all daemons at one time.
 type reading struct {
-	at                     time.Time
-	cpu, rss, bytes, calls float64
+	at              time.Time
+	cpu, rss, calls float64
+	kinds           map[string]float64 // bytes by kind of message
 }
 
 func read(f *fleet.Fleet) (reading, error) {
-	out := reading{at: time.Now()}
+	out := reading{at: time.Now(), kinds: map[string]float64{}}
 	for _, d := range f.Daemons() {
 		cpu, rss, err := usage(d.PID())
 		if err != nil {
 			return out, err
 		}
-		bytes, err := peerBytes(d)
-		if err != nil {
+		if err := peerBytes(d, out.kinds); err != nil {
 			return out, err
 		}
 		out.cpu += cpu
 		out.rss += rss
-		out.bytes += bytes
 	}
 	for _, n := range f.Platform.Stats().Calls {
 		out.calls += float64(n)
--- a/test/cmd/capacity/usage.go
+++ b/test/cmd/capacity/usage.go
@@ -36,23 +36,25 @@
 	return (user + system) / ticksPerSecond, pages * float64(os.Getpagesize()), nil
 }
 
-// peerBytes gives the bytes that a daemon sent and received between VMs since its start.
-func peerBytes(d *fleet.Daemon) (float64, error) {
+// peerBytes adds to sums the bytes that a daemon sent and received between VMs since its
+// start, by the kind of message.
+func peerBytes(d *fleet.Daemon, sums map[string]float64) error {
 	resp, err := http.Get("http://" + d.Operator.String() + "/metrics")
 	if err != nil {
-		return 0, err
+		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	sum := 0.0
 	for scan := bufio.NewScanner(resp.Body); scan.Scan(); {
 		name, value, found := strings.Cut(scan.Text(), " ")
-		if found && strings.HasPrefix(name, "fulmartide_peer_bytes_total") {
-			n, err := strconv.ParseFloat(value, 64)
-			if err != nil {
-				return 0, err
-			}
-			sum += n
+		if !found || !strings.HasPrefix(name, "fulmartide_peer_bytes_total") {
+			continue
 		}
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return err
+		}
+		_, kind, _ := strings.Cut(name, `kind="`)
+		sums[strings.TrimSuffix(kind, `"}`)] += n
 	}
-	return sum, nil
+	return nil
 }
