--- a/internal/sweep/machine.go
+++ b/internal/sweep/machine.go
@@ -17,9 +17,20 @@
 	TickPeriod = 100 * time.Millisecond
 	// confirmPeriod is how long a VM's word that a request is live counts.
 	confirmPeriod = 500 * time.Millisecond
-	// silenceLimit is how long a VM may leave questions unanswered before its requests count
-	// as dead.
-	silenceLimit = 800 * time.Millisecond
+	// silenceLimit is how long a VM may leave questions unanswered, while this VM hears others,
+	// before its requests count as dead.
+	silenceLimit = 600 * time.Millisecond
+	// isolatedLimit is the same while this VM hears too few others to tell a dead VM from its
+	// own isolation.
+	isolatedLimit = 10 * time.Second
+	// hearingLimit is how long a VM may leave a question unanswered before others are asked.
+	hearingLimit = 100 * time.Millisecond
+	// probePeriod is the time between two probes of one VM.
+	probePeriod = 200 * time.Millisecond
+	// staleAfter is how long after the last question silence counts for nothing.
+	staleAfter = 3 * TickPeriod
+	// hearingMemory is how long an answer shows that this VM hears another.
+	hearingMemory = 500 * time.Millisecond
 	// grace is the age below which a holding is left alone.
 	grace = 100 * time.Millisecond
 )
@@ -73,6 +84,8 @@
 
 // Ask asks a VM which requests of one of its lives are live. It is answered by one AnswerInput
 // or NoAnswerInput, and until then no other is put about that life.
+//
+// An Ask without requests only finds out whether this VM hears the other.
 type Ask struct {
 	// About is the life that the requests name; VM is who is asked.
 	About ident.VM
@@ -101,7 +114,8 @@
 type holding struct {
 	// confirmed is when its VM last claimed it, 0 for never.
 	confirmed clock.Instant
-	// disclaimed says that its VM does not claim it.
+	// disclaimed says that its VM does not claim it. It is dead once the next look shows that
+	// it is still held: a request that has just ended frees itself.
 	disclaimed bool
 }
 
@@ -110,21 +124,30 @@
 	asking bool
 	// unanswered is when the first question of those without an answer was put, 0 for none.
 	unanswered clock.Instant
+	// asked is when a question was last put or due.
+	asked clock.Instant
+	// isolated is when this VM last heard too few others while questions were unanswered.
+	isolated clock.Instant
+	// heard is when the VM last answered.
+	heard clock.Instant
+	// probed is when the VM was last asked only to hear from it.
+	probed clock.Instant
 	// silent is set once the silence has passed its limit and its holdings were cancelled.
 	silent bool
 }
 
 // Machine decides which holdings are dead.
 type Machine struct {
+	self    string
 	held    map[Held]*holding
 	vms     map[ident.VM]*vmState
 	members map[string]membership.Member
 	out     []Action
 }
 
-// NewMachine makes a Machine that watches nothing.
-func NewMachine() *Machine {
-	return &Machine{held: map[Held]*holding{}, vms: map[ident.VM]*vmState{}, members: map[string]membership.Member{}}
+// NewMachine makes a Machine of the VM self that watches nothing.
+func NewMachine(self string) *Machine {
+	return &Machine{self: self, held: map[Held]*holding{}, vms: map[ident.VM]*vmState{}, members: map[string]membership.Member{}}
 }
 
 // Step takes one input.
@@ -144,6 +167,7 @@
 		m.membersChanged(in.Members)
 		m.cancelGone()
 	case TickInput:
+		m.noteIsolation(now)
 		m.cancelSilent(now)
 		m.ask(now)
 	}
@@ -227,10 +251,24 @@
 	if v == nil {
 		return false
 	}
-	since := v.unanswered
-	return since != 0 && now.Sub(since) >= silenceLimit
+	if v.unanswered == 0 || v.stale(now) {
+		return false
+	}
+	hearing := now.Sub(max(v.unanswered, v.isolated))
+	return hearing >= silenceLimit || now.Sub(v.unanswered) >= isolatedLimit
+}
+
+// question notes that a question is put or due. One long after the last begins anew.
+func (v *vmState) question(now clock.Instant) {
+	if v.unanswered == 0 || v.stale(now) {
+		v.unanswered, v.isolated, v.silent = now, 0, false
+	}
+	v.asked = now
 }
 
+// stale reports whether the unanswered questions are of an earlier time.
+func (v *vmState) stale(now clock.Instant) bool { return now.Sub(v.asked) > staleAfter }
+
 func (m *Machine) vm(vm ident.VM) *vmState {
 	v := m.vms[vm]
 	if v == nil {
@@ -246,6 +284,7 @@
 	v.asking = false
 	v.unanswered = 0
 	v.silent = false
+	v.heard = now
 	for _, key := range in.Asked {
 		if h := m.held[key]; h != nil {
 			h.confirmed = now
@@ -255,7 +294,6 @@
 	for _, key := range in.Dead {
 		if h := m.held[key]; h != nil {
 			h.disclaimed = true
-			m.cancel(key, CauseNotLive)
 		}
 	}
 }
@@ -273,12 +311,10 @@
 	for _, key := range m.sorted(func(h Held) bool { return m.due(now, h) }) {
 		due[key.Request.VM] = append(due[key.Request.VM], key)
 	}
-	m.forgetVMs()
+	m.forgetVMs(now)
 	for _, vm := range slices.SortedFunc(maps.Keys(due), compareVM) {
 		v := m.vm(vm)
-		if v.unanswered == 0 {
-			v.unanswered = now
-		}
+		v.question(now)
 		member, known := m.members[vm.Name]
 		if v.asking || !known {
 			continue
@@ -286,6 +322,7 @@
 		v.asking = true
 		m.out = append(m.out, Action{Ask: &Ask{About: vm, VM: member, Held: due[vm]}})
 	}
+	m.probe(now)
 }
 
 // due reports whether a holding's last confirmation has run out.
@@ -297,13 +334,15 @@
 	return h.confirmed == 0 || now.Sub(h.confirmed) >= confirmPeriod
 }
 
-// forgetVMs drops lives that no holding names.
-func (m *Machine) forgetVMs() {
+// forgetVMs drops lives that no holding names and that were not asked for long.
+func (m *Machine) forgetVMs(now clock.Instant) {
 	named := map[ident.VM]bool{}
 	for key := range m.held {
 		named[key.Request.VM] = true
 	}
-	maps.DeleteFunc(m.vms, func(vm ident.VM, v *vmState) bool { return !named[vm] && !v.asking })
+	maps.DeleteFunc(m.vms, func(vm ident.VM, v *vmState) bool {
+		return !named[vm] && !v.asking && now.Sub(max(v.heard, v.probed)) > isolatedLimit
+	})
 }
 
 // sorted gives the holdings that accept passes, in a fixed order.
--- a/internal/sweep/service.go
+++ b/internal/sweep/service.go
@@ -102,7 +102,7 @@
 		addrs:   map[string]netip.AddrPort{},
 	}
 	s.loop = duty.NewLoop(duty.Options[Input, Action]{
-		Machine:  NewMachine(),
+		Machine:  NewMachine(o.Self.VM.Name),
 		Clock:    o.Clock,
 		Capacity: inboxCapacity,
 		Tick:     func() Input { return TickInput{} },
