--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -118,19 +118,26 @@
 	}
 }
 
-// eligible gives the replicas that may be used, and counts those that are only full.
+// eligible gives the replicas that may be used, and counts those that are only full. Ejected
+// ones are used only when there is no other that is not full either.
 func (p *Picker) eligible(service string, avoid []string) (out []*serviceReplica, full int) {
 	now := p.opts.Clock.Now()
+	var ejected []*serviceReplica
 	for _, r := range p.services[service] {
 		r.health.reported(now)
 		switch {
-		case r.conf.Leaving, r.health.ejected, slices.Contains(avoid, r.name):
+		case r.conf.Leaving, slices.Contains(avoid, r.name):
 		case r.conf.Slots > 0 && r.outstanding >= r.conf.Slots:
 			full++
+		case r.health.ejected:
+			ejected = append(ejected, r)
 		default:
 			out = append(out, r)
 		}
 	}
+	if len(out) == 0 && full == 0 {
+		return ejected, 0
+	}
 	return out, full
 }
 
