Limiter: low shares get what full shares lost, without tracking settled requests

Cause: taking over settled debits of other shares needed them kept for 30 s and could not help requests still running. Change: a share's history holds, per 64 ms, what it lost at its cap and its highest balance; a low share asks for losses since it had room. Stricter tests: gatherers of any size above half the burst; weights change while a cut-off data centre gets no configuration.

--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -26,12 +26,8 @@
 	seq uint64
 }
 
-// maxSettled bounds the parts that are kept after their settlement, to be recovered.
-const maxSettled = 1024
-
 // part is a debit that may still be refunded. room is the least distance between the balance
-// and the cap from this debit to the next one still held, in units. A settled part is kept
-// for a while with the tokens that were used.
+// and the cap from this debit to the next one still held, in units.
 type part struct {
 	order     uint64
 	id        partID
@@ -39,7 +35,6 @@
 	room      int64
 	at        clock.Instant
 	tentative bool
-	settled   bool
 }
 
 // bucket is one exact token bucket. A refund restores the balance that it would have had if
@@ -52,7 +47,6 @@
 	level     int64
 	at        clock.Instant
 	held      []part
-	settled   int
 	overflow  overflow
 	byID      map[partID]uint64
 	nextOrder uint64
@@ -79,14 +73,14 @@
 	before, level := b.at, b.level
 	missing := max(0, b.limit()-level)
 	b.at = now
-	full := now
+	full := now + 1
 	if b.rate > 0 && elapsed >= (missing+b.rate-1)/b.rate {
 		b.level = max(level, b.limit())
 		full = before.Add(time.Duration((missing + b.rate - 1) / b.rate))
 	} else {
 		b.level += b.rate * elapsed
 	}
-	b.overflow.pass(before, full, now, level, b.rate)
+	b.overflow.pass(before, full, now, level, b.rate, b.limit())
 	b.noteRoom()
 }
 
@@ -116,8 +110,7 @@
 func (b *bucket) debit(now clock.Instant, id partID, tokens int64, tentative bool) {
 	b.advance(now)
 	b.level -= tokens * unit
-	b.overflow.lower(now, b.level)
-	for len(b.held) == maxHeld || len(b.held) > 0 && b.held[0].settled && now.Sub(b.held[0].at) > overflowMemory {
+	if len(b.held) == maxHeld {
 		b.drop(0)
 	}
 	b.nextOrder++
@@ -136,49 +129,55 @@
 func (b *bucket) settle(now clock.Instant, id partID, used int64) bool {
 	b.advance(now)
 	i, ok := b.find(id)
-	if !ok || b.held[i].settled {
+	if !ok {
 		return false
 	}
 	used = min(max(used, 0), b.held[i].tokens)
 	b.refund(i, b.held[i].tokens-used)
-	if used == 0 || b.settled >= maxSettled {
-		b.drop(i)
-		return true
-	}
-	b.held[i].settled = true
-	b.settled++
+	b.drop(i)
 	return true
 }
 
 // refund takes tokens off a part as if they had never been debited. What would have been
 // above the cap in the meantime counts as overflow.
 func (b *bucket) refund(i int, tokens int64) {
-	b.held[i].tokens -= tokens
 	credit := tokens * unit
-	first := slotOf(b.held[i].at) + 1
+	first := slotOf(b.held[i].at)
 	for k := i; k < len(b.held); k++ {
+		last := slotOf(b.at)
+		if k+1 < len(b.held) {
+			last = slotOf(b.held[k+1].at)
+		}
+		b.overflow.raise(first, last, credit, b.limit())
+		first = max(first, last+1)
 		if over := credit - b.held[k].room; over > 0 {
-			b.overflow.add(b.held[k].at, over)
+			b.overflow.lose(b.held[k].at, over)
 			credit = b.held[k].room
 		}
 		b.held[k].room -= credit
-		last := slotOf(b.at)
-		if k+1 < len(b.held) {
-			last = slotOf(b.held[k+1].at) - 1
-		}
-		b.overflow.raise(max(first, slotOf(b.held[k].at)), last, credit)
 	}
 	b.level += credit
 }
 
+// deposit adds tokens that another share lost after the start of a slot, as far as there has
+// been room since.
+func (b *bucket) deposit(now clock.Instant, slot, tokens int64) {
+	b.advance(now)
+	units := min(tokens*unit, b.overflow.roomSince(slot, now, b.limit()))
+	b.level += units
+	b.overflow.raise(slot, slotOf(now), units, b.limit())
+	for k := range b.held {
+		if k+1 == len(b.held) || b.held[k+1].at >= slotStart(slot) {
+			b.held[k].room = max(0, b.held[k].room-units)
+		}
+	}
+}
+
 // drop forgets a part; the part before it answers for its stretch of time too.
 func (b *bucket) drop(i int) {
 	if i > 0 {
 		b.held[i-1].room = min(b.held[i-1].room, b.held[i].room)
 	}
-	if b.held[i].settled {
-		b.settled--
-	}
 	delete(b.byID, b.held[i].id)
 	b.held = slices.Delete(b.held, i, i+1)
 }
@@ -213,7 +212,7 @@
 		if now.Sub(p.at) > tentativeLimit {
 			return false
 		}
-		if p.tentative && !p.settled {
+		if p.tentative {
 			return true
 		}
 	}
--- a/internal/limiter/bucket_test.go
+++ b/internal/limiter/bucket_test.go
@@ -159,14 +159,14 @@
 	}
 }
 
-// TestOverflowCoversOnlyWhatItPaidFor moves debits between two buckets and checks the used
-// tokens of both together against the sum of their limits.
-func TestOverflowCoversOnlyWhatItPaidFor(t *testing.T) {
-	covered := int64(0)
+// TestOverflowIsNeverSpentTwice moves what two buckets lose to the other one and checks the
+// used tokens of both together against the sum of their limits.
+func TestOverflowIsNeverSpentTwice(t *testing.T) {
+	moved := int64(0)
 	rapid.Check(t, func(t *rapid.T) {
 		l := Limit{Rate: rapid.Int64Range(1, 60).Draw(t, "rate"), Burst: rapid.Int64Range(1, 40).Draw(t, "burst")}
 		buckets := []*bucket{newBucket(0, l, true), newBucket(0, l, true)}
-		now := clock.Instant(2 * recoverTransit)
+		now := clock.Instant(0)
 		var uses []use
 		open := map[uint64]int{}
 		owner := map[uint64]int{}
@@ -191,21 +191,19 @@
 				delete(open, seq)
 			case op == 3:
 				var o offer
-				b.offer(now, "w", &o)
-				transit := time.Duration(rapid.Int64Range(0, int64(recoverTransit)).Draw(t, "transit"))
-				late := now.Add(transit)
-				other.advance(late)
+				b.want(now, "w", rapid.IntRange(0, roomFractions-1).Draw(t, "fraction"), &o)
+				now += clock.Instant(rapid.Int64Range(0, int64(300*time.Millisecond)).Draw(t, "transit"))
+				other.advance(now)
 				for i, item := range o.items {
-					got := other.overflow.cover(late, late.Add(-item.Age), item.Tokens)
-					b.recovered(late, o.ids[i], got)
-					covered += got
+					got := other.overflow.give(now, now.Add(-item.Age), item.Tokens)
+					b.deposit(now, o.slots[i], got)
+					moved += got
 				}
-				now = late
 			}
 		}
 		checkWindows(t, uses, Limit{Rate: 2 * l.Rate, Burst: 2 * l.Burst})
 	})
-	if covered == 0 {
-		t.Fatal("no debit was ever covered")
+	if moved == 0 {
+		t.Fatal("nothing was ever moved")
 	}
 }
--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -248,6 +248,7 @@
 func TestChangingWeightsNeverAddsUpToMore(t *testing.T) {
 	plan := configuration.Plan{TokensPerSecond: 60, BurstTokens: 600}
 	f := newFleet(2, document(plan, 1, 1, 8), fleet.Faults{})
+	f.CutConfiguration = true
 	drain(f, "a1")
 	for i, weights := range [][]int{{8, 1, 1}, {1, 8, 1}, {8, 1, 1}, {1, 1, 8}} {
 		f.Cut("c", i%2 == 0)
@@ -289,9 +290,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		plan := configuration.Plan{TokensPerSecond: 1, BurstTokens: 90}
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), document(plan, 1, 1, 1), fleet.Faults{})
+		tokens := rapid.Int64Range(46, 90).Draw(t, "tokens")
 		admitted := 0
 		for _, vm := range []string{"a1", "b1", "c1"}[:rapid.IntRange(2, 3).Draw(t, "requests")] {
-			f.Arrive(fleet.Request{Workspace: "w", VM: vm, Tokens: 60, Used: 60, Length: time.Second, Done: func(ok bool) {
+			f.Arrive(fleet.Request{Workspace: "w", VM: vm, Tokens: tokens, Used: tokens, Length: time.Second, Done: func(ok bool) {
 				if ok {
 					admitted++
 				}
@@ -300,7 +302,7 @@
 		}
 		f.Run(3 * time.Second)
 		if admitted != 1 {
-			t.Fatalf("%d requests of 60 tokens admitted of a burst of 90", admitted)
+			t.Fatalf("%d requests of %d tokens admitted of a burst of 90", admitted, tokens)
 		}
 	})
 }
--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -109,7 +109,7 @@
 	case StopIn:
 		h.stopping = true
 	case RecoverIn:
-		h.cover(now, in)
+		h.giveLost(now, in)
 	case RecoveredIn:
 		h.onRecovered(now, in)
 	case StaleIn:
@@ -320,7 +320,7 @@
 				Rate:       b.rate,
 				Burst:      b.burst,
 				Balance:    b.available(now),
-				Held:       len(b.held) - b.settled,
+				Held:       len(b.held),
 			})
 		}
 	}
--- a/internal/limiter/limits.go
+++ b/internal/limiter/limits.go
@@ -97,9 +97,6 @@
 		b.advance(now)
 		parts := make([]partState, 0, len(b.held))
 		for _, p := range b.held {
-			if p.settled {
-				continue
-			}
 			parts = append(parts, partState{VM: p.id.vm, Seq: p.id.seq, Tokens: p.tokens, Room: p.room})
 		}
 		out = append(out, balance{Shard: i, Workspace: name, Term: term, Level: b.level, Parts: parts})
--- a/internal/limiter/machine.go
+++ b/internal/limiter/machine.go
@@ -43,7 +43,7 @@
 	// layoutPeriod is the time between reads of the other data centres' records.
 	layoutPeriod = 30 * time.Second
 	// recoverPeriod is the time between a shard's recover requests.
-	recoverPeriod = 250 * time.Millisecond
+	recoverPeriod = time.Second
 	// rebalanceDelay is how long another VM must have been the preferred holder of a shard
 	// before it gets the shard.
 	rebalanceDelay = 5 * time.Second
@@ -108,12 +108,12 @@
 	StopIn struct{}
 	// StaleIn: a call to a holder of the present record failed.
 	StaleIn struct{}
-	// RecoverIn asks this VM to take over debits that another share made.
+	// RecoverIn asks this VM for what its shares lost at their caps.
 	RecoverIn struct {
 		Call  uint64
 		Items []RecoverItem
 	}
-	// RecoveredIn answers a RecoverOut with the tokens taken over of each item.
+	// RecoveredIn answers a RecoverOut with the tokens got for each item.
 	RecoveredIn struct {
 		Number uint64
 		Tokens []int64
--- a/internal/limiter/recover.go
+++ b/internal/limiter/recover.go
@@ -1,20 +1,27 @@
 package limiter
 
 import (
+	"time"
+
 	"github.com/fulmartide/fulmartide/internal/clock"
 )
 
 const (
-	// recoverItems is the most debits that one recover request offers.
+	// recoverItems is the most workspaces that one recover request asks for.
 	recoverItems = 16
-	// recoverPercent is the part of its burst below which a share asks others to take over
-	// debits.
-	recoverPercent = 75
+	// recoverPercent is the part of its burst below which a share asks others for what they
+	// lost.
+	recoverPercent = 50
+	// recoverLife is the longest that an answer is waited for.
+	recoverLife = time.Second
+	// roomFractions is the number of fractions of the present room that are asked for in
+	// turn: less room has been there for longer.
+	roomFractions = 4
 )
 
 // recovery is the part of a holder that makes good what skewed arrivals would waste: while
 // one share stands at its cap and loses what it accrues, another pays for the requests. The
-// full share takes over debits of the other for which its overflow would have paid.
+// low share asks the others for what they lost while it had room.
 type recovery struct {
 	timer  timer
 	number uint64
@@ -23,23 +30,21 @@
 	pending map[uint64]offer
 }
 
-// offer is a recover request on its way.
+// offer is a recover request on its way. slots tell since when there is room for each item.
 type offer struct {
 	sent  clock.Instant
 	shard int
 	term  uint64
-	// page chooses among the debits of a bucket that do not fit one request.
-	page  int
 	items []RecoverItem
-	ids   []partID
+	slots []int64
 }
 
 func newRecovery() recovery { return recovery{pending: map[uint64]offer{}} }
 
-// recover offers the settled debits of low shares to another data centre.
+// recover asks another data centre for what it lost while shares here had room.
 func (h *Holder) recover(now clock.Instant) {
 	for number, o := range h.recovery.pending {
-		if now.Sub(o.sent) > recoverTransit {
+		if now.Sub(o.sent) > recoverLife {
 			delete(h.recovery.pending, number)
 		}
 	}
@@ -55,9 +60,12 @@
 
 func (h *Holder) offer(now clock.Instant, i int) {
 	s := &h.shards[i]
-	o := offer{sent: now, shard: i, term: s.term, page: h.recovery.turn[i] / max(1, len(h.snapshot.Document.DataCentres))}
+	o := offer{sent: now, shard: i, term: s.term}
+	fraction := h.recovery.turn[i] / max(1, len(h.snapshot.Document.DataCentres)) % roomFractions
 	for _, name := range sorted(s.buckets) {
-		s.buckets[name].offer(now, name, &o)
+		if len(o.items) < recoverItems {
+			s.buckets[name].want(now, name, fraction, &o)
+		}
 	}
 	to, ok := h.nextDataCentre(i)
 	if len(o.items) == 0 || !ok {
@@ -68,29 +76,19 @@
 	h.emit(RecoverOut{Number: h.recovery.number, DataCentre: to, Shard: i, Items: o.items})
 }
 
-// offer adds debits that would raise the balance if they had been made elsewhere.
-func (b *bucket) offer(now clock.Instant, workspace string, o *offer) {
+// want adds what a bucket has had room for, and since when.
+func (b *bucket) want(now clock.Instant, workspace string, fraction int, o *offer) {
 	b.advance(now)
-	if b.settled == 0 || b.level >= b.limit()/100*recoverPercent {
+	if b.level >= b.limit()/100*recoverPercent {
 		return
 	}
-	room := b.limit() - b.level
-	skip := o.page % (b.settled/recoverItems + 1) * recoverItems
-	for i := len(b.held) - 1; i >= 0 && len(o.items) < recoverItems; i-- {
-		p := b.held[i]
-		room = min(room, p.room)
-		tokens := min(p.tokens, room/unit)
-		if tokens == 0 {
-			return
-		}
-		if !p.settled {
-			continue
-		}
-		if skip--; skip < 0 {
-			o.items = append(o.items, RecoverItem{Workspace: workspace, Age: now.Sub(p.at), Tokens: tokens})
-			o.ids = append(o.ids, p.id)
-		}
+	room := (b.limit() - b.level) >> fraction
+	slot, ok := b.overflow.roomyFrom(now, room, b.limit())
+	if room < unit || !ok {
+		return
 	}
+	o.items = append(o.items, RecoverItem{Workspace: workspace, Age: now.Sub(slotStart(slot)), Tokens: room / unit})
+	o.slots = append(o.slots, slot)
 }
 
 // nextDataCentre takes the other data centres in turn.
@@ -106,46 +104,29 @@
 	return "", false
 }
 
-// cover takes over debits of another share as far as overflow pays for them.
-func (h *Holder) cover(now clock.Instant, in RecoverIn) {
+// giveLost answers with what the shares here lost while the asking ones had room.
+func (h *Holder) giveLost(now clock.Instant, in RecoverIn) {
 	out := RecoveredOut{Call: in.Call, Tokens: make([]int64, len(in.Items))}
 	for k, item := range in.Items {
-		if b, ok := h.grants(item.Workspace); ok && b != nil && item.Age >= 0 && item.Tokens > 0 {
+		if b, ok := h.grants(item.Workspace); ok && b != nil && item.Age >= 0 {
 			b.advance(now)
-			out.Tokens[k] = b.overflow.cover(now, now.Add(-item.Age), item.Tokens)
+			out.Tokens[k] = b.overflow.give(now, now.Add(-item.Age), item.Tokens)
 		}
 	}
 	h.emit(out)
 }
 
-// onRecovered gives back what another share took over. A late answer is void.
+// onRecovered deposits what another share had lost. A late answer is void.
 func (h *Holder) onRecovered(now clock.Instant, in RecoveredIn) {
 	o, ok := h.recovery.pending[in.Number]
 	delete(h.recovery.pending, in.Number)
 	s := &h.shards[o.shard]
-	if !ok || now.Sub(o.sent) > recoverTransit || s.phase != phaseGranting || s.term != o.term || len(in.Tokens) != len(o.ids) {
+	if !ok || s.phase != phaseGranting || s.term != o.term || len(in.Tokens) != len(o.items) {
 		return
 	}
-	productive := false
-	for k, id := range o.ids {
-		b := s.buckets[o.items[k].Workspace]
-		if b == nil || in.Tokens[k] <= 0 {
-			continue
+	for k, item := range o.items {
+		if b := s.buckets[item.Workspace]; b != nil && in.Tokens[k] > 0 {
+			b.deposit(now, o.slots[k], min(in.Tokens[k], item.Tokens))
 		}
-		productive = true
-		b.recovered(now, id, min(in.Tokens[k], o.items[k].Tokens))
-	}
-	if productive {
-		h.recovery.turn[o.shard] += len(h.snapshot.Document.DataCentres) - 1
-	}
-}
-
-// recovered takes tokens that another share took over off a settled part.
-func (b *bucket) recovered(now clock.Instant, id partID, tokens int64) {
-	b.advance(now)
-	i, ok := b.find(id)
-	if !ok || !b.held[i].settled {
-		return
 	}
-	b.refund(i, min(tokens, b.held[i].tokens))
 }
--- a/internal/limiter/wire.go
+++ b/internal/limiter/wire.go
@@ -109,8 +109,8 @@
 	Recovered []int64
 }
 
-// RecoverItem is a debit of Tokens, Age before the message was sent, that the sender's share
-// made and the receiver's share may take over.
+// RecoverItem asks for up to Tokens that the receiver's share lost at its cap: the sender's
+// share has had room for them for Age.
 type RecoverItem struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
--- a/internal/limiter/worker.go
+++ b/internal/limiter/worker.go
@@ -245,7 +245,7 @@
 	}
 }
 
-// recover asks another data centre's holder to take over debits; a failure loses nothing.
+// recover asks another data centre's holder for what its shares lost.
 func (w *worker) recover(ctx context.Context, a RecoverOut) {
 	holder, ok := w.s.records.holder(ctx, a.DataCentre, a.Shard)
 	if !ok {
--- a/test/cmd/limitermeasure/fleet/fleet.go
+++ b/test/cmd/limitermeasure/fleet/fleet.go
@@ -49,6 +49,8 @@
 	// Far and Near are one-way delays between regions and between data centres.
 	Far, Near, Local time.Duration
 	Faults           Faults
+	// CutConfiguration keeps new configurations from data centres that are cut off.
+	CutConfiguration bool
 }
 
 // Fleet is the whole simulated installation.
--- a/test/cmd/limitermeasure/fleet/node.go
+++ b/test/cmd/limitermeasure/fleet/node.go
@@ -76,6 +76,10 @@
 }
 
 func (n *node) apply(snap *configuration.Snapshot) {
+	if n.f.CutConfiguration && n.f.cut[n.self.DataCentre] {
+		n.f.after(tickPeriod, func() { n.apply(snap) })
+		return
+	}
 	n.do(func() {
 		if snap.Version > n.snapshot.Version {
 			n.snapshot = snap
