--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -257,6 +257,8 @@
 			drain(f, vm)
 		}
 		f.Run(20 * time.Second)
+		drain(f, "c1")
+		drain(f, "a1")
 	}
 	f.Cut("c", false)
 	f.Run(time.Minute)
