--- a/internal/limiter/bucket_test.go
+++ b/internal/limiter/bucket_test.go
@@ -170,11 +170,12 @@
 		var uses []use
 		open := map[uint64]int{}
 		owner := map[uint64]int{}
+		var answers []func()
 		for n := range rapid.IntRange(10, 80).Draw(t, "steps") {
 			now += clock.Instant(rapid.Int64Range(0, int64(300*time.Millisecond)).Draw(t, "dt"))
 			k := rapid.IntRange(0, 1).Draw(t, "bucket")
 			b, other := buckets[k], buckets[1-k]
-			switch op := rapid.IntRange(0, 3).Draw(t, "op"); {
+			switch op := rapid.IntRange(0, 4).Draw(t, "op"); {
 			case op < 2 && b.available(now) > 0:
 				tokens := b.available(now)
 				if op == 1 {
@@ -192,13 +193,18 @@
 			case op == 3:
 				var o offer
 				b.want(now, "w", rapid.IntRange(0, roomFractions-1).Draw(t, "fraction"), &o)
-				now += clock.Instant(rapid.Int64Range(0, int64(300*time.Millisecond)).Draw(t, "transit"))
 				other.advance(now)
 				for i, item := range o.items {
 					got := other.overflow.give(now, now.Add(-item.Age), item.Tokens)
-					b.deposit(now, o.slots[i], got)
+					answers = append(answers, func() { b.deposit(now, o.slots[i], got) })
 					moved += got
 				}
+			case op == 4 && len(answers) > 0:
+				answers[0]()
+				answers = answers[1:]
+			}
+			if b.available(now); b.level > b.limit() || b.overflow.roomSince(slotOf(now), now, b.limit()) > b.limit()-b.level {
+				t.Fatal("balance above the cap or above its history")
 			}
 		}
 		checkWindows(t, uses, Limit{Rate: 2 * l.Rate, Burst: 2 * l.Burst})
