--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -1,6 +1,8 @@
 package limiter
 
 import (
+	"time"
+
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/ident"
@@ -147,7 +149,7 @@
 		h.applyLimits(now)
 	}
 	h.claim(now)
-	if h.recovery.timer.due(now, recoverPeriod) {
+	if h.view != nil && h.recovery.timer.due(now, max(recoverPeriod, time.Duration(len(h.view.Members))*recoverPeriodPerVM)) {
 		h.recover(now)
 	}
 	if h.claims.sweep.due(now, recordPeriod) {
--- a/internal/limiter/machine.go
+++ b/internal/limiter/machine.go
@@ -42,8 +42,10 @@
 	listPeriod = 2 * time.Second
 	// layoutPeriod is the time between reads of the other data centres' records.
 	layoutPeriod = 30 * time.Second
-	// recoverPeriod is the time between a shard's recover requests.
-	recoverPeriod = time.Second
+	// recoverPeriod is the least time between a shard's recover requests, and
+	// recoverPeriodPerVM what it grows by with each VM of the fleet, to bound their bytes.
+	recoverPeriod      = 100 * time.Millisecond
+	recoverPeriodPerVM = 2500 * time.Microsecond
 	// rebalanceDelay is how long another VM must have been the preferred holder of a shard
 	// before it gets the shard.
 	rebalanceDelay = 5 * time.Second
