--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -1,6 +1,8 @@
 package limiter
 
 import (
+	"time"
+
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/ident"
@@ -109,7 +111,7 @@
 	case StopIn:
 		h.stopping = true
 	case RecoverIn:
-		h.cover(now, in)
+		h.giveLost(now, in)
 	case RecoveredIn:
 		h.onRecovered(now, in)
 	case StaleIn:
@@ -147,7 +149,7 @@
 		h.applyLimits(now)
 	}
 	h.claim(now)
-	if h.recovery.timer.due(now, recoverPeriod) {
+	if h.view != nil && h.recovery.timer.due(now, max(recoverPeriod, time.Duration(len(h.view.Members))*recoverPeriodPerVM)) {
 		h.recover(now)
 	}
 	if h.claims.sweep.due(now, recordPeriod) {
@@ -320,7 +322,7 @@
 				Rate:       b.rate,
 				Burst:      b.burst,
 				Balance:    b.available(now),
-				Held:       len(b.held) - b.settled,
+				Held:       len(b.held),
 			})
 		}
 	}
--- a/internal/limiter/machine.go
+++ b/internal/limiter/machine.go
@@ -42,8 +42,10 @@
 	listPeriod = 2 * time.Second
 	// layoutPeriod is the time between reads of the other data centres' records.
 	layoutPeriod = 30 * time.Second
-	// recoverPeriod is the time between a shard's recover requests.
-	recoverPeriod = 250 * time.Millisecond
+	// recoverPeriod is the least time between a shard's recover requests, and
+	// recoverPeriodPerVM what it grows by with each VM of the fleet, to bound their bytes.
+	recoverPeriod      = 100 * time.Millisecond
+	recoverPeriodPerVM = 2500 * time.Microsecond
 	// rebalanceDelay is how long another VM must have been the preferred holder of a shard
 	// before it gets the shard.
 	rebalanceDelay = 5 * time.Second
@@ -108,12 +110,12 @@
 	StopIn struct{}
 	// StaleIn: a call to a holder of the present record failed.
 	StaleIn struct{}
-	// RecoverIn asks this VM to take over debits that another share made.
+	// RecoverIn asks this VM for what its shares lost at their caps.
 	RecoverIn struct {
 		Call  uint64
 		Items []RecoverItem
 	}
-	// RecoveredIn answers a RecoverOut with the tokens taken over of each item.
+	// RecoveredIn answers a RecoverOut with the tokens got for each item.
 	RecoveredIn struct {
 		Number uint64
 		Tokens []int64
