A VM asks a peer for withdrawals before it accepts keys; design notes

Cause: a VM that started while a withdrawal was known to its peers alone, and read the list from the platform, accepted the key until its first heartbeat.

--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -1,6 +1,10 @@
 // Package configuration holds what operators edit while traffic runs: plans, workspaces,
 // models, routes, endpoints and data centres. It checks a document as a whole, gives each
 // accepted one a version, and never lets a VM go back to an earlier version.
+//
+// Which document is accepted is decided by the platform's conditional update alone. Two VMs that
+// both watch the platform, or push the same version, hand on the same accepted table, and a VM
+// that has a version ignores it.
 package configuration
 
 import "time"
--- a/internal/keys/exchange.go
+++ b/internal/keys/exchange.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return
 	}
-	s.learn(reply.Names)
+	s.meet(reply.Names)
 	if m.DataCentre != s.opts.Self.DataCentre {
 		s.confirm(asked)
 	}
--- a/internal/keys/service.go
+++ b/internal/keys/service.go
@@ -19,6 +19,9 @@
 	"github.com/fulmartide/fulmartide/internal/spread"
 )
 
+// startGrace is how long a VM that has started waits for the withdrawals that its peers know.
+const startGrace = 1500 * time.Millisecond
+
 // ObjectName is the platform object that holds the key list as JSON.
 const ObjectName = "keys"
 
@@ -47,6 +50,10 @@
 	// confirmed is the latest instant at which this VM's data centre is known to have heard
 	// of all withdrawals that the platform or another data centre knew. 0 is never.
 	confirmed atomic.Int64
+	// met is set once another VM's pending withdrawals are known here; until then, and for
+	// startGrace at most, no key is accepted.
+	met       atomic.Bool
+	startedAt atomic.Int64
 	exchange  chan membership.Member
 	work      sync.WaitGroup
 
@@ -91,7 +98,7 @@
 		OnPlatform: s.confirm,
 		Serve:      s.serve,
 		Beside:     s.pendingIDs,
-		OnBeside:   s.learn,
+		OnBeside:   s.meet,
 	})
 	return s
 }
@@ -118,6 +125,7 @@
 
 // Run keeps the key list until ctx ends.
 func (s *Service) Run(ctx context.Context) {
+	s.startedAt.Store(int64(s.opts.Clock.Now()))
 	s.work.Go(func() { s.storeLoop(ctx) })
 	s.work.Go(func() { s.exchangeLoop(ctx) })
 	s.mu.Lock()
@@ -149,9 +157,17 @@
 	if err != nil {
 		return Identity{}, err
 	}
+	if s.starting() {
+		return Identity{}, errUnread
+	}
 	return id, s.checkBound(id.Workspace)
 }
 
+// starting reports whether peers may still know of withdrawals that the list does not show.
+func (s *Service) starting() bool {
+	return !s.met.Load() && s.opts.Clock.Now().Sub(clock.Instant(s.startedAt.Load())) < startGrace
+}
+
 // checkBound refuses a workspace's keys once its bound for unconfirmed use is over.
 func (s *Service) checkBound(workspace string) error {
 	snap := s.opts.Configuration()
@@ -245,6 +261,12 @@
 	}
 }
 
+// meet takes all pending withdrawals of a peer.
+func (s *Service) meet(ids []string) {
+	s.learn(ids)
+	s.met.Store(true)
+}
+
 func (s *Service) pendingIDs() []string {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -281,6 +303,7 @@
 		}
 		return
 	}
+	s.met.Store(true)
 	if d.Asked == 0 {
 		return
 	}
--- a/internal/keys/service_test.go
+++ b/internal/keys/service_test.go
@@ -145,6 +145,30 @@
 	await(t, "the platform to hold the withdrawal", func() bool { return fresh.Keys.Confirmations(id).Stored })
 }
 
+// TestRestartBeforeTheWithdrawalIsStored starts a VM that reads a list which does not show a
+// withdrawal yet. It must ask its peers before it accepts any key.
+func TestRestartBeforeTheWithdrawalIsStored(t *testing.T) {
+	f, vms := startFleet(t, 0, 2, 1)
+	id, secret := give(t, vms[0], "w")
+	_, other := give(t, vms[0], "w")
+	await(t, "the keys", func() bool { return everywhere(vms, secret, true)() && everywhere(vms, other, true)() })
+	f.Platform.SetReadOnly(true)
+	if w, err := vms[2].Keys.Withdraw(t.Context(), id); err != nil || w.Stored {
+		t.Fatalf("%+v, %v", w, err)
+	}
+	fresh, err := f.Start("vm-1-4", "dc-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	took := await(t, "the new VM to accept keys", func() bool {
+		if accepts(fresh, secret) {
+			t.Error("accepted a key that its peers know to be withdrawn")
+		}
+		return accepts(fresh, other)
+	})
+	t.Logf("a new VM accepts keys after %v", took)
+}
+
 // TestBoundForUnconfirmedUse checks that another data centre confirms as the platform does, and
 // that without either a bound workspace is refused, and only such.
 func TestBoundForUnconfirmedUse(t *testing.T) {
--- a/internal/keys/types.go
+++ b/internal/keys/types.go
@@ -1,5 +1,8 @@
 // Package keys maps the hash of a caller's key to its workspace and stops withdrawn keys.
 // The secret itself is never stored. A withdrawal wins over everything, for good.
+//
+// Withdrawals are a set that only grows, and writing one to the platform is idempotent. So two
+// VMs that both spread or both store a withdrawal are harmless, as are two that watch the list.
 package keys
 
 import (
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -1,6 +1,11 @@
 // Package membership knows which VMs are live: heartbeats within a data centre, few links
 // between data centres, and the platform's lagging list as evidence. Duties that need one
 // owner go to VMs by rendezvous hashing over the live ones.
+//
+// Two VMs may both take themselves for a bridge, or for the owner of another duty, while their
+// views differ. For the duties of this package that is harmless: records of a VM are totally
+// ordered and each VM keeps the highest it has heard of, so it does not matter who told it, how
+// often or in which order. Suspicion only moves duties; nothing but Gone ends a claim.
 package membership
 
 import (
--- a/test/spreadfleet/platform.go
+++ b/test/spreadfleet/platform.go
@@ -21,6 +21,7 @@
 	changed chan struct{}
 	vms     []platform.VM
 	away    bool
+	frozen  bool
 	awayFor map[string]bool
 	lose    float64
 	late    float64
@@ -47,6 +48,13 @@
 	p.wake()
 }
 
+// SetReadOnly makes writes fail without effect.
+func (p *Platform) SetReadOnly(frozen bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = frozen
+}
+
 // SetAwayFor makes the calls of one data centre fail without effect.
 func (p *Platform) SetAwayFor(dataCentre string, away bool) {
 	p.mu.Lock()
@@ -146,6 +154,9 @@
 	if err := t.enter("put"); err != nil {
 		return 0, err
 	}
+	if t.p.frozen {
+		return 0, errAway
+	}
 	if t.p.rng.Float64() < t.p.late {
 		time.AfterFunc(time.Duration(t.p.rng.IntN(50))*time.Millisecond, func() {
 			t.p.mu.Lock()
