--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -19,6 +19,7 @@
 	now    clock.Instant
 	rng    *rand.Rand
 	nodes  map[string]*node
+	byAddr map[netip.AddrPort]*node
 	order  []string
 	events events
 	seq    int
@@ -65,7 +66,7 @@
 
 func newFleet(seed uint64, perDataCentre ...int) *fleet {
 	f := &fleet{
-		now: 1, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, cut: map[[2]string]bool{}, listUp: true,
+		now: 1, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, byAddr: map[netip.AddrPort]*node{}, cut: map[[2]string]bool{}, listUp: true,
 		listed: map[string]bool{},
 	}
 	for d, n := range perDataCentre {
@@ -92,6 +93,7 @@
 func (f *fleet) boot(name string) {
 	n := f.nodes[name]
 	f.lives++
+	f.byAddr[n.addr] = n
 	n.vm = ident.VM{Name: name, Incarnation: ident.Incarnation(f.lives)}
 	n.alive, n.paused, n.waiting = true, false, nil
 	n.requestReplies = map[uint64]func(*Message){}
@@ -160,22 +162,20 @@
 	}
 	for range times {
 		f.after(f.delay(), func() {
-			for _, name := range f.order {
-				n := f.nodes[name]
-				if n.addr != to || !n.alive || !f.linked(from, n) {
-					continue
-				}
-				if n.paused {
-					life := n.vm
-					n.waiting = append(n.waiting, func() {
-						if n.vm == life {
-							do(n)
-						}
-					})
-					continue
-				}
+			n := f.byAddr[to]
+			if n == nil || n.addr != to || !n.alive || !f.linked(from, n) {
+				return
+			}
+			if !n.paused {
 				do(n)
+				return
 			}
+			life := n.vm
+			n.waiting = append(n.waiting, func() {
+				if n.vm == life {
+					do(n)
+				}
+			})
 		})
 	}
 }
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -151,8 +151,17 @@
 	m.known = derived{bridges: map[string][]*entry{}, cuts: map[string]bool{}}
 }
 
+// touchEntry forgets what was derived from one entry that stays in its place.
+func (m *machine) touchEntry(e *entry) {
+	m.dirty = true
+	delete(m.known.bridges, e.DataCentre)
+	if e.DataCentre == m.me().DataCentre {
+		clear(m.known.cuts)
+	}
+}
+
 func (m *machine) noteChange(e *entry, before State, reason string) {
-	m.touch()
+	m.touchEntry(e)
 	m.lastChange = m.now
 	after := m.stateOf(e)
 	if before != after {
@@ -254,6 +263,7 @@
 		e.Record = r
 	} else {
 		moved := r.Peer != e.Peer
+		m.touchEntry(e)
 		*e = entry{Record: r}
 		if moved {
 			m.listSoon()
@@ -270,6 +280,7 @@
 	}
 	e := &entry{Record: r}
 	m.table[r.VM.Name] = e
+	m.known.order = nil
 	m.noteChange(e, 0, reason)
 	a, listed := m.addresses[r.VM.Name]
 	if !listed {
