--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -112,7 +112,7 @@
 	})
 	d.placer = placement.New(placement.Options{
 		Self: d.self, Directory: d.membership, Transport: d.transport, Dialer: dialer, Configuration: d.config.Current,
-		Clock: d.clock, Policy: d.settings.Policy.Placement, Log: d.log.Named("placement"),
+		Clock: d.clock, Store: d.platform, Policy: d.settings.Policy.Placement, Log: d.log.Named("placement"),
 	})
 	d.picker = placement.NewPicker(placement.PickerOptions{
 		Configuration: d.config.Current, Clock: d.clock, DataCentre: d.self.DataCentre, Log: d.log.Named("picker"), Seed: uint64(d.self.VM.Incarnation),
@@ -126,7 +126,7 @@
 	})
 	d.sweep = sweep.New(sweep.Options{
 		Self: d.self, Directory: d.membership, Transport: d.transport, Dialer: dialer, Configuration: d.config.Current,
-		Clock: d.clock, Log: d.log.Named("sweep"), Live: d.relay.Live,
+		Clock: d.clock, Log: d.log.Named("sweep"), Live: d.relay.Live, LiveAt: d.relay.LiveAt,
 	})
 	d.queries = d.queryHandler()
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -118,7 +118,8 @@
 const (
 	// transferSlack is the part of a transfer's timeout that does not depend on its size.
 	transferSlack = 150 * time.Millisecond
-	// transferFactor is how many times its undisturbed time a transfer may take.
+	// transferFactor is how many times its undisturbed time a transfer may take, where it was
+	// not predicted to take longer.
 	transferFactor = 3
 )
 
@@ -134,7 +135,8 @@
 		return kept - transferMargin
 	}
 	undisturbed := time.Duration(float64(s.prefill.KVBytes) / float64(rate) * float64(time.Second))
-	return min(transferFactor*undisturbed+transferSlack, kept-transferMargin)
+	predicted := max(0, s.expected.Sub(s.c.server.opts.Clock.Now()))
+	return min(max(predicted, transferFactor*undisturbed)+transferSlack, kept-transferMargin)
 }
 
 // linkRate gives the rate of the slower link of an assignment, in bytes a second, 0 if unknown.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -61,6 +61,9 @@
 // Live reports whether a request, named by its id, is still served here.
 func (s *Server) Live(request string) bool { return s.registry.has(request) }
 
+// LiveAt reports whether a request is still served here and may need what an endpoint holds.
+func (s *Server) LiveAt(request, endpoint string) bool { return s.registry.hasAt(request, endpoint) }
+
 // Stop refuses new requests and waits for the others until ctx ends. It gives the number cut.
 func (s *Server) Stop(ctx context.Context) int { return s.registry.stop(ctx) }
 
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -29,6 +29,7 @@
 	prefill   *endpoint.PrefillResult
 	source    netip.AddrPort
 	keptUntil clock.Instant
+	expected  clock.Instant // when the present assignment's first token is predicted
 	given     int64
 	ran       bool
 	finished  bool
@@ -43,9 +44,14 @@
 	} else {
 		s.out = &wholeAnswer{head: h, w: c.w}
 	}
+	s.expect(lease.Assignment())
 	return s
 }
 
+func (s *session) expect(a placement.Assignment) {
+	s.expected = s.c.server.opts.Clock.Now().Add(a.ExpectedFirstToken)
+}
+
 // used is the number of tokens that count against the plan.
 func (s *session) used() int64 {
 	if !s.ran {
@@ -120,6 +126,7 @@
 	if err != nil {
 		return err
 	}
+	s.expect(a)
 	s.c.traceAssignment("placed again", a)
 	return nil
 }
@@ -131,6 +138,7 @@
 // again, is told in the background; the prefill endpoint is told first, so that a late
 // cancel cannot end the next attempt there.
 func (s *session) freeFailed(ctx context.Context, failed string, again bool) {
+	s.c.server.registry.abandon(s.c.id, failed)
 	if addr, ok := endpointAddress(s.c.snapshot, failed); ok {
 		s.c.server.cancels.add(addr, s.c.id)
 		delete(s.touched, addr)
@@ -184,5 +192,6 @@
 		return nil, addr, fault.New(fault.Unavailable, "try again", "endpoint "+name+" is not in the configuration")
 	}
 	s.touched[addr] = struct{}{}
+	s.c.server.registry.claim(s.c.id, name)
 	return s.c.server.opts.Dialer.Engine(addr), addr, nil
 }
