All duties joined: digests repair, membership says goodbye before the transport closes

Cause: heartbeats' digests were not handed to configuration and keys in full, and the transport closed before the goodbye.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,7 +55,8 @@
 	dialer     *endpoint.HTTPDialer
 	warmed     atomic.Bool
 
-	wg sync.WaitGroup
+	duty sync.WaitGroup // the goroutines of duties
+	wg   sync.WaitGroup // all others
 }
 
 // Run serves until ctx ends, then stops gracefully. It fails when it could not start, and
@@ -149,18 +150,18 @@
 func (d *daemon) run(ctx context.Context) error {
 	duties, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
-	d.spawn(func() { _ = d.transport.Serve(d.listeners.peers) })
+	d.wg.Go(func() { _ = d.transport.Serve(d.listeners.peers) })
 	for _, duty := range d.duties() {
-		d.spawn(func() { duty(duties) })
+		d.duty.Go(func() { duty(duties) })
 	}
 	callers, err := d.callerServer()
 	if err != nil {
 		return err
 	}
-	d.spawn(func() { d.warm(duties) })
+	d.wg.Go(func() { d.warm(duties) })
 	operator := d.operatorServer()
-	d.spawn(func() { _ = operator.Serve(d.listeners.operator) })
-	d.spawn(func() { serveCallers(callers, d.listeners.callers) })
+	d.wg.Go(func() { _ = operator.Serve(d.listeners.operator) })
+	d.wg.Go(func() { serveCallers(callers, d.listeners.callers) })
 	d.log.Info("listening",
 		zap.String("vm", d.self.VM.String()),
 		zap.String("data_centre", d.self.DataCentre),
@@ -175,14 +176,6 @@
 	return nil
 }
 
-func (d *daemon) spawn(f func()) {
-	d.wg.Add(1)
-	go func() {
-		defer d.wg.Done()
-		f()
-	}()
-}
-
 // dutyStopTime bounds each step of a stop after the drain.
 const dutyStopTime = 2 * time.Second
 
@@ -199,6 +192,7 @@
 	d.ledger.Stop(last)
 	d.limiter.Stop(last)
 	stopDuties()
+	d.duty.Wait() // membership says goodbye through the transport as it ends
 	_ = operator.Close()
 	_ = callers.Close()
 	d.transport.Close()
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -65,8 +65,10 @@
 
 // digest summarises what this VM knows, for heartbeats.
 func (d *daemon) digest() membership.Digest {
-	version, withdrawn := d.keys.Digest()
-	return membership.Digest{Configuration: d.config.Digest(), Keys: version, Withdrawn: withdrawn}
+	var out membership.Digest
+	d.config.Fill(&out)
+	d.keys.Fill(&out)
+	return out
 }
 
 // onDigest repairs what another VM's heartbeat shows to differ.
