Measurement programs under measure/; a VM is ready only once it can tell keys apart

Cause: a lone VM said ready while it refused every key for its first 1.5 s (seen by the overhead command); programs that measure are part of the product, not tests. Change: readyz waits for the keys; limiter, spread, capacity, overhead and experiment moved.

--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -48,6 +48,8 @@
 		http.Error(w, "shutting down", http.StatusServiceUnavailable)
 	case d.config.Current() == nil:
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	case !d.keys.Ready():
+		http.Error(w, "no keys yet", http.StatusServiceUnavailable)
 	case !d.limiter.Ready():
 		http.Error(w, "no share holders known yet", http.StatusServiceUnavailable)
 	case !d.warmed.Load():
--- a/internal/keys/service.go
+++ b/internal/keys/service.go
@@ -147,6 +147,15 @@
 	}
 }
 
+// Ready reports whether keys can be told apart: the list was read, and the withdrawals that
+// another VM knows of were asked for.
+func (s *Service) Ready() bool {
+	s.mu.RLock()
+	known := s.ring.known
+	s.mu.RUnlock()
+	return known && !s.starting()
+}
+
 // Identify gives the identity of a key. It fails as Unauthenticated for an unknown or
 // withdrawn key, and as Unavailable before this VM has read the key list or when the
 // workspace's bound for unconfirmed use is over.
--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/limiter"
-	"github.com/fulmartide/fulmartide/test/cmd/limitermeasure/fleet"
+	"github.com/fulmartide/fulmartide/measure/limiter/fleet"
 )
 
 var threeDataCentres = map[string][]string{
--- a/test/cmd/limitermeasure/arrivals.go
+++ b/measure/limiter/arrivals.go
@@ -7,7 +7,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/limiter"
-	"github.com/fulmartide/fulmartide/test/cmd/limitermeasure/fleet"
+	"github.com/fulmartide/fulmartide/measure/limiter/fleet"
 )
 
 const (
--- a/test/cmd/limitermeasure/bytes.go
+++ b/measure/limiter/bytes.go
@@ -10,7 +10,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
-	"github.com/fulmartide/fulmartide/test/cmd/limitermeasure/fleet"
+	"github.com/fulmartide/fulmartide/measure/limiter/fleet"
 )
 
 // frameBytes gives what the transport adds to the body of a call, a reply and a one-way
--- a/test/cmd/limitermeasure/main.go
+++ b/measure/limiter/main.go
@@ -1,4 +1,4 @@
-// Command limitermeasure compares the limiter's policies on seeded arrivals, and works out
+// Command limiter compares the limiter's policies on seeded arrivals, and works out
 // messages and bytes at the size of a large fleet. Overspend must be 0 for pooled.
 package main
 
@@ -11,7 +11,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/fulmartide/fulmartide/internal/limiter"
-	"github.com/fulmartide/fulmartide/test/cmd/limitermeasure/fleet"
+	"github.com/fulmartide/fulmartide/measure/limiter/fleet"
 )
 
 type options struct {
--- a/test/cmd/spreadmeasure/main.go
+++ b/measure/spread/main.go
@@ -1,4 +1,4 @@
-// Command spreadmeasure runs the membership, configuration and key services of a fleet in one
+// Command spread runs the membership, configuration and key services of a fleet in one
 // process, over TCP on loopback, and prints the bytes of each kind of message, the times that
 // changes and failures take to spread, and the calls to the platform.
 //
