Fair queue: an idle workspace saves up a bounded part

Cause: at 85% load with one workspace at four times its part the worst workspace had 82.4% goodput (target 90%). Refusals were of small workspaces whose own long prompt had put them behind by seconds of a full cell. Ruled out: the limiter (no wrongful refusal) and the split of the plan (their demand is within their weight). Change: a workspace that was idle starts up to 64,000 tokens (weight 1) before the present virtual time. The property test of long-run shares passes unchanged.

--- a/internal/placement/fairqueue.go
+++ b/internal/placement/fairqueue.go
@@ -13,6 +13,9 @@
 	MaxQueuedPerWorkspace = 256
 	// MaxQueued is the most requests that wait in one class of a cell.
 	MaxQueued = 2048
+	// savedTokens is the most service, in tokens for a weight of 1, that an idle workspace
+	// saves up. It lets a workspace within its share send one long prompt and go on.
+	savedTokens = 64_000
 )
 
 // waiting is one request in a queue.
@@ -54,7 +57,7 @@
 
 // fairQueue orders requests by start-time fair queueing over workspaces: of the flows that
 // wait, the one with the lowest virtual start is served, and its start grows by the cost over
-// the weight. A workspace that was idle starts at the present virtual time and saves nothing up.
+// the weight. A workspace that was idle starts at most savedTokens before the present virtual time.
 type fairQueue struct {
 	flows   map[string]*flow
 	active  []*flow
@@ -74,7 +77,7 @@
 func (q *fairQueue) push(w *waiting) (evicted *waiting) {
 	f := q.flowOf(w)
 	if len(f.items) == 0 {
-		f.start = max(f.start, q.virtual)
+		f.start = max(f.start, q.virtual-savedTokens)
 		q.active = append(q.active, f)
 	}
 	at := len(f.items)
@@ -192,7 +195,7 @@
 // forgetIdle drops flows that have nothing waiting and nothing owed.
 func (q *fairQueue) forgetIdle() {
 	for name, f := range q.flows {
-		if len(f.items) == 0 && f.start <= q.virtual {
+		if len(f.items) == 0 && f.start <= q.virtual-savedTokens {
 			delete(q.flows, name)
 		}
 	}
