--- a/cmd/fulmartided/main.go
+++ b/cmd/fulmartided/main.go
@@ -49,6 +49,7 @@
 	if args.Check {
 		return 0
 	}
+	setMemoryPolicy()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := daemon.Run(ctx, s, log); err != nil {
