--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	go build -o bin/ ./cmd/fulmartided ./cmd/fulmartide
 
 demo:
-	go run ./test/cmd/demo
+	go run ./measure/demo
 
 test:
 	go test -race -timeout 300s -skip '$(SKIP)' ./...
--- a/test/integration/streams_test.go
+++ b/test/integration/streams_test.go
@@ -32,14 +32,18 @@
 
 // TestSixtyFourCallersGetTheirOwnTokensInOrder adds late and crossed frames to every stream.
 func TestSixtyFourCallersGetTheirOwnTokensInOrder(t *testing.T) {
-	b := start(t, fleet.Partilha(), nil)
-	for _, e := range b.Engines {
-		e.SetMode(engine.Mode{Stray: true})
-	}
-	vms := b.Daemons()
-	outs := all(64, func(i int) experiment.Outcome { return b.chat(vms[i%len(vms)].VM, i, 20) })
-	if n := whole(outs); n != len(outs) {
-		t.Errorf("%d of %d answers whole", n, len(outs))
+	for name, layout := range fleet.Layouts() {
+		t.Run(name, func(t *testing.T) {
+			b := start(t, layout, nil)
+			for _, e := range b.Engines {
+				e.SetMode(engine.Mode{Stray: true})
+			}
+			vms := b.Daemons()
+			outs := all(64, func(i int) experiment.Outcome { return b.chat(vms[i%len(vms)].VM, i, 20) })
+			if n := whole(outs); n != len(outs) {
+				t.Errorf("%d of %d answers whole", n, len(outs))
+			}
+		})
 	}
 }
 
