--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -39,6 +39,9 @@
 	headerTimeout = 5 * time.Second
 	// bodyTimeout bounds the reading of a whole call.
 	bodyTimeout = 30 * time.Second
+	// headerSlack is how many times the limit net/http reads, so that the relay can refuse
+	// headers over the limit with its own answer.
+	headerSlack = 4
 	// idleTimeout closes callers' unused connections.
 	idleTimeout = 2 * time.Minute
 )
@@ -54,7 +57,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
+		MaxHeaderBytes:    headerSlack * d.settings.Limits.HeaderBytes,
 	}, nil
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -291,6 +291,17 @@
 	}
 }
 
+func TestLargeHeadersGetAClearAnswer(t *testing.T) {
+	f := newFixture(t)
+	r := httptest.NewRequest(http.MethodGet, "/v1/models", nil)
+	r.Header.Set("X-Long", strings.Repeat("x", f.server.opts.Limits.HeaderBytes))
+	w := httptest.NewRecorder()
+	f.server.ServeHTTP(w, r)
+	if w.Code != http.StatusRequestEntityTooLarge || !strings.Contains(w.Body.String(), "bytes of headers") {
+		t.Errorf("status %d, %s", w.Code, w.Body)
+	}
+}
+
 func TestNextStep(t *testing.T) {
 	cases := map[string]struct {
 		f    failure
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -119,6 +120,10 @@
 		return err
 	}
 	defer s.registry.remove(c.id)
+	if headerBytes(c.r.Header) > s.opts.Limits.HeaderBytes {
+		remedy := "send at most " + strconv.Itoa(s.opts.Limits.HeaderBytes) + " bytes of headers"
+		return fault.New(fault.TooLarge, remedy, "request headers are too large")
+	}
 	c.snapshot = s.opts.Configuration()
 	if c.snapshot == nil {
 		return fault.New(fault.Unavailable, "try again; the VM waits for its first configuration", "no configuration yet",
@@ -127,6 +132,18 @@
 	return h(ctx, c)
 }
 
+// headerBytes gives the size of headers as sent.
+func headerBytes(h http.Header) int {
+	const separators = len(": \r\n")
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
+
 // answered is the error of a call whose failure was already told to the caller.
 type answered struct{ detail fault.Detail }
 
