--- a/cmd/fulmartided/main.go
+++ b/cmd/fulmartided/main.go
@@ -8,23 +8,35 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/alecthomas/kong"
 
 	"github.com/fulmartide/fulmartide/internal/daemon"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/logging"
 	"github.com/fulmartide/fulmartide/internal/settings"
+	"github.com/fulmartide/fulmartide/platform"
 )
 
 // version is set by the linker.
 var version = "dev"
 
 type arguments struct {
-	Settings string           `arg:"" help:"TOML settings file." type:"path"`
-	Check    bool             `help:"Check the settings and exit."`
+	Serve    serveCommand     `cmd:"" default:"withargs" help:"Serve by a TOML settings file."`
+	Platform platformCommand  `cmd:"" help:"Serve on the users' platform, by the settings file that it names."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
+type serveCommand struct {
+	Settings string `arg:"" help:"TOML settings file." type:"path"`
+	Check    bool   `help:"Check the settings and exit."`
+}
+
+type platformCommand struct {
+	Check bool   `help:"Check the settings and exit."`
+	Level string `help:"Least level of log lines." default:"info" enum:"debug,info,warn,error"`
+}
+
 // Exit codes.
 const (
 	exitFault    = 1
@@ -33,11 +45,14 @@
 
 func main() {
 	var args arguments
-	kong.Parse(&args, kong.Name("fulmartided"), kong.Description("Router for language-model fleets."), kong.Vars{"version": version})
-	os.Exit(run(args))
+	parsed := kong.Parse(&args, kong.Name("fulmartided"), kong.Description("Router for language-model fleets."), kong.Vars{"version": version})
+	if parsed.Command() == "platform" {
+		os.Exit(args.Platform.run())
+	}
+	os.Exit(args.Serve.run())
 }
 
-func run(args arguments) int {
+func (args serveCommand) run() int {
 	s, err := settings.Load(args.Settings)
 	if err != nil {
 		return report(err, exitSettings)
@@ -58,6 +73,35 @@
 	return 0
 }
 
+func (args platformCommand) run() int {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		return report(err, exitSettings)
+	}
+	if args.Check {
+		return 0
+	}
+	out := logging.NewAsync(os.Stdout, logBacklog)
+	defer out.Close()
+	log, err := logging.New(out, args.Level)
+	if err != nil {
+		return report(err, exitSettings)
+	}
+	set := metrics.NewSet()
+	set.NewGauge("fulmartide_log_lines_dropped_total", func() float64 { return float64(out.Dropped()) })
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := platform.Run(ctx, s, log, set); err != nil {
+		return report(err, exitFault)
+	}
+	return 0
+}
+
+// logBacklog is the most bytes of log lines that wait to be written.
+const logBacklog = 1 << 20
+
 func report(err error, code int) int {
 	d := fault.Describe(err)
 	fmt.Fprintf(os.Stderr, "fulmartided: %s\nremedy: %s\n", d.Message, d.Remedy)
--- /dev/null
+++ b/internal/admission/gate.go
@@ -0,0 +1,90 @@
+package admission
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// Gate guards Plans and Retries for the goroutines of calls.
+type Gate struct {
+	clock clock.Clock
+	// vms is the number of VMs that share the slack of the retry budget.
+	vms atomic.Int32
+
+	mu      sync.Mutex
+	plans   *Plans
+	retries *Retries
+}
+
+// NewGate makes a Gate for a fleet of which vms VMs are taken to be up.
+func NewGate(c clock.Clock, b RetryBudget, vms int) *Gate {
+	g := &Gate{clock: c, plans: NewPlans(), retries: NewRetries(b)}
+	g.vms.Store(int32(vms))
+	return g
+}
+
+// SetBudget changes the retry budget.
+func (g *Gate) SetBudget(b RetryBudget) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retries.SetBudget(b)
+}
+
+// Fleet states how many VMs there are, and how many of them this one hears, itself counted.
+func (g *Gate) Fleet(known, heard int) {
+	g.vms.Store(int32(max(1, known)))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.plans.SetShare(g.clock.Now(), float64(max(1, heard))/float64(max(1, known, heard)))
+}
+
+// Admit draws a call's cost from its workspace's plan.
+func (g *Gate) Admit(w *traffic.Workspace, cost int64) Verdict {
+	if w == nil {
+		return Verdict{Admitted: true}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.plans.Admit(g.clock.Now(), w.Name, Limit{Rate: w.Rate, Burst: w.Burst}, cost)
+}
+
+// Return gives back what a call drew that was certainly not run.
+func (g *Gate) Return(w *traffic.Workspace, cost int64) {
+	if w == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.plans.Return(w.Name, cost)
+}
+
+// Heard draws what another VM admitted.
+func (g *Gate) Heard(workspace string, tokens int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.plans.Heard(g.clock.Now(), workspace, tokens)
+}
+
+// Used gives what this VM admitted for each workspace since it started, in tokens.
+func (g *Gate) Used() map[string]int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.plans.Used()
+}
+
+// Called counts a caller's call to a service.
+func (g *Gate) Called(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retries.Called(g.clock.Now(), service)
+}
+
+// Spend counts an extra send to a service if the budget has room for it and for keep more.
+func (g *Gate) Spend(service string, keep float64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.retries.Spend(g.clock.Now(), service, int(g.vms.Load()), keep)
+}
--- /dev/null
+++ b/internal/exchange/handlers.go
@@ -0,0 +1,108 @@
+package exchange
+
+import (
+	"context"
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/schedule"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// nothing is the reply to messages that ask for none.
+type nothing struct{}
+
+func (s *Service) onBeat(_ context.Context, _ ident.VM, b *beat) (*nothing, error) {
+	s.mu.Lock()
+	c := s.roster.hear(s.opts.Clock.Now(), b)
+	known, heard := s.roster.counts()
+	if b.Leaving {
+		s.hangUp(b.From.Address)
+	}
+	s.mu.Unlock()
+	if c.late {
+		return nil, nil
+	}
+	s.opts.Plans.Fleet(known, heard)
+	if c.joined || c.returned || !c.replaced.IsZero() {
+		s.opts.Log.Info("vm heard", zap.Stringer("vm", b.From.VM), zap.Bool("joined", c.joined), zap.Bool("returned", c.returned),
+			zap.Bool("leaving", b.Leaving), zap.Stringer("replaces", c.replaced), zap.Int("known", known), zap.Int("heard", heard))
+	}
+	if !c.replaced.IsZero() {
+		s.opts.Work.Forget(c.replaced)
+	}
+	for workspace, tokens := range c.admitted {
+		s.opts.Plans.Heard(workspace, tokens)
+	}
+	if !b.Leaving {
+		s.opts.Work.HeardAllWork(b.From.VM, b.Seq, byEndpoint(b.Work))
+		s.compare(b)
+	}
+	return nil, nil
+}
+
+func byEndpoint(list []endpointWork) map[traffic.EndpointID]schedule.Work {
+	out := make(map[traffic.EndpointID]schedule.Work, len(list))
+	for _, w := range list {
+		out[w.id()] = w.Work
+	}
+	return out
+}
+
+func (s *Service) onWork(_ context.Context, from ident.VM, m *workChange) (*nothing, error) {
+	for _, w := range m.Work {
+		s.opts.Work.HeardWork(from, m.Seq, w.id(), w.Work)
+	}
+	return nil, nil
+}
+
+func (s *Service) onDead(_ context.Context, from ident.VM, m *deadEndpoint) (*nothing, error) {
+	s.opts.Log.Info("endpoint found dead by another vm", zap.Stringer("vm", from), zap.String("endpoint", m.Name))
+	s.opts.Work.HeardFailure(traffic.EndpointID{Name: m.Name, Born: m.Born})
+	return nil, nil
+}
+
+// compare asks for documents of which the sender of a heartbeat has a newer version.
+func (s *Service) compare(b *beat) {
+	for i, version := range b.Versions {
+		if !s.opts.Documents.Wants(i, version) {
+			continue
+		}
+		s.mu.Lock()
+		begin := s.ctx != nil && s.ctx.Err() == nil && !s.asking[i]
+		if begin {
+			s.asking[i] = true
+			s.wg.Go(func() { s.fetch(s.ctx, i, b.From.VM, b.From.Address) })
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *Service) fetch(ctx context.Context, document int, vm ident.VM, addr netip.AddrPort) {
+	defer func() {
+		s.mu.Lock()
+		s.asking[document] = false
+		s.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	ask := &documentAsk{Document: document, Than: s.opts.Documents.Versions()[document]}
+	a, err := peer.Call[documentAsk, documentAnswer](ctx, s.opts.Transport, addr, peer.KindDocument, ask)
+	if err == nil && a.Body != nil {
+		err = s.opts.Documents.Offer(document, a.Version, a.Body, vm.Name)
+	}
+	if err != nil {
+		s.opts.Log.Warn("document not fetched", zap.Int("document", document), zap.Stringer("vm", vm), zap.Error(err))
+	}
+}
+
+func (s *Service) onAsk(_ context.Context, _ ident.VM, a *documentAsk) (*documentAnswer, error) {
+	version, body, err := s.opts.Documents.Body(a.Document)
+	if err != nil || version <= a.Than {
+		return &documentAnswer{}, err
+	}
+	return &documentAnswer{Version: version, Body: body}, nil
+}
--- /dev/null
+++ b/internal/exchange/message.go
@@ -0,0 +1,95 @@
+// Package exchange is what VMs tell each other: who is up, what each holds at endpoints, what
+// each admitted, which endpoints are dead, and which documents they have. Nothing of it lasts;
+// a VM that was away is told everything again with the next heartbeat.
+package exchange
+
+import (
+	"net/netip"
+
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/schedule"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// Member is one life of a VM.
+type Member struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	VM         ident.VM
+	Address    netip.AddrPort
+	DataCentre string
+}
+
+// endpointWork is what a VM holds at one endpoint.
+type endpointWork struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Name string
+	Born int64
+	Work schedule.Work
+}
+
+func (w endpointWork) id() traffic.EndpointID { return traffic.EndpointID{Name: w.Name, Born: w.Born} }
+
+// use is what a VM admitted for a workspace since it started, in tokens.
+type use struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Workspace string
+	Tokens    int64
+}
+
+// beat is a heartbeat.
+type beat struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	From Member
+	// Leaving VMs take no more calls.
+	Leaving bool
+	// Seq numbers the changes of Work.
+	Seq  uint64
+	Work []endpointWork
+	Used []use
+	// Versions of the documents that the sender has, in the order of Documents.
+	Versions []uint64
+}
+
+// workChange tells changes of what a VM holds.
+type workChange struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Seq  uint64
+	Work []endpointWork
+}
+
+// deadEndpoint tells that a VM found an endpoint dead.
+type deadEndpoint struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Name string
+	Born int64
+}
+
+// documentAsk asks for a document if it is newer than Than.
+type documentAsk struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Document int
+	Than     uint64
+}
+
+// documentAnswer holds a document; without a body there is none that is newer.
+type documentAnswer struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Version uint64
+	Body    []byte
+}
--- /dev/null
+++ b/internal/exchange/roster.go
@@ -0,0 +1,150 @@
+package exchange
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/ident"
+)
+
+const (
+	// silentAfter is how long a VM may give no heartbeat before it counts as unheard.
+	silentAfter = 1200 * time.Millisecond
+	// goneAfter is how long before it counts as gone. Until then it may be serving behind a cut.
+	goneAfter = 10 * time.Second
+	// longFleet is the number of VMs from which heartbeats are sent less often.
+	longFleet = 32
+)
+
+// peerState is what is known of another VM.
+type peerState struct {
+	member Member
+	// known is when the VM was first listed, heard when it last gave a heartbeat.
+	known, heard clock.Instant
+	everHeard    bool
+	silent       bool
+	// used is what the VM had admitted by its last heartbeat.
+	used map[string]int64
+}
+
+// roster decides which VMs are up. It does no I/O.
+type roster struct {
+	self  Member
+	peers map[netip.AddrPort]*peerState
+	// ended holds lives that are over, so that a late heartbeat does not bring one back.
+	ended map[ident.VM]clock.Instant
+}
+
+func newRoster(self Member) *roster {
+	return &roster{self: self, peers: map[netip.AddrPort]*peerState{}, ended: map[ident.VM]clock.Instant{}}
+}
+
+// listed takes over members from the store. It gives those that are new.
+func (r *roster) listed(now clock.Instant, members []Member) (fresh []Member) {
+	for _, m := range members {
+		if m.Address == r.self.Address || !m.Address.IsValid() || r.peers[m.Address] != nil {
+			continue
+		}
+		r.peers[m.Address] = &peerState{member: m, known: now, silent: true, used: map[string]int64{}}
+		fresh = append(fresh, m)
+	}
+	return fresh
+}
+
+// change is what a heartbeat or the passing of time changed.
+type change struct {
+	// joined is set when the VM, or this life of it, was not known.
+	joined bool
+	// returned is set when the VM was silent.
+	returned bool
+	// replaced is the earlier life of the VM that is over.
+	replaced ident.VM
+	// admitted is what the VM admitted since its last heartbeat, by workspace.
+	admitted map[string]int64
+	// late is set for a heartbeat of a life that is over.
+	late bool
+}
+
+// hear takes over a heartbeat.
+func (r *roster) hear(now clock.Instant, b *beat) change {
+	if _, over := r.ended[b.From.VM]; over || b.From.VM == r.self.VM {
+		return change{late: true}
+	}
+	p := r.peers[b.From.Address]
+	var c change
+	if p == nil {
+		p = &peerState{known: now, used: map[string]int64{}}
+		r.peers[b.From.Address] = p
+		c.joined = true
+	}
+	if p.everHeard && p.member.VM != b.From.VM {
+		if b.From.VM.Incarnation < p.member.VM.Incarnation {
+			return change{late: true}
+		}
+		c.replaced = p.member.VM
+		p.used = map[string]int64{}
+	}
+	c.returned = p.silent
+	p.member, p.heard, p.everHeard, p.silent = b.From, now, true, false
+	c.admitted = p.draw(b.Used)
+	if b.Leaving {
+		r.ended[b.From.VM] = now
+		delete(r.peers, b.From.Address)
+		c.replaced = b.From.VM
+	}
+	return c
+}
+
+// draw gives what was admitted since the last heartbeat.
+func (p *peerState) draw(used []use) map[string]int64 {
+	out := map[string]int64{}
+	for _, u := range used {
+		if more := u.Tokens - p.used[u.Workspace]; more != 0 {
+			out[u.Workspace] = more
+		}
+		p.used[u.Workspace] = u.Tokens
+	}
+	return out
+}
+
+// pass marks VMs that fell silent or are gone.
+func (r *roster) pass(now clock.Instant) (silent, gone []Member) {
+	for addr, p := range r.peers {
+		last := max(p.known, p.heard)
+		switch {
+		case now.Sub(last) > goneAfter:
+			gone = append(gone, p.member)
+			delete(r.peers, addr)
+		case !p.silent && now.Sub(p.heard) > r.silence():
+			p.silent = true
+			silent = append(silent, p.member)
+		}
+	}
+	for vm, at := range r.ended {
+		if now.Sub(at) > goneAfter {
+			delete(r.ended, vm)
+		}
+	}
+	return silent, gone
+}
+
+func (r *roster) silence() time.Duration { return max(silentAfter, 4*r.period()) }
+
+// period is the time between heartbeats: longer in a large fleet, so that the work of a VM
+// grows less than the fleet does.
+func (r *roster) period() time.Duration {
+	const short = 200 * time.Millisecond
+	return short * time.Duration(max(longFleet, len(r.peers))) / longFleet
+}
+
+// counts gives the number of VMs that may be serving, and of those heard, this one in both.
+func (r *roster) counts() (known, heard int) {
+	known, heard = len(r.peers)+1, 1
+	for _, p := range r.peers {
+		if !p.silent {
+			heard++
+		}
+	}
+	return known, heard
+}
--- /dev/null
+++ b/internal/exchange/service.go
@@ -0,0 +1,287 @@
+package exchange
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/schedule"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// Registry is where VMs find each other.
+type Registry interface {
+	// Register enters this VM.
+	Register(ctx context.Context, m Member) error
+	// Members gives all entries.
+	Members(ctx context.Context) ([]Member, error)
+	// Withdraw removes this VM's entry.
+	Withdraw(ctx context.Context, m Member) error
+}
+
+// Work is told what other VMs hold, and tells what this one does.
+type Work interface {
+	HeardWork(vm ident.VM, seq uint64, id traffic.EndpointID, w schedule.Work)
+	HeardAllWork(vm ident.VM, seq uint64, all map[traffic.EndpointID]schedule.Work)
+	HeardFailure(id traffic.EndpointID)
+	Forget(vm ident.VM)
+	Held() (uint64, map[traffic.EndpointID]schedule.Work)
+}
+
+// Plans is told what other VMs admitted, and tells what this one did.
+type Plans interface {
+	Heard(workspace string, tokens int64)
+	Used() map[string]int64
+	Fleet(known, heard int)
+}
+
+// Documents are numbered from 0, the same on all VMs.
+type Documents interface {
+	// Versions gives the version of each document, 0 for none.
+	Versions() []uint64
+	// Wants reports whether a newer version that another VM has is of use here.
+	Wants(document int, version uint64) bool
+	// Body encodes a document.
+	Body(document int) (version uint64, body []byte, err error)
+	// Offer takes a document that another VM has.
+	Offer(document int, version uint64, body []byte, from string) error
+}
+
+// Options configure a Service.
+type Options struct {
+	Self      Member
+	Clock     clock.Clock
+	Transport *peer.Transport
+	Registry  Registry
+	Work      Work
+	Plans     Plans
+	Documents Documents
+	Log       *zap.Logger
+}
+
+// Service sends and takes the messages.
+type Service struct {
+	opts Options
+	// changes holds work that is to be told; see Changed.
+	changes chan struct{}
+	dead    chan traffic.EndpointID
+
+	mu      sync.Mutex
+	roster  *roster
+	pending workChange
+	index   map[traffic.EndpointID]int
+	lines   map[netip.AddrPort]*line
+	leaving bool
+	asking  map[int]bool
+	ctx     context.Context
+	wg      sync.WaitGroup
+}
+
+const (
+	// deadBacklog is the most findings that wait to be told; more are dropped, as each VM
+	// finds out for itself.
+	deadBacklog = 64
+	// askTimeout bounds the fetching of a document from another VM.
+	askTimeout = time.Second
+	// registryRetry is the pause after a failed call to the registry.
+	registryRetry = 500 * time.Millisecond
+	// registryPeriod is the time between looks for VMs that no heartbeat made known.
+	registryPeriod = 15 * time.Second
+	// gatherTime is how long changes of work are gathered into one message.
+	gatherTime = time.Millisecond
+)
+
+// New makes a Service and registers its handlers.
+func New(o Options) *Service {
+	s := &Service{
+		opts: o, changes: make(chan struct{}, 1), dead: make(chan traffic.EndpointID, deadBacklog),
+		roster: newRoster(o.Self), index: map[traffic.EndpointID]int{}, lines: map[netip.AddrPort]*line{}, asking: map[int]bool{},
+	}
+	peer.Handle(o.Transport, peer.KindBeat, s.onBeat)
+	peer.Handle(o.Transport, peer.KindWork, s.onWork)
+	peer.Handle(o.Transport, peer.KindDead, s.onDead)
+	peer.Handle(o.Transport, peer.KindDocument, s.onAsk)
+	return s
+}
+
+// Changed notes work that is to be told to the others. A later change of an endpoint takes the
+// place of one not told yet, so nothing grows while the others cannot be reached.
+func (s *Service) Changed(seq uint64, id traffic.EndpointID, w schedule.Work) {
+	s.mu.Lock()
+	s.pending.Seq = max(s.pending.Seq, seq)
+	entry := endpointWork{Name: id.Name, Born: id.Born, Work: w}
+	if i, ok := s.index[id]; ok {
+		s.pending.Work[i] = entry
+	} else {
+		s.index[id] = len(s.pending.Work)
+		s.pending.Work = append(s.pending.Work, entry)
+	}
+	s.mu.Unlock()
+	select {
+	case s.changes <- struct{}{}:
+	default:
+	}
+}
+
+// Failed notes that an endpoint was found dead.
+func (s *Service) Failed(id traffic.EndpointID) {
+	select {
+	case s.dead <- id:
+	default:
+	}
+}
+
+// Run tells and finds the others until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
+	s.wg.Go(func() { s.find(ctx) })
+	s.wg.Go(func() { s.tellChanges(ctx) })
+	s.beatLoop(ctx)
+	s.wg.Wait()
+}
+
+// Leave tells the others that this VM takes no more calls, and withdraws its entry.
+func (s *Service) Leave(ctx context.Context) {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.beat()
+	if err := s.opts.Registry.Withdraw(ctx, s.opts.Self); err != nil {
+		s.opts.Log.Warn("entry not withdrawn", zap.Error(err))
+	}
+}
+
+// find enters this VM, then looks for others now and then.
+func (s *Service) find(ctx context.Context) {
+	registered := false
+	for {
+		wait := registryPeriod
+		if members, err := s.opts.Registry.Members(ctx); err != nil {
+			s.opts.Log.Warn("members not read", zap.Error(err))
+			wait = registryRetry
+		} else {
+			s.take(members)
+		}
+		if !registered {
+			if err := s.opts.Registry.Register(ctx, s.opts.Self); err != nil {
+				s.opts.Log.Warn("not registered", zap.Error(err))
+				wait = registryRetry
+			} else {
+				registered = true
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (s *Service) take(members []Member) {
+	s.mu.Lock()
+	fresh := s.roster.listed(s.opts.Clock.Now(), members)
+	s.mu.Unlock()
+	for _, m := range fresh {
+		s.opts.Log.Info("vm listed", zap.String("vm", m.VM.Name), zap.Stringer("address", m.Address), zap.String("data_centre", m.DataCentre))
+	}
+	if len(fresh) > 0 {
+		s.beat()
+	}
+}
+
+func (s *Service) beatLoop(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		period := s.roster.period()
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(period):
+		}
+		s.watch()
+		s.beat()
+	}
+}
+
+// watch marks silent and gone VMs.
+func (s *Service) watch() {
+	s.mu.Lock()
+	silent, gone := s.roster.pass(s.opts.Clock.Now())
+	known, heard := s.roster.counts()
+	for _, m := range gone {
+		s.hangUp(m.Address)
+	}
+	s.mu.Unlock()
+	s.opts.Plans.Fleet(known, heard)
+	for _, m := range silent {
+		s.opts.Log.Warn("vm silent", zap.Stringer("vm", m.VM), zap.Int("known", known), zap.Int("heard", heard))
+		s.opts.Work.Forget(m.VM)
+	}
+	for _, m := range gone {
+		s.opts.Log.Warn("vm gone", zap.Stringer("vm", m.VM), zap.Int("known", known), zap.Int("heard", heard))
+	}
+}
+
+// beat sends a heartbeat to all others.
+func (s *Service) beat() {
+	seq, held := s.opts.Work.Held()
+	b := beat{From: s.opts.Self, Seq: seq, Versions: s.opts.Documents.Versions()}
+	for id, w := range held {
+		b.Work = append(b.Work, endpointWork{Name: id.Name, Born: id.Born, Work: w})
+	}
+	for name, tokens := range s.opts.Plans.Used() {
+		b.Used = append(b.Used, use{Workspace: name, Tokens: tokens})
+	}
+	s.mu.Lock()
+	b.Leaving = s.leaving
+	s.mu.Unlock()
+	broadcast(s, peer.KindBeat, &b)
+}
+
+func (s *Service) tellChanges(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case id := <-s.dead:
+			broadcast(s, peer.KindDead, &deadEndpoint{Name: id.Name, Born: id.Born})
+		case <-s.changes:
+			time.Sleep(gatherTime)
+			s.mu.Lock()
+			out := s.pending
+			s.pending = workChange{}
+			clear(s.index)
+			s.mu.Unlock()
+			if len(out.Work) > 0 {
+				broadcast(s, peer.KindWork, &out)
+			}
+		}
+	}
+}
+
+// broadcast hands a message to the lines of all known VMs.
+func broadcast[Msg any](s *Service, kind peer.Kind, msg *Msg) {
+	body, err := peer.Encode(msg)
+	if err != nil {
+		s.opts.Log.Error("message not encoded", zap.Error(err))
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx == nil || s.ctx.Err() != nil {
+		return
+	}
+	for addr := range s.roster.peers {
+		s.lineTo(addr).offer(kind, body)
+	}
+}
--- /dev/null
+++ b/internal/inforce/keeper.go
@@ -0,0 +1,211 @@
+// Package inforce keeps what a VM goes by: the newest configuration and table of endpoints,
+// whether they came from the store or from another VM. A version never goes back.
+package inforce
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// The numbers of the documents that VMs hand to each other.
+const (
+	DocumentConfiguration = iota
+	DocumentEndpoints
+	documents
+)
+
+// Options configure a Keeper.
+type Options struct {
+	Clock clock.Clock
+	Log   *zap.Logger
+	// Decode reads a configuration as operators wrote it.
+	Decode func([]byte) (*traffic.Configuration, error)
+	// Changed is called with each new pair, one at a time. The configuration may be nil.
+	Changed func(*traffic.Configuration, traffic.Endpoints)
+	// Lapse is how long endpoints stay in the store without a heartbeat.
+	Lapse time.Duration
+	// Back is how long after an outage of the store entries may take to come back.
+	Back time.Duration
+}
+
+// Keeper holds what is in force.
+type Keeper struct {
+	opts   Options
+	config atomic.Pointer[traffic.Configuration]
+
+	mu        sync.Mutex
+	raw       []byte
+	endpoints traffic.Endpoints
+	known     bool
+	// read is when the store's table was last read by this VM, or by the one that handed it on.
+	read clock.Instant
+	// keepUntil is set after an outage of the store: until then no endpoint is dropped.
+	keepUntil clock.Instant
+}
+
+// New makes a Keeper that knows nothing yet.
+func New(o Options) *Keeper { return &Keeper{opts: o} }
+
+// Configuration gives the one in force, nil before the first.
+func (k *Keeper) Configuration() *traffic.Configuration { return k.config.Load() }
+
+// Ready reports whether calls can be served.
+func (k *Keeper) Ready() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.known && k.config.Load() != nil
+}
+
+// OfferConfiguration takes over a configuration if it is newer than the one in force.
+func (k *Keeper) OfferConfiguration(raw []byte, from string) error {
+	c, err := k.opts.Decode(raw)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	old := k.config.Load()
+	if old != nil && c.Version <= old.Version {
+		return nil
+	}
+	k.raw = raw
+	k.config.Store(c)
+	k.opts.Log.Info("configuration in force", zap.Uint64("version", c.Version), zap.String("from", from),
+		zap.Int("services", len(c.Services)), zap.Int("workspaces", len(c.Workspaces)))
+	k.opts.Changed(c, k.endpoints)
+	return nil
+}
+
+// OfferEndpoints takes over a table that was just read from the store.
+func (k *Keeper) OfferEndpoints(e traffic.Endpoints, from string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.opts.Clock.Now()
+	if k.known && e.Version < k.endpoints.Version {
+		return
+	}
+	if k.known && now.Sub(k.read) > k.opts.Lapse {
+		k.keepUntil = now.Add(k.opts.Back)
+		k.opts.Log.Info("store regained", zap.Duration("away", now.Sub(k.read)), zap.Duration("keeps_endpoints", k.opts.Back))
+	}
+	k.read = now
+	if now.Before(k.keepUntil) {
+		e.List = withMissing(e.List, k.endpoints.List)
+	}
+	k.set(e, from)
+}
+
+// withMissing adds the endpoints of former that list lacks.
+func withMissing(list, former []traffic.Endpoint) []traffic.Endpoint {
+	has := map[string]bool{}
+	for _, e := range list {
+		has[e.ID.Name] = true
+	}
+	for _, e := range former {
+		if !has[e.ID.Name] {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (k *Keeper) set(e traffic.Endpoints, from string) {
+	k.logChanges(e, from)
+	k.endpoints, k.known = e, true
+	k.opts.Changed(k.config.Load(), e)
+}
+
+// logChanges logs endpoints that came, are leaving or went.
+func (k *Keeper) logChanges(e traffic.Endpoints, from string) {
+	former := map[traffic.EndpointID]traffic.Endpoint{}
+	for _, v := range k.endpoints.List {
+		former[v.ID] = v
+	}
+	for _, v := range e.List {
+		was, ok := former[v.ID]
+		delete(former, v.ID)
+		if !ok || was.Leaving != v.Leaving || was.Stage != v.Stage {
+			k.opts.Log.Info("endpoint known", zap.String("endpoint", v.ID.Name), zap.Int64("born", v.ID.Born), zap.String("service", v.Service),
+				zap.Stringer("address", v.Address), zap.Stringer("stage", v.Stage), zap.Bool("leaving", v.Leaving),
+				zap.Uint64("table", e.Version), zap.String("from", from))
+		}
+	}
+	for _, v := range former {
+		k.opts.Log.Info("endpoint gone", zap.String("endpoint", v.ID.Name), zap.Uint64("table", e.Version), zap.String("from", from))
+	}
+}
+
+// staleAfter is the age from which a table is better taken from another VM.
+const staleAfter = 1500 * time.Millisecond
+
+// Versions gives the versions of the documents.
+func (k *Keeper) Versions() []uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make([]uint64, documents)
+	if c := k.config.Load(); c != nil {
+		out[DocumentConfiguration] = c.Version
+	}
+	out[DocumentEndpoints] = k.endpoints.Version
+	return out
+}
+
+// Wants reports whether another VM's version of a document is of use here.
+func (k *Keeper) Wants(document int, version uint64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch document {
+	case DocumentConfiguration:
+		c := k.config.Load()
+		return version > 0 && (c == nil || version > c.Version)
+	case DocumentEndpoints:
+		return version > k.endpoints.Version && (!k.known || k.opts.Clock.Now().Sub(k.read) > staleAfter)
+	}
+	return false
+}
+
+// Body encodes a document for another VM.
+func (k *Keeper) Body(document int) (uint64, []byte, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch document {
+	case DocumentConfiguration:
+		if c := k.config.Load(); c != nil {
+			return c.Version, k.raw, nil
+		}
+	case DocumentEndpoints:
+		if k.known {
+			body, err := msgpack.Marshal(k.endpoints)
+			return k.endpoints.Version, body, fault.Wrap(err, fault.Internal, "report this", "encode the table of endpoints")
+		}
+	}
+	return 0, nil, nil
+}
+
+// Offer takes a document that another VM has.
+func (k *Keeper) Offer(document int, version uint64, body []byte, from string) error {
+	switch document {
+	case DocumentConfiguration:
+		return k.OfferConfiguration(body, from)
+	case DocumentEndpoints:
+		var e traffic.Endpoints
+		if err := msgpack.Unmarshal(body, &e); err != nil {
+			return fault.Wrap(err, fault.Malformed, "run the same release on all VMs", "decode the table of endpoints")
+		}
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if !k.known || version > k.endpoints.Version {
+			k.read = k.opts.Clock.Now()
+			k.set(e, from)
+		}
+	}
+	return nil
+}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -33,4 +33,12 @@
 	KindOperator Kind = 13
 	// KindSummary: summaries of cells, spread between VMs.
 	KindSummary Kind = 14
+	// KindBeat: a VM's heartbeat with all that it holds and has admitted.
+	KindBeat Kind = 15
+	// KindWork: what a VM now holds at endpoints.
+	KindWork Kind = 16
+	// KindDead: an endpoint was found dead.
+	KindDead Kind = 17
+	// KindDocument: a newer document is asked for.
+	KindDocument Kind = 18
 )
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -225,6 +225,12 @@
 	return t.Send(ctx, addr, kind, body)
 }
 
+// Encode gives the body of a message that goes to several VMs.
+func Encode[Msg any](msg *Msg) ([]byte, error) {
+	body, err := marshal(msg)
+	return body, fault.Wrap(err, fault.Internal, "report this", "encode message")
+}
+
 // Handle registers a typed handler with t.
 func Handle[Req, Resp any](t *Transport, kind Kind, h func(ctx context.Context, from ident.VM, req *Req) (*Resp, error)) {
 	t.Handle(kind, func(ctx context.Context, from ident.VM, body []byte) ([]byte, error) {
--- /dev/null
+++ b/internal/schedule/health.go
@@ -0,0 +1,80 @@
+package schedule
+
+import (
+	"math"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+)
+
+const (
+	// failStep is the weight of one outcome in the rate of failures.
+	failStep = 0.3
+	// failHalfLife is the time in which the rate of failures falls by half without outcomes.
+	failHalfLife = 4 * time.Second
+	// minEjection is the first time for which a dead endpoint is left alone; it doubles with
+	// each failure in a row up to maxEjection.
+	minEjection = 700 * time.Millisecond
+	maxEjection = 5 * time.Second
+)
+
+// Outcome is how a send ended, as far as the endpoint's health goes.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Good: the endpoint answered.
+	Good Outcome = iota
+	// Failed: the endpoint broke off, or answered with an error of its own.
+	Failed
+	// Dead: the endpoint took no connection or gave no sign in time.
+	Dead
+)
+
+// health judges an endpoint by what calls to it showed.
+type health struct {
+	failing float64
+	judged  clock.Instant
+	// dead counts dead outcomes in a row.
+	dead  int
+	until clock.Instant
+	since clock.Instant
+}
+
+func (h *health) rate(now clock.Instant) float64 {
+	return h.failing * math.Exp2(-float64(now.Sub(h.judged))/float64(failHalfLife))
+}
+
+func (h *health) record(now clock.Instant, o Outcome) {
+	was := h.rate(now)
+	h.judged = now
+	if o == Good {
+		h.failing, h.dead, h.until = was*(1-failStep), 0, 0
+		return
+	}
+	h.failing = was + (1-was)*failStep
+	if o != Dead {
+		return
+	}
+	if now.Before(h.until) {
+		return // one fault seen by several calls
+	}
+	h.since = now
+	h.until = now.Add(min(maxEjection, minEjection<<min(h.dead, 8)))
+	h.dead++
+}
+
+// ejected reports whether the endpoint is to be left alone. A heartbeat that came well after
+// the failure ends the ejection, a missing one prolongs it.
+func (h *health) ejected(now, beat clock.Instant) bool {
+	if h.dead == 0 {
+		return false
+	}
+	if beat.Sub(h.since) > beatLag {
+		return false
+	}
+	return now.Before(h.until) || now.Sub(h.since) < maxEjection && beat.Before(h.since)
+}
+
+// beatLag is how much older than its arrival a heartbeat may be.
+const beatLag = 1500 * time.Millisecond
--- /dev/null
+++ b/internal/schedule/scheduler.go
@@ -0,0 +1,241 @@
+package schedule
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/backend"
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// Options configure a Scheduler.
+type Options struct {
+	Clock clock.Clock
+	// DataCentre is where this VM is.
+	DataCentre string
+	// Seed starts the draws between equal endpoints.
+	Seed uint64
+	// Changed is told what this VM now holds at an endpoint. It must not block. Nil tells nobody.
+	Changed func(seq uint64, id traffic.EndpointID, w Work)
+	// Failed is told of an endpoint that this VM found dead. It must not block.
+	Failed func(id traffic.EndpointID)
+}
+
+// Scheduler guards a table of endpoints for the goroutines of calls.
+type Scheduler struct {
+	opts Options
+
+	mu    sync.Mutex
+	table *table
+	seq   uint64
+	// freed is closed and replaced when room may have come up.
+	freed chan struct{}
+}
+
+// New makes a Scheduler.
+func New(o Options) *Scheduler {
+	if o.Changed == nil {
+		o.Changed = func(uint64, traffic.EndpointID, Work) {}
+	}
+	if o.Failed == nil {
+		o.Failed = func(traffic.EndpointID) {}
+	}
+	return &Scheduler{
+		opts:  o,
+		table: newTable(o.DataCentre, rand.New(rand.NewPCG(o.Seed, 0))),
+		freed: make(chan struct{}),
+	}
+}
+
+// Update takes over a table of endpoints.
+func (s *Scheduler) Update(eps traffic.Endpoints, services map[string]*traffic.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.update(s.opts.Clock.Now(), eps, services)
+	s.wake()
+}
+
+// HasStage reports whether a service has usable endpoints of a stage.
+func (s *Scheduler) HasStage(service string, stage traffic.Stage) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.table.byService[service], func(e *state) bool { return e.Stage == stage && !e.Leaving })
+}
+
+// Usable reports whether an endpoint may still be sent work.
+func (s *Scheduler) Usable(id traffic.EndpointID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.table.states[id]
+	return e != nil && !e.Leaving
+}
+
+func (s *Scheduler) wake() {
+	close(s.freed)
+	s.freed = make(chan struct{})
+}
+
+// Freed gives a channel that closes when room may have come up.
+func (s *Scheduler) Freed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.freed
+}
+
+// Claim is the work of one call at one endpoint, held until Release.
+type Claim struct {
+	Choice
+	scheduler *Scheduler
+	work      Work
+	begun     clock.Instant
+	released  bool
+}
+
+// Errors of Place; the dispatcher tells them apart by kind.
+var (
+	errNone = fault.New(fault.Unavailable, "retry after the stated time; operators: check the service's endpoints", "no endpoint can be used", fault.WithRetryAfter(noneRetryAfter))
+	errFull = fault.New(fault.Overloaded, "retry after the stated time", "all endpoints are full", fault.WithRetryAfter(fullRetryAfter))
+)
+
+const (
+	noneRetryAfter = 500 * time.Millisecond
+	fullRetryAfter = 300 * time.Millisecond
+)
+
+// Place chooses an endpoint and claims its room. It fails as Overloaded when all are full, and
+// as Unavailable when there is none.
+func (s *Scheduler) Place(a *Ask) (*Claim, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.opts.Clock.Now()
+	e, c, why := s.table.choose(now, a)
+	switch why {
+	case noneKnown:
+		return nil, errNone
+	case allFull:
+		return nil, errFull
+	}
+	cl := &Claim{Choice: c, scheduler: s, work: a.work(), begun: now}
+	s.hold(e, e.own.plus(cl.work))
+	return cl, nil
+}
+
+func (s *Scheduler) hold(e *state, w Work) {
+	e.own = w
+	s.seq++
+	s.opts.Changed(s.seq, e.ID, w)
+}
+
+// Release gives the claim's room back. It may be called more than once.
+func (c *Claim) Release() {
+	s := c.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.released {
+		return
+	}
+	c.released = true
+	if e := s.table.states[c.Endpoint.ID]; e != nil {
+		s.hold(e, e.own.minus(c.work))
+	}
+	s.wake()
+}
+
+// Record states how a send to the claim's endpoint ended.
+func (c *Claim) Record(o Outcome) {
+	s := c.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.table.states[c.Endpoint.ID]; e != nil {
+		e.health.record(s.opts.Clock.Now(), o)
+	}
+	if o == Dead {
+		s.opts.Failed(c.Endpoint.ID)
+	}
+}
+
+// Full states that the claim's endpoint refused for lack of room.
+func (c *Claim) Full() {
+	s := c.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.table.states[c.Endpoint.ID]; e != nil {
+		e.fullUntil = s.opts.Clock.Now().Add(fullPause)
+	}
+}
+
+// Reported takes over the load that the claim's endpoint stated.
+func (c *Claim) Reported(l *backend.Load) {
+	if l == nil {
+		return
+	}
+	s := c.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.table.states[c.Endpoint.ID]; e != nil {
+		e.reported, e.reportedAt = l.Running+l.Waiting, s.opts.Clock.Now()
+	}
+}
+
+// WasRead states that the claim's endpoint read a prompt, and in what time.
+func (c *Claim) WasRead(prompt int64, took time.Duration) {
+	s := c.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.table.states[c.Endpoint.ID]
+	if e == nil || took <= 0 {
+		return
+	}
+	measured := float64(prompt+c.Held.Tokens) / took.Seconds()
+	e.rate += rateStep * (measured - e.rate)
+}
+
+// HeardFailure takes over that another VM found an endpoint dead.
+func (s *Scheduler) HeardFailure(id traffic.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.table.states[id]; e != nil {
+		e.health.record(s.opts.Clock.Now(), Dead)
+	}
+}
+
+// HeardWork takes over what another VM holds at an endpoint.
+func (s *Scheduler) HeardWork(vm ident.VM, seq uint64, id traffic.EndpointID, w Work) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.heard(vm, seq, id, w)
+	s.wake()
+}
+
+// HeardAllWork takes over all that another VM holds.
+func (s *Scheduler) HeardAllWork(vm ident.VM, seq uint64, all map[traffic.EndpointID]Work) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.heardAll(vm, seq, all)
+}
+
+// Forget drops the work of a VM that is gone.
+func (s *Scheduler) Forget(vm ident.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.forget(vm)
+	s.wake()
+}
+
+// Held gives all that this VM holds, and the number of the latest change.
+func (s *Scheduler) Held() (uint64, map[traffic.EndpointID]Work) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[traffic.EndpointID]Work{}
+	for id, e := range s.table.states {
+		if e.own.Calls > 0 {
+			out[id] = e.own
+		}
+	}
+	return s.seq, out
+}
--- /dev/null
+++ b/internal/schedule/score.go
@@ -0,0 +1,108 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// may reports whether an endpoint may be used for an ask at all.
+func may(s *state, a *Ask) bool {
+	return !s.Leaving && s.Stage == a.Stage && !a.avoids(s.ID)
+}
+
+// fits reports whether an endpoint has room for an ask.
+func fits(now clock.Instant, s *state, a *Ask) bool {
+	if now.Before(s.fullUntil) {
+		return false
+	}
+	if s.Slots > 0 && s.total().Calls >= s.Slots+queued(s) {
+		return false
+	}
+	return a.Stage != traffic.Decode || a.Tokens == nil || decodeNeed(*a.Tokens) <= s.room()
+}
+
+// queued is the number of calls beyond its slots that an endpoint may be given. Calls to plain
+// services are short and wait there; engines are not made to queue.
+func queued(s *state) int {
+	if s.engine != nil {
+		return 0
+	}
+	return s.Slots
+}
+
+const (
+	// farCost is what another data centre costs an ask that states no sizes.
+	farCost = 4 * time.Millisecond
+	// farPrefillCost and farDecodeCost weigh the bytes of prompts, answers and KV caches that
+	// go between data centres.
+	farPrefillCost = 120 * time.Millisecond
+	farDecodeCost  = 90 * time.Millisecond
+	// callCost is what a call under way adds to the next one at a plain service, full at all
+	// slots taken.
+	callCost = 60 * time.Millisecond
+	// memoryCost is what a full memory costs; it grows with the square of the part in use.
+	memoryCost = 240 * time.Millisecond
+	// failCost is what an endpoint costs that fails all calls.
+	failCost = 600 * time.Millisecond
+	// onceFailFactor raises it for calls that a failure loses.
+	onceFailFactor = 3
+	// silentCost is what an endpoint costs whose heartbeats have stopped.
+	silentCost = 400 * time.Millisecond
+	// silentAfter is the age of the last heartbeat from which an endpoint counts as silent.
+	silentAfter = 3 * time.Second
+	// reportAge is how long a stated load counts.
+	reportAge = 300 * time.Millisecond
+)
+
+// score predicts what an endpoint costs an ask, in time.
+func (t *table) score(now clock.Instant, s *state, a *Ask) time.Duration {
+	cost := failScore(now, s, a)
+	switch a.Stage {
+	case traffic.Prefill:
+		return cost + s.readTime(a.work().Tokens) + t.distance(s, a, farPrefillCost)
+	case traffic.Decode:
+		return cost + memoryScore(s, a) + t.distance(s, a, farDecodeCost)
+	default:
+		return cost + busyScore(now, s) + t.distance(s, a, farCost)
+	}
+}
+
+func (t *table) distance(s *state, a *Ask, cost time.Duration) time.Duration {
+	near := a.Near
+	if near == "" {
+		near = t.dataCentre
+	}
+	if s.DataCentre == near {
+		return 0
+	}
+	return cost
+}
+
+func failScore(now clock.Instant, s *state, a *Ask) time.Duration {
+	cost := time.Duration(s.health.rate(now) * float64(failCost))
+	if a.Once {
+		cost *= onceFailFactor
+	}
+	if now.Sub(s.beat) > silentAfter {
+		cost += silentCost
+	}
+	return cost
+}
+
+func memoryScore(s *state, a *Ask) time.Duration {
+	if s.engine == nil || s.engine.Capacity <= 0 {
+		return time.Duration(s.total().Calls) * time.Millisecond
+	}
+	part := float64(s.total().Tokens+a.work().Tokens) / float64(s.engine.Capacity)
+	return time.Duration(part * part * float64(memoryCost))
+}
+
+func busyScore(now clock.Instant, s *state) time.Duration {
+	calls := s.total().Calls
+	if now.Sub(s.reportedAt) < reportAge {
+		calls = max(calls, s.reported)
+	}
+	return callCost * time.Duration(calls) / time.Duration(max(1, s.Slots))
+}
--- /dev/null
+++ b/internal/schedule/state.go
@@ -0,0 +1,94 @@
+// Package schedule chooses the endpoints of a call: filters leave out endpoints that cannot
+// take it, scorers predict what each of the others would cost, and a picker takes the
+// cheapest. It knows the work that all VMs have given out, so that the memory of an engine is
+// claimed before a prompt is read for it.
+package schedule
+
+import (
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// Work is what calls hold at an endpoint.
+type Work struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Calls is the number of calls there.
+	Calls int
+	// Tokens is the memory of those that decode, or the prompts of those that are read.
+	Tokens int64
+}
+
+func (w Work) plus(o Work) Work { return Work{Calls: w.Calls + o.Calls, Tokens: w.Tokens + o.Tokens} }
+
+func (w Work) minus(o Work) Work { return Work{Calls: w.Calls - o.Calls, Tokens: w.Tokens - o.Tokens} }
+
+// state is what this VM knows of one endpoint.
+type state struct {
+	traffic.Endpoint
+	engine *traffic.Engine
+	own    Work
+	// others is the work of other VMs, and when it was told.
+	others map[ident.VM]told
+	health health
+	// rate is the measured speed of reading prompts, in tokens a second.
+	rate float64
+	// reported is the load that the endpoint stated, at reportedAt.
+	reported   int
+	reportedAt clock.Instant
+	// beat is when the store's entry last changed.
+	beat clock.Instant
+	// fullUntil is set when the endpoint refused a call for lack of room.
+	fullUntil clock.Instant
+}
+
+type told struct {
+	seq  uint64
+	work Work
+}
+
+// total is the work of all VMs.
+func (s *state) total() Work {
+	w := s.own
+	for _, t := range s.others {
+		w = w.plus(t.work)
+	}
+	return w
+}
+
+const (
+	// initialRate stands for an engine whose speed was not measured, in tokens a second.
+	initialRate = 50_000
+	// rateStep is how fast a measured speed is taken over.
+	rateStep = 0.1
+	// minRate keeps predictions bounded, in tokens a second.
+	minRate = 1_000
+)
+
+// readTime predicts how long the reading of a prompt takes, the queue before it counted.
+func (s *state) readTime(prompt int64) time.Duration {
+	return time.Duration(float64(s.total().Tokens+prompt) / max(s.rate, minRate) * float64(time.Second))
+}
+
+// room gives the tokens of memory that are free for decoding.
+func (s *state) room() int64 {
+	if s.engine == nil || s.engine.Capacity <= 0 {
+		return 1 << 40
+	}
+	return s.engine.Capacity - s.total().Tokens
+}
+
+// fullPause is how long an endpoint that refused a call for lack of room is left alone.
+const fullPause = 60 * time.Millisecond
+
+// memoryBlock is the unit in which engines give out memory, in tokens.
+const memoryBlock = 16
+
+// decodeNeed is the memory that a generation takes while it decodes, in tokens.
+func decodeNeed(t traffic.Tokens) int64 {
+	return (t.Prompt + t.Output + 2*memoryBlock - 1) / memoryBlock * memoryBlock
+}
--- /dev/null
+++ b/internal/schedule/table.go
@@ -0,0 +1,225 @@
+package schedule
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// table holds the endpoints and what is known of each. It decides and does no I/O.
+type table struct {
+	dataCentre string
+	random     *rand.Rand
+	version    uint64
+	states     map[traffic.EndpointID]*state
+	byService  map[string][]*state
+	// early is work that was told of endpoints that this VM does not know yet.
+	early map[traffic.EndpointID]map[ident.VM]told
+}
+
+func newTable(dataCentre string, random *rand.Rand) *table {
+	return &table{
+		dataCentre: dataCentre,
+		random:     random,
+		states:     map[traffic.EndpointID]*state{},
+		byService:  map[string][]*state{},
+		early:      map[traffic.EndpointID]map[ident.VM]told{},
+	}
+}
+
+// update takes over a table of endpoints and the figures of their services.
+func (t *table) update(now clock.Instant, eps traffic.Endpoints, services map[string]*traffic.Service) {
+	former := t.states
+	t.version = eps.Version
+	t.states = make(map[traffic.EndpointID]*state, len(eps.List))
+	t.byService = map[string][]*state{}
+	for _, e := range eps.List {
+		s := former[e.ID]
+		if s == nil {
+			s = &state{others: t.early[e.ID], rate: initialRate, beat: now}
+			if s.others == nil {
+				s.others = map[ident.VM]told{}
+			}
+			delete(t.early, e.ID)
+		} else if s.Version != e.Version {
+			s.beat = now
+		}
+		s.Endpoint = e
+		s.engine = nil
+		if svc := services[e.Service]; svc != nil {
+			s.engine = svc.Engine
+		}
+		t.states[e.ID] = s
+		t.byService[e.Service] = append(t.byService[e.Service], s)
+	}
+}
+
+// maxEarly bounds the endpoints whose work is kept before the endpoint is known.
+const maxEarly = 256
+
+// heard takes over what another VM holds at an endpoint, unless something newer was heard.
+func (t *table) heard(vm ident.VM, seq uint64, id traffic.EndpointID, w Work) {
+	var others map[ident.VM]told
+	if s := t.states[id]; s != nil {
+		others = s.others
+	} else if others = t.early[id]; others == nil {
+		if len(t.early) >= maxEarly || w.Calls == 0 {
+			return
+		}
+		others = map[ident.VM]told{}
+		t.early[id] = others
+	}
+	if others[vm].seq > seq {
+		return
+	}
+	others[vm] = told{seq: seq, work: w}
+}
+
+// heardAll takes over all that another VM holds; what is not listed, it does not hold.
+func (t *table) heardAll(vm ident.VM, seq uint64, all map[traffic.EndpointID]Work) {
+	for id, s := range t.states {
+		if _, listed := all[id]; !listed && s.others[vm].work.Calls > 0 && s.others[vm].seq <= seq {
+			s.others[vm] = told{seq: seq}
+		}
+	}
+	for id, w := range all {
+		t.heard(vm, seq, id, w)
+	}
+}
+
+// forget drops the work of a VM that is gone.
+func (t *table) forget(vm ident.VM) {
+	for _, s := range t.states {
+		delete(s.others, vm)
+	}
+	for id, others := range t.early {
+		delete(others, vm)
+		if len(others) == 0 {
+			delete(t.early, id)
+		}
+	}
+}
+
+// Ask says what a call needs of an endpoint.
+type Ask struct {
+	Service string
+	Stage   traffic.Stage
+	// Tokens is nil for calls that state no sizes.
+	Tokens *traffic.Tokens
+	// Near is the data centre that the choice should be close to, empty for this VM's.
+	Near string
+	// Avoid holds endpoints that were tried.
+	Avoid []traffic.EndpointID
+	// Once: a failure of the endpoint loses the call.
+	Once bool
+}
+
+func (a *Ask) avoids(id traffic.EndpointID) bool {
+	for _, v := range a.Avoid {
+		if v == id {
+			return true
+		}
+	}
+	return false
+}
+
+// work is what the call will hold at the endpoint.
+func (a *Ask) work() Work {
+	w := Work{Calls: 1}
+	if a.Tokens == nil {
+		return w
+	}
+	switch a.Stage {
+	case traffic.Prefill:
+		w.Tokens = a.Tokens.Prompt
+	default:
+		w.Tokens = decodeNeed(*a.Tokens)
+	}
+	return w
+}
+
+// Choice is an endpoint with what decided for it.
+type Choice struct {
+	Endpoint traffic.Endpoint
+	// Expected is the predicted time until a prompt is read, 0 in other stages.
+	Expected time.Duration
+	// Score is the predicted cost of the choice, Among the number of endpoints compared.
+	Score time.Duration
+	Among int
+	// Version is the version of the table of endpoints that decided.
+	Version uint64
+	// Held is the work that all VMs had there.
+	Held Work
+	// Ejected: no sound endpoint was left.
+	Ejected bool
+}
+
+// reason says why no endpoint was chosen.
+type reason uint8
+
+const (
+	chosen reason = iota
+	// noneKnown: the service has no endpoint that may be used.
+	noneKnown
+	// allFull: endpoints are there, but none has room.
+	allFull
+)
+
+// choose filters, scores and picks.
+func (t *table) choose(now clock.Instant, a *Ask) (*state, Choice, reason) {
+	var usable, sound []*state
+	why := noneKnown
+	for _, s := range t.byService[a.Service] {
+		if !may(s, a) {
+			continue
+		}
+		if !fits(now, s, a) {
+			why = allFull
+			continue
+		}
+		usable = append(usable, s)
+		if !s.health.ejected(now, s.beat) {
+			sound = append(sound, s)
+		}
+	}
+	ejected := len(sound) == 0
+	if ejected {
+		if why == allFull {
+			return nil, Choice{}, allFull
+		}
+		sound = usable
+	}
+	if len(sound) == 0 {
+		return nil, Choice{}, why
+	}
+	best, score := t.pick(now, sound, a)
+	c := Choice{
+		Endpoint: best.Endpoint, Score: score, Among: len(sound), Version: t.version, Held: best.total(), Ejected: ejected,
+	}
+	if a.Stage == traffic.Prefill && a.Tokens != nil {
+		c.Expected = best.readTime(a.Tokens.Prompt)
+	}
+	return best, c, chosen
+}
+
+// pick gives the cheapest endpoint; equals are drawn.
+func (t *table) pick(now clock.Instant, from []*state, a *Ask) (*state, time.Duration) {
+	var best *state
+	var least time.Duration
+	equal := 0
+	for _, s := range from {
+		score := t.score(now, s, a)
+		switch {
+		case best == nil || score < least:
+			best, least, equal = s, score, 1
+		case score == least:
+			if equal++; t.random.IntN(equal) == 0 {
+				best = s
+			}
+		}
+	}
+	return best, least
+}
--- /dev/null
+++ b/internal/traffic/configuration.go
@@ -0,0 +1,86 @@
+package traffic
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strings"
+)
+
+// Configuration is one version of what operators decide. It does not change once made.
+type Configuration struct {
+	Version  uint64
+	Services map[string]*Service
+	// Workspaces by name.
+	Workspaces map[string]*Workspace
+	// Keyed is false where no caller needs a key.
+	Keyed  bool
+	Limits Limits
+
+	keys   map[string]*Workspace
+	routes map[string][]*Route // by host, longest prefix first
+}
+
+// NewConfiguration indexes routes by host and prefix, and workspaces by key.
+func NewConfiguration(version uint64, routes []*Route, services []*Service, keys map[string]*Workspace, limits Limits) *Configuration {
+	c := &Configuration{
+		Version:    version,
+		Services:   map[string]*Service{},
+		Workspaces: map[string]*Workspace{},
+		Limits:     limits,
+		keys:       keys,
+		routes:     map[string][]*Route{},
+	}
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	for _, w := range keys {
+		c.Workspaces[w.Name] = w
+	}
+	for _, r := range routes {
+		c.routes[r.Host] = append(c.routes[r.Host], r)
+	}
+	for _, rs := range c.routes {
+		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return c
+}
+
+// Match gives the route of a host and path, nil for none.
+func (c *Configuration) Match(host, path string) *Route {
+	for _, r := range c.routes[hostName(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// hostName gives a Host header without its port, in lower case.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// WorkspaceOf gives the workspace that holds a key, nil for none.
+func (c *Configuration) WorkspaceOf(key string) *Workspace { return c.keys[key] }
+
+// ServiceOf chooses the service of a route by weight, nil where it has none that is known.
+func (c *Configuration) ServiceOf(r *Route, random *rand.Rand) *Service {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	if total <= 0 {
+		return nil
+	}
+	at := random.IntN(total)
+	for _, t := range r.Targets {
+		if at -= t.Weight; at < 0 {
+			return c.Services[t.Service]
+		}
+	}
+	return nil
+}
