Plans counted over the users' window, admissions told at once, VMs find each other at start

Cause: VMs listed each other before they had entered, so none heard another for 15 s; then all uses came at once and levels fell to -67,000 tokens. A lowered plan refused calls of the window before it. Change: a VM enters before it looks; admissions go out with changes of work; a window that spans the lowering of a plan allows a part of both.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -11,6 +12,8 @@
 // Gate guards Plans and Retries for the goroutines of calls.
 type Gate struct {
 	clock clock.Clock
+	// admitted is told what this VM has admitted for a workspace since it started. It must not block.
+	admitted func(workspace string, tokens int64)
 	// vms is the number of VMs that share the slack of the retry budget.
 	vms atomic.Int32
 
@@ -19,9 +22,14 @@
 	retries *Retries
 }
 
-// NewGate makes a Gate for a fleet of which vms VMs are taken to be up.
-func NewGate(c clock.Clock, b RetryBudget, vms int) *Gate {
-	g := &Gate{clock: c, plans: NewPlans(), retries: NewRetries(b)}
+// NewGate makes a Gate for a fleet of which vms VMs are taken to be up. Plans are counted over
+// planWindow. admitted is told what
+// this VM has admitted for a workspace since it started; it must not block and may be nil.
+func NewGate(c clock.Clock, b RetryBudget, planWindow time.Duration, vms int, admitted func(workspace string, tokens int64)) *Gate {
+	if admitted == nil {
+		admitted = func(string, int64) {}
+	}
+	g := &Gate{clock: c, admitted: admitted, plans: NewPlans(planWindow), retries: NewRetries(b)}
 	g.vms.Store(int32(vms))
 	return g
 }
@@ -38,7 +46,7 @@
 	g.vms.Store(int32(max(1, known)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.plans.SetShare(g.clock.Now(), float64(max(1, heard))/float64(max(1, known, heard)))
+	g.plans.SetShare(float64(max(1, heard))/float64(max(1, known, heard)))
 }
 
 // Admit draws a call's cost from its workspace's plan.
@@ -48,7 +56,11 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.plans.Admit(g.clock.Now(), w.Name, Limit{Rate: w.Rate, Burst: w.Burst}, cost)
+	v := g.plans.Admit(g.clock.Now(), w.Name, Limit{Rate: w.Rate, Burst: w.Burst}, cost)
+	if v.Admitted {
+		g.admitted(w.Name, v.Used)
+	}
+	return v
 }
 
 // Return gives back what a call drew that was certainly not run.
@@ -58,7 +70,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.plans.Return(w.Name, cost)
+	g.plans.Return(g.clock.Now(), w.Name, cost)
 }
 
 // Heard draws what another VM admitted.
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -9,121 +9,156 @@
 	"github.com/fulmartide/fulmartide/internal/clock"
 )
 
-// Limit is what a plan allows.
+// Limit is what a plan allows: within any window, Rate times the window and Burst once.
 type Limit struct {
 	// Rate is in tokens a second; 0 means no limit. Burst is in tokens.
 	Rate, Burst float64
 }
 
-// bucket is this VM's picture of a workspace's one token bucket: its own admissions at once,
-// those of others as they are told.
-type bucket struct {
-	limit   Limit
-	level   float64
-	updated clock.Instant
+// planBins is the number of parts of a plan's window; a part leaves it as a whole.
+const planBins = 64
+
+// account is this VM's picture of what a workspace used of its plan in the window: its own
+// admissions at once, those of others as they are told.
+type account struct {
+	limit Limit
+	// former is what the plan allowed before it was lowered at loweredAt.
+	former    float64
+	loweredAt clock.Instant
+	// bins holds the tokens of each part of the window, sum those of all.
+	bins [planBins]int64
+	bin  int64
+	sum  int64
 	// used is all that this VM admitted since it started.
 	used int64
 }
 
-// Plans holds a bucket for each workspace. It is not safe for use by many goroutines.
+// Plans holds an account for each workspace. It is not safe for use by many goroutines.
 type Plans struct {
-	buckets map[string]*bucket
-	// share is the part of each rate that this side of a cut may use.
+	window   time.Duration
+	accounts map[string]*account
+	// share is the part of each plan that this side of a cut may use.
 	share float64
 }
 
-// NewPlans makes Plans whose buckets are full.
-func NewPlans() *Plans { return &Plans{buckets: map[string]*bucket{}, share: 1} }
+// NewPlans makes Plans that are counted over a window.
+func NewPlans(window time.Duration) *Plans {
+	return &Plans{window: window, accounts: map[string]*account{}, share: 1}
+}
 
 // SetShare states which part of the VMs this one hears, itself counted. The rest may be
 // admitting unheard, and keep their part.
-func (p *Plans) SetShare(now clock.Instant, share float64) {
-	if share == p.share {
-		return
+func (p *Plans) SetShare(share float64) { p.share = share }
+
+func (p *Plans) account(now clock.Instant, workspace string, l Limit) *account {
+	a := p.accounts[workspace]
+	if a == nil {
+		a = &account{limit: l, bin: p.bin(now)}
+		p.accounts[workspace] = a
 	}
-	for _, b := range p.buckets {
-		p.refill(b, now)
-		if share < p.share {
-			b.level = min(b.level, b.limit.Burst*share)
-		}
+	p.advance(a, now)
+	if a.limit != l {
+		a.former, a.loweredAt = p.allowed(a, now), now
+		a.limit = l
 	}
-	p.share = share
+	return a
 }
 
-// Share gives what SetShare stated.
-func (p *Plans) Share() float64 { return p.share }
+func (p *Plans) binTime() time.Duration { return p.window / planBins }
 
-func (p *Plans) bucket(now clock.Instant, workspace string, l Limit) *bucket {
-	b := p.buckets[workspace]
-	if b == nil {
-		b = &bucket{limit: l, level: l.Burst * p.share, updated: now}
-		p.buckets[workspace] = b
-	}
-	p.refill(b, now)
-	if b.limit != l {
-		b.level = min(b.level, l.Burst)
-		b.limit = l
+func (p *Plans) bin(now clock.Instant) int64 { return int64(now) / int64(p.binTime()) }
+
+// advance lets what has left the window go.
+func (p *Plans) advance(a *account, now clock.Instant) {
+	bin := p.bin(now)
+	for ; a.bin < bin && a.sum > 0; a.bin++ {
+		i := (a.bin + 1) % planBins
+		a.sum -= a.bins[i]
+		a.bins[i] = 0
 	}
-	return b
+	a.bin = max(a.bin, bin)
 }
 
-func (p *Plans) refill(b *bucket, now clock.Instant) {
-	elapsed := now.Sub(b.updated).Seconds()
-	if elapsed <= 0 {
-		return
+func (a *account) add(tokens int64) {
+	a.bins[a.bin%planBins] += tokens
+	a.sum += tokens
+}
+
+// full is what a plan allows in a whole window, in tokens.
+func (p *Plans) full(l Limit) float64 { return l.Rate*(p.window-p.binTime()).Seconds() + l.Burst }
+
+// allowed is what a plan allows in the window that ends now, in tokens. A window that spans
+// the lowering of a plan allows a part of both.
+func (p *Plans) allowed(a *account, now clock.Instant) float64 {
+	allowed := p.full(a.limit)
+	if since := now.Sub(a.loweredAt); since < p.window && a.former > allowed {
+		allowed += (a.former - allowed) * (1 - float64(since)/float64(p.window))
 	}
-	b.updated = now
-	b.level = min(b.limit.Burst*p.share, b.level+elapsed*b.limit.Rate*p.share)
+	return allowed
 }
 
 // Verdict is the outcome of a decision on a plan, with what decided it.
 type Verdict struct {
 	Admitted bool
-	// Level is the bucket's level before the decision, in tokens.
-	Level float64
+	// Before is what the workspace had used in the window, Allowed what its plan allows here.
+	Before  int64
+	Allowed float64
+	// Used is all that this VM admitted for the workspace, this call counted.
+	Used int64
 	// Wait is the time after which the same call would be admitted if no other came.
 	Wait time.Duration
 }
 
-// Admit draws cost from a workspace's bucket, or refuses.
+// Admit draws cost from a workspace's plan, or refuses.
 func (p *Plans) Admit(now clock.Instant, workspace string, l Limit, cost int64) Verdict {
 	if l.Rate <= 0 {
 		return Verdict{Admitted: true}
 	}
-	b := p.bucket(now, workspace, l)
-	v := Verdict{Level: b.level}
-	if b.level < float64(cost) {
-		missing := float64(cost) - b.level
-		v.Wait = time.Duration(missing / (l.Rate * p.share) * float64(time.Second))
+	a := p.account(now, workspace, l)
+	v := Verdict{Before: a.sum, Allowed: p.allowed(a, now) * p.share}
+	if float64(a.sum+cost) > v.Allowed {
+		v.Wait = p.wait(a, float64(a.sum+cost)-v.Allowed)
 		return v
 	}
 	v.Admitted = true
-	b.level -= float64(cost)
-	b.used += cost
+	a.add(cost)
+	a.used += cost
+	v.Used = a.used
 	return v
 }
 
+// wait gives the time until enough has left the window.
+func (p *Plans) wait(a *account, excess float64) time.Duration {
+	for i := int64(1); i <= planBins; i++ {
+		excess -= float64(a.bins[(a.bin+i)%planBins])
+		if excess <= 0 {
+			return time.Duration(i) * p.binTime()
+		}
+	}
+	return p.window
+}
+
 // Return gives back what a call drew that was certainly not run.
-func (p *Plans) Return(workspace string, cost int64) {
-	if b := p.buckets[workspace]; b != nil {
-		b.level = min(b.limit.Burst*p.share, b.level+float64(cost))
-		b.used -= cost
+func (p *Plans) Return(now clock.Instant, workspace string, cost int64) {
+	if a := p.accounts[workspace]; a != nil {
+		p.Heard(now, workspace, -cost)
+		a.used -= cost
 	}
 }
 
-// Heard draws what another VM admitted. The level may fall below zero.
+// Heard counts what another VM admitted; less than nothing where it gave some back.
 func (p *Plans) Heard(now clock.Instant, workspace string, tokens int64) {
-	if b := p.buckets[workspace]; b != nil {
-		p.refill(b, now)
-		b.level -= float64(tokens)
+	if a := p.accounts[workspace]; a != nil {
+		p.advance(a, now)
+		a.add(max(tokens, -a.sum))
 	}
 }
 
 // Used gives what this VM admitted for each workspace since it started, in tokens.
 func (p *Plans) Used() map[string]int64 {
-	out := make(map[string]int64, len(p.buckets))
-	for name, b := range p.buckets {
-		out[name] = b.used
+	out := make(map[string]int64, len(p.accounts))
+	for name, a := range p.accounts {
+		out[name] = a.used
 	}
 	return out
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -154,11 +154,12 @@
 	if v.Admitted {
 		f.d.opts.Gate.Called(f.c.Service.Name)
 		f.log.Info("admitted", zap.Uint64("configuration", f.version), zap.String("route", f.c.Route.Name),
-			zap.String("service", f.c.Service.Name), zap.String("workspace", f.workspace()), zap.Int64("cost", f.c.Cost()), zap.Float64("level", v.Level))
+			zap.String("service", f.c.Service.Name), zap.String("workspace", f.workspace()), zap.Int64("cost", f.c.Cost()), zap.Int64("used", v.Before), zap.Float64("allowed", v.Allowed))
 		return nil
 	}
 	f.log.Info("over plan", zap.Uint64("configuration", f.version), zap.String("workspace", f.workspace()),
-		zap.Int64("cost", f.c.Cost()), zap.Float64("level", v.Level), zap.Duration("wait", v.Wait))
+		zap.Int64("cost", f.c.Cost()), zap.Int64("used", v.Before), zap.Float64("allowed", v.Allowed),
+		zap.Float64("rate", f.c.Workspace.Rate), zap.Float64("burst", f.c.Workspace.Burst), zap.Duration("wait", v.Wait))
 	return fault.New(fault.OverPlan, "retry after the stated time or ask for a larger plan", "the workspace is over its plan",
 		fault.WithRetryAfter(max(v.Wait, minPlanWait)))
 }
--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -52,7 +52,13 @@
 	return out
 }
 
-func (s *Service) onWork(_ context.Context, from ident.VM, m *workChange) (*nothing, error) {
+func (s *Service) onChanges(_ context.Context, from ident.VM, m *changes) (*nothing, error) {
+	s.mu.Lock()
+	admitted := s.roster.spent(from, m.From, m.Used)
+	s.mu.Unlock()
+	for workspace, tokens := range admitted {
+		s.opts.Plans.Heard(workspace, tokens)
+	}
 	for _, w := range m.Work {
 		s.opts.Work.HeardWork(from, m.Seq, w.id(), w.Work)
 	}
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -58,13 +58,15 @@
 	Versions []uint64
 }
 
-// workChange tells changes of what a VM holds.
-type workChange struct {
+// changes tells what changed of what a VM holds and has admitted.
+type changes struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
+	From netip.AddrPort
 	Seq  uint64
 	Work []endpointWork
+	Used []use
 }
 
 // deadEndpoint tells that a VM found an endpoint dead.
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -85,9 +85,14 @@
 		c.replaced = p.member.VM
 		p.used = map[string]int64{}
 	}
+	if !p.everHeard {
+		c.joined = true
+	}
 	c.returned = p.silent
 	p.member, p.heard, p.everHeard, p.silent = b.From, now, true, false
-	c.admitted = p.draw(b.Used)
+	if c.admitted = p.draw(b.Used); c.joined || !c.replaced.IsZero() {
+		c.admitted = nil // what a life admitted before it was known here has long refilled
+	}
 	if b.Leaving {
 		r.ended[b.From.VM] = now
 		delete(r.peers, b.From.Address)
@@ -96,7 +101,9 @@
 	return c
 }
 
-// draw gives what was admitted since the last heartbeat.
+// draw gives what was admitted since the VM last told. Messages of one VM arrive in order on
+// its connection; after a new connection an older one may come late and is put right by the
+// next heartbeat.
 func (p *peerState) draw(used []use) map[string]int64 {
 	out := map[string]int64{}
 	for _, u := range used {
@@ -108,6 +115,15 @@
 	return out
 }
 
+// spent takes over what a VM has admitted, between heartbeats.
+func (r *roster) spent(vm ident.VM, from netip.AddrPort, used []use) map[string]int64 {
+	p := r.peers[from]
+	if p == nil || p.member.VM != vm {
+		return nil
+	}
+	return p.draw(used)
+}
+
 // pass marks VMs that fell silent or are gone.
 func (r *roster) pass(now clock.Instant) (silent, gone []Member) {
 	for addr, p := range r.peers {
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -68,14 +68,15 @@
 // Service sends and takes the messages.
 type Service struct {
 	opts Options
-	// changes holds work that is to be told; see Changed.
-	changes chan struct{}
+	// changed wakes the teller of what is pending.
+	changed chan struct{}
 	dead    chan traffic.EndpointID
 
 	mu      sync.Mutex
 	roster  *roster
-	pending workChange
-	index   map[traffic.EndpointID]int
+	pending map[traffic.EndpointID]schedule.Work
+	seq     uint64
+	spent   map[string]int64
 	lines   map[netip.AddrPort]*line
 	leaving bool
 	asking  map[int]bool
@@ -100,31 +101,37 @@
 // New makes a Service and registers its handlers.
 func New(o Options) *Service {
 	s := &Service{
-		opts: o, changes: make(chan struct{}, 1), dead: make(chan traffic.EndpointID, deadBacklog),
-		roster: newRoster(o.Self), index: map[traffic.EndpointID]int{}, lines: map[netip.AddrPort]*line{}, asking: map[int]bool{},
+		opts: o, changed: make(chan struct{}, 1), dead: make(chan traffic.EndpointID, deadBacklog),
+		roster: newRoster(o.Self), pending: map[traffic.EndpointID]schedule.Work{}, spent: map[string]int64{}, lines: map[netip.AddrPort]*line{}, asking: map[int]bool{},
 	}
 	peer.Handle(o.Transport, peer.KindBeat, s.onBeat)
-	peer.Handle(o.Transport, peer.KindWork, s.onWork)
+	peer.Handle(o.Transport, peer.KindWork, s.onChanges)
 	peer.Handle(o.Transport, peer.KindDead, s.onDead)
 	peer.Handle(o.Transport, peer.KindDocument, s.onAsk)
 	return s
 }
 
-// Changed notes work that is to be told to the others. A later change of an endpoint takes the
-// place of one not told yet, so nothing grows while the others cannot be reached.
-func (s *Service) Changed(seq uint64, id traffic.EndpointID, w schedule.Work) {
+// WorkChanged notes what this VM now holds at an endpoint, to be told to the others. A later
+// change takes the place of one not told yet, so nothing grows while they cannot be reached.
+func (s *Service) WorkChanged(seq uint64, id traffic.EndpointID, w schedule.Work) {
 	s.mu.Lock()
-	s.pending.Seq = max(s.pending.Seq, seq)
-	entry := endpointWork{Name: id.Name, Born: id.Born, Work: w}
-	if i, ok := s.index[id]; ok {
-		s.pending.Work[i] = entry
-	} else {
-		s.index[id] = len(s.pending.Work)
-		s.pending.Work = append(s.pending.Work, entry)
-	}
+	s.seq = max(s.seq, seq)
+	s.pending[id] = w
+	s.mu.Unlock()
+	s.wake()
+}
+
+// Admitted notes what this VM has admitted for a workspace since it started.
+func (s *Service) Admitted(workspace string, tokens int64) {
+	s.mu.Lock()
+	s.spent[workspace] = tokens
 	s.mu.Unlock()
+	s.wake()
+}
+
+func (s *Service) wake() {
 	select {
-	case s.changes <- struct{}{}:
+	case s.changed <- struct{}{}:
 	default:
 	}
 }
@@ -159,25 +166,25 @@
 	}
 }
 
-// find enters this VM, then looks for others now and then.
+// find enters this VM, then looks for others. As each VM enters before it looks, of any two
+// the later one finds the earlier, and its heartbeat makes it known there.
 func (s *Service) find(ctx context.Context) {
 	registered := false
 	for {
 		wait := registryPeriod
+		if !registered {
+			err := s.opts.Registry.Register(ctx, s.opts.Self)
+			if registered = err == nil; !registered {
+				s.opts.Log.Warn("not registered", zap.Error(err))
+				wait = registryRetry
+			}
+		}
 		if members, err := s.opts.Registry.Members(ctx); err != nil {
 			s.opts.Log.Warn("members not read", zap.Error(err))
 			wait = registryRetry
 		} else {
 			s.take(members)
 		}
-		if !registered {
-			if err := s.opts.Registry.Register(ctx, s.opts.Self); err != nil {
-				s.opts.Log.Warn("not registered", zap.Error(err))
-				wait = registryRetry
-			} else {
-				registered = true
-			}
-		}
 		select {
 		case <-ctx.Done():
 			return
@@ -235,12 +242,8 @@
 // beat sends a heartbeat to all others.
 func (s *Service) beat() {
 	seq, held := s.opts.Work.Held()
-	b := beat{From: s.opts.Self, Seq: seq, Versions: s.opts.Documents.Versions()}
-	for id, w := range held {
-		b.Work = append(b.Work, endpointWork{Name: id.Name, Born: id.Born, Work: w})
-	}
-	for name, tokens := range s.opts.Plans.Used() {
-		b.Used = append(b.Used, use{Workspace: name, Tokens: tokens})
+	b := beat{
+		From: s.opts.Self, Seq: seq, Work: endpointWorks(held), Used: uses(s.opts.Plans.Used()), Versions: s.opts.Documents.Versions(),
 	}
 	s.mu.Lock()
 	b.Leaving = s.leaving
@@ -255,20 +258,39 @@
 			return
 		case id := <-s.dead:
 			broadcast(s, peer.KindDead, &deadEndpoint{Name: id.Name, Born: id.Born})
-		case <-s.changes:
+		case <-s.changed:
 			time.Sleep(gatherTime)
-			s.mu.Lock()
-			out := s.pending
-			s.pending = workChange{}
-			clear(s.index)
-			s.mu.Unlock()
-			if len(out.Work) > 0 {
-				broadcast(s, peer.KindWork, &out)
-			}
+			out := s.takeChanges()
+			broadcast(s, peer.KindWork, &out)
 		}
 	}
 }
 
+func (s *Service) takeChanges() changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := changes{From: s.opts.Self.Address, Seq: s.seq, Work: endpointWorks(s.pending), Used: uses(s.spent)}
+	clear(s.pending)
+	clear(s.spent)
+	return out
+}
+
+func endpointWorks(held map[traffic.EndpointID]schedule.Work) []endpointWork {
+	var out []endpointWork
+	for id, w := range held {
+		out = append(out, endpointWork{Name: id.Name, Born: id.Born, Work: w})
+	}
+	return out
+}
+
+func uses(used map[string]int64) []use {
+	var out []use
+	for name, tokens := range used {
+		out = append(out, use{Workspace: name, Tokens: tokens})
+	}
+	return out
+}
+
 // broadcast hands a message to the lines of all known VMs.
 func broadcast[Msg any](s *Service, kind peer.Kind, msg *Msg) {
 	body, err := peer.Encode(msg)
