--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -73,6 +73,9 @@
 
 // compare asks for documents of which the sender of a heartbeat has a newer version.
 func (s *Service) compare(b *beat) {
+	if n := len(b.Versions); n > 0 {
+		s.opts.Documents.Confirm(b.Versions[n-1], b.Age)
+	}
 	for i, version := range b.Versions {
 		if !s.opts.Documents.Wants(i, version) {
 			continue
@@ -98,7 +101,7 @@
 	ask := &documentAsk{Document: document, Than: s.opts.Documents.Versions()[document]}
 	a, err := peer.Call[documentAsk, documentAnswer](ctx, s.opts.Transport, addr, peer.KindDocument, ask)
 	if err == nil && a.Body != nil {
-		err = s.opts.Documents.Offer(document, a.Version, a.Body, vm.Name)
+		err = s.opts.Documents.Offer(document, a.Body, vm.Name)
 	}
 	if err != nil {
 		s.opts.Log.Warn("document not fetched", zap.Int("document", document), zap.Stringer("vm", vm), zap.Error(err))
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/schedule"
@@ -56,6 +57,8 @@
 	Used []use
 	// Versions of the documents that the sender has, in the order of Documents.
 	Versions []uint64
+	// Age is the time since they are known to have been the store's newest.
+	Age time.Duration
 }
 
 // changes tells what changed of what a VM holds and has admitted.
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -164,3 +164,14 @@
 	}
 	return known, heard
 }
+
+// rank gives the number of heard VMs whose address comes before this one's.
+func (r *roster) rank() int {
+	n := 0
+	for addr, p := range r.peers {
+		if !p.silent && addr.Compare(r.self.Address) < 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -50,7 +50,11 @@
 	// Body encodes a document.
 	Body(document int) (version uint64, body []byte, err error)
 	// Offer takes a document that another VM has.
-	Offer(document int, version uint64, body []byte, from string) error
+	Offer(document int, body []byte, from string) error
+	// Age is the time since the documents are known to have been the store's newest.
+	Age() time.Duration
+	// Confirm takes over that the store held a version of the last document at an age.
+	Confirm(version uint64, age time.Duration)
 }
 
 // Options configure a Service.
@@ -205,6 +209,13 @@
 	}
 }
 
+// Rank gives the number of heard VMs whose address comes before this one's.
+func (s *Service) Rank() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.rank()
+}
+
 func (s *Service) beatLoop(ctx context.Context) {
 	for {
 		s.mu.Lock()
@@ -244,6 +255,7 @@
 	seq, held := s.opts.Work.Held()
 	b := beat{
 		From: s.opts.Self, Seq: seq, Work: endpointWorks(held), Used: uses(s.opts.Plans.Used()), Versions: s.opts.Documents.Versions(),
+		Age: s.opts.Documents.Age(),
 	}
 	s.mu.Lock()
 	b.Leaving = s.leaving
--- /dev/null
+++ b/internal/inforce/follow.go
@@ -0,0 +1,110 @@
+package inforce
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// Source reads the store.
+type Source interface {
+	// Endpoints gives the table of endpoints. Its version grows with every change in the store,
+	// of whatever object.
+	Endpoints(ctx context.Context) (traffic.Endpoints, error)
+	// Configuration gives the configuration as operators wrote it.
+	Configuration(ctx context.Context) ([]byte, error)
+}
+
+const (
+	// readAge is the age of what is known of the store from which the first VM reads it again.
+	// With a heartbeat to the others it stays well under the time in which a leaving endpoint
+	// may still be sent calls.
+	readAge = 700 * time.Millisecond
+	// rankAge is added for each VM that comes before, so that the next one reads where the
+	// first is gone or cut off; maxRank bounds the sum.
+	rankAge = 150 * time.Millisecond
+	maxRank = 4
+	// minRetry is the least pause after a failed read; up to as much is added at random.
+	minRetry = 250 * time.Millisecond
+	// followPoll bounds the time between looks at the age.
+	followPoll = 100 * time.Millisecond
+)
+
+// Due gives the age from which a VM reads the store, by its rank among those that are heard.
+func Due(rank int) time.Duration { return readAge + rankAge*time.Duration(min(rank, maxRank)) }
+
+// Follower keeps a Keeper up to date. Of all VMs that hear each other one reads the store; the
+// others learn from it what it read and when, and read for themselves once that is too old.
+type Follower struct {
+	Keeper *Keeper
+	Source Source
+	// Rank gives the number of heard VMs that read before this one.
+	Rank func() int
+	Log  *zap.Logger
+
+	lost bool
+	// read is the store's version for which the configuration was read.
+	read uint64
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := followPoll
+		if left := Due(f.Rank()) - f.Keeper.Age(); left <= 0 {
+			err := f.step(ctx)
+			f.note(err)
+			if err != nil {
+				pause = minRetry*time.Duration(1+min(f.Rank(), maxRank)) + rand.N(minRetry)
+			}
+		} else {
+			pause = min(pause, left)
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// step reads the table, and the configuration where the store has changed.
+func (f *Follower) step(ctx context.Context) error {
+	asked := f.Keeper.opts.Clock.Now()
+	e, err := f.Source.Endpoints(ctx)
+	if err != nil {
+		return err
+	}
+	if e.Version != f.read || f.Keeper.Configuration() == nil {
+		raw, err := f.Source.Configuration(ctx)
+		if err != nil {
+			return err
+		}
+		if err := f.Keeper.OfferConfiguration(raw, "store"); err != nil {
+			f.Log.Error("configuration passed over", zap.Uint64("table", e.Version), zap.Error(err))
+		}
+		f.read = e.Version
+	}
+	f.Keeper.OfferEndpoints(e, asked, "store")
+	return nil
+}
+
+// note logs when the store is lost and regained.
+func (f *Follower) note(err error) {
+	switch {
+	case err != nil && !f.lost:
+		f.Log.Warn("store lost", zap.Duration("age", f.Keeper.Age()), zap.Error(err))
+	case err == nil && f.lost:
+		f.Log.Info("store read again")
+	}
+	f.lost = err != nil
+}
--- a/internal/inforce/keeper.go
+++ b/internal/inforce/keeper.go
@@ -45,10 +45,13 @@
 	raw       []byte
 	endpoints traffic.Endpoints
 	known     bool
-	// read is when the store's table was last read by this VM, or by the one that handed it on.
-	read clock.Instant
+	// asOf is the latest instant at which the store is known to have held this table, read by
+	// this VM or by another.
+	asOf clock.Instant
 	// keepUntil is set after an outage of the store: until then no endpoint is dropped.
 	keepUntil clock.Instant
+	// kept is set while the table holds endpoints that the store did not.
+	kept bool
 }
 
 // New makes a Keeper that knows nothing yet.
@@ -84,25 +87,59 @@
 	return nil
 }
 
-// OfferEndpoints takes over a table that was just read from the store.
-func (k *Keeper) OfferEndpoints(e traffic.Endpoints, from string) {
+// OfferEndpoints takes over a table that was read from the store at asOf.
+func (k *Keeper) OfferEndpoints(e traffic.Endpoints, asOf clock.Instant, from string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.offer(e, asOf, from)
+}
+
+func (k *Keeper) offer(e traffic.Endpoints, asOf clock.Instant, from string) {
 	now := k.opts.Clock.Now()
 	if k.known && e.Version < k.endpoints.Version {
 		return
 	}
-	if k.known && now.Sub(k.read) > k.opts.Lapse {
+	if k.known && asOf.Sub(k.asOf) > k.opts.Lapse {
 		k.keepUntil = now.Add(k.opts.Back)
-		k.opts.Log.Info("store regained", zap.Duration("away", now.Sub(k.read)), zap.Duration("keeps_endpoints", k.opts.Back))
+		k.opts.Log.Info("store regained", zap.Duration("away", asOf.Sub(k.asOf)), zap.Duration("keeps_endpoints", k.opts.Back))
 	}
-	k.read = now
-	if now.Before(k.keepUntil) {
+	k.asOf = max(k.asOf, asOf)
+	keeps := now.Before(k.keepUntil)
+	if k.known && e.Version == k.endpoints.Version && !keeps && !k.kept {
+		return
+	}
+	if k.kept = keeps; keeps {
 		e.List = withMissing(e.List, k.endpoints.List)
 	}
 	k.set(e, from)
 }
 
+// Age is the time since the store is known to have held this table.
+func (k *Keeper) Age() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.age()
+}
+
+// never is the age of a table that was never read.
+const never = time.Hour
+
+func (k *Keeper) age() time.Duration {
+	if !k.known {
+		return never
+	}
+	return k.opts.Clock.Now().Sub(k.asOf)
+}
+
+// Confirm takes over that another VM knows the store to have held this version at asOf.
+func (k *Keeper) Confirm(version uint64, age time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.known && version == k.endpoints.Version && !k.kept {
+		k.asOf = max(k.asOf, k.opts.Clock.Now().Add(-age))
+	}
+}
+
 // withMissing adds the endpoints of former that list lacks.
 func withMissing(list, former []traffic.Endpoint) []traffic.Endpoint {
 	has := map[string]bool{}
@@ -143,8 +180,12 @@
 	}
 }
 
-// staleAfter is the age from which a table is better taken from another VM.
-const staleAfter = 1500 * time.Millisecond
+// handedTable is the table as VMs hand it to each other.
+type handedTable struct {
+	Table traffic.Endpoints
+	// Age is the time since the store is known to have held it.
+	Age time.Duration
+}
 
 // Versions gives the versions of the documents.
 func (k *Keeper) Versions() []uint64 {
@@ -167,7 +208,7 @@
 		c := k.config.Load()
 		return version > 0 && (c == nil || version > c.Version)
 	case DocumentEndpoints:
-		return version > k.endpoints.Version && (!k.known || k.opts.Clock.Now().Sub(k.read) > staleAfter)
+		return version > k.endpoints.Version
 	}
 	return false
 }
@@ -183,7 +224,7 @@
 		}
 	case DocumentEndpoints:
 		if k.known {
-			body, err := msgpack.Marshal(k.endpoints)
+			body, err := msgpack.Marshal(&handedTable{Table: k.endpoints, Age: k.age()})
 			return k.endpoints.Version, body, fault.Wrap(err, fault.Internal, "report this", "encode the table of endpoints")
 		}
 	}
@@ -191,21 +232,16 @@
 }
 
 // Offer takes a document that another VM has.
-func (k *Keeper) Offer(document int, version uint64, body []byte, from string) error {
+func (k *Keeper) Offer(document int, body []byte, from string) error {
 	switch document {
 	case DocumentConfiguration:
 		return k.OfferConfiguration(body, from)
 	case DocumentEndpoints:
-		var e traffic.Endpoints
-		if err := msgpack.Unmarshal(body, &e); err != nil {
+		var h handedTable
+		if err := msgpack.Unmarshal(body, &h); err != nil {
 			return fault.Wrap(err, fault.Malformed, "run the same release on all VMs", "decode the table of endpoints")
 		}
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		if !k.known || version > k.endpoints.Version {
-			k.read = k.opts.Clock.Now()
-			k.set(e, from)
-		}
+		k.OfferEndpoints(h.Table, k.opts.Clock.Now().Add(-h.Age), from)
 	}
 	return nil
 }
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -38,7 +38,6 @@
 	// dead counts dead outcomes in a row.
 	dead  int
 	until clock.Instant
-	since clock.Instant
 }
 
 func (h *health) rate(now clock.Instant) float64 {
@@ -49,7 +48,7 @@
 	was := h.rate(now)
 	h.judged = now
 	if o == Good {
-		h.failing, h.dead, h.until = was*(1-failStep), 0, 0
+		h.failing, h.dead = was*(1-failStep), 0
 		return
 	}
 	h.failing = was + (1-was)*failStep
@@ -59,22 +58,9 @@
 	if now.Before(h.until) {
 		return // one fault seen by several calls
 	}
-	h.since = now
 	h.until = now.Add(min(maxEjection, minEjection<<min(h.dead, 8)))
 	h.dead++
 }
 
-// ejected reports whether the endpoint is to be left alone. A heartbeat that came well after
-// the failure ends the ejection, a missing one prolongs it.
-func (h *health) ejected(now, beat clock.Instant) bool {
-	if h.dead == 0 {
-		return false
-	}
-	if beat.Sub(h.since) > beatLag {
-		return false
-	}
-	return now.Before(h.until) || now.Sub(h.since) < maxEjection && beat.Before(h.since)
-}
-
-// beatLag is how much older than its arrival a heartbeat may be.
-const beatLag = 1500 * time.Millisecond
+// ejected reports whether the endpoint is to be left alone.
+func (h *health) ejected(now clock.Instant) bool { return h.dead > 0 && now.Before(h.until) }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -56,7 +56,7 @@
 func (s *Scheduler) Update(eps traffic.Endpoints, services map[string]*traffic.Service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.update(s.opts.Clock.Now(), eps, services)
+	s.table.update(eps, services)
 	s.wake()
 }
 
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -48,10 +48,6 @@
 	failCost = 600 * time.Millisecond
 	// onceFailFactor raises it for calls that a failure loses.
 	onceFailFactor = 3
-	// silentCost is what an endpoint costs whose heartbeats have stopped.
-	silentCost = 400 * time.Millisecond
-	// silentAfter is the age of the last heartbeat from which an endpoint counts as silent.
-	silentAfter = 3 * time.Second
 	// reportAge is how long a stated load counts.
 	reportAge = 300 * time.Millisecond
 )
@@ -85,9 +81,6 @@
 	if a.Once {
 		cost *= onceFailFactor
 	}
-	if now.Sub(s.beat) > silentAfter {
-		cost += silentCost
-	}
 	return cost
 }
 
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -40,8 +40,6 @@
 	// reported is the load that the endpoint stated, at reportedAt.
 	reported   int
 	reportedAt clock.Instant
-	// beat is when the store's entry last changed.
-	beat clock.Instant
 	// fullUntil is set when the endpoint refused a call for lack of room.
 	fullUntil clock.Instant
 }
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -31,7 +31,7 @@
 }
 
 // update takes over a table of endpoints and the figures of their services.
-func (t *table) update(now clock.Instant, eps traffic.Endpoints, services map[string]*traffic.Service) {
+func (t *table) update(eps traffic.Endpoints, services map[string]*traffic.Service) {
 	former := t.states
 	t.version = eps.Version
 	t.states = make(map[traffic.EndpointID]*state, len(eps.List))
@@ -39,13 +39,11 @@
 	for _, e := range eps.List {
 		s := former[e.ID]
 		if s == nil {
-			s = &state{others: t.early[e.ID], rate: initialRate, beat: now}
+			s = &state{others: t.early[e.ID], rate: initialRate}
 			if s.others == nil {
 				s.others = map[ident.VM]told{}
 			}
 			delete(t.early, e.ID)
-		} else if s.Version != e.Version {
-			s.beat = now
 		}
 		s.Endpoint = e
 		s.engine = nil
@@ -181,7 +179,7 @@
 			continue
 		}
 		usable = append(usable, s)
-		if !s.health.ejected(now, s.beat) {
+		if !s.health.ejected(now) {
 			sound = append(sound, s)
 		}
 	}
