Claims of half the guessed output

Cause: calls claimed prompt and most output for their whole time; engines were full on paper only. Change: a claim is the prompt and half of the output that the caller guesses.

--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -86,7 +86,15 @@
 // memoryBlock is the unit in which engines give out memory, in tokens.
 const memoryBlock = 16
 
-// decodeNeed is the memory that a generation takes while it decodes, in tokens.
+// guessedPart stands for the part of the most output that calls make where they do not guess.
+const guessedPart = 0.4
+
+// decodeNeed is the memory that a generation takes while it decodes, in tokens: its prompt and
+// half of what it will make, as the calls of an engine are at all points of their answers.
 func decodeNeed(t traffic.Tokens) int64 {
-	return (t.Prompt + t.Output + 2*memoryBlock - 1) / memoryBlock * memoryBlock
+	expected := t.Expected
+	if expected <= 0 {
+		expected = int64(guessedPart * float64(t.Output))
+	}
+	return (t.Prompt + min(expected, t.Output)/2 + memoryBlock - 1) / memoryBlock * memoryBlock
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -100,6 +100,8 @@
 type Tokens struct {
 	// Prompt is the number of tokens to read, Output the most tokens to make.
 	Prompt, Output int64
+	// Expected is the caller's guess of the tokens to make, often far off; 0 for none.
+	Expected int64
 }
 
 // Call is one attempt of a caller.
