A refusal shows work that nobody told of

Cause: VMs behind a cut hear no claims; each engine that refused was tried again 60 ms later. Change: a refusal fills the engine's memory on paper, fading over 1.2 s.

--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -165,7 +165,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.table.states[c.Endpoint.ID]; e != nil {
-		e.fullUntil = s.opts.Clock.Now().Add(fullPause)
+		e.refused(s.opts.Clock.Now())
 	}
 }
 
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -14,13 +14,10 @@
 
 // fits reports whether an endpoint has room for an ask.
 func fits(now clock.Instant, s *state, a *Ask) bool {
-	if now.Before(s.fullUntil) {
+	if s.Slots > 0 && s.load(now).Calls >= s.Slots+queued(s) {
 		return false
 	}
-	if s.Slots > 0 && s.total().Calls >= s.Slots+queued(s) {
-		return false
-	}
-	return a.Stage != traffic.Decode || a.Tokens == nil || decodeNeed(*a.Tokens) <= s.room()
+	return a.Stage != traffic.Decode || a.Tokens == nil || decodeNeed(*a.Tokens) <= s.room(now)
 }
 
 // queued is the number of calls beyond its slots that an endpoint may be given. Calls to plain
@@ -59,7 +56,7 @@
 	case traffic.Prefill:
 		return cost + s.readTime(a.work().Tokens) + t.distance(s, a, farPrefillCost)
 	case traffic.Decode:
-		return cost + memoryScore(s, a) + t.distance(s, a, farDecodeCost)
+		return cost + memoryScore(now, s, a) + t.distance(s, a, farDecodeCost)
 	default:
 		return cost + busyScore(now, s) + t.distance(s, a, farCost)
 	}
@@ -84,11 +81,11 @@
 	return cost
 }
 
-func memoryScore(s *state, a *Ask) time.Duration {
+func memoryScore(now clock.Instant, s *state, a *Ask) time.Duration {
 	if s.engine == nil || s.engine.Capacity <= 0 {
 		return time.Duration(s.total().Calls) * time.Millisecond
 	}
-	part := float64(s.total().Tokens+a.work().Tokens) / float64(s.engine.Capacity)
+	part := float64(s.load(now).Tokens+a.work().Tokens) / float64(s.engine.Capacity)
 	return time.Duration(part * part * float64(memoryCost))
 }
 
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -40,8 +40,9 @@
 	// reported is the load that the endpoint stated, at reportedAt.
 	reported   int
 	reportedAt clock.Instant
-	// fullUntil is set when the endpoint refused a call for lack of room.
-	fullUntil clock.Instant
+	// unseen is work that a refusal for lack of room showed, beyond what was told; it fades.
+	unseen   Work
+	unseenAt clock.Instant
 }
 
 type told struct {
@@ -72,17 +73,37 @@
 	return time.Duration(float64(s.total().Tokens+prompt) / max(s.rate, minRate) * float64(time.Second))
 }
 
+// unseenTime is how long a refusal counts; work that nobody told of goes on for about as long.
+const unseenTime = 1200 * time.Millisecond
+
+// load is the work of all VMs, and what refusals showed besides.
+func (s *state) load(now clock.Instant) Work {
+	w := s.total()
+	left := 1 - float64(now.Sub(s.unseenAt))/float64(unseenTime)
+	if left <= 0 {
+		return w
+	}
+	return w.plus(Work{Calls: int(left * float64(s.unseen.Calls)), Tokens: int64(left * float64(s.unseen.Tokens))})
+}
+
+// refused notes that the endpoint had no room for a call that was counted in already.
+func (s *state) refused(now clock.Instant) {
+	known := s.total()
+	s.unseenAt = now
+	s.unseen = Work{Calls: max(0, s.Slots+queued(s)-known.Calls+1)}
+	if s.engine != nil {
+		s.unseen = Work{Tokens: max(0, s.engine.Capacity-known.Tokens+1)}
+	}
+}
+
 // room gives the tokens of memory that are free for decoding.
-func (s *state) room() int64 {
+func (s *state) room(now clock.Instant) int64 {
 	if s.engine == nil || s.engine.Capacity <= 0 {
 		return 1 << 40
 	}
-	return s.engine.Capacity - s.total().Tokens
+	return s.engine.Capacity - s.load(now).Tokens
 }
 
-// fullPause is how long an endpoint that refused a call for lack of room is left alone.
-const fullPause = 60 * time.Millisecond
-
 // memoryBlock is the unit in which engines give out memory, in tokens.
 const memoryBlock = 16
 
