A lower plan counts from when it is in force everywhere

Change: the fade from the former plan begins after the time in which configurations come into force.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -23,13 +23,13 @@
 }
 
 // NewGate makes a Gate for a fleet of which vms VMs are taken to be up. Plans are counted over
-// planWindow. admitted is told what
+// planWindow; a lower one begins to count after notice. admitted is told what
 // this VM has admitted for a workspace since it started; it must not block and may be nil.
-func NewGate(c clock.Clock, b RetryBudget, planWindow time.Duration, vms int, admitted func(workspace string, tokens int64)) *Gate {
+func NewGate(c clock.Clock, b RetryBudget, planWindow, notice time.Duration, vms int, admitted func(workspace string, tokens int64)) *Gate {
 	if admitted == nil {
 		admitted = func(string, int64) {}
 	}
-	g := &Gate{clock: c, admitted: admitted, plans: NewPlans(planWindow), retries: NewRetries(b)}
+	g := &Gate{clock: c, admitted: admitted, plans: NewPlans(planWindow, notice), retries: NewRetries(b)}
 	g.vms.Store(int32(vms))
 	return g
 }
@@ -46,7 +46,7 @@
 	g.vms.Store(int32(max(1, known)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.plans.SetShare(float64(max(1, heard))/float64(max(1, known, heard)))
+	g.plans.SetShare(float64(max(1, heard)) / float64(max(1, known, heard)))
 }
 
 // Admit draws a call's cost from its workspace's plan.
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -35,15 +35,18 @@
 
 // Plans holds an account for each workspace. It is not safe for use by many goroutines.
 type Plans struct {
-	window   time.Duration
+	window time.Duration
+	// notice is how long after it was learnt a lower plan begins to count.
+	notice   time.Duration
 	accounts map[string]*account
 	// share is the part of each plan that this side of a cut may use.
 	share float64
 }
 
-// NewPlans makes Plans that are counted over a window.
-func NewPlans(window time.Duration) *Plans {
-	return &Plans{window: window, accounts: map[string]*account{}, share: 1}
+// NewPlans makes Plans that are counted over a window. notice is the time in which a change
+// comes into force on all VMs; a lower plan begins to count when it is over.
+func NewPlans(window, notice time.Duration) *Plans {
+	return &Plans{window: window, notice: notice, accounts: map[string]*account{}, share: 1}
 }
 
 // SetShare states which part of the VMs this one hears, itself counted. The rest may be
@@ -58,7 +61,7 @@
 	}
 	p.advance(a, now)
 	if a.limit != l {
-		a.former, a.loweredAt = p.allowed(a, now), now
+		a.former, a.loweredAt = p.allowed(a, now), now.Add(p.notice)
 		a.limit = l
 	}
 	return a
@@ -91,7 +94,7 @@
 // the lowering of a plan allows a part of both.
 func (p *Plans) allowed(a *account, now clock.Instant) float64 {
 	allowed := p.full(a.limit)
-	if since := now.Sub(a.loweredAt); since < p.window && a.former > allowed {
+	if since := max(0, now.Sub(a.loweredAt)); since < p.window && a.former > allowed {
 		allowed += (a.former - allowed) * (1 - float64(since)/float64(p.window))
 	}
 	return allowed
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -54,7 +54,7 @@
 	cost := failScore(now, s, a)
 	switch a.Stage {
 	case traffic.Prefill:
-		return cost + s.readTime(a.work().Tokens) + t.distance(s, a, farPrefillCost)
+		return cost + s.readTime(now, a.work().Tokens) + t.distance(s, a, farPrefillCost)
 	case traffic.Decode:
 		return cost + memoryScore(now, s, a) + t.distance(s, a, farDecodeCost)
 	default:
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -69,8 +69,8 @@
 )
 
 // readTime predicts how long the reading of a prompt takes, the queue before it counted.
-func (s *state) readTime(prompt int64) time.Duration {
-	return time.Duration(float64(s.total().Tokens+prompt) / max(s.rate, minRate) * float64(time.Second))
+func (s *state) readTime(now clock.Instant, prompt int64) time.Duration {
+	return time.Duration(float64(s.load(now).Tokens+prompt) / max(s.rate, minRate) * float64(time.Second))
 }
 
 // unseenTime is how long a refusal counts; work that nobody told of goes on for about as long.
