In a large fleet VMs of other data centres are told less

Change: from 24 others on, work and admissions go at once only within the data centre; others get a slim heartbeat each 1.5 s, and what they admit is foreseen. A new life counts plans from its start. Each data centre has its own reader of the store.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -29,7 +29,7 @@
 	if admitted == nil {
 		admitted = func(string, int64) {}
 	}
-	g := &Gate{clock: c, admitted: admitted, plans: NewPlans(planWindow, notice), retries: NewRetries(b)}
+	g := &Gate{clock: c, admitted: admitted, plans: NewPlans(c.Now(), planWindow, notice), retries: NewRetries(b)}
 	g.vms.Store(int32(vms))
 	return g
 }
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -39,14 +39,16 @@
 	// notice is how long after it was learnt a lower plan begins to count.
 	notice   time.Duration
 	accounts map[string]*account
+	// started is when this VM began to hear what is used; what was before, it does not know.
+	started clock.Instant
 	// share is the part of each plan that this side of a cut may use.
 	share float64
 }
 
 // NewPlans makes Plans that are counted over a window. notice is the time in which a change
 // comes into force on all VMs; a lower plan begins to count when it is over.
-func NewPlans(window, notice time.Duration) *Plans {
-	return &Plans{window: window, notice: notice, accounts: map[string]*account{}, share: 1}
+func NewPlans(now clock.Instant, window, notice time.Duration) *Plans {
+	return &Plans{started: now, window: window, notice: notice, accounts: map[string]*account{}, share: 1}
 }
 
 // SetShare states which part of the VMs this one hears, itself counted. The rest may be
@@ -87,13 +89,17 @@
 	a.sum += tokens
 }
 
-// full is what a plan allows in a whole window, in tokens.
-func (p *Plans) full(l Limit) float64 { return l.Rate*(p.window-p.binTime()).Seconds() + l.Burst }
+// full is what a plan allows in a whole window, in tokens. After its start a VM takes the plan
+// to have been used at its rate before.
+func (p *Plans) full(now clock.Instant, l Limit) float64 {
+	counted := min(p.window-p.binTime(), now.Sub(p.started))
+	return l.Rate*counted.Seconds() + l.Burst
+}
 
 // allowed is what a plan allows in the window that ends now, in tokens. A window that spans
 // the lowering of a plan allows a part of both.
 func (p *Plans) allowed(a *account, now clock.Instant) float64 {
-	allowed := p.full(a.limit)
+	allowed := p.full(now, a.limit)
 	if since := max(0, now.Sub(a.loweredAt)); since < p.window && a.former > allowed {
 		allowed += (a.former - allowed) * (1 - float64(since)/float64(p.window))
 	}
--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -37,10 +37,13 @@
 	for workspace, tokens := range c.admitted {
 		s.opts.Plans.Heard(workspace, tokens)
 	}
-	if !b.Leaving {
+	if b.Leaving {
+		return nil, nil
+	}
+	if b.Near {
 		s.opts.Work.HeardAllWork(b.From.VM, b.Seq, byEndpoint(b.Work))
-		s.compare(b)
 	}
+	s.compare(b)
 	return nil, nil
 }
 
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -49,6 +49,9 @@
 	_msgpack struct{} `msgpack:",as_array"`
 
 	From Member
+	// Near: the receiver is told everything. Else Work is left out, and Used holds only what
+	// has changed.
+	Near bool
 	// Leaving VMs take no more calls.
 	Leaving bool
 	// Seq numbers the changes of Work.
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -13,10 +13,28 @@
 	silentAfter = 1200 * time.Millisecond
 	// goneAfter is how long before it counts as gone. Until then it may be serving behind a cut.
 	goneAfter = 10 * time.Second
-	// longFleet is the number of VMs from which heartbeats are sent less often.
-	longFleet = 32
+	// shortPeriod is the time between heartbeats to VMs that are told everything.
+	shortPeriod = 200 * time.Millisecond
+	// largeFleet is the number of other VMs from which those of other data centres are told
+	// less, and less often: otherwise the bytes between data centres grow with the square of
+	// the fleet.
+	largeFleet = 24
+	// farPeriod is the time between heartbeats to them.
+	farPeriod = 1500 * time.Millisecond
+	// missedPeriods is the number of heartbeats after which a VM counts as unheard.
+	missedPeriods = 4
 )
 
+// first reports whether no heard VM's address comes before this one's.
+func (r *roster) first() bool {
+	for addr, p := range r.peers {
+		if !p.silent && addr.Compare(r.self.Address) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // peerState is what is known of another VM.
 type peerState struct {
 	member Member
@@ -26,6 +44,8 @@
 	silent       bool
 	// used is what the VM had admitted by its last heartbeat.
 	used map[string]int64
+	// ahead is what it is taken to admit until its next one, for a VM that tells seldom.
+	ahead map[string]int64
 }
 
 // roster decides which VMs are up. It does no I/O.
@@ -46,7 +66,7 @@
 		if m.Address == r.self.Address || !m.Address.IsValid() || r.peers[m.Address] != nil {
 			continue
 		}
-		r.peers[m.Address] = &peerState{member: m, known: now, silent: true, used: map[string]int64{}}
+		r.peers[m.Address] = &peerState{member: m, known: now, silent: true, used: map[string]int64{}, ahead: map[string]int64{}}
 		fresh = append(fresh, m)
 	}
 	return fresh
@@ -74,7 +94,7 @@
 	p := r.peers[b.From.Address]
 	var c change
 	if p == nil {
-		p = &peerState{known: now, used: map[string]int64{}}
+		p = &peerState{known: now, used: map[string]int64{}, ahead: map[string]int64{}}
 		r.peers[b.From.Address] = p
 		c.joined = true
 	}
@@ -83,14 +103,17 @@
 			return change{late: true}
 		}
 		c.replaced = p.member.VM
-		p.used = map[string]int64{}
+		p.used, p.ahead = map[string]int64{}, map[string]int64{}
 	}
 	if !p.everHeard {
 		c.joined = true
 	}
 	c.returned = p.silent
 	p.member, p.heard, p.everHeard, p.silent = b.From, now, true, false
-	if c.admitted = p.draw(b.Used); c.joined || !c.replaced.IsZero() {
+	if c.admitted = p.draw(b.Used); !b.Near {
+		p.foresee(c.admitted)
+	}
+	if c.joined || !c.replaced.IsZero() {
 		c.admitted = nil // what a life admitted before it was known here has long refilled
 	}
 	if b.Leaving {
@@ -115,6 +138,25 @@
 	return out
 }
 
+// foresee adds to what was admitted what the VM is taken to admit until it tells again: as
+// much as since it last told.
+func (p *peerState) foresee(admitted map[string]int64) {
+	for workspace, was := range p.ahead {
+		now := admitted[workspace]
+		if admitted[workspace] = 2*now - was; now == 0 {
+			delete(p.ahead, workspace)
+		} else {
+			p.ahead[workspace] = now
+		}
+	}
+	for workspace, now := range admitted {
+		if _, known := p.ahead[workspace]; !known && now > 0 {
+			p.ahead[workspace] = now
+			admitted[workspace] = 2 * now
+		}
+	}
+}
+
 // spent takes over what a VM has admitted, between heartbeats.
 func (r *roster) spent(vm ident.VM, from netip.AddrPort, used []use) map[string]int64 {
 	p := r.peers[from]
@@ -132,7 +174,7 @@
 		case now.Sub(last) > goneAfter:
 			gone = append(gone, p.member)
 			delete(r.peers, addr)
-		case !p.silent && now.Sub(p.heard) > r.silence():
+		case !p.silent && now.Sub(p.heard) > r.silence(p):
 			p.silent = true
 			silent = append(silent, p.member)
 		}
@@ -145,13 +187,31 @@
 	return silent, gone
 }
 
-func (r *roster) silence() time.Duration { return max(silentAfter, 4*r.period()) }
+// silence is how long a VM may give no heartbeat before it counts as unheard.
+func (r *roster) silence(p *peerState) time.Duration {
+	if r.near(p) {
+		return max(silentAfter, missedPeriods*r.period())
+	}
+	return missedPeriods * farPeriod
+}
+
+func (r *roster) large() bool { return len(r.peers) >= largeFleet }
 
-// period is the time between heartbeats: longer in a large fleet, so that the work of a VM
-// grows less than the fleet does.
+// near reports whether a VM is told everything.
+func (r *roster) near(p *peerState) bool {
+	return !r.large() || p.member.DataCentre == r.self.DataCentre
+}
+
+// period is the time between heartbeats to VMs that are told everything. It grows with their
+// number, so that the work of a VM grows less than the fleet does.
 func (r *roster) period() time.Duration {
-	const short = 200 * time.Millisecond
-	return short * time.Duration(max(longFleet, len(r.peers))) / longFleet
+	told := 0
+	for _, p := range r.peers {
+		if r.near(p) {
+			told++
+		}
+	}
+	return shortPeriod * time.Duration(max(largeFleet, told)) / largeFleet
 }
 
 // counts gives the number of VMs that may be serving, and of those heard, this one in both.
@@ -165,11 +225,12 @@
 	return known, heard
 }
 
-// rank gives the number of heard VMs whose address comes before this one's.
+// rank gives the number of heard VMs that are told everything and whose address comes before
+// this one's.
 func (r *roster) rank() int {
 	n := 0
 	for addr, p := range r.peers {
-		if !p.silent && addr.Compare(r.self.Address) < 0 {
+		if !p.silent && r.near(p) && addr.Compare(r.self.Address) < 0 {
 			n++
 		}
 	}
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -83,6 +83,9 @@
 	spent   map[string]int64
 	lines   map[netip.AddrPort]*line
 	leaving bool
+	// farTold is when far VMs were last told, farUsed what they were told of plans.
+	farTold clock.Instant
+	farUsed map[string]int64
 	asking  map[int]bool
 	ctx     context.Context
 	wg      sync.WaitGroup
@@ -209,7 +212,15 @@
 	}
 }
 
-// Rank gives the number of heard VMs whose address comes before this one's.
+// First reports whether this VM comes first of all that hear each other.
+func (s *Service) First() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.first()
+}
+
+// Rank gives the number of VMs that come before this one, of those that tell each other
+// everything.
 func (s *Service) Rank() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -250,17 +261,41 @@
 	}
 }
 
-// beat sends a heartbeat to all others.
+// beat sends a heartbeat to the VMs that are told everything, and now and then to the others.
 func (s *Service) beat() {
 	seq, held := s.opts.Work.Held()
+	used := s.opts.Plans.Used()
 	b := beat{
-		From: s.opts.Self, Seq: seq, Work: endpointWorks(held), Used: uses(s.opts.Plans.Used()), Versions: s.opts.Documents.Versions(),
-		Age: s.opts.Documents.Age(),
+		From: s.opts.Self, Near: true, Seq: seq, Work: endpointWorks(held), Used: uses(used),
+		Versions: s.opts.Documents.Versions(), Age: s.opts.Documents.Age(),
 	}
 	s.mu.Lock()
 	b.Leaving = s.leaving
+	far := s.roster.large() && (b.Leaving || s.opts.Clock.Now().Sub(s.farTold) >= farPeriod)
+	var fresh []use
+	if far {
+		s.farTold = s.opts.Clock.Now()
+		fresh = s.newUses(used)
+	}
 	s.mu.Unlock()
-	broadcast(s, peer.KindBeat, &b)
+	broadcast(s, peer.KindBeat, &b, s.roster.near)
+	if far {
+		b.Near, b.Work, b.Used = false, nil, fresh
+		broadcast(s, peer.KindBeat, &b, func(p *peerState) bool { return !s.roster.near(p) })
+	}
+}
+
+// newUses gives what has changed since it was told to far VMs. A heartbeat that is lost leaves
+// a gap until the workspace is used again. s.mu is held.
+func (s *Service) newUses(used map[string]int64) []use {
+	var out []use
+	for name, tokens := range used {
+		if s.farUsed[name] != tokens {
+			out = append(out, use{Workspace: name, Tokens: tokens})
+		}
+	}
+	s.farUsed = used
+	return out
 }
 
 func (s *Service) tellChanges(ctx context.Context) {
@@ -269,11 +304,11 @@
 		case <-ctx.Done():
 			return
 		case id := <-s.dead:
-			broadcast(s, peer.KindDead, &deadEndpoint{Name: id.Name, Born: id.Born})
+			broadcast(s, peer.KindDead, &deadEndpoint{Name: id.Name, Born: id.Born}, everyone)
 		case <-s.changed:
 			time.Sleep(gatherTime)
 			out := s.takeChanges()
-			broadcast(s, peer.KindWork, &out)
+			broadcast(s, peer.KindWork, &out, s.roster.near)
 		}
 	}
 }
@@ -303,8 +338,10 @@
 	return out
 }
 
-// broadcast hands a message to the lines of all known VMs.
-func broadcast[Msg any](s *Service, kind peer.Kind, msg *Msg) {
+func everyone(*peerState) bool { return true }
+
+// broadcast hands a message to the lines of the known VMs that to picks.
+func broadcast[Msg any](s *Service, kind peer.Kind, msg *Msg, to func(*peerState) bool) {
 	body, err := peer.Encode(msg)
 	if err != nil {
 		s.opts.Log.Error("message not encoded", zap.Error(err))
@@ -315,7 +352,9 @@
 	if s.ctx == nil || s.ctx.Err() != nil {
 		return
 	}
-	for addr := range s.roster.peers {
-		s.lineTo(addr).offer(kind, body)
+	for addr, p := range s.roster.peers {
+		if to(p) {
+			s.lineTo(addr).offer(kind, body)
+		}
 	}
 }
--- a/internal/inforce/follow.go
+++ b/internal/inforce/follow.go
@@ -24,10 +24,12 @@
 	// With a heartbeat to the others it stays well under the time in which a leaving endpoint
 	// may still be sent calls.
 	readAge = 700 * time.Millisecond
-	// rankAge is added for each VM that comes before, so that the next one reads where the
-	// first is gone or cut off; maxRank bounds the sum.
-	rankAge = 150 * time.Millisecond
-	maxRank = 4
+	// standInAge is the age from which the next VM reads, where the first is gone or cut off:
+	// it leaves time for a heartbeat of the first to come. rankAge is added for each further
+	// VM; maxRank bounds the sum.
+	standInAge = 1050 * time.Millisecond
+	rankAge    = 150 * time.Millisecond
+	maxRank    = 4
 	// minRetry is the least pause after a failed read; up to as much is added at random.
 	minRetry = 250 * time.Millisecond
 	// followPoll bounds the time between looks at the age.
@@ -35,7 +37,12 @@
 )
 
 // Due gives the age from which a VM reads the store, by its rank among those that are heard.
-func Due(rank int) time.Duration { return readAge + rankAge*time.Duration(min(rank, maxRank)) }
+func Due(rank int) time.Duration {
+	if rank == 0 {
+		return readAge
+	}
+	return standInAge + rankAge*time.Duration(min(rank, maxRank)-1)
+}
 
 // Follower keeps a Keeper up to date. Of all VMs that hear each other one reads the store; the
 // others learn from it what it read and when, and read for themselves once that is too old.
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -128,7 +128,9 @@
 func (s *Scheduler) hold(e *state, w Work) {
 	e.own = w
 	s.seq++
-	s.opts.Changed(s.seq, e.ID, w)
+	if e.engine != nil { // plain endpoints tell their load with each answer
+		s.opts.Changed(s.seq, e.ID, w)
+	}
 }
 
 // Release gives the claim's room back. It may be called more than once.
