--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -15,8 +15,12 @@
 	Rate, Burst float64
 }
 
-// planBins is the number of parts of a plan's window; a part leaves it as a whole.
-const planBins = 64
+const (
+	// planParts is the number of parts of a plan's window; a part leaves it as a whole.
+	planParts = 64
+	// planBins holds one part more, so that all of any window is counted.
+	planBins = planParts + 1
+)
 
 // account is this VM's picture of what a workspace used of its plan in the window: its own
 // admissions at once, those of others as they are told.
@@ -69,7 +73,7 @@
 	return a
 }
 
-func (p *Plans) binTime() time.Duration { return p.window / planBins }
+func (p *Plans) binTime() time.Duration { return p.window / planParts }
 
 func (p *Plans) bin(now clock.Instant) int64 { return int64(now) / int64(p.binTime()) }
 
@@ -92,7 +96,7 @@
 // full is what a plan allows in a whole window, in tokens. After its start a VM takes the plan
 // to have been used at its rate before.
 func (p *Plans) full(now clock.Instant, l Limit) float64 {
-	counted := min(p.window-p.binTime(), now.Sub(p.started))
+	counted := min(p.window, now.Sub(p.started))
 	return l.Rate*counted.Seconds() + l.Burst
 }
 
--- /dev/null
+++ b/internal/admission/plan_test.go
@@ -0,0 +1,128 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+)
+
+const (
+	testWindow = 8 * time.Second
+	testNotice = 2 * time.Second
+)
+
+// longAgo is a start after which a plan's whole window is counted.
+func longAgo() clock.Instant { return clock.Instant(0) }
+
+func at(d time.Duration) clock.Instant { return clock.Instant(time.Minute + d) }
+
+// TestNoWindowExceedsThePlan checks the rule's own bound, rate times the window and the burst,
+// over every window that ends with an admission, with admissions of other VMs mixed in.
+func TestNoWindowExceedsThePlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPlans(longAgo(), testWindow, testNotice)
+		limit := Limit{Rate: float64(rapid.IntRange(100, 5000).Draw(t, "rate")), Burst: float64(rapid.IntRange(0, 20000).Draw(t, "burst"))}
+		type admitted struct {
+			at   clock.Instant
+			cost int64
+		}
+		var log []admitted
+		now := at(0)
+		for range rapid.IntRange(1, 200).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "pause")) * time.Millisecond)
+			cost := int64(rapid.IntRange(1, 9000).Draw(t, "cost"))
+			if p.Admit(now, "w", limit, cost).Admitted {
+				log = append(log, admitted{now, cost})
+			}
+			sum := int64(0)
+			for _, a := range log {
+				if now.Sub(a.at) < testWindow {
+					sum += a.cost
+				}
+			}
+			if bound := limit.Rate*testWindow.Seconds() + limit.Burst; float64(sum) > bound {
+				t.Fatalf("%d tokens in a window, the plan allows %.0f", sum, bound)
+			}
+		}
+	})
+}
+
+func TestPlanTable(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 500}
+	for _, tc := range []struct {
+		name string
+		do   func(p *Plans) bool
+		want bool
+	}{
+		{"within the plan", func(p *Plans) bool { return p.Admit(at(0), "w", limit, 8000).Admitted }, true},
+		{"over the plan", func(p *Plans) bool { return p.Admit(at(0), "w", limit, 9000).Admitted }, false},
+		{"no limit", func(p *Plans) bool { return p.Admit(at(0), "w", Limit{}, 1<<40).Admitted }, true},
+		{"what others admitted counts", func(p *Plans) bool {
+			p.Admit(at(0), "w", limit, 1)
+			p.Heard(at(0), "w", 8000)
+			return p.Admit(at(0), "w", limit, 500).Admitted
+		}, false},
+		{"what is returned is free again", func(p *Plans) bool {
+			p.Admit(at(0), "w", limit, 8000)
+			p.Return(at(0), "w", 8000)
+			return p.Admit(at(0), "w", limit, 8000).Admitted
+		}, true},
+		{"the window passes", func(p *Plans) bool {
+			p.Admit(at(0), "w", limit, 8000)
+			return p.Admit(at(testWindow+time.Second), "w", limit, 8000).Admitted
+		}, true},
+		{"a cut side keeps to its share", func(p *Plans) bool {
+			p.SetShare(0.5)
+			return p.Admit(at(0), "w", limit, 5000).Admitted
+		}, false},
+		{"a lower plan does not count before its notice", func(p *Plans) bool {
+			p.Admit(at(0), "w", limit, 6000)
+			return p.Admit(at(testNotice), "w", Limit{Rate: 100}, 1000).Admitted
+		}, true},
+		{"a lower plan counts a window later", func(p *Plans) bool {
+			p.Admit(at(0), "w", limit, 1)
+			p.Admit(at(time.Second), "w", Limit{Rate: 100}, 1)
+			return p.Admit(at(time.Second+testNotice+testWindow), "w", Limit{Rate: 100}, 900).Admitted
+		}, false},
+		{"a higher plan counts at once", func(p *Plans) bool {
+			p.Admit(at(0), "w", Limit{Rate: 100}, 700)
+			return p.Admit(at(time.Second), "w", limit, 7000).Admitted
+		}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := tc.do(NewPlans(longAgo(), testWindow, testNotice)); got != tc.want {
+				t.Errorf("admitted %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestANewLifeTakesThePlanForUsed shows that a VM that starts anew, and knows nothing of the
+// window before, does not give the plan out a second time.
+func TestANewLifeTakesThePlanForUsed(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 500}
+	p := NewPlans(at(0), testWindow, testNotice)
+	if p.Admit(at(time.Second), "w", limit, 2000).Admitted {
+		t.Error("2000 tokens a second after the start, the plan allows 1500")
+	}
+	if !p.Admit(at(time.Second), "w", limit, 1400).Admitted {
+		t.Error("1400 tokens a second after the start were refused")
+	}
+}
+
+func TestTheWaitIsEnough(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 500}
+	p := NewPlans(longAgo(), testWindow, testNotice)
+	p.Admit(at(0), "w", limit, 4000)
+	p.Admit(at(3*time.Second), "w", limit, 4000)
+	v := p.Admit(at(4*time.Second), "w", limit, 3000)
+	if v.Admitted || v.Wait <= 0 {
+		t.Fatalf("verdict %+v", v)
+	}
+	if !p.Admit(at(4*time.Second).Add(v.Wait), "w", limit, 3000).Admitted {
+		t.Error("refused after the stated wait")
+	}
+}
--- /dev/null
+++ b/internal/exchange/roster_test.go
@@ -0,0 +1,119 @@
+package exchange
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/ident"
+)
+
+func member(n int, incarnation ident.Incarnation, dataCentre string) Member {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7600)
+	return Member{VM: ident.VM{Name: fmt.Sprint("vm-", n), Incarnation: incarnation}, Address: addr, DataCentre: dataCentre}
+}
+
+func start() clock.Instant { return clock.Instant(time.Hour) }
+
+func TestARestartedVMReplacesItsEarlierLife(t *testing.T) {
+	r := newRoster(member(1, 1, "a"))
+	r.hear(start(), &beat{From: member(2, 5, "a"), Near: true})
+	c := r.hear(start(), &beat{From: member(2, 6, "a"), Near: true, Used: []use{{Workspace: "w", Tokens: 900}}})
+	if c.replaced != (ident.VM{Name: "vm-2", Incarnation: 5}) {
+		t.Errorf("replaced %v", c.replaced)
+	}
+	if len(c.admitted) != 0 {
+		t.Errorf("what the new life admitted before it was known counts: %v", c.admitted)
+	}
+	if late := r.hear(start(), &beat{From: member(2, 5, "a"), Near: true}); !late.late {
+		t.Error("a heartbeat of the earlier life was taken")
+	}
+}
+
+func TestAVMThatLeftDoesNotComeBack(t *testing.T) {
+	r := newRoster(member(1, 1, "a"))
+	r.hear(start(), &beat{From: member(2, 5, "a"), Near: true})
+	r.hear(start(), &beat{From: member(2, 5, "a"), Near: true, Leaving: true})
+	if c := r.hear(start(), &beat{From: member(2, 5, "a"), Near: true}); !c.late {
+		t.Error("a late heartbeat brought the VM back")
+	}
+	if known, _ := r.counts(); known != 1 {
+		t.Errorf("%d VMs known", known)
+	}
+}
+
+func TestSilentThenGone(t *testing.T) {
+	r := newRoster(member(1, 1, "a"))
+	r.hear(start(), &beat{From: member(2, 5, "a"), Near: true})
+	silent, gone := r.pass(start().Add(silentAfter + time.Millisecond))
+	if len(silent) != 1 || len(gone) != 0 {
+		t.Fatalf("silent %v, gone %v", silent, gone)
+	}
+	if known, heard := r.counts(); known != 2 || heard != 1 {
+		t.Errorf("known %d, heard %d: a silent VM may be serving behind a cut", known, heard)
+	}
+	if _, gone = r.pass(start().Add(goneAfter + time.Millisecond)); len(gone) != 1 {
+		t.Errorf("gone %v", gone)
+	}
+}
+
+func TestAdmittedIsTheDifference(t *testing.T) {
+	r := newRoster(member(1, 1, "a"))
+	from := member(2, 5, "a")
+	r.hear(start(), &beat{From: from, Near: true, Used: []use{{Workspace: "w", Tokens: 100}}})
+	if got := r.spent(from.VM, from.Address, []use{{Workspace: "w", Tokens: 250}})["w"]; got != 150 {
+		t.Errorf("admitted %d, want 150", got)
+	}
+	c := r.hear(start(), &beat{From: from, Near: true, Used: []use{{Workspace: "w", Tokens: 250}}})
+	if got := c.admitted["w"]; got != 0 {
+		t.Errorf("the heartbeat counts %d again", got)
+	}
+	if got := r.spent(ident.VM{Name: "vm-2", Incarnation: 4}, from.Address, []use{{Workspace: "w", Tokens: 900}})["w"]; got != 0 {
+		t.Errorf("a message of an earlier life counts %d", got)
+	}
+}
+
+// TestFarVMsAreForeseen shows that what a far VM told last is taken to come once more, and that
+// nothing stays of it when the VM admits no more.
+func TestFarVMsAreForeseen(t *testing.T) {
+	r := newRoster(member(1, 1, "a"))
+	from := member(2, 5, "b")
+	r.hear(start(), &beat{From: from})
+	sum, want := int64(0), []int64{200, 300, 100, 100}
+	for i, tokens := range []int64{100, 200, 200, 200} {
+		c := r.hear(start(), &beat{From: from, Used: []use{{Workspace: "w", Tokens: tokens}}})
+		sum += c.admitted["w"]
+		if i == 2 && sum != 200 {
+			t.Errorf("after a pause %d are counted, 200 were admitted", sum)
+		}
+		if i < 2 && sum != want[i] {
+			t.Errorf("step %d: %d are counted, want %d", i, sum, want[i])
+		}
+	}
+	if sum != 200 {
+		t.Errorf("%d are counted in the end, 200 were admitted", sum)
+	}
+}
+
+func TestALargeFleetTellsFarVMsLess(t *testing.T) {
+	r := newRoster(member(1, 1, "a"))
+	for n := 2; n <= largeFleet+1; n++ {
+		r.hear(start(), &beat{From: member(n, 1, "ab"[n%2:n%2+1]), Near: true})
+	}
+	near, far := 0, 0
+	for _, p := range r.peers {
+		if r.near(p) {
+			near++
+		} else {
+			far++
+		}
+	}
+	if near != largeFleet/2 || far != largeFleet/2 {
+		t.Errorf("%d near and %d far", near, far)
+	}
+	if !r.first() || r.rank() != 0 {
+		t.Errorf("the lowest address is first %v, rank %d", r.first(), r.rank())
+	}
+}
