--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -10,7 +10,6 @@
 
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/clock"
-	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -296,5 +295,3 @@
 	limit := max(stallMin, stallFactor*r.EventGap)
 	return &stallTimer{timer: time.AfterFunc(limit, func() { cancel(errTryOver) }), limit: limit}
 }
-
-var _ = fault.NotRun
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -12,7 +12,6 @@
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/schedule"
-	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
 const (
@@ -84,8 +83,11 @@
 	}
 	defer claim.Release()
 	f.tried = append(f.tried, claim.Endpoint.ID)
-	ctx, cancel := context.WithTimeoutCause(ctx, f.tryLimit(), errTryOver)
-	defer cancel()
+	if limit, ok := f.tryLimit(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeoutCause(ctx, limit, errTryOver)
+		defer cancel()
+	}
 	a, err := f.ask(ctx, claim)
 	f.judge(ctx, claim, a, err)
 	return a, err
@@ -95,12 +97,10 @@
 var errTryOver = errors.New("the endpoint gave no answer in the time of one try")
 
 // tryLimit bounds one try, if another may follow.
-func (f *flight) tryLimit() time.Duration {
+func (f *flight) tryLimit() (time.Duration, bool) {
 	r := f.c.Route
-	if !r.Repeats() || f.runs+1 >= r.Attempts {
-		return f.left()
-	}
-	return min(f.left(), max(minTry, time.Duration(tryPart*float64(r.Target))))
+	limit := max(minTry, time.Duration(tryPart*float64(r.Target)))
+	return limit, r.Repeats() && f.runs+1 < r.Attempts && limit < f.left()
 }
 
 // ask sends the call and reads the whole answer.
@@ -184,5 +184,3 @@
 	}
 	return nil
 }
-
-var _ = traffic.Whole
