--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -154,7 +154,7 @@
 		zap.Bool("may_have_run", err == nil || backend.MayHaveRun(err)), zap.Duration("elapsed", f.elapsed()), zap.Error(err))
 	switch {
 	case err == nil && status >= http.StatusInternalServerError:
-		claim.Record(schedule.Failed)
+		claim.Record(schedule.Erred)
 	case err == nil:
 		claim.Record(schedule.Good)
 	case backend.WasRejected(err):
--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -68,9 +68,9 @@
 	return nil, nil
 }
 
-func (s *Service) onDead(_ context.Context, from ident.VM, m *deadEndpoint) (*nothing, error) {
-	s.opts.Log.Info("endpoint found dead by another vm", zap.Stringer("vm", from), zap.String("endpoint", m.Name))
-	s.opts.Work.HeardFailure(traffic.EndpointID{Name: m.Name, Born: m.Born})
+func (s *Service) onFailure(_ context.Context, from ident.VM, m *failure) (*nothing, error) {
+	s.opts.Log.Info("endpoint failed at another vm", zap.Stringer("vm", from), zap.String("endpoint", m.Name), zap.Stringer("outcome", m.Outcome))
+	s.opts.Work.HeardFailure(traffic.EndpointID{Name: m.Name, Born: m.Born}, m.Outcome)
 	return nil, nil
 }
 
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -75,13 +75,14 @@
 	Used []use
 }
 
-// deadEndpoint tells that a VM found an endpoint dead.
-type deadEndpoint struct {
+// failure tells that an endpoint broke off, or was found dead.
+type failure struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Name string
-	Born int64
+	Name    string
+	Born    int64
+	Outcome schedule.Outcome
 }
 
 // documentAsk asks for a document if it is newer than Than.
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -29,7 +29,7 @@
 type Work interface {
 	HeardWork(vm ident.VM, seq uint64, id traffic.EndpointID, w schedule.Work)
 	HeardAllWork(vm ident.VM, seq uint64, all map[traffic.EndpointID]schedule.Work)
-	HeardFailure(id traffic.EndpointID)
+	HeardFailure(id traffic.EndpointID, o schedule.Outcome)
 	Forget(vm ident.VM)
 	Held() (uint64, map[traffic.EndpointID]schedule.Work)
 }
@@ -73,8 +73,8 @@
 type Service struct {
 	opts Options
 	// changed wakes the teller of what is pending.
-	changed chan struct{}
-	dead    chan traffic.EndpointID
+	changed  chan struct{}
+	failures chan failure
 
 	mu      sync.Mutex
 	roster  *roster
@@ -92,9 +92,9 @@
 }
 
 const (
-	// deadBacklog is the most findings that wait to be told; more are dropped, as each VM
+	// failureBacklog is the most failures that wait to be told; more are dropped, as each VM
 	// finds out for itself.
-	deadBacklog = 64
+	failureBacklog = 64
 	// askTimeout bounds the fetching of a document from another VM.
 	askTimeout = time.Second
 	// registryRetry is the pause after a failed call to the registry.
@@ -108,12 +108,12 @@
 // New makes a Service and registers its handlers.
 func New(o Options) *Service {
 	s := &Service{
-		opts: o, changed: make(chan struct{}, 1), dead: make(chan traffic.EndpointID, deadBacklog),
+		opts: o, changed: make(chan struct{}, 1), failures: make(chan failure, failureBacklog),
 		roster: newRoster(o.Self), pending: map[traffic.EndpointID]schedule.Work{}, spent: map[string]int64{}, lines: map[netip.AddrPort]*line{}, asking: map[int]bool{},
 	}
 	peer.Handle(o.Transport, peer.KindBeat, s.onBeat)
 	peer.Handle(o.Transport, peer.KindWork, s.onChanges)
-	peer.Handle(o.Transport, peer.KindDead, s.onDead)
+	peer.Handle(o.Transport, peer.KindFailure, s.onFailure)
 	peer.Handle(o.Transport, peer.KindDocument, s.onAsk)
 	return s
 }
@@ -143,10 +143,10 @@
 	}
 }
 
-// Failed notes that an endpoint was found dead.
-func (s *Service) Failed(id traffic.EndpointID) {
+// Failed notes that an endpoint broke off or was found dead.
+func (s *Service) Failed(id traffic.EndpointID, o schedule.Outcome) {
 	select {
-	case s.dead <- id:
+	case s.failures <- failure{Name: id.Name, Born: id.Born, Outcome: o}:
 	default:
 	}
 }
@@ -245,6 +245,10 @@
 // watch marks silent and gone VMs.
 func (s *Service) watch() {
 	s.mu.Lock()
+	if s.leaving { // the others tell this VM nothing more
+		s.mu.Unlock()
+		return
+	}
 	silent, gone := s.roster.pass(s.opts.Clock.Now())
 	known, heard := s.roster.counts()
 	for _, m := range gone {
@@ -303,8 +307,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case id := <-s.dead:
-			broadcast(s, peer.KindDead, &deadEndpoint{Name: id.Name, Born: id.Born}, everyone)
+		case f := <-s.failures:
+			broadcast(s, peer.KindFailure, &f, everyone)
 		case <-s.changed:
 			time.Sleep(gatherTime)
 			out := s.takeChanges()
--- a/internal/inforce/follow.go
+++ b/internal/inforce/follow.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -108,6 +109,9 @@
 // note logs when the store is lost and regained.
 func (f *Follower) note(err error) {
 	switch {
+	case fault.Is(err, fault.NotFound):
+		f.Log.Info("no configuration in the store yet")
+		return
 	case err != nil && !f.lost:
 		f.Log.Warn("store lost", zap.Duration("age", f.Keeper.Age()), zap.Error(err))
 	case err == nil && f.lost:
--- a/internal/layout/plan.go
+++ b/internal/layout/plan.go
@@ -32,6 +32,9 @@
 	sampleStep = 0.07
 	// minSamples must be seen before the first move.
 	minSamples = 12
+	// minBackSamples must be seen before decode gives an engine away: the calls that come all
+	// at once after a restart are first all prompts.
+	minBackSamples = 40
 	// readingPart is the part of the time from sending a prompt to its handle in which the
 	// engine is busy with it.
 	readingPart = 0.45
@@ -107,7 +110,7 @@
 	switch {
 	case n-1 >= minPrefillPart*(n+m) && u.memory >= minMemory && u.reading*n/(n-1) <= spareRatio*memoryGrowth*u.memory*m/(m+1):
 		return Move{From: traffic.Prefill, To: traffic.Decode}, true
-	case m-1 >= minDecodePart*(n+m) && u.reading >= minReading && u.reading*n/(n+1) >= backRatio*memoryGrowth*u.memory*m/(m-1):
+	case u.samples >= minBackSamples && m-1 >= minDecodePart*(n+m) && u.reading >= minReading && u.reading*n/(n+1) >= backRatio*memoryGrowth*u.memory*m/(m-1):
 		return Move{From: traffic.Decode, To: traffic.Prefill}, true
 	}
 	return Move{}, false
--- a/internal/layout/plan_test.go
+++ b/internal/layout/plan_test.go
@@ -13,7 +13,7 @@
 
 func planned(pool Pool) (Move, bool) {
 	p := NewPlanner()
-	for range 3 * minSamples {
+	for range minBackSamples {
 		p.Sample("s", pool)
 	}
 	return p.Next(clock.Instant(time.Minute))
@@ -43,6 +43,17 @@
 	}
 }
 
+// TestDecodeGivesNothingAwaySoon shows that a rush of prompts after a restart moves no engine.
+func TestDecodeGivesNothingAwaySoon(t *testing.T) {
+	p := NewPlanner()
+	for range minBackSamples - 1 {
+		p.Sample("s", Pool{Prefill: 3, Decode: 9, Reading: 9, Memory: 0.3})
+		if m, due := p.Next(clock.Instant(time.Minute)); due {
+			t.Fatalf("move %+v", m)
+		}
+	}
+}
+
 func TestNoMoveBeforeTheLastHasSettled(t *testing.T) {
 	p := NewPlanner()
 	pool := Pool{Prefill: 6, Decode: 6, Memory: 0.7}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -37,8 +37,8 @@
 	KindBeat Kind = 15
 	// KindWork: what a VM now holds at endpoints.
 	KindWork Kind = 16
-	// KindDead: an endpoint was found dead.
-	KindDead Kind = 17
+	// KindFailure: an endpoint broke off or was found dead.
+	KindFailure Kind = 17
 	// KindDocument: a newer document is asked for.
 	KindDocument Kind = 18
 )
--- a/internal/schedule/choose_test.go
+++ b/internal/schedule/choose_test.go
@@ -114,20 +114,26 @@
 		{
 			"a dead endpoint is left alone",
 			[]traffic.Endpoint{plainEndpoint("dead", "a"), plainEndpoint("sound", "b")},
-			func(s *Scheduler, _ *manual) { s.HeardFailure(traffic.EndpointID{Name: "dead"}) },
+			func(s *Scheduler, _ *manual) { s.HeardFailure(traffic.EndpointID{Name: "dead"}, Dead) },
 			plainAsk(), "sound", "",
 		},
+		{
+			"an endpoint that breaks off is left to calls that can bear it",
+			[]traffic.Endpoint{plainEndpoint("breaking", "a"), plainEndpoint("sound", "b")},
+			func(s *Scheduler, _ *manual) { s.HeardFailure(traffic.EndpointID{Name: "breaking"}, Failed) },
+			&Ask{Service: testPlain, Once: true}, "sound", "",
+		},
 		{
 			"a dead endpoint is used where there is no other",
 			[]traffic.Endpoint{plainEndpoint("dead", "a")},
-			func(s *Scheduler, _ *manual) { s.HeardFailure(traffic.EndpointID{Name: "dead"}) },
+			func(s *Scheduler, _ *manual) { s.HeardFailure(traffic.EndpointID{Name: "dead"}, Dead) },
 			plainAsk(), "dead", "",
 		},
 		{
 			"a dead endpoint is tried again later",
 			[]traffic.Endpoint{plainEndpoint("dead", "a"), plainEndpoint("sound", "b")},
 			func(s *Scheduler, c *manual) {
-				s.HeardFailure(traffic.EndpointID{Name: "dead"})
+				s.HeardFailure(traffic.EndpointID{Name: "dead"}, Dead)
 				c.now = c.now.Add(40 * time.Second)
 			},
 			plainAsk(), "dead", "",
@@ -136,7 +142,7 @@
 			"a life that began again is another endpoint",
 			[]traffic.Endpoint{plainEndpoint("e", "a")},
 			func(s *Scheduler, _ *manual) {
-				s.HeardFailure(traffic.EndpointID{Name: "e"})
+				s.HeardFailure(traffic.EndpointID{Name: "e"}, Dead)
 				again := plainEndpoint("e", "a")
 				again.ID.Born = 2
 				s.Update(traffic.Endpoints{Version: 2, List: []traffic.Endpoint{again, plainEndpoint("other", "b")}}, testServices)
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -10,6 +10,8 @@
 const (
 	// failStep is the weight of one outcome in the rate of failures.
 	failStep = 0.3
+	// errStep is that of an error of the endpoint's own, some of which are the calls'.
+	errStep = 0.15
 	// failHalfLife is the time in which the rate of failures falls by half without outcomes.
 	failHalfLife = 4 * time.Second
 	// minEjection is the first time for which a dead endpoint is left alone; it doubles with
@@ -25,12 +27,24 @@
 const (
 	// Good: the endpoint answered.
 	Good Outcome = iota
-	// Failed: the endpoint broke off, or answered with an error of its own.
+	// Erred: the endpoint answered with an error of its own.
+	Erred
+	// Failed: the endpoint broke off.
 	Failed
 	// Dead: the endpoint took no connection or gave no sign in time.
 	Dead
 )
 
+// String gives the name that log lines show.
+func (o Outcome) String() string {
+	if int(o) < len(outcomes) {
+		return outcomes[o]
+	}
+	return "unknown"
+}
+
+var outcomes = [...]string{"good", "erred", "failed", "dead"}
+
 // health judges an endpoint by what calls to it showed.
 type health struct {
 	failing float64
@@ -51,7 +65,11 @@
 		h.failing, h.dead = was*(1-failStep), 0
 		return
 	}
-	h.failing = was + (1-was)*failStep
+	step := failStep
+	if o == Erred {
+		step = errStep
+	}
+	h.failing = was + (1-was)*step
 	if o != Dead {
 		return
 	}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -22,8 +22,8 @@
 	Seed uint64
 	// Changed is told what this VM now holds at an endpoint. It must not block. Nil tells nobody.
 	Changed func(seq uint64, id traffic.EndpointID, w Work)
-	// Failed is told of an endpoint that this VM found dead. It must not block.
-	Failed func(id traffic.EndpointID)
+	// Failed is told of an endpoint that broke off or that this VM found dead. It must not block.
+	Failed func(id traffic.EndpointID, o Outcome)
 }
 
 // Scheduler guards a table of endpoints for the goroutines of calls.
@@ -43,7 +43,7 @@
 		o.Changed = func(uint64, traffic.EndpointID, Work) {}
 	}
 	if o.Failed == nil {
-		o.Failed = func(traffic.EndpointID) {}
+		o.Failed = func(traffic.EndpointID, Outcome) {}
 	}
 	return &Scheduler{
 		opts:  o,
@@ -156,8 +156,8 @@
 	if e := s.table.states[c.Endpoint.ID]; e != nil {
 		e.health.record(s.opts.Clock.Now(), o)
 	}
-	if o == Dead {
-		s.opts.Failed(c.Endpoint.ID)
+	if o >= Failed {
+		s.opts.Failed(c.Endpoint.ID, o)
 	}
 }
 
@@ -197,12 +197,12 @@
 	e.rate += rateStep * (measured - e.rate)
 }
 
-// HeardFailure takes over that another VM found an endpoint dead.
-func (s *Scheduler) HeardFailure(id traffic.EndpointID) {
+// HeardFailure takes over how a send of another VM ended.
+func (s *Scheduler) HeardFailure(id traffic.EndpointID, o Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.table.states[id]; e != nil {
-		e.health.record(s.opts.Clock.Now(), Dead)
+		e.health.record(s.opts.Clock.Now(), o)
 	}
 }
 
