The product's object store port is called objectstore; plans hold back what far VMs may have admitted

Cause: platform meant two things. Change: internal/platform renamed; heartbeats to far VMs each second, and 15% of a plan held back where all VMs tell seldom.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -41,12 +41,19 @@
 	g.retries.SetBudget(b)
 }
 
-// Fleet states how many VMs there are, and how many of them this one hears, itself counted.
-func (g *Gate) Fleet(known, heard int) {
+// staleMargin is the part of a plan that is held back for what VMs that tell seldom may have
+// admitted since, where all do.
+const staleMargin = 0.15
+
+// Fleet states how many VMs there are, how many of them this one hears, itself counted, and how
+// many of those tell seldom.
+func (g *Gate) Fleet(known, heard, seldom int) {
 	g.vms.Store(int32(max(1, known)))
+	share := float64(max(1, heard)) / float64(max(1, known, heard))
+	margin := staleMargin * float64(seldom) / float64(max(1, heard))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.plans.SetShare(float64(max(1, heard)) / float64(max(1, known, heard)))
+	g.plans.SetShare(share * (1 - margin))
 }
 
 // Admit draws a call's cost from its workspace's plan.
--- a/internal/cli/document.go
+++ b/internal/cli/document.go
@@ -13,7 +13,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/fault"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 // stdinName names standard input as a file.
@@ -51,7 +51,7 @@
 	}
 	doc = canonical(doc)
 	lines := findLines(raw)
-	for _, f := range configuration.Check(doc, platform.MaxValueBytes) {
+	for _, f := range configuration.Check(doc, objectstore.MaxValueBytes) {
 		faults = append(faults, fileFault{path, lines.of(f.Object, f.Field), f.Object, f.Field, f.Message, f.Remedy})
 	}
 	return doc, faults, nil
--- a/internal/configuration/apply.go
+++ b/internal/configuration/apply.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/fault"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/spread"
 )
 
@@ -74,7 +74,7 @@
 // error the document was not accepted. A lost answer is settled by reading the object back.
 func (s *Service) Apply(ctx context.Context, doc Document, ifVersion Version) (Version, error) {
 	doc = Normalize(doc)
-	if err := checkError(Check(doc, platform.MaxValueBytes)); err != nil {
+	if err := checkError(Check(doc, objectstore.MaxValueBytes)); err != nil {
 		return 0, err
 	}
 	base, err := s.readBase(ctx, ifVersion)
@@ -99,7 +99,7 @@
 func (s *Service) readBase(ctx context.Context, ifVersion Version) (stored, error) {
 	obj, err := s.opts.Store.Get(ctx, ObjectName)
 	if fault.Is(err, fault.NotFound) {
-		obj, err = platform.Object{Value: []byte("{}")}, nil
+		obj, err = objectstore.Object{Value: []byte("{}")}, nil
 	}
 	if err != nil {
 		return stored{}, fault.Wrap(err, fault.KindOf(err), "try again when the platform answers; nothing was changed", "read configuration")
@@ -184,7 +184,7 @@
 	store := w.service.opts.Store
 	obj, err := store.Get(ctx, ObjectName)
 	if fault.Is(err, fault.NotFound) {
-		obj, err = platform.Object{}, nil
+		obj, err = objectstore.Object{}, nil
 	}
 	if err != nil {
 		return 0, false, err
@@ -200,7 +200,7 @@
 }
 
 // verdict reads from a later object's revisions which write replaced the base.
-func (w write) verdict(obj platform.Object) (version Version, settled bool, err error) {
+func (w write) verdict(obj objectstore.Object) (version Version, settled bool, err error) {
 	st, err := decodeStored(obj.Value)
 	if err != nil {
 		return 0, false, err
@@ -225,7 +225,7 @@
 		if err != nil {
 			return nil, fault.Wrap(err, fault.Malformed, "remove values that JSON cannot hold", "configuration")
 		}
-		if len(value) <= platform.MaxValueBytes {
+		if len(value) <= objectstore.MaxValueBytes {
 			return value, nil
 		}
 		if len(revisions) <= 1 {
--- a/internal/configuration/document_test.go
+++ b/internal/configuration/document_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/fulmartide/fulmartide/internal/fault"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/spread"
 )
 
@@ -72,17 +72,17 @@
 }
 
 func TestEachFaultIsNamedWithItsRemedy(t *testing.T) {
-	if faults := Check(good(), platform.MaxValueBytes); len(faults) != 0 {
+	if faults := Check(good(), objectstore.MaxValueBytes); len(faults) != 0 {
 		t.Fatalf("a good document has faults: %v", faults)
 	}
 	for _, b := range breakages {
 		doc := good()
 		b.do(&doc)
-		found := slices.ContainsFunc(Check(doc, platform.MaxValueBytes), func(f Fault) bool {
+		found := slices.ContainsFunc(Check(doc, objectstore.MaxValueBytes), func(f Fault) bool {
 			return f.Object == b.object && f.Field == b.field && f.Message != "" && f.Remedy != ""
 		})
 		if !found {
-			t.Errorf("no fault for %s %s: %v", b.object, b.field, Check(doc, platform.MaxValueBytes))
+			t.Errorf("no fault for %s %s: %v", b.object, b.field, Check(doc, objectstore.MaxValueBytes))
 		}
 	}
 	if faults := Check(good(), 100); len(faults) != 1 || faults[0].Object != "document" {
@@ -102,7 +102,7 @@
 		})
 		breakages[i].do(&doc)
 	}
-	err := checkError(Check(doc, platform.MaxValueBytes))
+	err := checkError(Check(doc, objectstore.MaxValueBytes))
 	if !fault.Is(err, fault.Malformed) {
 		t.Fatalf("got %v", err)
 	}
@@ -162,7 +162,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if faults := Check(doc, platform.MaxValueBytes); len(faults) != 0 {
+	if faults := Check(doc, objectstore.MaxValueBytes); len(faults) != 0 {
 		t.Fatal(faults)
 	}
 	before, err := Entries(doc)
--- a/internal/configuration/service.go
+++ b/internal/configuration/service.go
@@ -14,8 +14,8 @@
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/peer"
-	"github.com/fulmartide/fulmartide/internal/platform"
 	"github.com/fulmartide/fulmartide/internal/spread"
 )
 
@@ -25,7 +25,7 @@
 // Options configure a Service.
 type Options struct {
 	// Store is the platform's object API.
-	Store platform.Store
+	Store objectstore.Store
 	// Transport carries the messages; NewService registers the handler of KindConfiguration.
 	Transport *peer.Transport
 	// Directory gives the live VMs.
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -31,7 +31,6 @@
 	nc        net.Conn
 	br        *bufio.Reader
 	idleUntil time.Time
-	used      bool
 }
 
 func newConn(p *Pool, t Target, nc net.Conn) *conn {
@@ -169,7 +168,6 @@
 		r.conn.close()
 		return nil
 	}
-	r.conn.used = true
 	r.conn.idleUntil = time.Now().Add(r.keep)
 	r.conn.pool.put(r.conn)
 	return nil
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -197,11 +197,6 @@
 
 var errStray = errors.New("the connection gave too many answers that belong to no request")
 
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
-}
-
 // peekOne reports whether a byte, an end or an error waits on a connection, without taking it.
 func peekOne(nc net.Conn) (pending bool) {
 	sc, ok := nc.(*net.TCPConn)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,9 +22,9 @@
 	"github.com/fulmartide/fulmartide/internal/ledger"
 	"github.com/fulmartide/fulmartide/internal/limiter"
 	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/placement"
-	"github.com/fulmartide/fulmartide/internal/platform"
 	"github.com/fulmartide/fulmartide/internal/relay"
 	"github.com/fulmartide/fulmartide/internal/settings"
 	"github.com/fulmartide/fulmartide/internal/sweep"
@@ -41,7 +41,7 @@
 	listeners  listeners
 	transport  *peer.Transport
 	counter    *frameCounter
-	platform   *platform.HTTPClient
+	platform   *objectstore.HTTPClient
 	membership *membership.Service
 	config     *configuration.Service
 	keys       *keys.Service
@@ -87,7 +87,7 @@
 		State:      membership.Alive,
 	}
 	d.transport = peer.New(peer.Options{Self: d.self.VM, TLS: mutual, Log: log.Named("peer"), Counter: d.counter.count})
-	d.platform = platform.NewHTTPClient(netip.MustParseAddrPort(s.Platform.Address), time.Duration(s.Platform.TimeoutMillis)*time.Millisecond)
+	d.platform = objectstore.NewHTTPClient(netip.MustParseAddrPort(s.Platform.Address), time.Duration(s.Platform.TimeoutMillis)*time.Millisecond)
 	d.build()
 	return d, nil
 }
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -20,7 +20,7 @@
 	// the fleet.
 	largeFleet = 24
 	// farPeriod is the time between heartbeats to them.
-	farPeriod = 1500 * time.Millisecond
+	farPeriod = time.Second
 	// missedPeriods is the number of heartbeats after which a VM counts as unheard.
 	missedPeriods = 4
 )
@@ -214,15 +214,20 @@
 	return shortPeriod * time.Duration(max(largeFleet, told)) / largeFleet
 }
 
-// counts gives the number of VMs that may be serving, and of those heard, this one in both.
-func (r *roster) counts() (known, heard int) {
+// counts gives the number of VMs that may be serving, of those heard, this one in both, and of
+// those heard that tell seldom.
+func (r *roster) counts() (known, heard, seldom int) {
 	known, heard = len(r.peers)+1, 1
 	for _, p := range r.peers {
-		if !p.silent {
-			heard++
+		if p.silent {
+			continue
+		}
+		heard++
+		if !r.near(p) {
+			seldom++
 		}
 	}
-	return known, heard
+	return known, heard, seldom
 }
 
 // rank gives the number of heard VMs that are told everything and whose address comes before
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -38,7 +38,8 @@
 type Plans interface {
 	Heard(workspace string, tokens int64)
 	Used() map[string]int64
-	Fleet(known, heard int)
+	// Fleet is told of the VMs that may be serving, of those heard, and of those that tell seldom.
+	Fleet(known, heard, seldom int)
 }
 
 // Documents are numbered from 0, the same on all VMs.
@@ -250,12 +251,12 @@
 		return
 	}
 	silent, gone := s.roster.pass(s.opts.Clock.Now())
-	known, heard := s.roster.counts()
+	known, heard, seldom := s.roster.counts()
 	for _, m := range gone {
 		s.hangUp(m.Address)
 	}
 	s.mu.Unlock()
-	s.opts.Plans.Fleet(known, heard)
+	s.opts.Plans.Fleet(known, heard, seldom)
 	for _, m := range silent {
 		s.opts.Log.Warn("vm silent", zap.Stringer("vm", m.VM), zap.Int("known", known), zap.Int("heard", heard))
 		s.opts.Work.Forget(m.VM)
--- a/internal/keys/change.go
+++ b/internal/keys/change.go
@@ -12,7 +12,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/membership"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/spread"
 )
 
@@ -188,7 +188,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "report this", "encode keys")
 	}
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > objectstore.MaxValueBytes {
 		return fault.New(fault.TooLarge, "withdraw unused keys; they leave the list after a week", "the key list is full")
 	}
 	next, err := s.opts.Store.Put(ctx, ObjectName, value, version)
--- a/internal/ledger/host.go
+++ b/internal/ledger/host.go
@@ -11,7 +11,7 @@
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/duty"
 	"github.com/fulmartide/fulmartide/internal/fault"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 const (
@@ -28,7 +28,7 @@
 
 // host runs the owner machine of this VM and does its reads and writes.
 type host struct {
-	store platform.Store
+	store objectstore.Store
 	clock clock.Clock
 	wall  func() time.Time
 	log   *zap.Logger
--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 // event is one thing that happens in a simulated run of the owner machine.
@@ -80,7 +80,7 @@
 func (r *run) read(a readPage) {
 	object, err := r.store.get(objectName(a.shard, a.window))
 	if r.failing {
-		object, err = platform.Object{}, errLost
+		object, err = objectstore.Object{}, errLost
 	}
 	r.step(readDone{a.shard, a.window, object, err})
 }
@@ -167,7 +167,7 @@
 		if r.refused > 0 || len(r.waits) != total {
 			t.Errorf("%d commits/s: %d refused, %d of %d answered", c.perSecond, r.refused, len(r.waits), total)
 		}
-		if r.largest > platform.MaxValueBytes {
+		if r.largest > objectstore.MaxValueBytes {
 			t.Errorf("object of %d bytes", r.largest)
 		}
 	}
@@ -177,7 +177,7 @@
 func TestFullPageRefusesAndDropsBodies(t *testing.T) {
 	r := newRun(t)
 	r.commits(4000, MaxOutcomeBody, Window)
-	if r.refused == 0 || r.largest > platform.MaxValueBytes {
+	if r.refused == 0 || r.largest > objectstore.MaxValueBytes {
 		t.Fatalf("refused %d, largest object %d bytes", r.refused, r.largest)
 	}
 	truncated, whole := 0, 0
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -6,7 +6,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 const (
@@ -39,7 +39,7 @@
 type readDone struct {
 	shard  int
 	window int64
-	object platform.Object
+	object objectstore.Object
 	err    error
 }
 
--- a/internal/ledger/owner_test.go
+++ b/internal/ledger/owner_test.go
@@ -10,27 +10,27 @@
 
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 var errLost = fault.New(fault.Timeout, "none", "answer lost", fault.WithRun(fault.RunUnknown))
 
 // objects is the platform's side of the model.
-type objects map[string]platform.Object
+type objects map[string]objectstore.Object
 
 func (s objects) put(name string, value []byte, ifVersion uint64) (uint64, error) {
 	if s[name].Version != ifVersion {
 		return 0, fault.New(fault.Conflict, "none", "version differs")
 	}
-	s[name] = platform.Object{Name: name, Version: ifVersion + 1, Value: value}
+	s[name] = objectstore.Object{Name: name, Version: ifVersion + 1, Value: value}
 	return ifVersion + 1, nil
 }
 
-func (s objects) get(name string) (platform.Object, error) {
+func (s objects) get(name string) (objectstore.Object, error) {
 	if o, ok := s[name]; ok {
 		return o, nil
 	}
-	return platform.Object{}, fault.New(fault.NotFound, "none", "no such object")
+	return objectstore.Object{}, fault.New(fault.NotFound, "none", "no such object")
 }
 
 // attempt is one caller's try at a commit.
@@ -232,7 +232,7 @@
 	case readPage:
 		object, err := w.store.get(objectName(act.shard, act.window))
 		if end != "ok" {
-			object, err = platform.Object{}, errLost
+			object, err = objectstore.Object{}, errLost
 		}
 		w.reply(c, readDone{act.shard, act.window, object, err})
 	case writePage:
--- a/internal/ledger/page.go
+++ b/internal/ledger/page.go
@@ -8,7 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/fulmartide/fulmartide/internal/fault"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 // state is how far a commit has come.
@@ -38,9 +38,9 @@
 const (
 	recordOverheadBytes = 64
 	// recordsBytes is the room in a page for records without the bodies of their outcomes.
-	recordsBytes = platform.MaxValueBytes * 4 / 10
+	recordsBytes = objectstore.MaxValueBytes * 4 / 10
 	// bodiesBytes is the room in a page for bodies.
-	bodiesBytes = platform.MaxValueBytes * 5 / 10
+	bodiesBytes = objectstore.MaxValueBytes * 5 / 10
 )
 
 // bareSize bounds the encoded size of the record without the body of its outcome.
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -11,8 +11,8 @@
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/peer"
-	"github.com/fulmartide/fulmartide/internal/platform"
 )
 
 const (
@@ -31,7 +31,7 @@
 	// Directory gives the live VMs, among which each shard has one owner.
 	Directory membership.Directory
 	// Store keeps the records.
-	Store platform.Store
+	Store objectstore.Store
 	// Transport carries operations to owners. New registers its handlers.
 	Transport *peer.Transport
 	// Clock measures waiting.
--- a/internal/ledger/service_test.go
+++ b/internal/ledger/service_test.go
@@ -21,24 +21,24 @@
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/ledger"
 	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/peer"
-	"github.com/fulmartide/fulmartide/internal/platform"
 )
 
 // fakeStore is an object API that may fail before or after a call takes effect.
 type fakeStore struct {
-	platform.Store
+	objectstore.Store
 
 	mu      sync.Mutex
 	rng     *rand.Rand
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 	// before and after are the shares of calls that fail without and with effect.
 	before, after float64
 	puts          int
 }
 
 func newStore(before, after float64) *fakeStore {
-	return &fakeStore{rng: rand.New(rand.NewPCG(3, 4)), objects: map[string]platform.Object{}, before: before, after: after}
+	return &fakeStore{rng: rand.New(rand.NewPCG(3, 4)), objects: map[string]objectstore.Object{}, before: before, after: after}
 }
 
 func (s *fakeStore) set(before, after float64) {
@@ -47,11 +47,11 @@
 	s.before, s.after = before, after
 }
 
-func (s *fakeStore) Get(_ context.Context, name string) (platform.Object, error) {
+func (s *fakeStore) Get(_ context.Context, name string) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.rng.Float64() < s.before {
-		return platform.Object{}, fault.New(fault.Unavailable, "none", "store is away")
+		return objectstore.Object{}, fault.New(fault.Unavailable, "none", "store is away")
 	}
 	o, ok := s.objects[name]
 	if !ok {
@@ -70,7 +70,7 @@
 	if s.objects[name].Version != ifVersion {
 		return 0, fault.New(fault.Conflict, "none", "version differs")
 	}
-	s.objects[name] = platform.Object{Name: name, Version: ifVersion + 1, Value: value}
+	s.objects[name] = objectstore.Object{Name: name, Version: ifVersion + 1, Value: value}
 	if s.rng.Float64() < s.after {
 		return 0, fault.New(fault.Timeout, "none", "answer lost")
 	}
@@ -121,7 +121,7 @@
 	v.transport.Close()
 }
 
-func startFleet(t *testing.T, n int, store platform.Store) []*vm {
+func startFleet(t *testing.T, n int, store objectstore.Store) []*vm {
 	t.Helper()
 	fleet := make([]*vm, n)
 	var members []membership.Member
--- a/internal/limiter/records.go
+++ b/internal/limiter/records.go
@@ -8,14 +8,14 @@
 
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 // records is what a requester knows of the holders in all data centres. The own data
 // centre's record comes from the holder machine; the others are asked of their own VMs when
 // they are needed, and read from the platform when none of those answers.
 type records struct {
-	store platform.Store
+	store objectstore.Store
 	own   string
 	// ask gets the record of a data centre from one of its VMs, if it is above a version.
 	ask func(ctx context.Context, dataCentre string, above uint64) (*controlReply, error)
@@ -30,7 +30,7 @@
 	lastRead time.Time
 }
 
-func newRecords(store platform.Store, own string) *records {
+func newRecords(store objectstore.Store, own string) *records {
 	return &records{store: store, own: own, known: map[string]*knownRecord{}}
 }
 
--- a/internal/limiter/service.go
+++ b/internal/limiter/service.go
@@ -14,8 +14,8 @@
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/peer"
-	"github.com/fulmartide/fulmartide/internal/platform"
 )
 
 // Policies of the limiter.
@@ -42,8 +42,8 @@
 type Options struct {
 	Self      membership.Member
 	Directory membership.Directory
-	Store     platform.Store
-	Lister    platform.VMLister
+	Store     objectstore.Store
+	Lister    objectstore.VMLister
 	Transport *peer.Transport
 	Clock     clock.Clock
 	// Configuration gives the snapshot in force, nil while there is none.
--- a/internal/limiter/service_test.go
+++ b/internal/limiter/service_test.go
@@ -17,8 +17,8 @@
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/limiter"
 	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/peer"
-	"github.com/fulmartide/fulmartide/internal/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -26,7 +26,7 @@
 // site is a directory, an object API and a list of VMs in memory, with real services.
 type site struct {
 	mu       sync.Mutex
-	objects  map[string]platform.Object
+	objects  map[string]objectstore.Object
 	members  []membership.Member
 	services map[string]*limiter.Service
 	snapshot *configuration.Snapshot
@@ -50,9 +50,9 @@
 	}
 }
 
-func (s *site) VMs(context.Context) ([]platform.VM, error) { return nil, nil }
+func (s *site) VMs(context.Context) ([]objectstore.VM, error) { return nil, nil }
 
-func (s *site) Get(_ context.Context, name string) (platform.Object, error) {
+func (s *site) Get(_ context.Context, name string) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[name]
@@ -68,19 +68,19 @@
 	if s.objects[name].Version != ifVersion {
 		return 0, fault.New(fault.Conflict, "", "version differs")
 	}
-	s.objects[name] = platform.Object{Name: name, Version: ifVersion + 1, Value: value}
+	s.objects[name] = objectstore.Object{Name: name, Version: ifVersion + 1, Value: value}
 	return ifVersion + 1, nil
 }
 
-func (s *site) Watch(ctx context.Context, _ string, _ uint64) (platform.Object, error) {
+func (s *site) Watch(ctx context.Context, _ string, _ uint64) (objectstore.Object, error) {
 	<-ctx.Done()
-	return platform.Object{}, ctx.Err()
+	return objectstore.Object{}, ctx.Err()
 }
 
-func (s *site) List(_ context.Context, prefix string) ([]platform.Object, error) {
+func (s *site) List(_ context.Context, prefix string) ([]objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []platform.Object
+	var out []objectstore.Object
 	for name, o := range s.objects {
 		if strings.HasPrefix(name, prefix) {
 			out = append(out, o)
@@ -93,7 +93,7 @@
 func newSite(t *testing.T, policy string, plan configuration.Plan, vms ...string) *site {
 	t.Helper()
 	s := &site{
-		objects:  map[string]platform.Object{},
+		objects:  map[string]objectstore.Object{},
 		services: map[string]*limiter.Service{},
 		snapshot: &configuration.Snapshot{Version: 1, Document: document(plan, 1, 1, 1)},
 	}
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 // fleet runs machines over a network that delays, loses, repeats and cuts, in simulated time.
@@ -247,10 +247,10 @@
 }
 
 func (f *fleet) readList(n *node, life ident.VM) {
-	var vms []platform.VM
+	var vms []objectstore.VM
 	for _, name := range f.order {
 		if f.listed[name] {
-			vms = append(vms, platform.VM{Name: name, DataCentre: f.nodes[name].dc, Address: f.nodes[name].listAddr})
+			vms = append(vms, objectstore.VM{Name: name, DataCentre: f.nodes[name].dc, Address: f.nodes[name].listAddr})
 		}
 	}
 	ok := f.listUp
--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/ident"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 const (
@@ -121,7 +121,7 @@
 	m.takeList(in.vms)
 }
 
-func (m *machine) takeList(vms []platform.VM) {
+func (m *machine) takeList(vms []objectstore.VM) {
 	on := map[string]bool{}
 	clear(m.homes)
 	for name := range m.addresses {
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -6,7 +6,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 // Op tells what a Message is for.
@@ -61,7 +61,7 @@
 	}
 	// listRead is the platform's list, ok false when the platform did not answer.
 	listRead struct {
-		vms []platform.VM
+		vms []objectstore.VM
 		ok  bool
 	}
 	// evidence is a failed call of another part of this process.
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -14,8 +14,8 @@
 	"github.com/fulmartide/fulmartide/internal/duty"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/peer"
-	"github.com/fulmartide/fulmartide/internal/platform"
 )
 
 // Digest sums up what a VM holds. It rides on heartbeats, so that peers notice what they lack.
@@ -46,7 +46,7 @@
 	// Transport carries the messages; New registers the handler of KindMembership.
 	Transport *peer.Transport
 	// Lister reads the platform's list of VMs; nil means there is none.
-	Lister platform.VMLister
+	Lister objectstore.VMLister
 	// Seeds are addresses asked for members at start.
 	Seeds []netip.AddrPort
 	// Log gets a line for each change of a member's state.
--- a/internal/platform/http.go
+++ b/internal/objectstore/http.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"bytes"
--- a/internal/platform/http_test.go
+++ b/internal/objectstore/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"context"
@@ -9,21 +9,21 @@
 	"go.uber.org/goleak"
 
 	"github.com/fulmartide/fulmartide/internal/fault"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/test/standin"
 	fake "github.com/fulmartide/fulmartide/test/standin/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func start(t *testing.T, o fake.Options) (*fake.Server, *platform.HTTPClient) {
+func start(t *testing.T, o fake.Options) (*fake.Server, *objectstore.HTTPClient) {
 	t.Helper()
 	p := fake.New(o)
 	s, err := standin.Serve(p.Handler())
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := platform.NewHTTPClient(s.Addr(), time.Second)
+	c := objectstore.NewHTTPClient(s.Addr(), time.Second)
 	t.Cleanup(func() {
 		c.Close()
 		p.Close()
@@ -51,9 +51,9 @@
 	}
 	_, err = c.Put(ctx, name, []byte("other"), 0)
 	wantKind(t, err, fault.Conflict)
-	_, err = c.Put(ctx, name, make([]byte, platform.MaxValueBytes+1), v1)
+	_, err = c.Put(ctx, name, make([]byte, objectstore.MaxValueBytes+1), v1)
 	wantKind(t, err, fault.TooLarge)
-	big := make([]byte, platform.MaxValueBytes)
+	big := make([]byte, objectstore.MaxValueBytes)
 	v2, err := c.Put(ctx, name, big, v1)
 	if err != nil || v2 <= v1 {
 		t.Fatalf("second version %d after %d, error %v", v2, v1, err)
@@ -77,7 +77,7 @@
 func TestWatchSeesTheNextVersion(t *testing.T) {
 	p, c := start(t, fake.Options{})
 	p.Seed("configuration", []byte("1"))
-	got := make(chan platform.Object, 1)
+	got := make(chan objectstore.Object, 1)
 	go func() {
 		defer close(got)
 		if o, err := c.Watch(context.Background(), "configuration", 1); err == nil {
@@ -126,7 +126,7 @@
 
 func TestVMListLags(t *testing.T) {
 	p, c := start(t, fake.Options{ListLag: 100 * time.Millisecond})
-	p.SetVMs([]platform.VM{{Name: "a", DataCentre: "porto-a"}})
+	p.SetVMs([]objectstore.VM{{Name: "a", DataCentre: "porto-a"}})
 	if vms, err := c.VMs(t.Context()); err != nil || len(vms) != 0 {
 		t.Fatalf("list shows %v at once, error %v", vms, err)
 	}
@@ -155,7 +155,7 @@
 		t.Fatal(err)
 	}
 	defer s.Close()
-	c := platform.NewHTTPClient(s.Addr(), time.Second)
+	c := objectstore.NewHTTPClient(s.Addr(), time.Second)
 	defer c.Close()
 	for code, kind := range want {
 		status = code
--- a/internal/platform/port.go
+++ b/internal/objectstore/port.go
@@ -1,6 +1,6 @@
-// Package platform is the narrow port to the platform's services: its object API with
+// Package objectstore is the narrow port to the platform's services: its object API with
 // versions, conditional updates and watches, and its lagging list of VMs.
-package platform
+package objectstore
 
 import (
 	"context"
--- a/internal/placement/fence.go
+++ b/internal/placement/fence.go
@@ -8,7 +8,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 const (
@@ -22,7 +22,7 @@
 // fencer holds the right to give orders in one cell: a claim in a platform object, whose
 // version is the fencing number. The claim is taken only when there is an order to give.
 type fencer struct {
-	store  platform.Store
+	store  objectstore.Store
 	clock  clock.Clock
 	object string
 	self   string
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -13,7 +13,7 @@
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/endpoint"
 	"github.com/fulmartide/fulmartide/internal/fault"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 // orderedCell is a Cell whose endpoints carry out its orders and report the effect.
@@ -175,14 +175,14 @@
 
 // store is a platform with one object. The answer of a write may be lost.
 type store struct {
-	platform.Store
-	object   platform.Object
+	objectstore.Store
+	object   objectstore.Object
 	loseNext bool
 }
 
-func (s *store) Get(context.Context, string) (platform.Object, error) {
+func (s *store) Get(context.Context, string) (objectstore.Object, error) {
 	if s.object.Version == 0 {
-		return platform.Object{}, fault.New(fault.NotFound, "write it", "no such object")
+		return objectstore.Object{}, fault.New(fault.NotFound, "write it", "no such object")
 	}
 	return s.object, nil
 }
@@ -191,7 +191,7 @@
 	if s.object.Version != ifVersion {
 		return 0, fault.New(fault.Conflict, "read it again", "version differs")
 	}
-	s.object = platform.Object{Name: name, Version: ifVersion + 1, Value: value}
+	s.object = objectstore.Object{Name: name, Version: ifVersion + 1, Value: value}
 	if s.loseNext {
 		s.loseNext = false
 		return 0, fault.New(fault.Unavailable, "read it again", "answer lost")
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -14,8 +14,8 @@
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/peer"
-	"github.com/fulmartide/fulmartide/internal/platform"
 )
 
 // The policies of a Service.
@@ -42,7 +42,7 @@
 	Configuration func() *configuration.Snapshot
 	Clock         clock.Clock
 	// Store keeps the claims to give orders to endpoints. Without one none are given.
-	Store platform.Store
+	Store objectstore.Store
 	// Policy is predictive, round_robin or least_loaded.
 	Policy string
 	// Log gets a line for each decision.
--- a/internal/spread/replica.go
+++ b/internal/spread/replica.go
@@ -13,8 +13,8 @@
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/peer"
-	"github.com/fulmartide/fulmartide/internal/platform"
 )
 
 const (
@@ -36,7 +36,7 @@
 	// Kind is the kind of the messages between replicas.
 	Kind peer.Kind
 	// Store is the platform's object API.
-	Store platform.Store
+	Store objectstore.Store
 	// Transport carries the messages; New registers the handler of Kind.
 	Transport *peer.Transport
 	// Directory gives the live VMs.
--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -11,7 +11,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 const (
@@ -178,7 +178,7 @@
 }
 
 // accept puts an object that was asked for at an instant in force, if it is later.
-func (r *Replica) accept(ctx context.Context, obj platform.Object, asked clock.Instant) error {
+func (r *Replica) accept(ctx context.Context, obj objectstore.Object, asked clock.Instant) error {
 	if t := r.held.Load(); t != nil && obj.Version <= t.Version {
 		r.opts.OnPlatform(asked)
 		return nil
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/configuration"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/settings"
 	"github.com/fulmartide/fulmartide/test/standin"
 	"github.com/fulmartide/fulmartide/test/standin/engine"
@@ -69,7 +69,7 @@
 
 	mu      sync.Mutex
 	daemons map[string]*Daemon
-	listed  map[string]platform.VM
+	listed  map[string]objectstore.VM
 	keys    keyList
 }
 
@@ -105,7 +105,7 @@
 		network:       newNetwork(o.Layout.Delay),
 		platformAddrs: make(map[string]netip.AddrPort),
 		daemons:       make(map[string]*Daemon),
-		listed:        make(map[string]platform.VM),
+		listed:        make(map[string]objectstore.VM),
 	}
 	if err := f.start(ctx); err != nil {
 		return nil, errors.Join(err, f.Stop())
@@ -158,7 +158,7 @@
 	})
 	f.closers = append(f.closers, f.Platform.Close)
 	for _, dc := range f.opts.Layout.DataCentres {
-		view := f.Platform.View(func(vm platform.VM) platform.VM {
+		view := f.Platform.View(func(vm objectstore.VM) objectstore.VM {
 			vm.Address = f.network.addrFrom(dc.Name, vm.Name, vm.Address)
 			return vm
 		})
@@ -279,7 +279,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.daemons[vm] = d
-	f.listed[vm] = platform.VM{Name: vm, DataCentre: dc, Address: d.Peers}
+	f.listed[vm] = objectstore.VM{Name: vm, DataCentre: dc, Address: d.Peers}
 	f.publishList()
 	return d, nil
 }
@@ -307,11 +307,11 @@
 
 // publishList shows the VMs to the platform. The caller holds mu.
 func (f *Fleet) publishList() {
-	var vms []platform.VM
+	var vms []objectstore.VM
 	for _, vm := range f.listed {
 		vms = append(vms, vm)
 	}
-	slices.SortFunc(vms, func(a, b platform.VM) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(vms, func(a, b objectstore.VM) int { return cmp.Compare(a.Name, b.Name) })
 	f.Platform.SetVMs(vms)
 }
 
--- a/test/spreadfleet/fleet.go
+++ b/test/spreadfleet/fleet.go
@@ -16,8 +16,8 @@
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/keys"
 	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/peer"
-	"github.com/fulmartide/fulmartide/internal/platform"
 )
 
 // Fleet is a set of VMs and their platform.
@@ -64,7 +64,7 @@
 	f.mu.Unlock()
 	addr := netip.MustParseAddrPort(ln.Addr().String())
 	self := membership.Member{VM: ident.VM{Name: name, Incarnation: life}, DataCentre: dataCentre, Region: "r", Peer: addr}
-	f.Platform.List(platform.VM{Name: name, DataCentre: dataCentre, Address: addr}, true)
+	f.Platform.List(objectstore.VM{Name: name, DataCentre: dataCentre, Address: addr}, true)
 	v := f.build(self, seeds)
 	v.listener = ln
 	f.mu.Lock()
--- a/test/spreadfleet/platform.go
+++ b/test/spreadfleet/platform.go
@@ -11,15 +11,15 @@
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/fault"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
 
 // Platform is an object store and VM list in memory.
 type Platform struct {
 	mu      sync.Mutex
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 	changed chan struct{}
-	vms     []platform.VM
+	vms     []objectstore.VM
 	away    bool
 	frozen  bool
 	awayFor map[string]bool
@@ -32,7 +32,7 @@
 // NewPlatform makes an empty platform. seed fixes which answers are lost.
 func NewPlatform(seed uint64) *Platform {
 	return &Platform{
-		objects: map[string]platform.Object{},
+		objects: map[string]objectstore.Object{},
 		changed: make(chan struct{}),
 		awayFor: map[string]bool{},
 		rng:     rand.New(rand.NewPCG(seed, 2)),
@@ -88,10 +88,10 @@
 }
 
 // List adds a VM to the list, or takes it off.
-func (p *Platform) List(vm platform.VM, on bool) {
+func (p *Platform) List(vm objectstore.VM, on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vms = slices.DeleteFunc(p.vms, func(v platform.VM) bool { return v.Name == vm.Name })
+	p.vms = slices.DeleteFunc(p.vms, func(v objectstore.VM) bool { return v.Name == vm.Name })
 	if on {
 		p.vms = append(p.vms, vm)
 	}
@@ -112,8 +112,8 @@
 }
 
 var (
-	_ platform.Store    = (*Port)(nil)
-	_ platform.VMLister = (*Port)(nil)
+	_ objectstore.Store    = (*Port)(nil)
+	_ objectstore.VMLister = (*Port)(nil)
 )
 
 var (
@@ -134,15 +134,15 @@
 }
 
 // Get reads an object.
-func (t *Port) Get(_ context.Context, name string) (platform.Object, error) {
+func (t *Port) Get(_ context.Context, name string) (objectstore.Object, error) {
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
 	if err := t.enter("get"); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	o, ok := t.p.objects[name]
 	if !ok {
-		return platform.Object{}, errNone
+		return objectstore.Object{}, errNone
 	}
 	return o, nil
 }
@@ -178,13 +178,13 @@
 		return 0, errConflict
 	}
 	next := o.Version + 1 + uint64(p.rng.IntN(3))
-	p.objects[name] = platform.Object{Name: name, Version: next, Value: slices.Clone(value)}
+	p.objects[name] = objectstore.Object{Name: name, Version: next, Value: slices.Clone(value)}
 	p.wake()
 	return next, nil
 }
 
 // Watch waits for a change.
-func (t *Port) Watch(ctx context.Context, name string, after uint64) (platform.Object, error) {
+func (t *Port) Watch(ctx context.Context, name string, after uint64) (objectstore.Object, error) {
 	t.p.mu.Lock()
 	err := t.enter("watch")
 	for err == nil {
@@ -196,7 +196,7 @@
 		t.p.mu.Unlock()
 		select {
 		case <-ctx.Done():
-			return platform.Object{}, errTimeout
+			return objectstore.Object{}, errTimeout
 		case <-changed:
 		}
 		t.p.mu.Lock()
@@ -205,27 +205,27 @@
 		}
 	}
 	t.p.mu.Unlock()
-	return platform.Object{}, err
+	return objectstore.Object{}, err
 }
 
 // List gives names and versions.
-func (t *Port) List(_ context.Context, prefix string) ([]platform.Object, error) {
+func (t *Port) List(_ context.Context, prefix string) ([]objectstore.Object, error) {
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
 	if err := t.enter("list"); err != nil {
 		return nil, err
 	}
-	var out []platform.Object
+	var out []objectstore.Object
 	for name, o := range t.p.objects {
 		if strings.HasPrefix(name, prefix) {
-			out = append(out, platform.Object{Name: name, Version: o.Version})
+			out = append(out, objectstore.Object{Name: name, Version: o.Version})
 		}
 	}
 	return out, nil
 }
 
 // VMs gives the list of VMs.
-func (t *Port) VMs(_ context.Context) ([]platform.VM, error) {
+func (t *Port) VMs(_ context.Context) ([]objectstore.VM, error) {
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
 	if err := t.enter("vms"); err != nil {
--- a/test/standin/platform/control.go
+++ b/test/standin/platform/control.go
@@ -6,12 +6,12 @@
 	"slices"
 	"time"
 
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/test/standin"
 )
 
 // SetVMs changes the list of VMs; readers see it after the list's lag.
-func (s *Server) SetVMs(vms []platform.VM) {
+func (s *Server) SetVMs(vms []objectstore.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists = append(s.lists, vmList{since: time.Now(), vms: slices.Clone(vms)})
@@ -27,7 +27,7 @@
 }
 
 // Object gives an object as it is, without a call.
-func (s *Server) Object(name string) (platform.Object, bool) {
+func (s *Server) Object(name string) (objectstore.Object, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[name]
--- a/test/standin/platform/platform.go
+++ b/test/standin/platform/platform.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/fault"
-	"github.com/fulmartide/fulmartide/internal/platform"
+	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/test/standin"
 )
 
@@ -46,7 +46,7 @@
 	close   context.CancelFunc
 
 	mu          sync.Mutex
-	objects     map[string]platform.Object
+	objects     map[string]objectstore.Object
 	changed     chan struct{}
 	lists       []vmList
 	reads       rate
@@ -60,7 +60,7 @@
 
 type vmList struct {
 	since time.Time
-	vms   []platform.VM
+	vms   []objectstore.VM
 }
 
 // New makes a platform without objects.
@@ -73,7 +73,7 @@
 		weights: standin.NewLink(o.WeightBytesPerSecond),
 		closed:  ctx,
 		close:   cancel,
-		objects: make(map[string]platform.Object),
+		objects: make(map[string]objectstore.Object),
 		changed: make(chan struct{}),
 		reads:   rate{perSecond: o.ReadsPerSecond, tokens: o.ReadsPerSecond, last: time.Now()},
 		writes:  rate{perSecond: o.WritesPerSecond, tokens: o.WritesPerSecond, last: time.Now()},
@@ -86,11 +86,11 @@
 
 // Handler serves the platform with the VMs' own addresses.
 func (s *Server) Handler() http.Handler {
-	return s.View(func(vm platform.VM) platform.VM { return vm })
+	return s.View(func(vm objectstore.VM) objectstore.VM { return vm })
 }
 
 // View serves the platform; each VM of the list passes through translate.
-func (s *Server) View(translate func(platform.VM) platform.VM) http.Handler {
+func (s *Server) View(translate func(objectstore.VM) objectstore.VM) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /objects/{name...}", s.guard("get", &s.reads, s.get))
 	mux.HandleFunc("PUT /objects/{name...}", s.guard("put", &s.writes, s.put))
@@ -172,7 +172,7 @@
 		standin.Refuse(w, http.StatusBadRequest, fault.Malformed, "watch_after is not a version")
 		return
 	}
-	limit := time.NewTimer(platform.WatchLimit)
+	limit := time.NewTimer(objectstore.WatchLimit)
 	defer limit.Stop()
 	for {
 		s.mu.Lock()
@@ -218,7 +218,7 @@
 	if !standin.ReadJSON(w, r, &body) {
 		return
 	}
-	if len(body.Value) > platform.MaxValueBytes {
+	if len(body.Value) > objectstore.MaxValueBytes {
 		standin.Refuse(w, http.StatusRequestEntityTooLarge, fault.TooLarge, "value is over 1 MiB")
 		return
 	}
@@ -240,7 +240,7 @@
 	if o.Version != ifVersion {
 		return o.Version, false, false
 	}
-	o = platform.Object{Name: name, Version: o.Version + 1, Value: value}
+	o = objectstore.Object{Name: name, Version: o.Version + 1, Value: value}
 	s.objects[name] = o
 	s.stats.BytesIn += int64(len(value))
 	s.wake()
@@ -258,39 +258,39 @@
 }
 
 type listAnswer struct {
-	Objects []platform.Object `json:"objects"`
+	Objects []objectstore.Object `json:"objects"`
 }
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	prefix := r.URL.Query().Get("prefix")
-	answer := listAnswer{Objects: []platform.Object{}}
+	answer := listAnswer{Objects: []objectstore.Object{}}
 	s.mu.Lock()
 	for name, o := range s.objects {
 		if strings.HasPrefix(name, prefix) {
-			answer.Objects = append(answer.Objects, platform.Object{Name: name, Version: o.Version})
+			answer.Objects = append(answer.Objects, objectstore.Object{Name: name, Version: o.Version})
 		}
 	}
 	s.mu.Unlock()
-	slices.SortFunc(answer.Objects, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(answer.Objects, func(a, b objectstore.Object) int { return strings.Compare(a.Name, b.Name) })
 	standin.WriteJSON(w, http.StatusOK, answer)
 }
 
 type vmsAnswer struct {
-	VMs []platform.VM `json:"vms"`
+	VMs []objectstore.VM `json:"vms"`
 }
 
-func (s *Server) vms(w http.ResponseWriter, translate func(platform.VM) platform.VM) {
-	answer := vmsAnswer{VMs: []platform.VM{}}
+func (s *Server) vms(w http.ResponseWriter, translate func(objectstore.VM) objectstore.VM) {
+	answer := vmsAnswer{VMs: []objectstore.VM{}}
 	for _, vm := range s.visibleVMs(time.Now()) {
 		answer.VMs = append(answer.VMs, translate(vm))
 	}
 	standin.WriteJSON(w, http.StatusOK, answer)
 }
 
-func (s *Server) visibleVMs(now time.Time) []platform.VM {
+func (s *Server) visibleVMs(now time.Time) []objectstore.VM {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var seen []platform.VM
+	var seen []objectstore.VM
 	for _, l := range s.lists {
 		if now.Sub(l.since) >= s.opts.ListLag {
 			seen = l.vms
