--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -40,9 +40,7 @@
 	if b.Leaving {
 		return nil, nil
 	}
-	if b.Near {
-		s.opts.Work.HeardAllWork(b.From.VM, b.Seq, byEndpoint(b.Work))
-	}
+	s.opts.Work.HeardAllWork(b.From.VM, b.Seq, byEndpoint(b.Work))
 	s.compare(b)
 	return nil, nil
 }
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -49,8 +49,8 @@
 	_msgpack struct{} `msgpack:",as_array"`
 
 	From Member
-	// Near: the receiver is told everything. Else Work is left out, and Used holds only what
-	// has changed.
+	// Near: the receiver is told everything. Else Work leaves out what does not last, and Used
+	// what has not changed.
 	Near bool
 	// Leaving VMs take no more calls.
 	Leaving bool
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -31,7 +31,7 @@
 	HeardAllWork(vm ident.VM, seq uint64, all map[traffic.EndpointID]schedule.Work)
 	HeardFailure(id traffic.EndpointID, o schedule.Outcome)
 	Forget(vm ident.VM)
-	Held() (uint64, map[traffic.EndpointID]schedule.Work)
+	Held(lasting bool) (uint64, map[traffic.EndpointID]schedule.Work)
 }
 
 // Plans is told what other VMs admitted, and tells what this one did.
@@ -268,7 +268,7 @@
 
 // beat sends a heartbeat to the VMs that are told everything, and now and then to the others.
 func (s *Service) beat() {
-	seq, held := s.opts.Work.Held()
+	seq, held := s.opts.Work.Held(false)
 	used := s.opts.Plans.Used()
 	b := beat{
 		From: s.opts.Self, Near: true, Seq: seq, Work: endpointWorks(held), Used: uses(used),
@@ -285,7 +285,8 @@
 	s.mu.Unlock()
 	broadcast(s, peer.KindBeat, &b, s.roster.near)
 	if far {
-		b.Near, b.Work, b.Used = false, nil, fresh
+		_, lasting := s.opts.Work.Held(true)
+		b.Near, b.Work, b.Used = false, endpointWorks(lasting), fresh
 		broadcast(s, peer.KindBeat, &b, func(p *peerState) bool { return !s.roster.near(p) })
 	}
 }
--- a/internal/schedule/choose_test.go
+++ b/internal/schedule/choose_test.go
@@ -188,7 +188,7 @@
 		} else {
 			refused++
 		}
-		_, all := s.Held()
+		_, all := s.Held(false)
 		for id, w := range all {
 			if w.Tokens > testMemory || w.Tokens < 0 {
 				t.Fatalf("%d tokens claimed at %s", w.Tokens, id.Name)
@@ -201,7 +201,7 @@
 	for _, c := range held {
 		c.Release()
 	}
-	if _, all := s.Held(); len(all) != 0 {
+	if _, all := s.Held(false); len(all) != 0 {
 		t.Errorf("after all releases %v is held", all)
 	}
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -229,13 +229,14 @@
 	s.wake()
 }
 
-// Held gives all that this VM holds, and the number of the latest change.
-func (s *Scheduler) Held() (uint64, map[traffic.EndpointID]Work) {
+// Held gives what this VM holds at engines, and the number of the latest change. lasting leaves
+// out prompts that are being read, which are over before a slow message tells of them.
+func (s *Scheduler) Held(lasting bool) (uint64, map[traffic.EndpointID]Work) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := map[traffic.EndpointID]Work{}
 	for id, e := range s.table.states {
-		if e.own.Calls > 0 {
+		if e.own.Calls > 0 && e.engine != nil && (!lasting || e.Stage != traffic.Prefill) {
 			out[id] = e.own
 		}
 	}
