A side of a cut keeps its part of plans by data centre

Cause: incident inc-95f6: a data centre with one of six VMs and a third of the callers kept a sixth of each plan when it was cut off. Change: each data centre counts the same, within one each VM does.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -45,15 +45,13 @@
 // admitted since, where all do.
 const staleMargin = 0.15
 
-// Fleet states how many VMs there are, how many of them this one hears, itself counted, and how
-// many of those tell seldom.
-func (g *Gate) Fleet(known, heard, seldom int) {
-	g.vms.Store(int32(max(1, known)))
-	share := float64(max(1, heard)) / float64(max(1, known, heard))
-	margin := staleMargin * float64(seldom) / float64(max(1, heard))
+// Fleet states how many VMs there are, which part of the fleet this one hears, itself counted,
+// and which part of those heard tells seldom.
+func (g *Gate) Fleet(vms int, share, seldom float64) {
+	g.vms.Store(int32(max(1, vms)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.plans.SetShare(share * (1 - margin))
+	g.plans.SetShare(share * (1 - staleMargin*seldom))
 }
 
 // Admit draws a call's cost from its workspace's plan.
--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -19,6 +19,7 @@
 	s.mu.Lock()
 	c := s.roster.hear(s.opts.Clock.Now(), b)
 	known, heard, seldom := s.roster.counts()
+	share := s.roster.share()
 	if b.Leaving {
 		s.hangUp(b.From.Address)
 	}
@@ -26,7 +27,7 @@
 	if c.late {
 		return nil, nil
 	}
-	s.opts.Plans.Fleet(known, heard, seldom)
+	s.opts.Plans.Fleet(known, share, float64(seldom)/float64(heard))
 	if c.joined || c.returned || !c.replaced.IsZero() {
 		s.opts.Log.Info("vm heard", zap.Stringer("vm", b.From.VM), zap.Bool("joined", c.joined), zap.Bool("returned", c.returned),
 			zap.Bool("leaving", b.Leaving), zap.Stringer("replaces", c.replaced), zap.Int("known", known), zap.Int("heard", heard))
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -230,6 +230,23 @@
 	return known, heard, seldom
 }
 
+// share is the part of the fleet that is heard, this VM counted: each data centre counts the
+// same, as callers come to each, and within one each VM does.
+func (r *roster) share() float64 {
+	known, heard := map[string]int{r.self.DataCentre: 1}, map[string]int{r.self.DataCentre: 1}
+	for _, p := range r.peers {
+		known[p.member.DataCentre]++
+		if !p.silent {
+			heard[p.member.DataCentre]++
+		}
+	}
+	sum := 0.0
+	for dataCentre, n := range known {
+		sum += float64(heard[dataCentre]) / float64(n)
+	}
+	return sum / float64(len(known))
+}
+
 // rank gives the number of heard VMs that are told everything and whose address comes before
 // this one's.
 func (r *roster) rank() int {
--- a/internal/exchange/roster_test.go
+++ b/internal/exchange/roster_test.go
@@ -97,6 +97,33 @@
 	}
 }
 
+// TestSharesOfBothSidesOfACut shows that a data centre with one VM keeps the part of its
+// callers, and that the parts of all sides add up to no more than the whole.
+func TestSharesOfBothSidesOfACut(t *testing.T) {
+	lone, other := newRoster(member(1, 1, "a")), newRoster(member(2, 1, "b"))
+	for n := 1; n <= 6; n++ {
+		m := member(n, 1, map[bool]string{true: "a", false: "b"}[n == 1])
+		if n != 1 {
+			lone.hear(start(), &beat{From: m, Near: true})
+		}
+		if n != 2 {
+			other.hear(start(), &beat{From: m, Near: true})
+		}
+	}
+	if lone.share() != 1 || other.share() != 1 {
+		t.Fatalf("before the cut the shares are %v and %v", lone.share(), other.share())
+	}
+	later := start().Add(silentAfter + time.Millisecond)
+	lone.pass(later)
+	for n := 3; n <= 6; n++ {
+		other.hear(later, &beat{From: member(n, 1, "b"), Near: true})
+	}
+	other.pass(later)
+	if lone.share() != 0.5 || other.share() != 0.5 {
+		t.Errorf("during the cut the shares are %v and %v", lone.share(), other.share())
+	}
+}
+
 func TestALargeFleetTellsFarVMsLess(t *testing.T) {
 	r := newRoster(member(1, 1, "a"))
 	for n := 2; n <= largeFleet+1; n++ {
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -38,8 +38,9 @@
 type Plans interface {
 	Heard(workspace string, tokens int64)
 	Used() map[string]int64
-	// Fleet is told of the VMs that may be serving, of those heard, and of those that tell seldom.
-	Fleet(known, heard, seldom int)
+	// Fleet is told how many VMs may be serving, the part of them that is heard, and the part of
+	// those that tells seldom.
+	Fleet(vms int, share, seldom float64)
 }
 
 // Documents are numbered from 0, the same on all VMs.
@@ -252,11 +253,12 @@
 	}
 	silent, gone := s.roster.pass(s.opts.Clock.Now())
 	known, heard, seldom := s.roster.counts()
+	share := s.roster.share()
 	for _, m := range gone {
 		s.hangUp(m.Address)
 	}
 	s.mu.Unlock()
-	s.opts.Plans.Fleet(known, heard, seldom)
+	s.opts.Plans.Fleet(known, share, float64(seldom)/float64(heard))
 	for _, m := range silent {
 		s.opts.Log.Warn("vm silent", zap.Stringer("vm", m.VM), zap.Int("known", known), zap.Int("heard", heard))
 		s.opts.Work.Forget(m.VM)
