Large pools move several engines at once

Cause: the grown sites have 90 and 140 engines; one engine each nine seconds changes nothing there. Change: a move may change one engine for each 16 of the service.

--- a/internal/layout/duty.go
+++ b/internal/layout/duty.go
@@ -37,8 +37,8 @@
 // Pools shows how engines are used.
 type Pools interface {
 	Pools() map[string]Pool
-	// Idlest gives the engine of a stage that is best taken away.
-	Idlest(service string, stage traffic.Stage) (traffic.Endpoint, bool)
+	// Idlest gives the engine of a stage that is best taken away, of those not in except.
+	Idlest(service string, stage traffic.Stage, except []traffic.EndpointID) (traffic.Endpoint, bool)
 }
 
 // Duty is the goroutine that gives orders.
@@ -108,10 +108,6 @@
 	if !d.free(lease) {
 		return fault.New(fault.Conflict, "wait until the other VM's lease is over", "another vm gave the last order")
 	}
-	e, ok := d.Pools.Idlest(m.Service, m.From)
-	if !ok {
-		return fault.New(fault.NotFound, "none; the next sample decides anew", "no engine can be taken away")
-	}
 	begun := d.Clock.Now()
 	next := Lease{Holder: d.Self, Fence: lease.Fence + 1, Version: lease.Version}
 	if err := d.Store.TakeLease(ctx, next); err != nil {
@@ -121,12 +117,26 @@
 		return fault.New(fault.Timeout, "none; the next sample decides anew", "the lease took too long")
 	}
 	d.planner.Settle(d.Clock.Now(), m.Service)
-	err = d.Engines.OrderStage(ctx, e, m.To, d.Self, next.Fence)
-	d.Log.Info("stage ordered", zap.String("service", m.Service), zap.String("endpoint", e.ID.Name), zap.Stringer("from", m.From),
-		zap.Stringer("to", m.To), zap.Uint64("fence", next.Fence), zap.Error(err))
+	d.order(ctx, m, next.Fence)
 	return nil
 }
 
+// order gives the orders of a move. One that is not answered may still be carried out; the
+// table of endpoints shows it.
+func (d *Duty) order(ctx context.Context, m Move, fence uint64) {
+	var ordered []traffic.EndpointID
+	for range m.Count {
+		e, ok := d.Pools.Idlest(m.Service, m.From, ordered)
+		if !ok || ctx.Err() != nil {
+			return
+		}
+		ordered = append(ordered, e.ID)
+		err := d.Engines.OrderStage(ctx, e, m.To, d.Self, fence)
+		d.Log.Info("stage ordered", zap.String("service", m.Service), zap.String("endpoint", e.ID.Name), zap.Stringer("from", m.From),
+			zap.Stringer("to", m.To), zap.Uint64("fence", fence), zap.Error(err))
+	}
+}
+
 // free reports whether an order may be given: this VM gave the last one, or the store's lease
 // of another has not changed for long enough.
 func (d *Duty) free(l Lease) bool {
--- a/internal/layout/plan.go
+++ b/internal/layout/plan.go
@@ -20,11 +20,13 @@
 	Memory float64
 }
 
-// Move is the change of one engine's stage.
+// Move is the change of the stage of some engines.
 type Move struct {
 	Service string
 	From    traffic.Stage
 	To      traffic.Stage
+	// Count is the number of engines.
+	Count int
 }
 
 const (
@@ -54,6 +56,8 @@
 	// moves mend a layout that is out of proportion, and do not follow each burst.
 	minPrefillPart = 0.3
 	minDecodePart  = 0.4
+	// enginesAMove is the number of a service's engines for each one that a move may change.
+	enginesAMove = 16
 	// settleTime is the time between moves of a service, in which an engine changes its stage
 	// and the use of the pools follows.
 	settleTime = 9 * time.Second
@@ -105,17 +109,34 @@
 	return Move{}, false
 }
 
+// move gives the move that the use of the pools asks for, as large as it may be.
 func (u *usage) move() (Move, bool) {
-	n, m := float64(u.prefill), float64(u.decode)
-	switch {
-	case n-1 >= minPrefillPart*(n+m) && u.memory >= minMemory && u.reading*n/(n-1) <= spareRatio*memoryGrowth*u.memory*m/(m+1):
-		return Move{From: traffic.Prefill, To: traffic.Decode}, true
-	case u.samples >= minBackSamples && m-1 >= minDecodePart*(n+m) && u.reading >= minReading && u.reading*n/(n+1) >= backRatio*memoryGrowth*u.memory*m/(m-1):
-		return Move{From: traffic.Decode, To: traffic.Prefill}, true
+	most := max(1, (u.prefill+u.decode)/enginesAMove)
+	for count := most; count > 0; count-- {
+		if u.spare(float64(count)) {
+			return Move{From: traffic.Prefill, To: traffic.Decode, Count: count}, true
+		}
+	}
+	if u.crowded() {
+		return Move{From: traffic.Decode, To: traffic.Prefill, Count: 1}, true
 	}
 	return Move{}, false
 }
 
+// spare reports whether prefill can do without some engines.
+func (u *usage) spare(count float64) bool {
+	n, m := float64(u.prefill), float64(u.decode)
+	return n-count >= minPrefillPart*(n+m) && u.memory >= minMemory &&
+		u.reading*n/(n-count) <= spareRatio*memoryGrowth*u.memory*m/(m+count)
+}
+
+// crowded reports whether prefill lacks an engine that decode can do without.
+func (u *usage) crowded() bool {
+	n, m := float64(u.prefill), float64(u.decode)
+	return u.samples >= minBackSamples && m-1 >= minDecodePart*(n+m) && u.reading >= minReading &&
+		u.reading*n/(n+1) >= backRatio*memoryGrowth*u.memory*m/(m-1)
+}
+
 // Settle states that a move of a service was tried.
 func (p *Planner) Settle(now clock.Instant, service string) {
 	if u := p.services[service]; u != nil {
--- a/internal/layout/plan_test.go
+++ b/internal/layout/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,6 +44,19 @@
 	}
 }
 
+func TestALargePoolMovesSeveralAtOnce(t *testing.T) {
+	if m, due := planned(Pool{Prefill: 40, Decode: 50, Reading: 8, Memory: 0.6}); !due || m.Count != 90/enginesAMove {
+		t.Errorf("move %+v due %v", m, due)
+	}
+	if m, due := planned(Pool{Prefill: 29, Decode: 61, Reading: 2, Memory: 0.6}); !due || m.Count != 2 {
+		t.Errorf("near its floor: move %+v due %v", m, due)
+	}
+	w := &world{clock: &manual{now: clock.Instant(time.Hour)}}
+	if err := w.duty("a").move(t.Context(), Move{Service: "s", Count: 3}); err != nil || len(w.orders) != 3 || w.lease.Fence != 1 {
+		t.Errorf("orders %+v, lease %+v, error %v", w.orders, w.lease, err)
+	}
+}
+
 // TestDecodeGivesNothingAwaySoon shows that a rush of prompts after a restart moves no engine.
 func TestDecodeGivesNothingAwaySoon(t *testing.T) {
 	p := NewPlanner()
@@ -123,8 +137,8 @@
 
 func (w *world) Pools() map[string]Pool { return nil }
 
-func (w *world) Idlest(string, traffic.Stage) (traffic.Endpoint, bool) {
-	return traffic.Endpoint{ID: traffic.EndpointID{Name: "e"}}, true
+func (w *world) Idlest(_ string, _ traffic.Stage, except []traffic.EndpointID) (traffic.Endpoint, bool) {
+	return traffic.Endpoint{ID: traffic.EndpointID{Name: fmt.Sprint(len(except))}}, true
 }
 
 func (w *world) duty(name string) *Duty {
@@ -136,7 +150,7 @@
 func TestOneHolderAtATime(t *testing.T) {
 	w := &world{clock: &manual{now: clock.Instant(time.Hour)}}
 	a, b := w.duty("a"), w.duty("b")
-	m := Move{Service: "s", From: traffic.Prefill, To: traffic.Decode}
+	m := Move{Service: "s", From: traffic.Prefill, To: traffic.Decode, Count: 1}
 	if err := a.move(t.Context(), m); err != nil {
 		t.Fatal(err)
 	}
@@ -154,7 +168,7 @@
 // TestNoOrderAfterAPause shows that a VM that stood still while it took the lease gives none.
 func TestNoOrderAfterAPause(t *testing.T) {
 	w := &world{clock: &manual{now: clock.Instant(time.Hour)}, slow: 5 * time.Second}
-	if err := w.duty("a").move(t.Context(), Move{Service: "s"}); err == nil || len(w.orders) != 0 {
+	if err := w.duty("a").move(t.Context(), Move{Service: "s", Count: 1}); err == nil || len(w.orders) != 0 {
 		t.Errorf("error %v, orders %+v", err, w.orders)
 	}
 }
@@ -162,7 +176,7 @@
 // TestNoOrderWithoutTheLeasesAnswer shows that a write whose answer is lost gives no right.
 func TestNoOrderWithoutTheLeasesAnswer(t *testing.T) {
 	w := &world{clock: &manual{now: clock.Instant(time.Hour)}, lost: true}
-	if err := w.duty("a").move(t.Context(), Move{Service: "s"}); err == nil || len(w.orders) != 0 {
+	if err := w.duty("a").move(t.Context(), Move{Service: "s", Count: 1}); err == nil || len(w.orders) != 0 {
 		t.Errorf("error %v, orders %+v", err, w.orders)
 	}
 }
--- a/internal/schedule/pools.go
+++ b/internal/schedule/pools.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"slices"
+
 	"github.com/fulmartide/fulmartide/internal/layout"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -38,18 +40,21 @@
 
 // Idlest implements layout.Pools: of the data centre with the most engines of the stage, the
 // one with the least work.
-func (s *Scheduler) Idlest(service string, stage traffic.Stage) (traffic.Endpoint, bool) {
+func (s *Scheduler) Idlest(service string, stage traffic.Stage, except []traffic.EndpointID) (traffic.Endpoint, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	usable := func(e *state) bool {
+		return e.Stage == stage && !e.Leaving && !slices.Contains(except, e.ID) && !e.health.ejected(s.opts.Clock.Now())
+	}
 	count := map[string]int{}
 	for _, e := range s.table.byService[service] {
-		if e.Stage == stage && !e.Leaving {
+		if usable(e) {
 			count[e.DataCentre]++
 		}
 	}
 	var best *state
 	for _, e := range s.table.byService[service] {
-		if e.Stage != stage || e.Leaving || e.health.ejected(s.opts.Clock.Now()) {
+		if !usable(e) {
 			continue
 		}
 		if best == nil || count[e.DataCentre] > count[best.DataCentre] ||
