Large calls are not overtaken while they wait; a layout far out of proportion moves several engines

Change: calls that wait for memory go in turn at each VM; a move may change a quarter of the engines where that leaves prefill well under its measure.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -204,10 +204,11 @@
 // place claims an endpoint. While all are full it waits, until limit after the call arrived.
 func (f *flight) place(ctx context.Context, a *schedule.Ask, limit time.Duration) (*schedule.Claim, error) {
 	s := f.d.opts.Scheduler
-	var waited bool
+	var turn *schedule.Turn
+	waited := false
 	for {
 		freed := s.Freed()
-		claim, err := s.Place(a)
+		claim, err := s.Place(a, turn)
 		if err == nil {
 			f.log.Info("placed", zap.Stringer("stage", a.Stage), zap.String("endpoint", claim.Endpoint.ID.Name), zap.Uint64("table", claim.Version),
 				zap.Duration("score", claim.Score), zap.Int("among", claim.Among), zap.Int("calls", claim.Held.Calls), zap.Int64("tokens", claim.Held.Tokens),
@@ -220,6 +221,10 @@
 			return nil, err
 		}
 		waited = true
+		if turn == nil && a.Tokens != nil && fault.Is(err, fault.Overloaded) {
+			turn = s.Queue(a)
+			defer turn.Leave()
+		}
 		if err := waitFor(ctx, freed, min(rest, placeRecheck)); err != nil {
 			return nil, err
 		}
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -192,7 +192,9 @@
 		if backend.Arrived(err) && !g.spend("decode refused") {
 			return false, &stepError{err: err, final: true}
 		}
-		next, placeErr := g.place(ctx, g.ask(traffic.Decode, h.Endpoint.DataCentre, refused), g.elapsed()+rest)
+		ask := g.ask(traffic.Decode, h.Endpoint.DataCentre, refused)
+		ask.Pressing = true
+		next, placeErr := g.place(ctx, ask, g.elapsed()+rest)
 		if placeErr != nil {
 			return false, err
 		}
--- a/internal/layout/plan.go
+++ b/internal/layout/plan.go
@@ -58,6 +58,10 @@
 	minDecodePart  = 0.4
 	// enginesAMove is the number of a service's engines for each one that a move may change.
 	enginesAMove = 16
+	// enginesABigMove is the same for a layout that is far out of proportion: one whose use of
+	// prefill after the move is under bigMoveRatio of what it may be.
+	enginesABigMove = 4
+	bigMoveRatio    = 0.7
 	// settleTime is the time between moves of a service, in which an engine changes its stage
 	// and the use of the pools follows.
 	settleTime = 9 * time.Second
@@ -111,9 +115,13 @@
 
 // move gives the move that the use of the pools asks for, as large as it may be.
 func (u *usage) move() (Move, bool) {
-	most := max(1, (u.prefill+u.decode)/enginesAMove)
-	for count := most; count > 0; count-- {
-		if u.spare(float64(count)) {
+	engines := u.prefill + u.decode
+	for count := engines / enginesABigMove; count > 0; count-- {
+		ratio := spareRatio
+		if count > max(1, engines/enginesAMove) {
+			ratio *= bigMoveRatio
+		}
+		if u.spare(float64(count), ratio) {
 			return Move{From: traffic.Prefill, To: traffic.Decode, Count: count}, true
 		}
 	}
@@ -124,10 +132,10 @@
 }
 
 // spare reports whether prefill can do without some engines.
-func (u *usage) spare(count float64) bool {
+func (u *usage) spare(count, ratio float64) bool {
 	n, m := float64(u.prefill), float64(u.decode)
 	return n-count >= minPrefillPart*(n+m) && u.memory >= minMemory &&
-		u.reading*n/(n-count) <= spareRatio*memoryGrowth*u.memory*m/(m+count)
+		u.reading*n/(n-count) <= ratio*memoryGrowth*u.memory*m/(m+count)
 }
 
 // crowded reports whether prefill lacks an engine that decode can do without.
--- a/internal/layout/plan_test.go
+++ b/internal/layout/plan_test.go
@@ -45,7 +45,10 @@
 }
 
 func TestALargePoolMovesSeveralAtOnce(t *testing.T) {
-	if m, due := planned(Pool{Prefill: 40, Decode: 50, Reading: 8, Memory: 0.6}); !due || m.Count != 90/enginesAMove {
+	if m, due := planned(Pool{Prefill: 12, Decode: 6, Reading: 1, Memory: 0.9}); !due || m.Count != 18/enginesABigMove {
+		t.Errorf("far out of proportion: move %+v due %v", m, due)
+	}
+	if m, due := planned(Pool{Prefill: 40, Decode: 50, Reading: 40, Memory: 0.5}); !due || m.Count != 90/enginesAMove {
 		t.Errorf("move %+v due %v", m, due)
 	}
 	if m, due := planned(Pool{Prefill: 29, Decode: 61, Reading: 2, Memory: 0.6}); !due || m.Count != 2 {
--- a/internal/schedule/choose_test.go
+++ b/internal/schedule/choose_test.go
@@ -155,7 +155,7 @@
 			if tc.do != nil {
 				tc.do(s, c)
 			}
-			claim, err := s.Place(tc.ask)
+			claim, err := s.Place(tc.ask, nil)
 			switch {
 			case tc.want == "":
 				if !fault.Is(err, tc.kind) {
@@ -183,7 +183,7 @@
 			held[i].Release()
 			held[i].Release() // a second release changes nothing
 			held = append(held[:i], held[i+1:]...)
-		} else if c, err := s.Place(decodeAsk()); err == nil {
+		} else if c, err := s.Place(decodeAsk(), nil); err == nil {
 			held = append(held, c)
 		} else {
 			refused++
@@ -209,24 +209,54 @@
 // TestARefusalShowsUnseenWork shows that an engine that refused is left alone, and for how long.
 func TestARefusalShowsUnseenWork(t *testing.T) {
 	s, c := newTestScheduler(endpoint("x", "a", traffic.Decode), endpoint("y", "b", traffic.Decode))
-	first, err := s.Place(decodeAsk())
+	first, err := s.Place(decodeAsk(), nil)
 	if err != nil || first.Endpoint.ID.Name != "x" {
 		t.Fatalf("chose %v, error %v", first, err)
 	}
 	first.Full()
 	first.Release()
-	if second, err := s.Place(decodeAsk()); err != nil || second.Endpoint.ID.Name != "y" {
+	if second, err := s.Place(decodeAsk(), nil); err != nil || second.Endpoint.ID.Name != "y" {
 		t.Fatalf("after a refusal chose %v, error %v", second, err)
 	}
 	c.now = c.now.Add(unseenTime)
-	if third, err := s.Place(decodeAsk()); err != nil || third.Endpoint.ID.Name != "x" {
+	if third, err := s.Place(decodeAsk(), nil); err != nil || third.Endpoint.ID.Name != "x" {
 		t.Fatalf("later chose %v, error %v", third, err)
 	}
 }
 
+// TestLargeCallsAreNotOvertaken shows that a small call waits behind a large one that came
+// first, and goes when its turn ends.
+func TestLargeCallsAreNotOvertaken(t *testing.T) {
+	s, _ := newTestScheduler(endpoint("x", "a", traffic.Decode))
+	ask := func(prompt int64) *Ask {
+		return &Ask{Service: testService, Stage: traffic.Decode, Tokens: &traffic.Tokens{Prompt: prompt}}
+	}
+	if _, err := s.Place(ask(testMemory/2), nil); err != nil {
+		t.Fatal(err)
+	}
+	large := ask(testMemory * 3 / 4)
+	if _, err := s.Place(large, nil); !fault.Is(err, fault.Overloaded) {
+		t.Fatalf("the large call: %v", err)
+	}
+	turn := s.Queue(large)
+	if _, err := s.Place(ask(100), nil); !fault.Is(err, fault.Overloaded) {
+		t.Errorf("a small call overtook: %v", err)
+	}
+	pressing := ask(100)
+	pressing.Pressing = true
+	if _, err := s.Place(pressing, nil); err != nil {
+		t.Errorf("a call whose prompt is read was held up: %v", err)
+	}
+	turn.Leave()
+	turn.Leave() // a second time changes nothing
+	if _, err := s.Place(ask(100), nil); err != nil {
+		t.Errorf("after the turn: %v", err)
+	}
+}
+
 func TestReleaseWakesThoseThatWait(t *testing.T) {
 	s, _ := newTestScheduler(endpoint("x", "a", traffic.Decode))
-	c, err := s.Place(decodeAsk())
+	c, err := s.Place(decodeAsk(), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -35,6 +35,42 @@
 	seq   uint64
 	// freed is closed and replaced when room may have come up.
 	freed chan struct{}
+	// turns holds the calls of this VM that wait for room, in the order of their coming.
+	turns map[pool][]*Turn
+}
+
+// pool is what calls wait for.
+type pool struct {
+	service string
+	stage   traffic.Stage
+}
+
+// Turn is a call's place among those that wait for room: without it small calls would take
+// what frees up, and large ones would wait in vain.
+type Turn struct {
+	scheduler *Scheduler
+	pool      pool
+}
+
+// Queue gives a call a turn behind those that wait for the same.
+func (s *Scheduler) Queue(a *Ask) *Turn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := &Turn{scheduler: s, pool: pool{a.Service, a.Stage}}
+	s.turns[t.pool] = append(s.turns[t.pool], t)
+	return t
+}
+
+// Leave ends the call's turn. It may be called more than once.
+func (t *Turn) Leave() {
+	s := t.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turns[t.pool] = slices.DeleteFunc(s.turns[t.pool], func(o *Turn) bool { return o == t })
+	if len(s.turns[t.pool]) == 0 {
+		delete(s.turns, t.pool)
+	}
+	s.wake()
 }
 
 // New makes a Scheduler.
@@ -49,6 +85,7 @@
 		opts:  o,
 		table: newTable(o.DataCentre, rand.New(rand.NewPCG(o.Seed, 0))),
 		freed: make(chan struct{}),
+		turns: map[pool][]*Turn{},
 	}
 }
 
@@ -107,11 +144,15 @@
 	fullRetryAfter = 300 * time.Millisecond
 )
 
-// Place chooses an endpoint and claims its room. It fails as Overloaded when all are full, and
-// as Unavailable when there is none.
-func (s *Scheduler) Place(a *Ask) (*Claim, error) {
+// Place chooses an endpoint and claims its room. It fails as Overloaded when all are full or
+// others wait before turn, which is nil for a call that does not wait, and as Unavailable when
+// there is none.
+func (s *Scheduler) Place(a *Ask, turn *Turn) (*Claim, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if waiting := s.turns[pool{a.Service, a.Stage}]; len(waiting) > 0 && waiting[0] != turn && !a.Pressing {
+		return nil, errFull
+	}
 	now := s.opts.Clock.Now()
 	e, c, why := s.table.choose(now, a)
 	switch why {
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -113,6 +113,8 @@
 	Avoid []traffic.EndpointID
 	// Once: a failure of the endpoint loses the call.
 	Once bool
+	// Pressing calls go before those that wait: their prompt is read and kept for a moment only.
+	Pressing bool
 }
 
 func (a *Ask) avoids(id traffic.EndpointID) bool {
