Calls to plain services of the product's own interface take the one path

Cause: two pickers, two retry loops and two kinds of connections served plain services. Change: relay hands admitted calls to dispatch; package placement's Picker, the relay's own clients, retry loop and back-off are gone with their tests (choices, health, budgets and repeats are tested in schedule, admission and dispatch; the relay's tests of commits and lost answers stay, with two endpoints where a repeat was expected at the same one). A call that tried all endpoints does not wait for another.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,7 +47,6 @@
 	keys       *keys.Service
 	limiter    *limiter.Service
 	placer     *placement.Service
-	picker     *placement.Picker
 	ledger     *ledger.Service
 	relay      *relay.Server
 	sweep      *sweep.Service
@@ -115,15 +114,12 @@
 		Self: d.self, Directory: d.membership, Transport: d.transport, Dialer: dialer, Configuration: d.config.Current,
 		Clock: d.clock, Store: d.platform, Policy: d.settings.Policy.Placement, Log: d.log.Named("placement"),
 	})
-	d.picker = placement.NewPicker(placement.PickerOptions{
-		Configuration: d.config.Current, Clock: d.clock, DataCentre: d.self.DataCentre, Log: d.log.Named("picker"), Seed: uint64(d.self.VM.Incarnation),
-	})
 	d.ledger = ledger.New(ledger.Options{
 		Self: d.self, Directory: d.membership, Store: d.platform, Transport: d.transport, Clock: d.clock, Wall: time.Now, Log: d.log.Named("ledger"),
 	})
 	d.relay = relay.New(relay.Options{
 		Self: d.self.VM, DataCentre: d.self.DataCentre, Limits: d.settings.Limits, Configuration: d.config.Current, Keys: d.keys,
-		Limiter: d.limiter, Placer: d.placer, Picker: d.picker, Ledger: d.ledger, Dialer: dialer, Clock: d.clock, Log: d.log.Named("relay"),
+		Limiter: d.limiter, Placer: d.placer, Ledger: d.ledger, Dialer: dialer, Clock: d.clock, Log: d.log.Named("relay"),
 	})
 	d.sweep = sweep.New(sweep.Options{
 		Self: d.self, Directory: d.membership, Transport: d.transport, Dialer: dialer, Configuration: d.config.Current,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,9 +71,7 @@
 		f.end(err)
 		return err
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, f.left(), errOutOfTime)
-	defer cancel()
-	err := f.run(ctx)
+	err := f.fly(ctx)
 	if err != nil && !f.ran {
 		d.opts.Gate.Return(c.Workspace, c.Cost())
 	}
@@ -81,6 +79,23 @@
 	return err
 }
 
+// Forward takes a call from its placing to its end. The caller has admitted it and has set its
+// route and service. The error is as that of Serve.
+func (d *Dispatcher) Forward(ctx context.Context, c *traffic.Call, out Sink) error {
+	f := &flight{d: d, c: c, out: out, log: d.opts.Log.With(zap.String("request", c.ID))}
+	d.opts.Gate.Called(c.Service.Name)
+	err := f.fly(ctx)
+	f.end(err)
+	return err
+}
+
+// fly runs the call within its time.
+func (f *flight) fly(ctx context.Context) error {
+	ctx, cancel := context.WithTimeoutCause(ctx, f.left(), errOutOfTime)
+	defer cancel()
+	return f.run(ctx)
+}
+
 // errOutOfTime is the cause of a context whose call reached its deadline or route's timeout.
 var errOutOfTime = errors.New("the time for the call is over")
 
@@ -201,7 +216,8 @@
 	return backend.Order{Call: f.c, Endpoint: e, Within: f.left(), Priority: priority, After: f.c.After}
 }
 
-// place claims an endpoint. While all are full it waits, until limit after the call arrived.
+// place claims an endpoint. While all are full, or none is known, it waits until limit after
+// the call arrived; where all were tried it does not.
 func (f *flight) place(ctx context.Context, a *schedule.Ask, limit time.Duration) (*schedule.Claim, error) {
 	s := f.d.opts.Scheduler
 	var turn *schedule.Turn
@@ -216,7 +232,7 @@
 			return claim, nil
 		}
 		rest := limit - f.elapsed()
-		if rest <= 0 || !fault.Is(err, fault.Overloaded) && !fault.Is(err, fault.Unavailable) {
+		if rest <= 0 || fault.Is(err, fault.Unavailable) && len(a.Avoid) > 0 || !fault.Is(err, fault.Overloaded) && !fault.Is(err, fault.Unavailable) {
 			f.log.Info("not placed", zap.Stringer("stage", a.Stage), zap.String("service", a.Service), zap.Bool("waited", waited), zap.Error(err))
 			return nil, err
 		}
--- /dev/null
+++ b/internal/endpoint/plain.go
@@ -0,0 +1,50 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/fulmartide/fulmartide/internal/backend"
+	"github.com/fulmartide/fulmartide/internal/connpool"
+)
+
+// Plain sends calls to plain services. It implements backend.Port; there are no prompts here.
+type Plain struct{ Pool *connpool.Pool }
+
+var _ backend.Port = (*Plain)(nil)
+
+// Run implements backend.Port.
+func (p *Plain) Run(ctx context.Context, o backend.Order) (*backend.Reply, error) {
+	resp, err := p.Pool.Do(ctx, &connpool.Request{
+		Target: connpool.Target{Address: o.Endpoint.Address, Instance: o.Endpoint.ID.Name},
+		Method: o.Call.Method, URI: o.Call.Target, Host: o.Call.Host, Header: o.Call.Header, Body: o.Call.Body,
+	})
+	if err != nil {
+		var failed *connpool.Error
+		return nil, &backend.SendError{Sent: !errors.As(err, &failed) || failed.Sent, Err: err}
+	}
+	return &backend.Reply{Status: resp.Status, Header: resp.Header, Body: resp}, nil
+}
+
+var errNoPrompts = errors.New("plain services read no prompts")
+
+// Prefill implements backend.Port.
+func (p *Plain) Prefill(context.Context, backend.Order) (backend.Handle, error) {
+	return backend.Handle{}, &backend.SendError{Err: errNoPrompts}
+}
+
+// Free implements backend.Port.
+func (p *Plain) Free(context.Context, backend.Handle) error { return errNoPrompts }
+
+// EndToEnd gives the headers that go on from one connection to another.
+func EndToEnd(in http.Header) http.Header {
+	out := in.Clone()
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// hopByHop holds headers that concern one connection only.
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -90,10 +90,3 @@
 type Placer interface {
 	Place(ctx context.Context, r Request) (Lease, error)
 }
-
-// ServicePicker chooses replicas of plain services.
-type ServicePicker interface {
-	// Pick gives the name of an endpoint of the service not in avoid, and a function to be
-	// called once with the outcome. It fails as Overloaded or Unavailable.
-	Pick(service string, avoid []string) (endpoint string, done func(err error, took time.Duration), err error)
-}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -1,11 +1,6 @@
 package relay
 
-import (
-	"context"
-	"math/rand/v2"
-	"sync"
-	"time"
-)
+import "sync"
 
 const (
 	// retryShare is the part of a route's calls that may be retried in the long run.
@@ -13,9 +8,6 @@
 	// retryReserve is the most retries that a route saves up: two full decode batches, so that
 	// the loss of an endpoint or two is made good at once.
 	retryReserve = 40.0
-	// backoffBase and backoffMax bound the wait before a retry.
-	backoffBase = 10 * time.Millisecond
-	backoffMax  = 200 * time.Millisecond
 )
 
 // retryBudgets keeps one budget for each route or model, so that retries stay a bounded share
@@ -48,19 +40,3 @@
 	b.left[name]--
 	return true
 }
-
-// backoff gives the wait before a retry, with full jitter; draw is uniform in [0, 1).
-func backoff(retry int, draw float64) time.Duration {
-	bound := min(backoffBase<<min(retry, 8), backoffMax)
-	return time.Duration(draw * float64(bound))
-}
-
-// pause waits out a backoff, or less if ctx ends.
-func pause(ctx context.Context, retry int) {
-	t := time.NewTimer(backoff(retry, rand.Float64()))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -1,12 +1,8 @@
 package relay
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"errors"
-	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -14,41 +10,17 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/endpoint"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ledger"
 )
 
 const (
 	defaultPlainDeadline = 10 * time.Second
-	// maxServiceBody is the most of a service's answer.
-	maxServiceBody = 8 << 20
-	// serviceTryLimit bounds one try at an idempotent call, so that a silent connection leaves
-	// time for another.
-	serviceTryLimit = 2 * time.Second
-	// maxServiceTries bounds the tries at an idempotent call.
-	maxServiceTries = 3
 	// finishTimeout bounds the recording of a commit's outcome.
 	finishTimeout = 5 * time.Second
-	// dialTimeout bounds one connection attempt to a service.
-	dialTimeout = 500 * time.Millisecond
 )
 
-// newServiceClient makes a client for plain services. Without reuse each call has a new
-// connection, and net/http never sends a call a second time by itself, as it may do with an
-// idempotency key on a reused connection that broke.
-func newServiceClient(reuse bool) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     30 * time.Second,
-			DisableCompression:  true,
-			DisableKeepAlives:   !reuse,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
 // serviceAnswer is a plain service's whole answer.
 type serviceAnswer struct {
 	status int
@@ -83,9 +55,9 @@
 		return err
 	}
 	if route.Commit {
-		return c.commit(ctx, route, body)
+		return c.commit(ctx, name, route, body)
 	}
-	a, err := c.forward(ctx, route, body)
+	a, err := c.forward(ctx, name, route, body)
 	if err != nil {
 		return causeOf(ctx, err, fault.Describe(err).Run)
 	}
@@ -119,129 +91,20 @@
 	_, _ = c.w.Write(a.body)
 }
 
-// forward calls the service, again elsewhere where that is safe.
-func (c *call) forward(ctx context.Context, route configuration.Route, body []byte) (*serviceAnswer, error) {
-	var avoid []string
-	run := fault.NotRun
-	c.server.retries.earn(route.Service)
-	for try := 1; ; try++ {
-		name, done, err := c.server.opts.Picker.Pick(route.Service, avoid)
-		if err != nil {
-			return nil, withRun(err, run)
-		}
-		c.trace("placement", "placed", zap.String("endpoint", name), zap.Int("try", try))
-		begin := c.server.opts.Clock.Now()
-		a, err := c.try(ctx, route, name, body)
-		done(err, c.server.opts.Clock.Now().Sub(begin))
-		if err == nil {
-			return a, nil
-		}
-		again := try < maxServiceTries && ctx.Err() == nil && mayRepeat(route, err) && c.server.retries.spend(route.Service)
-		c.trace("recovery", "attempt failed", zap.String("endpoint", name), zap.Bool("again", again), zap.Error(err))
-		run = worseRun(run, fault.Describe(err).Run)
-		if !again {
-			return nil, withRun(err, run)
-		}
-		avoid = append(avoid, name)
-		pause(ctx, try)
-	}
-}
-
-// worseRun gives the statement that is true of two tries together.
-func worseRun(a, b fault.Run) fault.Run {
-	if a == fault.NotRun {
-		return b
-	}
-	return a
-}
-
-func withRun(err error, run fault.Run) error {
-	d := fault.Describe(err)
-	d.Run = run
-	return d.Error()
-}
-
-// mayRepeat allows another try at an idempotent call, and at any call whose first byte
-// certainly did not leave.
-func mayRepeat(route configuration.Route, err error) bool {
-	return route.Idempotent || fault.Describe(err).Run == fault.NotRun
-}
-
-func (c *call) try(ctx context.Context, route configuration.Route, name string, body []byte) (*serviceAnswer, error) {
-	addr, ok := endpointAddress(c.snapshot, name)
-	if !ok {
-		return nil, fault.New(fault.Unavailable, "try again", "endpoint "+name+" is not in the configuration")
-	}
-	if route.Idempotent {
-		var stop context.CancelFunc
-		ctx, stop = context.WithTimeout(ctx, serviceTryLimit)
-		defer stop()
-	}
-	target := *c.r.URL
-	target.Scheme = "http"
-	target.Host = addr.String()
-	req, err := http.NewRequestWithContext(ctx, c.r.Method, target.String(), bytes.NewReader(body))
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Malformed, "correct the request line", "request")
-	}
-	req.Header = endpointHeaders(c.r.Header)
-	req.Header.Set("X-Request-Id", c.id)
-	req.Header.Set("X-Workspace", c.identity.Workspace)
-	client := c.server.once
-	if route.Idempotent {
-		client = c.server.services
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return nil, callFault(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return readAnswer(resp)
-}
-
-func callFault(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return fault.Wrap(err, fault.Unavailable, "try again", "the endpoint took no connection")
-	}
-	return fault.Wrap(err, fault.OutcomeUnknown, "find out at the service whether the call ran", "the endpoint's answer was lost", fault.WithRun(fault.RunUnknown))
-}
-
-func readAnswer(resp *http.Response) (*serviceAnswer, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxServiceBody+1))
-	if err != nil {
-		return nil, callFault(err)
-	}
-	if len(body) > maxServiceBody {
-		return nil, fault.New(fault.TooLarge, "ask for less in one call", "the service's answer is too large", fault.WithRun(fault.Ran))
-	}
-	header := resp.Header.Clone()
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-	header.Del("Content-Length")
-	return &serviceAnswer{status: resp.StatusCode, header: header, body: body}, nil
-}
-
 // credentialHeaders never reach an endpoint.
 var credentialHeaders = []string{"Authorization", "X-Api-Key", "Cookie", "Proxy-Authorization"}
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
 func endpointHeaders(in http.Header) http.Header {
-	out := in.Clone()
+	out := endpoint.EndToEnd(in)
 	for _, name := range credentialHeaders {
 		out.Del(name)
 	}
-	for _, name := range hopHeaders {
-		out.Del(name)
-	}
+	out.Del("Content-Length")
 	return out
 }
 
 // commit runs a call at most once for its Idempotency-Key.
-func (c *call) commit(ctx context.Context, route configuration.Route, body []byte) error {
+func (c *call) commit(ctx context.Context, name string, route configuration.Route, body []byte) error {
 	key := c.r.Header.Get("Idempotency-Key")
 	if key == "" {
 		return fault.New(fault.Malformed, "send the header Idempotency-Key with a new UUID of version 7", "this route needs an idempotency key")
@@ -256,7 +119,7 @@
 		return c.giveKnown(known)
 	}
 	c.trace("ledger", "recorded", zap.String("key", key))
-	a, err := c.forward(ctx, route, body)
+	a, err := c.forward(ctx, name, route, body)
 	if err != nil {
 		run := fault.Describe(err).Run
 		if run == fault.NotRun {
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -32,9 +32,8 @@
 	Keys keys.Ring
 	// Limiter admits.
 	Limiter limiter.Limiter
-	// Placer places generation calls, Picker calls to plain services.
+	// Placer places generation calls.
 	Placer placement.Placer
-	Picker placement.ServicePicker
 	// Ledger records commits.
 	Ledger ledger.Ledger
 	// Dialer reaches engines.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,8 +26,7 @@
 	traces   *traces
 	cancels  *canceller
 	retries  *retryBudgets
-	services *http.Client // for idempotent calls
-	once     *http.Client // for calls that run at most once
+	services *services
 	metrics  *metrics.Set
 	seq      atomic.Uint64
 	mux      *http.ServeMux
@@ -43,11 +43,10 @@
 		traces:   newTraces(),
 		cancels:  newCanceller(o.Dialer, o.Log),
 		retries:  newRetryBudgets(),
-		services: newServiceClient(true),
-		once:     newServiceClient(false),
 		metrics:  metrics.NewSet(),
 		mux:      http.NewServeMux(),
 	}
+	s.services = newServices(o, s)
 	s.metrics.NewGauge("fulmartide_relay_live_requests", func() float64 { return float64(s.registry.count()) })
 	s.mux.HandleFunc("POST /v1/chat/completions", s.generationHandler(formChat))
 	s.mux.HandleFunc("POST /v1/completions", s.generationHandler(formCompletion))
@@ -56,8 +55,14 @@
 	return s
 }
 
-// Run carries out the cancels that finished requests leave behind, until ctx ends.
-func (s *Server) Run(ctx context.Context) { s.cancels.run(ctx) }
+// Run carries out the cancels that finished requests leave behind, and closes connections to
+// services that are not used, until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { s.services.run(ctx) })
+	s.cancels.run(ctx)
+	duties.Wait()
+}
 
 // Live reports whether a request, named by its id, is still served here.
 func (s *Server) Live(request string) bool { return s.registry.has(request) }
