The rest of a plan is split between data centres that hear each other late

Change: in a large fleet the VMs of one data centre use, until the others have told, 1.2 times their even part of what is left; this takes the place of the 15% held back.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -41,17 +41,15 @@
 	g.retries.SetBudget(b)
 }
 
-// staleMargin is the part of a plan that is held back for what VMs that tell seldom may have
-// admitted since, where all do.
-const staleMargin = 0.15
-
 // Fleet states how many VMs there are, which part of the fleet this one hears, itself counted,
-// and which part of those heard tells seldom.
-func (g *Gate) Fleet(vms int, share, seldom float64) {
+// and which part of a plan's rest the VMs that tell each other at once may use; see
+// Plans.SetSplit.
+func (g *Gate) Fleet(vms int, share, split float64) {
 	g.vms.Store(int32(max(1, vms)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.plans.SetShare(share * (1 - staleMargin*seldom))
+	g.plans.SetShare(share)
+	g.plans.SetSplit(split)
 }
 
 // Admit draws a call's cost from its workspace's plan.
@@ -78,11 +76,11 @@
 	g.plans.Return(g.clock.Now(), w.Name, cost)
 }
 
-// Heard draws what another VM admitted.
-func (g *Gate) Heard(workspace string, tokens int64) {
+// Heard draws what another VM admitted; prompt tells that it tells at once.
+func (g *Gate) Heard(workspace string, tokens int64, prompt bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.plans.Heard(g.clock.Now(), workspace, tokens)
+	g.plans.Heard(g.clock.Now(), workspace, tokens, prompt)
 }
 
 // Used gives what this VM admitted for each workspace since it started, in tokens.
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -33,6 +33,9 @@
 	bins [planBins]int64
 	bin  int64
 	sum  int64
+	// prompt is the part of bins that VMs admitted that tell each other at once, this one
+	// counted.
+	prompt [planBins]int64
 	// used is all that this VM admitted since it started.
 	used int64
 }
@@ -47,18 +50,26 @@
 	started clock.Instant
 	// share is the part of each plan that this side of a cut may use.
 	share float64
+	// split is the part of what is left of a plan that VMs that tell each other at once may use
+	// until the others have told again.
+	split float64
 }
 
 // NewPlans makes Plans that are counted over a window. notice is the time in which a change
 // comes into force on all VMs; a lower plan begins to count when it is over.
 func NewPlans(now clock.Instant, window, notice time.Duration) *Plans {
-	return &Plans{started: now, window: window, notice: notice, accounts: map[string]*account{}, share: 1}
+	return &Plans{started: now, window: window, notice: notice, accounts: map[string]*account{}, share: 1, split: 1}
 }
 
 // SetShare states which part of the VMs this one hears, itself counted. The rest may be
 // admitting unheard, and keep their part.
 func (p *Plans) SetShare(share float64) { p.share = share }
 
+// SetSplit states which part of what is left of a plan may be used by the VMs that tell each
+// other at once, this one counted, until those that tell seldom have told again; 1 where all
+// tell at once.
+func (p *Plans) SetSplit(split float64) { p.split = split }
+
 func (p *Plans) account(now clock.Instant, workspace string, l Limit) *account {
 	a := p.accounts[workspace]
 	if a == nil {
@@ -83,14 +94,30 @@
 	for ; a.bin < bin && a.sum > 0; a.bin++ {
 		i := (a.bin + 1) % planBins
 		a.sum -= a.bins[i]
-		a.bins[i] = 0
+		a.bins[i], a.prompt[i] = 0, 0
 	}
 	a.bin = max(a.bin, bin)
 }
 
-func (a *account) add(tokens int64) {
+func (a *account) add(tokens int64, prompt bool) {
 	a.bins[a.bin%planBins] += tokens
 	a.sum += tokens
+	if prompt {
+		a.prompt[a.bin%planBins] += tokens
+	}
+}
+
+// recentParts is the number of parts of the window that VMs that tell seldom may not have
+// heard of.
+const recentParts = 10
+
+// recent is what VMs that tell each other at once have admitted lately.
+func (a *account) recent() int64 {
+	sum := int64(0)
+	for i := range int64(recentParts) {
+		sum += a.prompt[(a.bin-i+planBins*recentParts)%planBins]
+	}
+	return sum
 }
 
 // full is what a plan allows in a whole window, in tokens. After its start a VM takes the plan
@@ -133,8 +160,15 @@
 		v.Wait = p.wait(a, float64(a.sum+cost)-v.Allowed)
 		return v
 	}
+	if p.split < 1 {
+		recent := float64(a.recent())
+		if left := (v.Allowed - float64(a.sum) + recent) * p.split; recent+float64(cost) > left {
+			v.Wait = p.binTime() * recentParts
+			return v
+		}
+	}
 	v.Admitted = true
-	a.add(cost)
+	a.add(cost, true)
 	a.used += cost
 	v.Used = a.used
 	return v
@@ -154,16 +188,17 @@
 // Return gives back what a call drew that was certainly not run.
 func (p *Plans) Return(now clock.Instant, workspace string, cost int64) {
 	if a := p.accounts[workspace]; a != nil {
-		p.Heard(now, workspace, -cost)
+		p.Heard(now, workspace, -cost, true)
 		a.used -= cost
 	}
 }
 
-// Heard counts what another VM admitted; less than nothing where it gave some back.
-func (p *Plans) Heard(now clock.Instant, workspace string, tokens int64) {
+// Heard counts what another VM admitted; less than nothing where it gave some back. prompt
+// tells that the VM tells at once.
+func (p *Plans) Heard(now clock.Instant, workspace string, tokens int64, prompt bool) {
 	if a := p.accounts[workspace]; a != nil {
 		p.advance(a, now)
-		a.add(max(tokens, -a.sum))
+		a.add(max(tokens, -a.sum), prompt)
 	}
 }
 
--- a/internal/admission/plan_test.go
+++ b/internal/admission/plan_test.go
@@ -62,7 +62,7 @@
 		{"no limit", func(p *Plans) bool { return p.Admit(at(0), "w", Limit{}, 1<<40).Admitted }, true},
 		{"what others admitted counts", func(p *Plans) bool {
 			p.Admit(at(0), "w", limit, 1)
-			p.Heard(at(0), "w", 8000)
+			p.Heard(at(0), "w", 8000, true)
 			return p.Admit(at(0), "w", limit, 500).Admitted
 		}, false},
 		{"what is returned is free again", func(p *Plans) bool {
@@ -126,3 +126,43 @@
 		t.Error("refused after the stated wait")
 	}
 }
+
+// TestTheRestOfAPlanIsSplit gives one plan to four groups of VMs that hear each other a second
+// late, all of which ask for more than it allows, and checks the users' bound: a tenth more.
+func TestTheRestOfAPlanIsSplit(t *testing.T) {
+	const groups, cost, lag = 4, 50, 8
+	limit := Limit{Rate: 10_000, Burst: 10_000}
+	var plans [groups]*Plans
+	for i := range plans {
+		plans[i] = NewPlans(longAgo(), testWindow, testNotice)
+		plans[i].SetSplit(1.2 / groups)
+	}
+	step := testWindow / planParts
+	var told [groups][]int64 // what each group admitted in each step
+	for n := range 4 * planParts {
+		now := at(time.Duration(n) * step)
+		for i, p := range plans {
+			admitted := int64(0)
+			for range 40 {
+				if p.Admit(now, "w", limit, cost).Admitted {
+					admitted += cost
+				}
+			}
+			told[i] = append(told[i], admitted)
+			for j := range plans {
+				if late := n - lag; j != i && late >= 0 {
+					plans[j].Heard(now, "w", told[i][late], false)
+				}
+			}
+		}
+		sum := int64(0)
+		for i := range told {
+			for _, v := range told[i][max(0, len(told[i])-planParts):] {
+				sum += v
+			}
+		}
+		if bound := 1.1 * (limit.Rate*testWindow.Seconds() + limit.Burst); float64(sum) > bound {
+			t.Fatalf("step %d: %d tokens in a window, the bound is %.0f", n, sum, bound)
+		}
+	}
+}
--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -18,8 +18,8 @@
 func (s *Service) onBeat(_ context.Context, _ ident.VM, b *beat) (*nothing, error) {
 	s.mu.Lock()
 	c := s.roster.hear(s.opts.Clock.Now(), b)
-	known, heard, seldom := s.roster.counts()
-	share := s.roster.share()
+	known, heard := s.roster.counts()
+	share, split := s.roster.share(), s.roster.split()
 	if b.Leaving {
 		s.hangUp(b.From.Address)
 	}
@@ -27,7 +27,7 @@
 	if c.late {
 		return nil, nil
 	}
-	s.opts.Plans.Fleet(known, share, float64(seldom)/float64(heard))
+	s.opts.Plans.Fleet(known, share, split)
 	if c.joined || c.returned || !c.replaced.IsZero() {
 		s.opts.Log.Info("vm heard", zap.Stringer("vm", b.From.VM), zap.Bool("joined", c.joined), zap.Bool("returned", c.returned),
 			zap.Bool("leaving", b.Leaving), zap.Stringer("replaces", c.replaced), zap.Int("known", known), zap.Int("heard", heard))
@@ -36,7 +36,7 @@
 		s.opts.Work.Forget(c.replaced)
 	}
 	for workspace, tokens := range c.admitted {
-		s.opts.Plans.Heard(workspace, tokens)
+		s.opts.Plans.Heard(workspace, tokens, b.Near)
 	}
 	if b.Leaving {
 		return nil, nil
@@ -59,7 +59,7 @@
 	admitted := s.roster.spent(from, m.From, m.Used)
 	s.mu.Unlock()
 	for workspace, tokens := range admitted {
-		s.opts.Plans.Heard(workspace, tokens)
+		s.opts.Plans.Heard(workspace, tokens, true)
 	}
 	for _, w := range m.Work {
 		s.opts.Work.HeardWork(from, m.Seq, w.id(), w.Work)
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -214,20 +214,33 @@
 	return shortPeriod * time.Duration(max(largeFleet, told)) / largeFleet
 }
 
-// counts gives the number of VMs that may be serving, of those heard, this one in both, and of
-// those heard that tell seldom.
-func (r *roster) counts() (known, heard, seldom int) {
+// counts gives the number of VMs that may be serving, and of those heard, this one in both.
+func (r *roster) counts() (known, heard int) {
 	known, heard = len(r.peers)+1, 1
 	for _, p := range r.peers {
-		if p.silent {
-			continue
+		if !p.silent {
+			heard++
 		}
-		heard++
-		if !r.near(p) {
-			seldom++
+	}
+	return known, heard
+}
+
+// unevenness is how many times its even part a data centre may use of what is left of a plan.
+const unevenness = 1.2
+
+// split is the part of what is left of a plan that the VMs of this data centre may use until
+// those of the others have told what they used.
+func (r *roster) split() float64 {
+	if !r.large() {
+		return 1
+	}
+	heard := map[string]bool{r.self.DataCentre: true}
+	for _, p := range r.peers {
+		if !p.silent {
+			heard[p.member.DataCentre] = true
 		}
 	}
-	return known, heard, seldom
+	return min(1, unevenness/float64(len(heard)))
 }
 
 // share is the part of the fleet that is heard, this VM counted: each data centre counts the
--- a/internal/exchange/roster_test.go
+++ b/internal/exchange/roster_test.go
@@ -39,7 +39,7 @@
 	if c := r.hear(start(), &beat{From: member(2, 5, "a"), Near: true}); !c.late {
 		t.Error("a late heartbeat brought the VM back")
 	}
-	if known, _, _ := r.counts(); known != 1 {
+	if known, _ := r.counts(); known != 1 {
 		t.Errorf("%d VMs known", known)
 	}
 }
@@ -51,7 +51,7 @@
 	if len(silent) != 1 || len(gone) != 0 {
 		t.Fatalf("silent %v, gone %v", silent, gone)
 	}
-	if known, heard, _ := r.counts(); known != 2 || heard != 1 {
+	if known, heard := r.counts(); known != 2 || heard != 1 {
 		t.Errorf("known %d, heard %d: a silent VM may be serving behind a cut", known, heard)
 	}
 	if _, gone = r.pass(start().Add(goneAfter + time.Millisecond)); len(gone) != 1 {
@@ -140,6 +140,9 @@
 	if near != largeFleet/2 || far != largeFleet/2 {
 		t.Errorf("%d near and %d far", near, far)
 	}
+	if got := r.split(); got != unevenness/2 {
+		t.Errorf("one of two data centres may use %v of what is left", got)
+	}
 	if !r.first() || r.rank() != 0 {
 		t.Errorf("the lowest address is first %v, rank %d", r.first(), r.rank())
 	}
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -36,11 +36,12 @@
 
 // Plans is told what other VMs admitted, and tells what this one did.
 type Plans interface {
-	Heard(workspace string, tokens int64)
+	// Heard is told what another VM admitted; prompt tells that it tells at once.
+	Heard(workspace string, tokens int64, prompt bool)
 	Used() map[string]int64
 	// Fleet is told how many VMs may be serving, the part of them that is heard, and the part of
-	// those that tells seldom.
-	Fleet(vms int, share, seldom float64)
+	// a plan's rest that those that tell each other at once may use.
+	Fleet(vms int, share, split float64)
 }
 
 // Documents are numbered from 0, the same on all VMs.
@@ -252,13 +253,13 @@
 		return
 	}
 	silent, gone := s.roster.pass(s.opts.Clock.Now())
-	known, heard, seldom := s.roster.counts()
-	share := s.roster.share()
+	known, heard := s.roster.counts()
+	share, split := s.roster.share(), s.roster.split()
 	for _, m := range gone {
 		s.hangUp(m.Address)
 	}
 	s.mu.Unlock()
-	s.opts.Plans.Fleet(known, share, float64(seldom)/float64(heard))
+	s.opts.Plans.Fleet(known, share, split)
 	for _, m := range silent {
 		s.opts.Log.Warn("vm silent", zap.Stringer("vm", m.VM), zap.Int("known", known), zap.Int("heard", heard))
 		s.opts.Work.Forget(m.VM)
