--- a/cmd/fulmartided/main.go
+++ b/cmd/fulmartided/main.go
@@ -93,7 +93,7 @@
 	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	if err := platform.Run(ctx, s, log, set); err != nil {
+	if err := platform.Run(ctx, s, reload, log, set); err != nil {
 		return report(err, exitFault)
 	}
 	return 0
