--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/connpool"
@@ -36,15 +35,3 @@
 
 // Free implements backend.Port.
 func (p *Plain) Free(context.Context, backend.Handle) error { return errNoPrompts }
-
-// EndToEnd gives the headers that go on from one connection to another.
-func EndToEnd(in http.Header) http.Header {
-	out := in.Clone()
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
-	return out
-}
-
-// hopByHop holds headers that concern one connection only.
-var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/configuration"
-	"github.com/fulmartide/fulmartide/internal/endpoint"
+	"github.com/fulmartide/fulmartide/internal/connpool"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ledger"
 )
@@ -95,7 +95,7 @@
 var credentialHeaders = []string{"Authorization", "X-Api-Key", "Cookie", "Proxy-Authorization"}
 
 func endpointHeaders(in http.Header) http.Header {
-	out := endpoint.EndToEnd(in)
+	out := connpool.EndToEnd(in)
 	for _, name := range credentialHeaders {
 		out.Del(name)
 	}
--- a/internal/relay/services.go
+++ b/internal/relay/services.go
@@ -123,7 +123,7 @@
 
 // Head implements dispatch.Sink.
 func (a *serviceAnswer) Head(status int, header map[string][]string, _ int64) error {
-	a.status, a.header = status, endpoint.EndToEnd(http.Header(header))
+	a.status, a.header = status, connpool.EndToEnd(http.Header(header))
 	a.header.Del("Content-Length")
 	return nil
 }
