A caller's deadline comes before its server's

Cause: TestWaitOutlivesOnePollAndEndsWithItsCaller failed in 6 of 25 runs beside five busy processes: the time left was handed on rounded down, the cell's owner answered timeout up to a millisecond before the caller's own deadline, the caller took it for a failed owner and placed the request itself, beyond the slots. Change: the time handed on is rounded up.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -162,14 +162,20 @@
 	}
 }
 
+// budget gives the time that the caller still waits, in milliseconds. It is rounded up, so that
+// the caller's own deadline comes first and the server's answer that time is over is not taken
+// for a failure of the server.
 func budget(ctx context.Context) uint32 {
 	d, ok := ctx.Deadline()
 	if !ok {
 		return 0
 	}
-	return uint32(max(1, time.Until(d).Milliseconds()))
+	return uint32(max(0, time.Until(d).Milliseconds()) + budgetRounding)
 }
 
+// budgetRounding is added for the part of a millisecond that is cut off, and for the way.
+const budgetRounding = 2
+
 func (c *conn) addPending(id uint64, reply chan *frame) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
