Far engines keep a fifth of their memory for what was not told yet; capacity on the users' platform

Change: in a large fleet a call goes to another data centre's engine only where a fifth of its memory is free besides.

--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -32,6 +32,8 @@
 	HeardFailure(id traffic.EndpointID, o schedule.Outcome)
 	Forget(vm ident.VM)
 	Held(lasting bool) (uint64, map[traffic.EndpointID]schedule.Work)
+	// SetFarLate is told whether VMs of other data centres tell late what they hold.
+	SetFarLate(late bool)
 }
 
 // Plans is told what other VMs admitted, and tells what this one did.
@@ -260,6 +262,7 @@
 	}
 	s.mu.Unlock()
 	s.opts.Plans.Fleet(known, share, split)
+	s.opts.Work.SetFarLate(split < 1)
 	for _, m := range silent {
 		s.opts.Log.Warn("vm silent", zap.Stringer("vm", m.VM), zap.Int("known", known), zap.Int("heard", heard))
 		s.opts.Work.Forget(m.VM)
--- a/internal/schedule/choose_test.go
+++ b/internal/schedule/choose_test.go
@@ -103,6 +103,15 @@
 			},
 			decodeAsk(), "e", "",
 		},
+		{
+			"far engines keep room for what was not told yet",
+			[]traffic.Endpoint{endpoint("far", "b", traffic.Decode)},
+			func(s *Scheduler, _ *manual) {
+				s.SetFarLate(true)
+				s.HeardWork(other, 1, traffic.EndpointID{Name: "far"}, Work{Calls: 7, Tokens: testMemory * 85 / 100})
+			},
+			decodeAsk(), "", fault.Overloaded,
+		},
 		{
 			"the shorter queue reads first",
 			[]traffic.Endpoint{endpoint("busy", "a", traffic.Prefill), endpoint("idle", "b", traffic.Prefill)},
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -262,6 +262,13 @@
 	s.table.heardAll(vm, seq, all)
 }
 
+// SetFarLate states whether VMs of other data centres tell late what they hold.
+func (s *Scheduler) SetFarLate(late bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.farLate = late
+}
+
 // Forget drops the work of a VM that is gone.
 func (s *Scheduler) Forget(vm ident.VM) {
 	s.mu.Lock()
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -12,12 +12,23 @@
 	return !s.Leaving && s.Stage == a.Stage && !a.avoids(s.ID)
 }
 
+// farMargin is the part of an engine's memory in another data centre that is left to calls
+// which VMs there have placed and not told yet.
+const farMargin = 0.2
+
 // fits reports whether an endpoint has room for an ask.
-func fits(now clock.Instant, s *state, a *Ask) bool {
+func (t *table) fits(now clock.Instant, s *state, a *Ask) bool {
 	if s.Slots > 0 && s.load(now).Calls >= s.Slots+queued(s) {
 		return false
 	}
-	return a.Stage != traffic.Decode || a.Tokens == nil || decodeNeed(*a.Tokens) <= s.room(now)
+	if a.Stage != traffic.Decode || a.Tokens == nil {
+		return true
+	}
+	room := s.room(now)
+	if t.farLate && s.engine != nil && s.DataCentre != t.dataCentre {
+		room -= int64(farMargin * float64(s.engine.Capacity))
+	}
+	return decodeNeed(*a.Tokens) <= room
 }
 
 // queued is the number of calls beyond its slots that an endpoint may be given. Calls to plain
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -18,6 +18,8 @@
 	byService  map[string][]*state
 	// early is work that was told of endpoints that this VM does not know yet.
 	early map[traffic.EndpointID]map[ident.VM]told
+	// farLate is set where VMs of other data centres tell late what they hold.
+	farLate bool
 }
 
 func newTable(dataCentre string, random *rand.Rand) *table {
@@ -176,7 +178,7 @@
 		if !may(s, a) {
 			continue
 		}
-		if !fits(now, s, a) {
+		if !t.fits(now, s, a) {
 			why = allFull
 			continue
 		}
