--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -43,8 +43,6 @@
 	Body   io.ReadCloser
 	// NotRun: the endpoint states that it did not run the call and never will.
 	NotRun bool
-	// Signed: the answer bears the endpoint's signature.
-	Signed bool
 	// Load is nil where the endpoint does not tell.
 	Load *Load
 }
