A data centre of a large fleet is told about in sums, by digests

Cause: with 74 to 84 VMs each told each VM of other data centres its work and uses every second, every connection with messages was pinged each half second, and the work at an endpoint was summed over all VMs at each look. Change: in fleets of 24 VMs or more the first two VMs of a data centre send a digest to one VM of each other one, another VM each time, which hands it on with pauses. A digest holds sums: what the data centre holds at engines, and what it admitted in the window of plans; a plan counts that sum in place of differences foreseen for each far VM, which goes. Sums at endpoints are kept up to date; messages without a reply are pinged after 4 s, as the kernel ends connections whose peer acknowledges nothing (package sockets, one place for all of the product's connections).

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -76,11 +76,27 @@
 	g.plans.Return(g.clock.Now(), w.Name, cost)
 }
 
-// Heard draws what another VM admitted; prompt tells that it tells at once.
-func (g *Gate) Heard(workspace string, tokens int64, prompt bool) {
+// Heard draws what another VM admitted.
+func (g *Gate) Heard(workspace string, tokens int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.plans.Heard(g.clock.Now(), workspace, tokens, prompt)
+	g.plans.Heard(g.clock.Now(), workspace, tokens)
+}
+
+// HeardFar takes over what the VMs of another data centre admitted in the window, in tokens by
+// workspace.
+func (g *Gate) HeardFar(dataCentre string, tokens map[string]int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.plans.HeardFar(g.clock.Now(), dataCentre, tokens)
+}
+
+// Together gives what this VM and those that tell it at once admitted in the window, in tokens
+// by workspace.
+func (g *Gate) Together() map[string]int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.plans.Together(g.clock.Now())
 }
 
 // Used gives what this VM admitted for each workspace since it started, in tokens.
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -23,7 +23,8 @@
 )
 
 // account is this VM's picture of what a workspace used of its plan in the window: its own
-// admissions at once, those of others as they are told.
+// admissions at once, those of VMs that tell at once as they tell them. What other data centres
+// tell in sums is kept apart.
 type account struct {
 	limit Limit
 	// former is what the plan allowed before it was lowered at loweredAt.
@@ -33,9 +34,6 @@
 	bins [planBins]int64
 	bin  int64
 	sum  int64
-	// prompt is the part of bins that VMs admitted that tell each other at once, this one
-	// counted.
-	prompt [planBins]int64
 	// used is all that this VM admitted since it started.
 	used int64
 }
@@ -53,12 +51,23 @@
 	// split is the part of what is left of a plan that VMs that tell each other at once may use
 	// until the others have told again.
 	split float64
+	// far is what VMs of other data centres used, where those tell in sums.
+	far map[string]farUse
 }
 
+// farUse is what the VMs of a data centre had admitted in the window when they told.
+type farUse struct {
+	at     clock.Instant
+	tokens map[string]int64
+}
+
+// farHold is how long a sum counts in full; after that it leaves the window evenly.
+const farHold = 2 * time.Second
+
 // NewPlans makes Plans that are counted over a window. notice is the time in which a change
 // comes into force on all VMs; a lower plan begins to count when it is over.
 func NewPlans(now clock.Instant, window, notice time.Duration) *Plans {
-	return &Plans{started: now, window: window, notice: notice, accounts: map[string]*account{}, share: 1, split: 1}
+	return &Plans{started: now, window: window, notice: notice, accounts: map[string]*account{}, share: 1, split: 1, far: map[string]farUse{}}
 }
 
 // SetShare states which part of the VMs this one hears, itself counted. The rest may be
@@ -94,28 +103,25 @@
 	for ; a.bin < bin && a.sum > 0; a.bin++ {
 		i := (a.bin + 1) % planBins
 		a.sum -= a.bins[i]
-		a.bins[i], a.prompt[i] = 0, 0
+		a.bins[i] = 0
 	}
 	a.bin = max(a.bin, bin)
 }
 
-func (a *account) add(tokens int64, prompt bool) {
+func (a *account) add(tokens int64) {
 	a.bins[a.bin%planBins] += tokens
 	a.sum += tokens
-	if prompt {
-		a.prompt[a.bin%planBins] += tokens
-	}
 }
 
-// recentParts is the number of parts of the window that VMs that tell seldom may not have
+// recentParts is the number of parts of the window that VMs of other data centres may not have
 // heard of.
 const recentParts = 10
 
-// recent is what VMs that tell each other at once have admitted lately.
+// recent is what the VMs that tell each other at once have admitted lately.
 func (a *account) recent() int64 {
 	sum := int64(0)
 	for i := range int64(recentParts) {
-		sum += a.prompt[(a.bin-i+planBins*recentParts)%planBins]
+		sum += a.bins[(a.bin-i+planBins*recentParts)%planBins]
 	}
 	return sum
 }
@@ -155,20 +161,20 @@
 		return Verdict{Admitted: true}
 	}
 	a := p.account(now, workspace, l)
-	v := Verdict{Before: a.sum, Allowed: p.allowed(a, now) * p.share}
-	if float64(a.sum+cost) > v.Allowed {
-		v.Wait = p.wait(a, float64(a.sum+cost)-v.Allowed)
+	v := Verdict{Before: a.sum + p.farUsed(now, workspace), Allowed: p.allowed(a, now) * p.share}
+	if float64(v.Before+cost) > v.Allowed {
+		v.Wait = p.wait(a, float64(v.Before+cost)-v.Allowed)
 		return v
 	}
 	if p.split < 1 {
 		recent := float64(a.recent())
-		if left := (v.Allowed - float64(a.sum) + recent) * p.split; recent+float64(cost) > left {
+		if left := (v.Allowed - float64(v.Before) + recent) * p.split; recent+float64(cost) > left {
 			v.Wait = p.binTime() * recentParts
 			return v
 		}
 	}
 	v.Admitted = true
-	a.add(cost, true)
+	a.add(cost)
 	a.used += cost
 	v.Used = a.used
 	return v
@@ -188,20 +194,50 @@
 // Return gives back what a call drew that was certainly not run.
 func (p *Plans) Return(now clock.Instant, workspace string, cost int64) {
 	if a := p.accounts[workspace]; a != nil {
-		p.Heard(now, workspace, -cost, true)
+		p.Heard(now, workspace, -cost)
 		a.used -= cost
 	}
 }
 
-// Heard counts what another VM admitted; less than nothing where it gave some back. prompt
-// tells that the VM tells at once.
-func (p *Plans) Heard(now clock.Instant, workspace string, tokens int64, prompt bool) {
+// Heard counts what another VM admitted; less than nothing where it gave some back.
+func (p *Plans) Heard(now clock.Instant, workspace string, tokens int64) {
 	if a := p.accounts[workspace]; a != nil {
 		p.advance(a, now)
-		a.add(max(tokens, -a.sum), prompt)
+		a.add(max(tokens, -a.sum))
 	}
 }
 
+// HeardFar takes over what the VMs of another data centre admitted in the window, in place of
+// what they told before.
+func (p *Plans) HeardFar(now clock.Instant, dataCentre string, tokens map[string]int64) {
+	if len(tokens) == 0 {
+		delete(p.far, dataCentre)
+		return
+	}
+	p.far[dataCentre] = farUse{at: now, tokens: tokens}
+}
+
+// farUsed is what other data centres used of a workspace's plan in the window, as they told.
+func (p *Plans) farUsed(now clock.Instant, workspace string) int64 {
+	sum := 0.0
+	for _, f := range p.far {
+		left := 1 - float64(now.Sub(f.at)-farHold)/float64(p.window)
+		sum += float64(f.tokens[workspace]) * max(0, min(1, left))
+	}
+	return int64(sum)
+}
+
+// Together gives what this VM and those that tell it at once admitted in the window.
+func (p *Plans) Together(now clock.Instant) map[string]int64 {
+	out := make(map[string]int64, len(p.accounts))
+	for name, a := range p.accounts {
+		if p.advance(a, now); a.sum > 0 {
+			out[name] = a.sum
+		}
+	}
+	return out
+}
+
 // Used gives what this VM admitted for each workspace since it started, in tokens.
 func (p *Plans) Used() map[string]int64 {
 	out := make(map[string]int64, len(p.accounts))
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -10,10 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -182,16 +179,3 @@
 		return false
 	}
 }
-
-func setUnackedTimeout(_, _ string, rc syscall.RawConn) error {
-	var failed error
-	err := rc.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
-// Listener gives the settings of a listener whose connections end when a peer falls silent.
-func Listener() net.ListenConfig {
-	return net.ListenConfig{Control: setUnackedTimeout, KeepAliveConfig: KeepAlive}
-}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -13,17 +13,14 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/fulmartide/fulmartide/internal/sockets"
 )
 
 const (
 	// DialTimeout bounds one connection attempt; a dropped opening packet is sent again by the
 	// kernel only after a second, when another endpoint has long taken the call.
 	DialTimeout = 300 * time.Millisecond
-	// unackedTimeout ends a connection whose peer acknowledges nothing.
-	unackedTimeout = 2 * time.Second
-	keepAliveIdle  = time.Second
-	keepAliveEvery = time.Second
-	keepAliveCount = 2
 	// defaultIdle is how long an unused connection is kept where the endpoint states nothing.
 	defaultIdle = 4 * time.Second
 	// idleMargin is left before the time at which the endpoint closes an unused connection.
@@ -83,17 +80,10 @@
 	return &Pool{
 		opened: opened,
 		idle:   map[Target][]*conn{},
-		dialer: net.Dialer{
-			Timeout:         DialTimeout,
-			Control:         setUnackedTimeout,
-			KeepAliveConfig: KeepAlive,
-		},
+		dialer: sockets.Dialer(DialTimeout),
 	}
 }
 
-// KeepAlive finds connections that went silent.
-var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: keepAliveCount}
-
 // Do sends a request and gives the answer once its head has come. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	c := p.take(r.Target)
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/settings"
+	"github.com/fulmartide/fulmartide/internal/sockets"
 	"github.com/fulmartide/fulmartide/internal/tlsfile"
 )
 
@@ -25,7 +27,8 @@
 		{"listen.peers", s.Listen.Peers, &out.peers},
 		{"listen.operator", s.Listen.Operator, &out.operator},
 	} {
-		ln, err := net.Listen("tcp", one.addr)
+		lc := sockets.Listener()
+		ln, err := lc.Listen(context.Background(), "tcp", one.addr)
 		if err != nil {
 			return out, fault.Wrap(err, fault.Unavailable, "choose a free address of this VM for "+one.key, "listen on "+one.addr)
 		}
--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -16,8 +17,25 @@
 type nothing struct{}
 
 func (s *Service) onBeat(_ context.Context, _ ident.VM, b *beat) (*nothing, error) {
+	admitted, ok := s.noteBeat(b, true)
+	if !ok {
+		return nil, nil
+	}
+	for workspace, tokens := range admitted {
+		s.opts.Plans.Heard(workspace, tokens)
+	}
+	if !b.Leaving {
+		s.opts.Work.HeardAllWork(b.From.VM, b.Seq, byEndpoint(b.Work))
+		s.compare(b.From, b.Versions, b.Age)
+	}
+	return nil, nil
+}
+
+// noteBeat takes over that a VM is up, and gives what it admitted since it last told. tells is
+// as that of roster.hear; ok is false for a heartbeat that comes late.
+func (s *Service) noteBeat(b *beat, tells bool) (admitted map[string]int64, ok bool) {
 	s.mu.Lock()
-	c := s.roster.hear(s.opts.Clock.Now(), b)
+	c := s.roster.hear(s.opts.Clock.Now(), b, tells)
 	known, heard := s.roster.counts()
 	share, split := s.roster.share(), s.roster.split()
 	if b.Leaving {
@@ -25,7 +43,7 @@
 	}
 	s.mu.Unlock()
 	if c.late {
-		return nil, nil
+		return nil, false
 	}
 	s.opts.Plans.Fleet(known, share, split)
 	if c.joined || c.returned || !c.replaced.IsZero() {
@@ -35,15 +53,7 @@
 	if !c.replaced.IsZero() {
 		s.opts.Work.Forget(c.replaced)
 	}
-	for workspace, tokens := range c.admitted {
-		s.opts.Plans.Heard(workspace, tokens, b.Near)
-	}
-	if b.Leaving {
-		return nil, nil
-	}
-	s.opts.Work.HeardAllWork(b.From.VM, b.Seq, byEndpoint(b.Work))
-	s.compare(b)
-	return nil, nil
+	return c.admitted, true
 }
 
 func byEndpoint(list []endpointWork) map[traffic.EndpointID]schedule.Work {
@@ -59,7 +69,7 @@
 	admitted := s.roster.spent(from, m.From, m.Used)
 	s.mu.Unlock()
 	for workspace, tokens := range admitted {
-		s.opts.Plans.Heard(workspace, tokens, true)
+		s.opts.Plans.Heard(workspace, tokens)
 	}
 	for _, w := range m.Work {
 		s.opts.Work.HeardWork(from, m.Seq, w.id(), w.Work)
@@ -73,12 +83,12 @@
 	return nil, nil
 }
 
-// compare asks for documents of which the sender of a heartbeat has a newer version.
-func (s *Service) compare(b *beat) {
-	if n := len(b.Versions); n > 0 {
-		s.opts.Documents.Confirm(b.Versions[n-1], b.Age)
+// compare asks for documents of which another VM has a newer version.
+func (s *Service) compare(from Member, versions []uint64, age time.Duration) {
+	if n := len(versions); n > 0 {
+		s.opts.Documents.Confirm(versions[n-1], age)
 	}
-	for i, version := range b.Versions {
+	for i, version := range versions {
 		if !s.opts.Documents.Wants(i, version) {
 			continue
 		}
@@ -86,7 +96,7 @@
 		begin := s.ctx != nil && s.ctx.Err() == nil && !s.asking[i]
 		if begin {
 			s.asking[i] = true
-			s.wg.Go(func() { s.fetch(s.ctx, i, b.From.VM, b.From.Address) })
+			s.wg.Go(func() { s.fetch(s.ctx, i, from.VM, from.Address) })
 		}
 		s.mu.Unlock()
 	}
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -34,7 +34,8 @@
 
 func (w endpointWork) id() traffic.EndpointID { return traffic.EndpointID{Name: w.Name, Born: w.Born} }
 
-// use is what a VM admitted for a workspace since it started, in tokens.
+// use is what was admitted for a workspace, in tokens: by a VM since it started, or by a data
+// centre in the window of plans.
 type use struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
@@ -49,9 +50,6 @@
 	_msgpack struct{} `msgpack:",as_array"`
 
 	From Member
-	// Near: the receiver is told everything. Else Work leaves out what does not last, and Used
-	// what has not changed.
-	Near bool
 	// Leaving VMs take no more calls.
 	Leaving bool
 	// Seq numbers the changes of Work.
@@ -64,6 +62,26 @@
 	Age time.Duration
 }
 
+// digest tells the VMs of one data centre about those of another in a large fleet, in sums.
+type digest struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// From is the VM that made the digest.
+	From Member
+	// HandOn: the receiver is to hand the digest on to the other VMs of its data centre.
+	HandOn bool
+	// Members are the VMs that the sender hears of its data centre, itself counted.
+	Members []Member
+	// Work is what they hold together, without what does not last.
+	Work []endpointWork
+	// Used is what they admitted together in the window of plans.
+	Used []use
+	// Versions and Age are as those of a beat.
+	Versions []uint64
+	Age      time.Duration
+}
+
 // changes tells what changed of what a VM holds and has admitted.
 type changes struct {
 	//lint:ignore U1000 the codec reads this field's tag
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -13,14 +13,18 @@
 	silentAfter = 1200 * time.Millisecond
 	// goneAfter is how long before it counts as gone. Until then it may be serving behind a cut.
 	goneAfter = 10 * time.Second
-	// shortPeriod is the time between heartbeats to VMs that are told everything.
+	// shortPeriod is the time between heartbeats to VMs that are told everything; largePeriod
+	// is that in a large fleet, where changes alone are frequent signs of life.
 	shortPeriod = 200 * time.Millisecond
-	// largeFleet is the number of other VMs from which those of other data centres are told
-	// less, and less often: otherwise the bytes between data centres grow with the square of
-	// the fleet.
+	largePeriod = 400 * time.Millisecond
+	// largeFleet is the number of other VMs from which those of other data centres are told by
+	// digests: otherwise messages and bytes between data centres grow with the square of the
+	// fleet.
 	largeFleet = 24
-	// farPeriod is the time between heartbeats to them.
-	farPeriod = time.Second
+	// digestSenders VMs of a data centre send digests, so that the loss of one leaves no gap;
+	// digestPeriod is the time between two digests of one sender to the same data centre.
+	digestSenders = 2
+	digestPeriod  = 800 * time.Millisecond
 	// missedPeriods is the number of heartbeats after which a VM counts as unheard.
 	missedPeriods = 4
 )
@@ -42,10 +46,12 @@
 	known, heard clock.Instant
 	everHeard    bool
 	silent       bool
-	// used is what the VM had admitted by its last heartbeat.
+	// used is what the VM had admitted by its last message, if it told.
 	used map[string]int64
-	// ahead is what it is taken to admit until its next one, for a VM that tells seldom.
-	ahead map[string]int64
+}
+
+func newPeerState(m Member, now clock.Instant) *peerState {
+	return &peerState{member: m, known: now, silent: true}
 }
 
 // roster decides which VMs are up. It does no I/O.
@@ -66,7 +72,7 @@
 		if m.Address == r.self.Address || !m.Address.IsValid() || r.peers[m.Address] != nil {
 			continue
 		}
-		r.peers[m.Address] = &peerState{member: m, known: now, silent: true, used: map[string]int64{}, ahead: map[string]int64{}}
+		r.peers[m.Address] = newPeerState(m, now)
 		fresh = append(fresh, m)
 	}
 	return fresh
@@ -86,15 +92,17 @@
 	late bool
 }
 
-// hear takes over a heartbeat.
-func (r *roster) hear(now clock.Instant, b *beat) change {
+// hear takes over a heartbeat. tells is false for one that others passed on without what the VM
+// admitted.
+func (r *roster) hear(now clock.Instant, b *beat, tells bool) change {
 	if _, over := r.ended[b.From.VM]; over || b.From.VM == r.self.VM {
 		return change{late: true}
 	}
 	p := r.peers[b.From.Address]
 	var c change
 	if p == nil {
-		p = &peerState{known: now, used: map[string]int64{}, ahead: map[string]int64{}}
+		p = newPeerState(b.From, now)
+		p.silent = false
 		r.peers[b.From.Address] = p
 		c.joined = true
 	}
@@ -103,18 +111,15 @@
 			return change{late: true}
 		}
 		c.replaced = p.member.VM
-		p.used, p.ahead = map[string]int64{}, map[string]int64{}
+		p.used = nil
 	}
 	if !p.everHeard {
 		c.joined = true
 	}
 	c.returned = p.silent
 	p.member, p.heard, p.everHeard, p.silent = b.From, now, true, false
-	if c.admitted = p.draw(b.Used); !b.Near {
-		p.foresee(c.admitted)
-	}
-	if c.joined || !c.replaced.IsZero() {
-		c.admitted = nil // what a life admitted before it was known here has long refilled
+	if tells {
+		c.admitted = p.draw(b.Used)
 	}
 	if b.Leaving {
 		r.ended[b.From.VM] = now
@@ -124,13 +129,18 @@
 	return c
 }
 
-// draw gives what was admitted since the VM last told. Messages of one VM arrive in order on
-// its connection; after a new connection an older one may come late and is put right by the
-// next heartbeat.
+// draw gives what was admitted since the VM last told, nothing where it had not told yet: what
+// a life admitted before has long refilled. Messages of one VM arrive in order on its
+// connection; after a new connection an older one may come late and is put right by the next
+// heartbeat.
 func (p *peerState) draw(used []use) map[string]int64 {
 	out := map[string]int64{}
+	first := p.used == nil
+	if first {
+		p.used = map[string]int64{}
+	}
 	for _, u := range used {
-		if more := u.Tokens - p.used[u.Workspace]; more != 0 {
+		if more := u.Tokens - p.used[u.Workspace]; more != 0 && !first {
 			out[u.Workspace] = more
 		}
 		p.used[u.Workspace] = u.Tokens
@@ -138,30 +148,11 @@
 	return out
 }
 
-// foresee adds to what was admitted what the VM is taken to admit until it tells again: as
-// much as since it last told.
-func (p *peerState) foresee(admitted map[string]int64) {
-	for workspace, was := range p.ahead {
-		now := admitted[workspace]
-		if admitted[workspace] = 2*now - was; now == 0 {
-			delete(p.ahead, workspace)
-		} else {
-			p.ahead[workspace] = now
-		}
-	}
-	for workspace, now := range admitted {
-		if _, known := p.ahead[workspace]; !known && now > 0 {
-			p.ahead[workspace] = now
-			admitted[workspace] = 2 * now
-		}
-	}
-}
-
 // spent takes over what a VM has admitted, between heartbeats.
 func (r *roster) spent(vm ident.VM, from netip.AddrPort, used []use) map[string]int64 {
 	p := r.peers[from]
-	if p == nil || p.member.VM != vm {
-		return nil
+	if p == nil || p.member.VM != vm || p.used == nil {
+		return nil // its next heartbeat tells
 	}
 	return p.draw(used)
 }
@@ -192,7 +183,7 @@
 	if r.near(p) {
 		return max(silentAfter, missedPeriods*r.period())
 	}
-	return missedPeriods * farPeriod
+	return missedPeriods * digestPeriod
 }
 
 func (r *roster) large() bool { return len(r.peers) >= largeFleet }
@@ -205,13 +196,16 @@
 // period is the time between heartbeats to VMs that are told everything. It grows with their
 // number, so that the work of a VM grows less than the fleet does.
 func (r *roster) period() time.Duration {
+	if !r.large() {
+		return shortPeriod
+	}
 	told := 0
 	for _, p := range r.peers {
 		if r.near(p) {
 			told++
 		}
 	}
-	return shortPeriod * time.Duration(max(largeFleet, told)) / largeFleet
+	return largePeriod * time.Duration(max(largeFleet, told)) / largeFleet
 }
 
 // counts gives the number of VMs that may be serving, and of those heard, this one in both.
@@ -271,3 +265,14 @@
 	}
 	return n
 }
+
+// addresses gives those of the known VMs that to picks.
+func (r *roster) addresses(to func(*peerState) bool) []netip.AddrPort {
+	var out []netip.AddrPort
+	for addr, p := range r.peers {
+		if to(p) {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -31,16 +31,23 @@
 	HeardAllWork(vm ident.VM, seq uint64, all map[traffic.EndpointID]schedule.Work)
 	HeardFailure(id traffic.EndpointID, o schedule.Outcome)
 	Forget(vm ident.VM)
-	Held(lasting bool) (uint64, map[traffic.EndpointID]schedule.Work)
+	// Held gives what this VM holds.
+	Held() schedule.Holding
+	// HeldTogether gives what this VM and others hold in sum, without what does not last.
+	HeldTogether(others []ident.VM) map[traffic.EndpointID]schedule.Work
 	// SetFarLate is told whether VMs of other data centres tell late what they hold.
 	SetFarLate(late bool)
 }
 
 // Plans is told what other VMs admitted, and tells what this one did.
 type Plans interface {
-	// Heard is told what another VM admitted; prompt tells that it tells at once.
-	Heard(workspace string, tokens int64, prompt bool)
+	// Heard is told what another VM admitted.
+	Heard(workspace string, tokens int64)
 	Used() map[string]int64
+	// HeardFar is told what the VMs of another data centre admitted in the window of plans;
+	// Together gives the same of those that tell each other everything.
+	HeardFar(dataCentre string, tokens map[string]int64)
+	Together() map[string]int64
 	// Fleet is told how many VMs may be serving, the part of them that is heard, and the part of
 	// a plan's rest that those that tell each other at once may use.
 	Fleet(vms int, share, split float64)
@@ -88,9 +95,8 @@
 	spent   map[string]int64
 	lines   map[netip.AddrPort]*line
 	leaving bool
-	// farTold is when far VMs were last told, farUsed what they were told of plans.
-	farTold clock.Instant
-	farUsed map[string]int64
+	// digests counts those that came, so that a later one takes the place of an earlier one.
+	digests uint64
 	asking  map[int]bool
 	ctx     context.Context
 	wg      sync.WaitGroup
@@ -120,6 +126,7 @@
 	peer.Handle(o.Transport, peer.KindWork, s.onChanges)
 	peer.Handle(o.Transport, peer.KindFailure, s.onFailure)
 	peer.Handle(o.Transport, peer.KindDocument, s.onAsk)
+	peer.Handle(o.Transport, peer.KindDigest, s.onDigest)
 	return s
 }
 
@@ -133,12 +140,16 @@
 	s.wake()
 }
 
-// Admitted notes what this VM has admitted for a workspace since it started.
+// Admitted notes what this VM has admitted for a workspace since it started. In a large fleet
+// it is told with the next change of work or heartbeat.
 func (s *Service) Admitted(workspace string, tokens int64) {
 	s.mu.Lock()
 	s.spent[workspace] = tokens
+	large := s.roster.large()
 	s.mu.Unlock()
-	s.wake()
+	if !large {
+		s.wake()
+	}
 }
 
 func (s *Service) wake() {
@@ -163,6 +174,7 @@
 	s.mu.Unlock()
 	s.wg.Go(func() { s.find(ctx) })
 	s.wg.Go(func() { s.tellChanges(ctx) })
+	s.wg.Go(func() { s.digestLoop(ctx) })
 	s.beatLoop(ctx)
 	s.wg.Wait()
 }
@@ -267,47 +279,30 @@
 		s.opts.Log.Warn("vm silent", zap.Stringer("vm", m.VM), zap.Int("known", known), zap.Int("heard", heard))
 		s.opts.Work.Forget(m.VM)
 	}
+	s.forgetUnheard()
 	for _, m := range gone {
 		s.opts.Log.Warn("vm gone", zap.Stringer("vm", m.VM), zap.Int("known", known), zap.Int("heard", heard))
 	}
 }
 
-// beat sends a heartbeat to the VMs that are told everything, and now and then to the others.
+// Tell sends a heartbeat at once, so that the others learn how new the documents are.
+func (s *Service) Tell() { s.beat() }
+
+// beat sends a heartbeat to the VMs that are told everything; to all, when this VM leaves.
 func (s *Service) beat() {
-	seq, held := s.opts.Work.Held(false)
-	used := s.opts.Plans.Used()
+	held := s.opts.Work.Held()
 	b := beat{
-		From: s.opts.Self, Near: true, Seq: seq, Work: endpointWorks(held), Used: uses(used),
+		From: s.opts.Self, Seq: held.Seq, Work: endpointWorks(held.Work), Used: uses(s.opts.Plans.Used()),
 		Versions: s.opts.Documents.Versions(), Age: s.opts.Documents.Age(),
 	}
 	s.mu.Lock()
 	b.Leaving = s.leaving
-	far := s.roster.large() && (b.Leaving || s.opts.Clock.Now().Sub(s.farTold) >= farPeriod)
-	var fresh []use
-	if far {
-		s.farTold = s.opts.Clock.Now()
-		fresh = s.newUses(used)
-	}
 	s.mu.Unlock()
-	broadcast(s, peer.KindBeat, &b, s.roster.near)
-	if far {
-		_, lasting := s.opts.Work.Held(true)
-		b.Near, b.Work, b.Used = false, endpointWorks(lasting), fresh
-		broadcast(s, peer.KindBeat, &b, func(p *peerState) bool { return !s.roster.near(p) })
-	}
-}
-
-// newUses gives what has changed since it was told to far VMs. A heartbeat that is lost leaves
-// a gap until the workspace is used again. s.mu is held.
-func (s *Service) newUses(used map[string]int64) []use {
-	var out []use
-	for name, tokens := range used {
-		if s.farUsed[name] != tokens {
-			out = append(out, use{Workspace: name, Tokens: tokens})
-		}
+	to := s.roster.near
+	if b.Leaving {
+		to = everyone
 	}
-	s.farUsed = used
-	return out
+	broadcast(s, peer.KindBeat, &b, to)
 }
 
 func (s *Service) tellChanges(ctx context.Context) {
@@ -354,6 +349,13 @@
 
 // broadcast hands a message to the lines of the known VMs that to picks.
 func broadcast[Msg any](s *Service, kind peer.Kind, msg *Msg, to func(*peerState) bool) {
+	s.mu.Lock()
+	addresses := s.roster.addresses(to)
+	s.mu.Unlock()
+	sendTo(s, kind, msg, addresses)
+}
+
+func sendTo[Msg any](s *Service, kind peer.Kind, msg *Msg, to []netip.AddrPort) {
 	body, err := peer.Encode(msg)
 	if err != nil {
 		s.opts.Log.Error("message not encoded", zap.Error(err))
@@ -364,9 +366,7 @@
 	if s.ctx == nil || s.ctx.Err() != nil {
 		return
 	}
-	for addr, p := range s.roster.peers {
-		if to(p) {
-			s.lineTo(addr).offer(kind, body)
-		}
+	for _, addr := range to {
+		s.lineTo(addr).offer(kind, body)
 	}
 }
--- a/internal/inforce/follow.go
+++ b/internal/inforce/follow.go
@@ -52,6 +52,8 @@
 	Source Source
 	// Rank gives the number of heard VMs that read before this one.
 	Rank func() int
+	// Read is called after each read, to let the others know. Nil tells nobody.
+	Read func()
 	Log  *zap.Logger
 
 	lost bool
@@ -103,6 +105,9 @@
 		f.read = e.Version
 	}
 	f.Keeper.OfferEndpoints(e, asked, "store")
+	if f.Read != nil {
+		f.Read()
+	}
 	return nil
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/sockets"
 )
 
 // conn is one connection, dialled or accepted. One goroutine reads, one writes.
@@ -27,11 +28,14 @@
 	err     error
 	pending map[uint64]chan *frame
 	serving map[uint64]context.CancelFunc
-	// unanswered is when the first frame since the last one read was sent, zero for none. It
-	// outlives a call that gave up, so that short calls find a silent connection too.
+	// unanswered is when the first call or ping since the last frame read was sent, zero for
+	// none. It outlives a call that gave up, so that short calls find a silent connection too.
 	unanswered time.Time
-	lastUse    time.Time
-	from       ident.VM
+	// told is when the first message without a reply since the last frame read was sent, zero
+	// for none.
+	told    time.Time
+	lastUse time.Time
+	from    ident.VM
 }
 
 func newConn(t *Transport, nc net.Conn) *conn {
@@ -74,17 +78,17 @@
 		return
 	}
 	c.nc = nc
-	c.unanswered = time.Time{}
+	c.unanswered, c.told = time.Time{}, time.Time{}
 	c.mu.Unlock()
 	c.start()
 }
 
 func (c *conn) open(ctx context.Context) (net.Conn, error) {
+	d := sockets.Dialer(DialTimeout)
 	if c.t.opts.TLS != nil {
-		d := tls.Dialer{Config: c.t.opts.TLS}
-		return d.DialContext(ctx, "tcp", c.addr.String())
+		over := tls.Dialer{NetDialer: &d, Config: c.t.opts.TLS}
+		return over.DialContext(ctx, "tcp", c.addr.String())
 	}
-	var d net.Dialer
 	return d.DialContext(ctx, "tcp", c.addr.String())
 }
 
@@ -187,14 +191,14 @@
 	c.lastUse = now
 }
 
-// expectSign starts the silence clock for a message that has no reply: a ping follows it, so
-// that a silent connection does not swallow such messages for long.
+// expectSign notes a message that has no reply: a ping follows in time, so that a connection
+// whose silence the kernel does not find cannot swallow such messages for long.
 func (c *conn) expectSign() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastUse = time.Now()
-	if c.unanswered.IsZero() {
-		c.unanswered = c.lastUse
+	if c.told.IsZero() {
+		c.told = c.lastUse
 	}
 }
 
@@ -259,6 +263,9 @@
 	if len(c.pending) > 0 && c.unanswered.IsZero() {
 		c.unanswered = time.Now()
 	}
+	if c.unanswered.IsZero() && !c.told.IsZero() && time.Since(c.told) >= toldLimit {
+		c.unanswered = time.Now()
+	}
 	waits, silent := !c.unanswered.IsZero(), time.Since(c.unanswered)
 	unused := time.Since(c.lastUse)
 	c.mu.Unlock()
@@ -290,7 +297,7 @@
 		}
 		c.t.opts.Counter(false, f.Kind, n)
 		c.mu.Lock()
-		c.unanswered = time.Time{}
+		c.unanswered, c.told = time.Time{}, time.Time{}
 		c.mu.Unlock()
 		c.dispatch(f)
 	}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -41,4 +41,6 @@
 	KindFailure Kind = 17
 	// KindDocument: a newer document is asked for.
 	KindDocument Kind = 18
+	// KindDigest: the heartbeats of a data centre's VMs, for another data centre.
+	KindDigest Kind = 19
 )
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -1,8 +1,9 @@
 // Package peer carries typed messages between the daemons: calls with replies and one-way
 // messages, as length-prefixed msgpack frames over TCP, with mutual TLS where set.
 //
-// A connection that has work outstanding is pinged; one that stays silent past
-// SilenceLimit is closed and its calls fail as Unavailable.
+// A connection that has calls outstanding is pinged; one that stays silent past SilenceLimit is
+// closed and its calls fail as Unavailable. One that only carries messages is pinged now and
+// then.
 package peer
 
 import (
@@ -28,6 +29,9 @@
 	SilenceLimit = 1500 * time.Millisecond
 	// PingPeriod is the time between pings while work is outstanding.
 	PingPeriod = 500 * time.Millisecond
+	// toldLimit is how long messages without a reply go unanswered before a ping asks for a
+	// sign. They are many, and the kernel finds most silent connections by itself.
+	toldLimit = 4 * time.Second
 	// IdleLimit is how long an unused connection is kept.
 	IdleLimit = 60 * time.Second
 	// DialTimeout bounds one connection attempt.
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -277,16 +277,29 @@
 	s.wake()
 }
 
-// Held gives what this VM holds at engines, and the number of the latest change. lasting leaves
-// out prompts that are being read, which are over before a slow message tells of them.
-func (s *Scheduler) Held(lasting bool) (uint64, map[traffic.EndpointID]Work) {
+// Holding is what one VM holds at engines. Seq numbers its changes.
+type Holding struct {
+	Seq  uint64
+	Work map[traffic.EndpointID]Work
+}
+
+// Held gives what this VM holds.
+func (s *Scheduler) Held() Holding {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := map[traffic.EndpointID]Work{}
+	out := Holding{Seq: s.seq, Work: map[traffic.EndpointID]Work{}}
 	for id, e := range s.table.states {
-		if e.own.Calls > 0 && e.engine != nil && (!lasting || e.Stage != traffic.Prefill) {
-			out[id] = e.own
+		if e.own.Calls > 0 && e.engine != nil {
+			out.Work[id] = e.own
 		}
 	}
-	return s.seq, out
+	return out
+}
+
+// HeldTogether gives what this VM and others hold in sum. It leaves out prompts that are being
+// read, which are over before a slow message tells of them.
+func (s *Scheduler) HeldTogether(others []ident.VM) map[traffic.EndpointID]Work {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.heldTogether(others)
 }
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -32,8 +32,7 @@
 	traffic.Endpoint
 	engine *traffic.Engine
 	own    Work
-	// others is the work of other VMs, and when it was told.
-	others map[ident.VM]told
+	others otherWork
 	health health
 	// rate is the measured speed of reading prompts, in tokens a second.
 	rate float64
@@ -50,15 +49,34 @@
 	work Work
 }
 
-// total is the work of all VMs.
-func (s *state) total() Work {
-	w := s.own
-	for _, t := range s.others {
-		w = w.plus(t.work)
+// otherWork is what other VMs hold at an endpoint, as they last told.
+type otherWork struct {
+	byVM map[ident.VM]told
+	// sum is that of all VMs.
+	sum Work
+}
+
+// take takes over what a VM holds, unless something newer was heard.
+func (o *otherWork) take(vm ident.VM, t told) {
+	was := o.byVM[vm]
+	if was.seq > t.seq {
+		return
+	}
+	if o.byVM == nil {
+		o.byVM = map[ident.VM]told{}
 	}
-	return w
+	o.byVM[vm] = t
+	o.sum = o.sum.plus(t.work).minus(was.work)
 }
 
+func (o *otherWork) forget(vm ident.VM) {
+	o.sum = o.sum.minus(o.byVM[vm].work)
+	delete(o.byVM, vm)
+}
+
+// total is the work of all VMs.
+func (s *state) total() Work { return s.own.plus(s.others.sum) }
+
 const (
 	// initialRate stands for an engine whose speed was not measured, in tokens a second.
 	initialRate = 50_000
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -17,7 +17,7 @@
 	states     map[traffic.EndpointID]*state
 	byService  map[string][]*state
 	// early is work that was told of endpoints that this VM does not know yet.
-	early map[traffic.EndpointID]map[ident.VM]told
+	early map[traffic.EndpointID]*otherWork
 	// farLate is set where VMs of other data centres tell late what they hold.
 	farLate bool
 }
@@ -28,7 +28,7 @@
 		random:     random,
 		states:     map[traffic.EndpointID]*state{},
 		byService:  map[string][]*state{},
-		early:      map[traffic.EndpointID]map[ident.VM]told{},
+		early:      map[traffic.EndpointID]*otherWork{},
 	}
 }
 
@@ -41,9 +41,9 @@
 	for _, e := range eps.List {
 		s := former[e.ID]
 		if s == nil {
-			s = &state{others: t.early[e.ID], rate: initialRate}
-			if s.others == nil {
-				s.others = map[ident.VM]told{}
+			s = &state{rate: initialRate}
+			if early := t.early[e.ID]; early != nil {
+				s.others = *early
 			}
 			delete(t.early, e.ID)
 		}
@@ -62,27 +62,26 @@
 
 // heard takes over what another VM holds at an endpoint, unless something newer was heard.
 func (t *table) heard(vm ident.VM, seq uint64, id traffic.EndpointID, w Work) {
-	var others map[ident.VM]told
 	if s := t.states[id]; s != nil {
-		others = s.others
-	} else if others = t.early[id]; others == nil {
+		s.others.take(vm, told{seq: seq, work: w})
+		return
+	}
+	early := t.early[id]
+	if early == nil {
 		if len(t.early) >= maxEarly || w.Calls == 0 {
 			return
 		}
-		others = map[ident.VM]told{}
-		t.early[id] = others
-	}
-	if others[vm].seq > seq {
-		return
+		early = &otherWork{}
+		t.early[id] = early
 	}
-	others[vm] = told{seq: seq, work: w}
+	early.take(vm, told{seq: seq, work: w})
 }
 
 // heardAll takes over all that another VM holds; what is not listed, it does not hold.
 func (t *table) heardAll(vm ident.VM, seq uint64, all map[traffic.EndpointID]Work) {
 	for id, s := range t.states {
-		if _, listed := all[id]; !listed && s.others[vm].work.Calls > 0 && s.others[vm].seq <= seq {
-			s.others[vm] = told{seq: seq}
+		if _, listed := all[id]; !listed && s.others.byVM[vm].work.Calls > 0 {
+			s.others.take(vm, told{seq: seq})
 		}
 	}
 	for id, w := range all {
@@ -90,14 +89,31 @@
 	}
 }
 
+// heldTogether gives what this VM and others hold in sum at decode engines.
+func (t *table) heldTogether(others []ident.VM) map[traffic.EndpointID]Work {
+	out := map[traffic.EndpointID]Work{}
+	for id, s := range t.states {
+		if s.engine == nil || s.Stage == traffic.Prefill {
+			continue
+		}
+		w := s.own
+		for _, vm := range others {
+			w = w.plus(s.others.byVM[vm].work)
+		}
+		if w.Calls > 0 {
+			out[id] = w
+		}
+	}
+	return out
+}
+
 // forget drops the work of a VM that is gone.
 func (t *table) forget(vm ident.VM) {
 	for _, s := range t.states {
-		delete(s.others, vm)
+		s.others.forget(vm)
 	}
-	for id, others := range t.early {
-		delete(others, vm)
-		if len(others) == 0 {
+	for id, early := range t.early {
+		if early.forget(vm); len(early.byVM) == 0 {
 			delete(t.early, id)
 		}
 	}
