--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -58,7 +58,8 @@
 type roster struct {
 	self  Member
 	peers map[netip.AddrPort]*peerState
-	// ended holds lives that are over, so that a late heartbeat does not bring one back.
+	// ended holds lives that are over, so that a late heartbeat does not bring one back. Lives
+	// are numbered by the time of day, which may have been set back before the last one began.
 	ended map[ident.VM]clock.Instant
 }
 
@@ -107,10 +108,11 @@
 		c.joined = true
 	}
 	if p.everHeard && p.member.VM != b.From.VM {
-		if b.From.VM.Incarnation < p.member.VM.Incarnation {
+		if b.From.VM.Incarnation < p.member.VM.Incarnation && !p.silent {
 			return change{late: true}
 		}
 		c.replaced = p.member.VM
+		r.ended[c.replaced] = now
 		p.used = nil
 	}
 	if !p.everHeard {
--- a/internal/exchange/roster_test.go
+++ b/internal/exchange/roster_test.go
@@ -32,6 +32,24 @@
 	}
 }
 
+// TestALifeBegunAfterTheClockWasSetBackIsHeard: a VM that starts anew while its time of day is
+// behind numbers its life lower than the former one.
+func TestALifeBegunAfterTheClockWasSetBackIsHeard(t *testing.T) {
+	r := newRoster(member(1, 1, "a"))
+	r.hear(start(), &beat{From: member(2, 5, "a")}, true)
+	if late := r.hear(start(), &beat{From: member(2, 3, "a")}, true); !late.late {
+		t.Error("a lower life took the place of one that is heard")
+	}
+	later := start().Add(silentAfter + time.Millisecond)
+	r.pass(later)
+	if c := r.hear(later, &beat{From: member(2, 3, "a")}, true); c.late || c.replaced != (ident.VM{Name: "vm-2", Incarnation: 5}) {
+		t.Errorf("after the former life fell silent: %+v", c)
+	}
+	if late := r.hear(later, &beat{From: member(2, 5, "a")}, true); !late.late {
+		t.Error("a late heartbeat brought the former life back")
+	}
+}
+
 func TestAVMThatLeftDoesNotComeBack(t *testing.T) {
 	r := newRoster(member(1, 1, "a"))
 	r.hear(start(), &beat{From: member(2, 5, "a")}, true)
