Engines that change their stage are left alone; digests tell prompts that are read

All 84 VMs went on sending: 558 rejected prompts, each taken from the retry budget. Of 874 reads given up for time 85% went to other data centres, whose prompts under way nobody knew of. Change: the VM that gives an order tells the others, who leave the engine alone until the table shows its stage, 9 s at the most. An engine that refuses a prompt is left alone for 0.3 s, doubled up to 4 s. Digests hold prefill work too.

--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -73,7 +73,7 @@
 	HandOn bool
 	// Members are the VMs that the sender hears of its data centre, itself counted.
 	Members []Member
-	// Work is what they hold together, without what does not last.
+	// Work is what they hold together.
 	Work []endpointWork
 	// Used is what they admitted together in the window of plans.
 	Used []use
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -33,7 +33,7 @@
 	Forget(vm ident.VM)
 	// Held gives what this VM holds.
 	Held() schedule.Holding
-	// HeldTogether gives what this VM and others hold in sum, without what does not last.
+	// HeldTogether gives what this VM and others hold in sum.
 	HeldTogether(others []ident.VM) map[traffic.EndpointID]schedule.Work
 	// SetFarLate is told whether VMs of other data centres tell late what they hold.
 	SetFarLate(late bool)
--- a/internal/layout/duty.go
+++ b/internal/layout/duty.go
@@ -39,6 +39,8 @@
 	Pools() map[string]Pool
 	// Idlest gives the engine of a stage that is best taken away, of those not in except.
 	Idlest(service string, stage traffic.Stage, except []traffic.EndpointID) (traffic.Endpoint, bool)
+	// Moving is told of an engine that was sent an order and did not refuse it.
+	Moving(id traffic.EndpointID)
 }
 
 // Duty is the goroutine that gives orders.
@@ -134,6 +136,9 @@
 		err := d.Engines.OrderStage(ctx, e, m.To, d.Self, fence)
 		d.Log.Info("stage ordered", zap.String("service", m.Service), zap.String("endpoint", e.ID.Name), zap.Stringer("from", m.From),
 			zap.Stringer("to", m.To), zap.Uint64("fence", fence), zap.Error(err))
+		if !fault.Is(err, fault.Conflict) {
+			d.Pools.Moving(e.ID)
+		}
 	}
 }
 
--- a/internal/layout/plan_test.go
+++ b/internal/layout/plan_test.go
@@ -97,6 +97,7 @@
 type world struct {
 	lease  Lease
 	orders []order
+	moving []traffic.EndpointID
 	slow   time.Duration
 	clock  *manual
 	lost   bool
@@ -144,6 +145,8 @@
 	return traffic.Endpoint{ID: traffic.EndpointID{Name: fmt.Sprint(len(except))}}, true
 }
 
+func (w *world) Moving(id traffic.EndpointID) { w.moving = append(w.moving, id) }
+
 func (w *world) duty(name string) *Duty {
 	return &Duty{Self: name, Clock: w.clock, Store: w, Engines: w, Pools: w, LeaseTime: 3 * time.Second, Log: zap.NewNop(), planner: NewPlanner()}
 }
@@ -157,6 +160,9 @@
 	if err := a.move(t.Context(), m); err != nil {
 		t.Fatal(err)
 	}
+	if len(w.moving) != 1 {
+		t.Errorf("moving: %v", w.moving)
+	}
 	for b.move(t.Context(), m) != nil {
 		w.clock.now = w.clock.now.Add(100 * time.Millisecond)
 	}
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -33,6 +33,8 @@
 	Failed
 	// Dead: the endpoint took no connection or gave no sign in time.
 	Dead
+	// Moving: the endpoint was ordered to change its stage, and takes no work meanwhile.
+	Moving
 )
 
 // String gives the name that log lines show.
@@ -43,7 +45,7 @@
 	return "unknown"
 }
 
-var outcomes = [...]string{"good", "erred", "failed", "dead"}
+var outcomes = [...]string{"good", "erred", "failed", "dead", "moving"}
 
 // health judges an endpoint by what calls to it showed.
 type health struct {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -207,11 +207,22 @@
 	s := c.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e := s.table.states[c.Endpoint.ID]; e != nil {
+	e := s.table.states[c.Endpoint.ID]
+	switch {
+	case e == nil:
+	case c.Endpoint.Stage == traffic.Prefill:
+		e.refusedPrompt(s.opts.Clock.Now())
+	default:
 		e.refused(s.opts.Clock.Now())
 	}
 }
 
+// Moving states that an engine was ordered to change its stage, and tells the other VMs.
+func (s *Scheduler) Moving(id traffic.EndpointID) {
+	s.HeardFailure(id, Moving)
+	s.opts.Failed(id, Moving)
+}
+
 // Reported takes over the load that the claim's endpoint stated.
 func (c *Claim) Reported(l *backend.Load) {
 	if l == nil {
@@ -234,15 +245,21 @@
 	if e == nil || took <= 0 {
 		return
 	}
+	e.refusals = 0
 	measured := float64(prompt+c.Held.Tokens) / took.Seconds()
 	e.rate += rateStep * (measured - e.rate)
 }
 
-// HeardFailure takes over how a send of another VM ended.
+// HeardFailure takes over how a send or an order of another VM ended.
 func (s *Scheduler) HeardFailure(id traffic.EndpointID, o Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e := s.table.states[id]; e != nil {
+	e := s.table.states[id]
+	switch {
+	case e == nil:
+	case o == Moving:
+		e.closedUntil = s.opts.Clock.Now().Add(moveTime)
+	default:
 		e.health.record(s.opts.Clock.Now(), o)
 	}
 }
@@ -296,8 +313,7 @@
 	return out
 }
 
-// HeldTogether gives what this VM and others hold in sum. It leaves out prompts that are being
-// read, which are over before a slow message tells of them.
+// HeldTogether gives what this VM and others hold in sum.
 func (s *Scheduler) HeldTogether(others []ident.VM) map[traffic.EndpointID]Work {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -18,6 +18,9 @@
 
 // fits reports whether an endpoint has room for an ask.
 func (t *table) fits(now clock.Instant, s *state, a *Ask) bool {
+	if now.Before(s.closedUntil) {
+		return false
+	}
 	if s.Slots > 0 && s.load(now).Calls >= s.Slots+queued(s) {
 		return false
 	}
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -42,6 +42,10 @@
 	// unseen is work that a refusal for lack of room showed, beyond what was told; it fades.
 	unseen   Work
 	unseenAt clock.Instant
+	// closedUntil is when the endpoint may be tried again after it refused to read prompts, or
+	// began to change its stage; refusals counts those in a row.
+	closedUntil clock.Instant
+	refusals    int
 }
 
 type told struct {
@@ -114,6 +118,25 @@
 	}
 }
 
+const (
+	// minClosed is the first time for which an engine that refuses to read prompts is left
+	// alone; it doubles with each refusal in a row up to maxClosed.
+	minClosed = 300 * time.Millisecond
+	maxClosed = 4 * time.Second
+	// moveTime is the longest time for which an engine that changes its stage is left alone; the
+	// table of endpoints mostly shows the new stage before.
+	moveTime = 9 * time.Second
+)
+
+// refusedPrompt notes that the engine did not read a prompt.
+func (s *state) refusedPrompt(now clock.Instant) {
+	if now.Before(s.closedUntil) {
+		return // one refusal seen by several calls
+	}
+	s.closedUntil = now.Add(min(maxClosed, minClosed<<min(s.refusals, 8)))
+	s.refusals++
+}
+
 // room gives the tokens of memory that are free for decoding.
 func (s *state) room(now clock.Instant) int64 {
 	if s.engine == nil || s.engine.Capacity <= 0 {
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -47,6 +47,9 @@
 			}
 			delete(t.early, e.ID)
 		}
+		if s.Stage != e.Stage {
+			s.closedUntil, s.refusals = 0, 0
+		}
 		s.Endpoint = e
 		s.engine = nil
 		if svc := services[e.Service]; svc != nil {
@@ -89,11 +92,11 @@
 	}
 }
 
-// heldTogether gives what this VM and others hold in sum at decode engines.
+// heldTogether gives what this VM and others hold in sum at engines.
 func (t *table) heldTogether(others []ident.VM) map[traffic.EndpointID]Work {
 	out := map[traffic.EndpointID]Work{}
 	for id, s := range t.states {
-		if s.engine == nil || s.Stage == traffic.Prefill {
+		if s.engine == nil {
 			continue
 		}
 		w := s.own
