--- a/internal/endpoint/port.go
+++ b/internal/endpoint/port.go
@@ -92,8 +92,13 @@
 	Stage     string `json:"stage"`
 	Bytes     int64  `json:"bytes"`
 	AgeMillis int64  `json:"age_millis"`
+	// Attached: the connection on which the order came is still open.
+	Attached bool `json:"attached"`
 }
 
+// StageKept is the stage of a prefill's result that waits to be fetched. It lapses by itself.
+const StageKept = "kept"
+
 // CacheEvent tells that a prefix piece entered or left an engine's cache. Events come late
 // and with gaps: a jump in Seq.
 type CacheEvent struct {
--- a/internal/sweep/machine.go
+++ b/internal/sweep/machine.go
@@ -106,7 +106,7 @@
 	CauseNotLive = "not_live"
 	// CauseGone: the request's VM is gone or lives under a later incarnation.
 	CauseGone = "gone"
-	// CauseSilent: the request's VM does not answer.
+	// CauseSilent: the request's VM does not answer, and its connection to the engine is broken.
 	CauseSilent = "silent"
 )
 
@@ -117,6 +117,10 @@
 	// disclaimed says that its VM does not claim it. It is dead once the next look shows that
 	// it is still held: a request that has just ended frees itself.
 	disclaimed bool
+	// orphaned says that the connection on which its order came is broken, and that it does not
+	// lapse by itself. Only such a holding is dead when its VM is silent: a VM that others do
+	// not hear may still be serving.
+	orphaned bool
 }
 
 // vmState is what is known of one life of a VM that requests name.
@@ -187,6 +191,9 @@
 		if m.held[key] == nil && time.Duration(h.AgeMillis)*time.Millisecond >= grace {
 			m.held[key] = &holding{}
 		}
+		if known := m.held[key]; known != nil {
+			known.orphaned = !h.Attached && h.Stage != endpoint.StageKept
+		}
 	}
 	maps.DeleteFunc(m.held, func(h Held, _ *holding) bool { return h.Endpoint == in.Endpoint && !present[h] })
 }
@@ -216,7 +223,7 @@
 			passed[vm] = true
 		}
 	}
-	for _, key := range m.sorted(func(h Held) bool { return passed[h.Request.VM] }) {
+	for _, key := range m.sorted(func(h Held) bool { return passed[h.Request.VM] && m.held[h].orphaned }) {
 		m.cancel(key, CauseSilent)
 	}
 }
@@ -231,7 +238,7 @@
 		return CauseGone, true
 	case m.held[key].disclaimed:
 		return CauseNotLive, true
-	case m.silent(now, key.Request.VM):
+	case m.held[key].orphaned && m.silent(now, key.Request.VM):
 		return CauseSilent, true
 	}
 	return "", false
--- a/internal/sweep/machine_test.go
+++ b/internal/sweep/machine_test.go
@@ -27,12 +27,16 @@
 	seq     uint64
 	// born is when an engine took a request, lost when its VM stopped serving it.
 	born, lost map[Held]clock.Instant
+	// over holds what was cancelled, or freed itself, which only ended requests do.
+	over map[Held]bool
 	up         [testVMs]bool
 	life       [testVMs]ident.Incarnation
 	// noticed says that the members list shows a VM's death or new life.
 	noticed  [testVMs]bool
 	lookIn   [testEndpoints]int
 	loseNext bool
+	// mute VMs live and answer nobody: their links to other VMs are silent.
+	mute [testVMs]bool
 	// cut counts the ticks since the watcher was cut off from all VMs; 0 when it is not.
 	cut     int
 	healed  clock.Instant
@@ -40,7 +44,7 @@
 }
 
 func newWorld() *world {
-	w := &world{machine: NewMachine("watcher"), now: 1, born: map[Held]clock.Instant{}, lost: map[Held]clock.Instant{}}
+	w := &world{machine: NewMachine("watcher"), now: 1, born: map[Held]clock.Instant{}, lost: map[Held]clock.Instant{}, over: map[Held]bool{}}
 	for i := range testVMs {
 		w.up[i], w.life[i] = true, 1
 	}
@@ -68,7 +72,7 @@
 func (w *world) live(h Held) bool {
 	i := w.index(h.Request.VM.Name)
 	_, lost := w.lost[h]
-	return w.up[i] && w.life[i] == h.Request.VM.Incarnation && !lost
+	return w.up[i] && w.life[i] == h.Request.VM.Incarnation && !lost && !w.over[h]
 }
 
 func (w *world) handle(t *rapid.T, actions []Action) {
@@ -94,13 +98,14 @@
 		w.loseNext = false
 		return
 	}
+	w.over[c.Held] = true // a second cancel of it harms nobody
 	delete(w.born, c.Held)
 	delete(w.lost, c.Held)
 }
 
 func (w *world) answer(t *rapid.T, a *Ask) {
 	i := w.index(a.VM.VM.Name)
-	if !w.up[i] || w.cut > 0 {
+	if !w.up[i] || w.mute[i] || w.cut > 0 {
 		w.handle(t, w.machine.Step(w.now, NoAnswerInput{VM: a.About}))
 		return
 	}
@@ -162,6 +167,8 @@
 			in.Holdings = append(in.Holdings, endpoint.Holding{
 				Attempt:   endpoint.Attempt{Request: h.Request.String()},
 				AgeMillis: w.now.Sub(born).Milliseconds(),
+				Stage:     "decode",
+				Attached:  w.live(h),
 			})
 		}
 	}
@@ -199,6 +206,7 @@
 				n := rapid.Uint64Range(1, max(1, w.seq)).Draw(t, "seq")
 				for h := range w.born {
 					if h.Request.Seq == n {
+						w.over[h] = true
 						delete(w.born, h)
 						delete(w.lost, h)
 					}
@@ -213,10 +221,11 @@
 			"kill": func(t *rapid.T) {
 				i := vm(t)
 				for o := range testVMs {
-					if o != i && !w.up[o] {
+					if o != i && (!w.up[o] || w.mute[o]) {
 						t.Skip("the watcher would hear too few")
 					}
 				}
+				w.mute[i] = false
 				w.up[i], w.noticed[i] = false, rapid.Bool().Draw(t, "noticed")
 				w.lose(func(h Held) bool { return h.Request.VM.Name == vmName(i) })
 				w.handle(t, w.showMembers())
@@ -224,10 +233,20 @@
 			"restart": func(t *rapid.T) {
 				i := vm(t)
 				w.life[i]++
-				w.up[i] = true
+				w.up[i], w.mute[i] = true, false
 				w.lose(func(h Held) bool { return h.Request.VM.Name == vmName(i) })
 				w.handle(t, w.showMembers())
 			},
+			"mute": func(t *rapid.T) {
+				i := vm(t)
+				for o := range testVMs {
+					if o != i && (!w.up[o] || w.mute[o]) {
+						t.Skip("the watcher would hear too few")
+					}
+				}
+				w.mute[i] = w.up[i]
+			},
+			"unmute":      func(t *rapid.T) { w.mute[vm(t)] = false },
 			"loseMessage": func(*rapid.T) { w.loseNext = true },
 			"time": func(t *rapid.T) {
 				for range rapid.IntRange(1, 25).Draw(t, "ticks") {
@@ -235,8 +254,49 @@
 				}
 			},
 		})
+		w.mute = [testVMs]bool{}
 		for range int((isolatedLimit + 2*freedWithin) / TickPeriod) {
 			w.tick(t)
 		}
 	})
 }
+
+// TestSilenceAloneEndsNoLiveWork: a VM that answers nobody, while others are heard, goes on with
+// what its engines still have a connection for; what has none is freed, and a prompt that is kept
+// lapses by itself.
+func TestSilenceAloneEndsNoLiveWork(t *testing.T) {
+	vm := ident.VM{Name: vmName(0), Incarnation: 1}
+	id := func(n uint64) string { return ident.RequestID{VM: vm, Seq: n}.String() }
+	in := HeldInput{Endpoint: "e0", Holdings: []endpoint.Holding{
+		{Attempt: endpoint.Attempt{Request: id(1)}, Stage: "decode", AgeMillis: 500, Attached: true},
+		{Attempt: endpoint.Attempt{Request: id(2)}, Stage: "decode", AgeMillis: 500},
+		{Attempt: endpoint.Attempt{Request: id(3)}, Stage: endpoint.StageKept, AgeMillis: 500},
+	}}
+	w := newWorld()
+	cancelled := map[uint64]string{}
+	step := func(in Input) {
+		for _, a := range w.machine.Step(w.now, in) {
+			switch {
+			case a.Cancel != nil:
+				cancelled[a.Cancel.Request.Seq] = a.Cancel.Cause
+			case a.Ask.VM.VM.Name == vmName(0):
+				w.machine.Step(w.now, NoAnswerInput{VM: a.Ask.About})
+			default:
+				w.machine.Step(w.now, AnswerInput{VM: a.Ask.About, Asked: a.Ask.Held})
+			}
+		}
+	}
+	for range int(3 * isolatedLimit / TickPeriod) {
+		w.now = w.now.Add(TickPeriod)
+		step(in)
+		step(TickInput{})
+	}
+	if len(cancelled) != 1 || cancelled[2] != CauseSilent {
+		t.Errorf("cancelled %v", cancelled)
+	}
+	in.Holdings[0].Attached = false
+	step(in)
+	if cancelled[1] != CauseSilent {
+		t.Errorf("after its connection broke: cancelled %v", cancelled)
+	}
+}
--- a/test/standin/engine/decode.go
+++ b/test/standin/engine/decode.go
@@ -25,7 +25,7 @@
 		return
 	}
 	j := s.newJob(o.Attempt, stageImport, o.Priority)
-	j.decode, j.next = o, o.Offset
+	j.decode, j.next, j.caller = o, o.Offset, r.Context()
 	s.stats.Decodes++
 	s.waiting.push(j)
 	s.startWaiting()
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -53,6 +53,8 @@
 	priority int
 	ctx      context.Context
 	cancel   context.CancelFunc
+	// caller ends with the connection on which the order came.
+	caller context.Context
 
 	prefill  endpoint.PrefillOrder
 	result   chan endpoint.PrefillResult
@@ -71,7 +73,7 @@
 // The stages of endpoint.Holding.
 const (
 	stagePrefill = "prefill"
-	stageKept    = "kept"
+	stageKept    = endpoint.StageKept
 	stageImport  = "import"
 	stageDecode  = "decode"
 )
@@ -223,6 +225,7 @@
 	for j := range s.jobs {
 		held = append(held, endpoint.Holding{
 			Attempt: j.attempt, Stage: j.stage, Bytes: j.bytes, AgeMillis: now.Sub(j.since).Milliseconds(),
+			Attached: j.caller != nil && j.caller.Err() == nil,
 		})
 	}
 	return held
--- a/test/standin/engine/prefill.go
+++ b/test/standin/engine/prefill.go
@@ -30,7 +30,7 @@
 		return
 	}
 	j := s.newJob(o.Attempt, stagePrefill, o.Priority)
-	j.prefill = o
+	j.prefill, j.caller = o, r.Context()
 	j.prompt = ReadPrompt(o.Prompt)
 	j.tokens = o.Tokens
 	j.bytes = o.Tokens * s.opts.KVBytesPerToken
