Far engines are taken to grow with near ones; sides of a cut use the slack of plans

(b) While a fleet is cut, each side kept to its share of a plan, far under what the users' bound leaves: it has a slack for what VMs cannot know (a tenth of the plan and 190,000 tokens). Change: (a) the work of a far engine is what was told and as much as near engines got since (TestFarEnginesGrowWithNearOnes). (b) sides of a cut share 0.35 of the slack, a VM that starts anew uses 0.25, data centres that tell late share 0.25; without a cut a plan holds as before. TestSlackStaysWithinTheBound cuts, restarts and asks for more than there is.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -22,14 +22,22 @@
 	retries *Retries
 }
 
-// NewGate makes a Gate for a fleet of which vms VMs are taken to be up. Plans are counted over
-// planWindow; a lower one begins to count after notice. admitted is told what
+// PlanBounds say how plans are counted.
+type PlanBounds struct {
+	// Window is the time over which they are.
+	Window time.Duration
+	// Notice is the time after which a lower plan begins to count.
+	Notice time.Duration
+	Slack  Slack
+}
+
+// NewGate makes a Gate for a fleet of which vms VMs are taken to be up. admitted is told what
 // this VM has admitted for a workspace since it started; it must not block and may be nil.
-func NewGate(c clock.Clock, b RetryBudget, planWindow, notice time.Duration, vms int, admitted func(workspace string, tokens int64)) *Gate {
+func NewGate(c clock.Clock, b RetryBudget, plans PlanBounds, vms int, admitted func(workspace string, tokens int64)) *Gate {
 	if admitted == nil {
 		admitted = func(string, int64) {}
 	}
-	g := &Gate{clock: c, admitted: admitted, plans: NewPlans(c.Now(), planWindow, notice), retries: NewRetries(b)}
+	g := &Gate{clock: c, admitted: admitted, plans: NewPlans(c.Now(), plans.Window, plans.Notice, plans.Slack), retries: NewRetries(b)}
 	g.vms.Store(int32(vms))
 	return g
 }
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -38,9 +38,28 @@
 	used int64
 }
 
+// Slack is what may be used beyond a plan in a window where VMs cannot know what others use.
+type Slack struct {
+	// Over is a part of the plan, Tokens come besides.
+	Over, Tokens float64
+}
+
+const (
+	// cutSlack is the part of the slack that the sides of a cut share, startSlack that which a VM
+	// uses after its start, splitSlack that which data centres share that tell each other
+	// late. Together they leave some.
+	cutSlack   = 0.35
+	startSlack = 0.25
+	splitSlack = 0.25
+)
+
+// of gives a part of the slack of a plan that allows so much in a window.
+func (s Slack) of(plan, part float64) float64 { return part * (s.Over*plan + s.Tokens) }
+
 // Plans holds an account for each workspace. It is not safe for use by many goroutines.
 type Plans struct {
 	window time.Duration
+	slack  Slack
 	// notice is how long after it was learnt a lower plan begins to count.
 	notice   time.Duration
 	accounts map[string]*account
@@ -66,8 +85,8 @@
 
 // NewPlans makes Plans that are counted over a window. notice is the time in which a change
 // comes into force on all VMs; a lower plan begins to count when it is over.
-func NewPlans(now clock.Instant, window, notice time.Duration) *Plans {
-	return &Plans{started: now, window: window, notice: notice, accounts: map[string]*account{}, share: 1, split: 1, far: map[string]farUse{}}
+func NewPlans(now clock.Instant, window, notice time.Duration, slack Slack) *Plans {
+	return &Plans{started: now, window: window, notice: notice, slack: slack, accounts: map[string]*account{}, share: 1, split: 1, far: map[string]farUse{}}
 }
 
 // SetShare states which part of the VMs this one hears, itself counted. The rest may be
@@ -127,10 +146,16 @@
 }
 
 // full is what a plan allows in a whole window, in tokens. After its start a VM takes the plan
-// to have been used at its rate before.
+// to have been used at its rate before, but for a part of the slack.
 func (p *Plans) full(now clock.Instant, l Limit) float64 {
+	whole := l.Rate*p.window.Seconds() + l.Burst
 	counted := min(p.window, now.Sub(p.started))
-	return l.Rate*counted.Seconds() + l.Burst
+	return min(whole, l.Rate*counted.Seconds()+l.Burst+p.slack.of(whole, startSlack))
+}
+
+// here is what this side of a cut may use of what is allowed: its share, and that of the slack.
+func (p *Plans) here(allowed float64) float64 {
+	return min(allowed, p.share*(allowed+p.slack.of(allowed, cutSlack)))
 }
 
 // allowed is what a plan allows in the window that ends now, in tokens. A window that spans
@@ -161,14 +186,15 @@
 		return Verdict{Admitted: true}
 	}
 	a := p.account(now, workspace, l)
-	v := Verdict{Before: a.sum + p.farUsed(now, workspace), Allowed: p.allowed(a, now) * p.share}
+	v := Verdict{Before: a.sum + p.farUsed(now, workspace), Allowed: p.here(p.allowed(a, now))}
 	if float64(v.Before+cost) > v.Allowed {
 		v.Wait = p.wait(a, float64(v.Before+cost)-v.Allowed)
 		return v
 	}
 	if p.split < 1 {
 		recent := float64(a.recent())
-		if left := (v.Allowed - float64(v.Before) + recent) * p.split; recent+float64(cost) > left {
+		left := v.Allowed - float64(v.Before) + recent
+		if recent+float64(cost) > p.split*(left+p.slack.of(v.Allowed, splitSlack)) {
 			v.Wait = p.binTime() * recentParts
 			return v
 		}
--- a/internal/admission/plan_test.go
+++ b/internal/admission/plan_test.go
@@ -24,7 +24,7 @@
 // over every window that ends with an admission, with admissions of other VMs mixed in.
 func TestNoWindowExceedsThePlan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := NewPlans(longAgo(), testWindow, testNotice)
+		p := NewPlans(longAgo(), testWindow, testNotice, Slack{})
 		limit := Limit{Rate: float64(rapid.IntRange(100, 5000).Draw(t, "rate")), Burst: float64(rapid.IntRange(0, 20000).Draw(t, "burst"))}
 		type admitted struct {
 			at   clock.Instant
@@ -108,7 +108,7 @@
 		}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			if got := tc.do(NewPlans(longAgo(), testWindow, testNotice)); got != tc.want {
+			if got := tc.do(NewPlans(longAgo(), testWindow, testNotice, Slack{})); got != tc.want {
 				t.Errorf("admitted %v, want %v", got, tc.want)
 			}
 		})
@@ -119,7 +119,7 @@
 // window before, does not give the plan out a second time.
 func TestANewLifeTakesThePlanForUsed(t *testing.T) {
 	limit := Limit{Rate: 1000, Burst: 500}
-	p := NewPlans(at(0), testWindow, testNotice)
+	p := NewPlans(at(0), testWindow, testNotice, Slack{})
 	if p.Admit(at(time.Second), "w", limit, 2000).Admitted {
 		t.Error("2000 tokens a second after the start, the plan allows 1500")
 	}
@@ -130,7 +130,7 @@
 
 func TestTheWaitIsEnough(t *testing.T) {
 	limit := Limit{Rate: 1000, Burst: 500}
-	p := NewPlans(longAgo(), testWindow, testNotice)
+	p := NewPlans(longAgo(), testWindow, testNotice, Slack{})
 	p.Admit(at(0), "w", limit, 4000)
 	p.Admit(at(3*time.Second), "w", limit, 4000)
 	v := p.Admit(at(4*time.Second), "w", limit, 3000)
@@ -149,7 +149,7 @@
 	limit := Limit{Rate: 10_000, Burst: 10_000}
 	var plans [groups]*Plans
 	for i := range plans {
-		plans[i] = NewPlans(longAgo(), testWindow, testNotice)
+		plans[i] = NewPlans(longAgo(), testWindow, testNotice, Slack{})
 		plans[i].SetSplit(1.2 / groups)
 	}
 	step := testWindow / planParts
@@ -188,3 +188,61 @@
 		}
 	}
 }
+
+// TestSlackStaysWithinTheBound cuts the fleet into sides that hear nothing of each other and has
+// them start anew again and again, all asking for more than there is, and checks the users' bound.
+func TestSlackStaysWithinTheBound(t *testing.T) {
+	limit := Limit{Rate: 10_000, Burst: 30_000}
+	slack := Slack{Over: 0.1, Tokens: 100_000}
+	whole := limit.Rate*testWindow.Seconds() + limit.Burst
+	bound := whole*(1+slack.Over) + slack.Tokens
+	shares := []float64{0.5, 0.3, 0.2}
+	rapid.Check(t, func(t *rapid.T) {
+		var sides []*Plans
+		begin := func(i int, at clock.Instant) *Plans {
+			p := NewPlans(at, testWindow, testNotice, slack)
+			p.SetShare(shares[i])
+			return p
+		}
+		for i := range shares {
+			sides = append(sides, begin(i, longAgo()))
+		}
+		step := testWindow / planParts
+		restartedAt := -planParts // at most one side loses its count in a window
+		var admitted []int64
+		for n := range 3 * planParts {
+			now := at(time.Duration(n) * step)
+			if n-restartedAt >= planParts && rapid.IntRange(0, 20).Draw(t, "restart") == 0 {
+				restartedAt = n
+				i := rapid.IntRange(0, len(sides)-1).Draw(t, "side")
+				sides[i] = begin(i, now)
+			}
+			sum := int64(0)
+			for _, p := range sides {
+				for range rapid.IntRange(0, 30).Draw(t, "calls") {
+					if p.Admit(now, "w", limit, 1000).Admitted {
+						sum += 1000
+					}
+				}
+			}
+			admitted = append(admitted, sum)
+			used := int64(0)
+			for _, v := range admitted[max(0, n+1-planParts):] {
+				used += v
+			}
+			if float64(used) > bound {
+				t.Fatalf("step %d: %d tokens in a window, the bound is %.0f", n, used, bound)
+			}
+		}
+	})
+}
+
+// TestACutCostsLittleWhereThereIsSlack shows that a side of a cut may use nearly all of a plan
+// that is small against the slack.
+func TestACutCostsLittleWhereThereIsSlack(t *testing.T) {
+	p := NewPlans(longAgo(), testWindow, testNotice, Slack{Over: 0.1, Tokens: 190_000})
+	p.SetShare(0.5)
+	if v := p.Admit(at(0), "w", Limit{Rate: 1000, Burst: 2000}, 9000); !v.Admitted {
+		t.Errorf("refused: %+v", v)
+	}
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -185,7 +185,7 @@
 		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7})
 		s.Update(testEndpoints(), cfg.Services)
 		time.Sleep(time.Minute) // plans count from the start
-		gate := admission.NewGate(now, admission.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 52}, 8*time.Second, 0, 1, nil)
+		gate := admission.NewGate(now, admission.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 52}, admission.PlanBounds{Window: 8 * time.Second}, 1, nil)
 		time.Sleep(time.Minute)
 		d := dispatch.New(dispatch.Options{
 			Clock: now, Configuration: func() *traffic.Configuration { return cfg }, Scheduler: s, Backend: f, Gate: gate,
--- a/internal/relay/services.go
+++ b/internal/relay/services.go
@@ -51,7 +51,7 @@
 	budget := admission.RetryBudget{Ratio: serviceRetryRatio, Window: serviceRetryWindow, Slack: serviceRetrySlack}
 	v.dispatcher = dispatch.New(dispatch.Options{
 		Clock: o.Clock, Scheduler: v.scheduler, Backend: &endpoint.Plain{Pool: v.pool}, Log: o.Log, Metrics: s.metrics,
-		Gate: admission.NewGate(o.Clock, budget, serviceRetryWindow, 0, 1, nil), Seed: uint64(o.Self.Incarnation),
+		Gate: admission.NewGate(o.Clock, budget, admission.PlanBounds{Window: serviceRetryWindow}, 1, nil), Seed: uint64(o.Self.Incarnation),
 	})
 	return v
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -279,6 +279,17 @@
 	s.table.heardAll(vm, seq, all)
 }
 
+// HeardDataCentre takes over what the VMs of another data centre hold together. seq grows.
+func (s *Scheduler) HeardDataCentre(name string, seq uint64, all map[traffic.EndpointID]Work) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.heardDataCentre(name, seq, all)
+	s.wake()
+}
+
+// ForgetDataCentre drops what a data centre told of which no VM is heard.
+func (s *Scheduler) ForgetDataCentre(name string) { s.Forget(dataCentreVM(name)) }
+
 // SetFarLate states whether VMs of other data centres tell late what they hold.
 func (s *Scheduler) SetFarLate(late bool) {
 	s.mu.Lock()
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -42,6 +42,9 @@
 	// unseen is work that a refusal for lack of room showed, beyond what was told; it fades.
 	unseen   Work
 	unseenAt clock.Instant
+	// untold is work in tokens that VMs of other data centres are taken to have given since they
+	// told, as of the latest choice.
+	untold int64
 	// closedUntil is when the endpoint may be tried again after it refused to read prompts, or
 	// began to change its stage; refusals counts those in a row.
 	closedUntil clock.Instant
@@ -98,9 +101,10 @@
 // unseenTime is how long a refusal counts; work that nobody told of goes on for about as long.
 const unseenTime = 1200 * time.Millisecond
 
-// load is the work of all VMs, and what refusals showed besides.
+// load is the work of all VMs, what is not told yet, and what refusals showed besides.
 func (s *state) load(now clock.Instant) Work {
 	w := s.total()
+	w.Tokens += s.untold
 	left := 1 - float64(now.Sub(s.unseenAt))/float64(unseenTime)
 	if left <= 0 {
 		return w
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -20,6 +20,8 @@
 	early map[traffic.EndpointID]*otherWork
 	// farLate is set where VMs of other data centres tell late what they hold.
 	farLate bool
+	// nearThen is how much the engines of this data centre had to do when another one last told.
+	nearThen map[string]map[pool]int64
 }
 
 func newTable(dataCentre string, random *rand.Rand) *table {
@@ -29,6 +31,7 @@
 		states:     map[traffic.EndpointID]*state{},
 		byService:  map[string][]*state{},
 		early:      map[traffic.EndpointID]*otherWork{},
+		nearThen:   map[string]map[pool]int64{},
 	}
 }
 
@@ -92,6 +95,42 @@
 	}
 }
 
+// dataCentreVM stands for all VMs of a data centre that tells in sums.
+func dataCentreVM(name string) ident.VM { return ident.VM{Name: "data centre " + name} }
+
+// heardDataCentre takes over what the VMs of another data centre hold together.
+func (t *table) heardDataCentre(name string, seq uint64, all map[traffic.EndpointID]Work) {
+	t.heardAll(dataCentreVM(name), seq, all)
+	then := map[pool]int64{}
+	for service := range t.byService {
+		for _, stage := range []traffic.Stage{traffic.Prefill, traffic.Decode} {
+			then[pool{service, stage}] = t.nearMean(service, stage)
+		}
+	}
+	t.nearThen[name] = then
+}
+
+// nearMean is the mean work of the engines of this data centre, in tokens.
+func (t *table) nearMean(service string, stage traffic.Stage) int64 {
+	sum, n := int64(0), int64(0)
+	for _, s := range t.byService[service] {
+		if s.engine != nil && s.Stage == stage && s.DataCentre == t.dataCentre && !s.Leaving {
+			sum += s.total().Tokens
+			n++
+		}
+	}
+	return sum / max(1, n)
+}
+
+// grown guesses the work that was given to an engine of another data centre since that one told:
+// as much as the engines of this one got meanwhile.
+func (t *table) grown(s *state, nearNow int64) int64 {
+	if !t.farLate || s.engine == nil || s.DataCentre == t.dataCentre {
+		return 0
+	}
+	return max(0, nearNow-t.nearThen[s.DataCentre][pool{s.Service, s.Stage}])
+}
+
 // heldTogether gives what this VM and others hold in sum at engines.
 func (t *table) heldTogether(others []ident.VM) map[traffic.EndpointID]Work {
 	out := map[traffic.EndpointID]Work{}
@@ -193,10 +232,12 @@
 func (t *table) choose(now clock.Instant, a *Ask) (*state, Choice, reason) {
 	var usable, sound []*state
 	why := noneKnown
+	near := t.nearMean(a.Service, a.Stage)
 	for _, s := range t.byService[a.Service] {
 		if !may(s, a) {
 			continue
 		}
+		s.untold = t.grown(s, near)
 		if !t.fits(now, s, a) {
 			why = allFull
 			continue
