Documents are handed on packed; reads of a store that is away grow rarer

Later looks at the list of VMs may be seconds old (a tenth of the price). A document is packed once for each version, its age sent beside it (TestATableIsHandedOnInLittleSpace).

--- a/internal/exchange/digest.go
+++ b/internal/exchange/digest.go
@@ -100,9 +100,6 @@
 	}
 }
 
-// dataCentreVM stands for all VMs of a data centre that tells in sums.
-func dataCentreVM(name string) ident.VM { return ident.VM{Name: "data centre " + name} }
-
 // handOnPause is left between the sends of a digest that is handed on, as the link of a small
 // VM takes milliseconds for each.
 const handOnPause = 8 * time.Millisecond
@@ -127,7 +124,7 @@
 		used[u.Workspace] = u.Tokens
 	}
 	s.opts.Plans.HeardFar(d.From.DataCentre, used)
-	s.opts.Work.HeardAllWork(dataCentreVM(d.From.DataCentre), seq, byEndpoint(d.Work))
+	s.opts.Work.HeardDataCentre(d.From.DataCentre, seq, byEndpoint(d.Work))
 	s.opts.Log.Debug("digest heard", zap.String("data_centre", d.From.DataCentre), zap.Stringer("vm", d.From.VM),
 		zap.Int("vms", len(d.Members)), zap.Int("endpoints", len(d.Work)), zap.Duration("took", s.opts.Clock.Now().Sub(now)))
 	if d.HandOn {
@@ -159,6 +156,6 @@
 	unheard := s.roster.unheard()
 	s.mu.Unlock()
 	for _, dataCentre := range unheard {
-		s.opts.Work.Forget(dataCentreVM(dataCentre))
+		s.opts.Work.ForgetDataCentre(dataCentre)
 	}
 }
--- a/internal/exchange/digest_test.go
+++ b/internal/exchange/digest_test.go
@@ -72,7 +72,7 @@
 type node struct {
 	*Service
 	mu   sync.Mutex
-	held map[ident.VM]map[traffic.EndpointID]schedule.Work
+	held map[string]map[traffic.EndpointID]schedule.Work
 	far  map[string]map[string]int64
 	news chan struct{}
 }
@@ -89,7 +89,7 @@
 
 func (n *node) Register(context.Context, Member) error            { return nil }
 func (n *node) Withdraw(context.Context, Member) error            { return nil }
-func (n *node) Members(context.Context) ([]Member, error)         { return nil, nil }
+func (n *node) Members(context.Context, bool) ([]Member, error)   { return nil, nil }
 func (n *node) HeardFailure(traffic.EndpointID, schedule.Outcome) {}
 func (n *node) Forget(ident.VM)                                   {}
 func (n *node) SetFarLate(bool)                                   {}
@@ -99,7 +99,7 @@
 func (n *node) Versions() []uint64                                { return []uint64{1} }
 func (n *node) Wants(int, uint64) bool                            { return false }
 func (n *node) Body(int) (uint64, []byte, error)                  { return 1, nil, nil }
-func (n *node) Offer(int, []byte, string) error                   { return nil }
+func (n *node) Offer(int, []byte, time.Duration, string) error    { return nil }
 func (n *node) Age() time.Duration                                { return 0 }
 func (n *node) Confirm(uint64, time.Duration)                     {}
 func (n *node) Together() map[string]int64                        { return map[string]int64{"w": 70} }
@@ -108,9 +108,11 @@
 	return map[traffic.EndpointID]schedule.Work{{Name: "e"}: {Calls: 1 + len(others), Tokens: 100}}
 }
 
-func (n *node) HeardWork(ident.VM, uint64, traffic.EndpointID, schedule.Work) {}
-func (n *node) HeardAllWork(vm ident.VM, _ uint64, all map[traffic.EndpointID]schedule.Work) {
-	n.told(func() { n.held[vm] = all })
+func (n *node) HeardWork(ident.VM, uint64, traffic.EndpointID, schedule.Work)       {}
+func (n *node) HeardAllWork(ident.VM, uint64, map[traffic.EndpointID]schedule.Work) {}
+func (n *node) ForgetDataCentre(string)                                             {}
+func (n *node) HeardDataCentre(name string, _ uint64, all map[traffic.EndpointID]schedule.Work) {
+	n.told(func() { n.held[name] = all })
 }
 
 func (n *node) HeardFar(dataCentre string, tokens map[string]int64) {
@@ -119,7 +121,7 @@
 
 // startNode runs a Service that knows the VMs listed.
 func startNode(t *testing.T, m Member, ln net.Listener, listed []Member) *node {
-	n := &node{held: map[ident.VM]map[traffic.EndpointID]schedule.Work{}, far: map[string]map[string]int64{}, news: make(chan struct{}, 1)}
+	n := &node{held: map[string]map[traffic.EndpointID]schedule.Work{}, far: map[string]map[string]int64{}, news: make(chan struct{}, 1)}
 	transport := peer.New(peer.Options{Self: m.VM})
 	n.Service = New(Options{Self: m, Clock: clock.Boot{}, Transport: transport, Registry: n, Work: n, Plans: n, Documents: n, Log: zap.NewNop()})
 	n.roster.listed(n.opts.Clock.Now(), listed)
@@ -168,7 +170,7 @@
 func (n *node) awaitDigest(dataCentre string) {
 	for {
 		n.mu.Lock()
-		calls, used := n.held[dataCentreVM(dataCentre)][traffic.EndpointID{Name: "e"}].Calls, n.far[dataCentre]["w"]
+		calls, used := n.held[dataCentre][traffic.EndpointID{Name: "e"}].Calls, n.far[dataCentre]["w"]
 		n.mu.Unlock()
 		if calls == 2 && used == 70 {
 			return
--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -113,7 +113,7 @@
 	ask := &documentAsk{Document: document, Than: s.opts.Documents.Versions()[document]}
 	a, err := peer.Call[documentAsk, documentAnswer](ctx, s.opts.Transport, addr, peer.KindDocument, ask)
 	if err == nil && a.Body != nil {
-		err = s.opts.Documents.Offer(document, a.Body, vm.Name)
+		err = s.opts.Documents.Offer(document, a.Body, a.Age, vm.Name)
 	}
 	if err != nil {
 		s.opts.Log.Warn("document not fetched", zap.Int("document", document), zap.Stringer("vm", vm), zap.Error(err))
@@ -125,5 +125,5 @@
 	if err != nil || version <= a.Than {
 		return &documentAnswer{}, err
 	}
-	return &documentAnswer{Version: version, Body: body}, nil
+	return &documentAnswer{Version: version, Body: body, Age: s.opts.Documents.Age()}, nil
 }
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -119,4 +119,6 @@
 
 	Version uint64
 	Body    []byte
+	// Age is the time since the sender's documents are known to have been the store's newest.
+	Age time.Duration
 }
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -19,8 +19,8 @@
 type Registry interface {
 	// Register enters this VM.
 	Register(ctx context.Context, m Member) error
-	// Members gives all entries.
-	Members(ctx context.Context) ([]Member, error)
+	// Members gives all entries; late ones may be seconds old, and cost less.
+	Members(ctx context.Context, late bool) ([]Member, error)
 	// Withdraw removes this VM's entry.
 	Withdraw(ctx context.Context, m Member) error
 }
@@ -29,6 +29,9 @@
 type Work interface {
 	HeardWork(vm ident.VM, seq uint64, id traffic.EndpointID, w schedule.Work)
 	HeardAllWork(vm ident.VM, seq uint64, all map[traffic.EndpointID]schedule.Work)
+	// HeardDataCentre is told what the VMs of another data centre hold together.
+	HeardDataCentre(name string, seq uint64, all map[traffic.EndpointID]schedule.Work)
+	ForgetDataCentre(name string)
 	HeardFailure(id traffic.EndpointID, o schedule.Outcome)
 	Forget(vm ident.VM)
 	// Held gives what this VM holds.
@@ -61,8 +64,8 @@
 	Wants(document int, version uint64) bool
 	// Body encodes a document.
 	Body(document int) (version uint64, body []byte, err error)
-	// Offer takes a document that another VM has.
-	Offer(document int, body []byte, from string) error
+	// Offer takes a document that another VM has, of an age as that VM's Age.
+	Offer(document int, body []byte, age time.Duration, from string) error
 	// Age is the time since the documents are known to have been the store's newest.
 	Age() time.Duration
 	// Confirm takes over that the store held a version of the last document at an age.
@@ -193,7 +196,7 @@
 // find enters this VM, then looks for others. As each VM enters before it looks, of any two
 // the later one finds the earlier, and its heartbeat makes it known there.
 func (s *Service) find(ctx context.Context) {
-	registered := false
+	registered, looked := false, false
 	for {
 		wait := registryPeriod
 		if !registered {
@@ -203,11 +206,12 @@
 				wait = registryRetry
 			}
 		}
-		if members, err := s.opts.Registry.Members(ctx); err != nil {
+		if members, err := s.opts.Registry.Members(ctx, looked); err != nil {
 			s.opts.Log.Warn("members not read", zap.Error(err))
 			wait = registryRetry
 		} else {
 			s.take(members)
+			looked = registered
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/inforce/follow.go
+++ b/internal/inforce/follow.go
@@ -30,9 +30,13 @@
 	// VM; maxRank bounds the sum.
 	standInAge = 1050 * time.Millisecond
 	rankAge    = 150 * time.Millisecond
-	maxRank    = 4
-	// minRetry is the least pause after a failed read; up to as much is added at random.
-	minRetry = 250 * time.Millisecond
+	maxRank    = 5
+	// minRetry is the pause after a failed read, doubled with each further one up to maxRetry;
+	// minRetry at most is added at random. VMs after maxRank pause for lastRetry, as calls are
+	// priced and so many VMs are rarely cut off alone.
+	minRetry  = 250 * time.Millisecond
+	maxRetry  = 2 * time.Second
+	lastRetry = 4 * time.Second
 	// followPoll bounds the time between looks at the age.
 	followPoll = 100 * time.Millisecond
 )
@@ -56,7 +60,9 @@
 	Read func()
 	Log  *zap.Logger
 
-	lost bool
+	// failed counts failed reads in a row.
+	failed int
+	lost   bool
 	// read is the store's version for which the configuration was read.
 	read uint64
 }
@@ -68,8 +74,11 @@
 		if left := Due(f.Rank()) - f.Keeper.Age(); left <= 0 {
 			err := f.step(ctx)
 			f.note(err)
-			if err != nil {
-				pause = minRetry*time.Duration(1+min(f.Rank(), maxRank)) + rand.N(minRetry)
+			f.failed++
+			if err == nil {
+				f.failed = 0
+			} else {
+				pause = f.retryPause()
 			}
 		} else {
 			pause = min(pause, left)
@@ -78,6 +87,14 @@
 	}
 }
 
+// retryPause gives the pause after a failed read.
+func (f *Follower) retryPause() time.Duration {
+	if f.Rank() > maxRank {
+		return lastRetry + rand.N(minRetry)
+	}
+	return min(maxRetry, minRetry<<min(f.failed-1, 8)) + rand.N(minRetry)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/inforce/keeper.go
+++ b/internal/inforce/keeper.go
@@ -8,11 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
-	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -53,6 +51,8 @@
 	keepUntil clock.Instant
 	// kept is set while the table holds endpoints that the store did not.
 	kept bool
+	// packed holds the documents as they were last handed to other VMs.
+	packed [documents]packed
 }
 
 // New makes a Keeper that knows nothing yet.
@@ -189,17 +189,14 @@
 	}
 }
 
-// handedTable is the table as VMs hand it to each other.
-type handedTable struct {
-	Table traffic.Endpoints
-	// Age is the time since the store is known to have held it.
-	Age time.Duration
-}
-
 // Versions gives the versions of the documents.
 func (k *Keeper) Versions() []uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	return k.versions()
+}
+
+func (k *Keeper) versions() []uint64 {
 	out := make([]uint64, documents)
 	if c := k.config.Load(); c != nil {
 		out[DocumentConfiguration] = c.Version
@@ -221,36 +218,3 @@
 	}
 	return false
 }
-
-// Body encodes a document for another VM.
-func (k *Keeper) Body(document int) (uint64, []byte, error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	switch document {
-	case DocumentConfiguration:
-		if c := k.config.Load(); c != nil {
-			return c.Version, k.raw, nil
-		}
-	case DocumentEndpoints:
-		if k.known {
-			body, err := msgpack.Marshal(&handedTable{Table: k.endpoints, Age: k.age()})
-			return k.endpoints.Version, body, fault.Wrap(err, fault.Internal, "report this", "encode the table of endpoints")
-		}
-	}
-	return 0, nil, nil
-}
-
-// Offer takes a document that another VM has.
-func (k *Keeper) Offer(document int, body []byte, from string) error {
-	switch document {
-	case DocumentConfiguration:
-		return k.OfferConfiguration(body, from)
-	case DocumentEndpoints:
-		var h handedTable
-		if err := msgpack.Unmarshal(body, &h); err != nil {
-			return fault.Wrap(err, fault.Malformed, "run the same release on all VMs", "decode the table of endpoints")
-		}
-		k.OfferEndpoints(h.Table, k.opts.Clock.Now().Add(-h.Age), from)
-	}
-	return nil
-}
--- a/internal/inforce/keeper_test.go
+++ b/internal/inforce/keeper_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/netip"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -144,7 +147,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := to.Offer(i, body, "other"); err != nil {
+		if err := to.Offer(i, body, from.Age(), "other"); err != nil {
 			t.Fatal(err)
 		}
 		if to.Wants(i, version) {
@@ -154,19 +157,51 @@
 	if !to.Ready() || names(last) != "a" || to.Age() != 300*time.Millisecond {
 		t.Errorf("ready %v, endpoints %s, age %s", to.Ready(), names(last), to.Age())
 	}
-	if err := to.Offer(DocumentEndpoints, []byte{0xc1}, "other"); err == nil {
-		t.Error("a table that cannot be read was taken")
+	odd, err := pack([]byte{0xc1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, body := range [][]byte{{0xc1}, odd, nil} {
+		if err := to.Offer(DocumentEndpoints, body, 0, "other"); err == nil {
+			t.Errorf("the table %x was taken", body)
+		}
+	}
+}
+
+// TestATableIsHandedOnInLittleSpace: with 20 VMs that ask at once a table must not fill the link
+// of a small VM, which takes 12 kB in 10 ms.
+func TestATableIsHandedOnInLittleSpace(t *testing.T) {
+	c := &manual{now: clock.Instant(time.Hour)}
+	k, _ := newTestKeeper(c)
+	e := traffic.Endpoints{Version: 7}
+	for i := range 150 {
+		e.List = append(e.List, traffic.Endpoint{
+			ID: traffic.EndpointID{Name: fmt.Sprintf("i-%010x", 7919*i*i), Born: int64(1_790_000_000_000 + 7717*i)}, Service: "wuse12a",
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i % 4), 64, byte(i)}), 8181), DataCentre: fmt.Sprint("dc-", i%4), Slots: 64,
+			Stage: traffic.Stage(1 + i%2), Version: uint64(1000 + i),
+		})
+	}
+	k.OfferEndpoints(e, c.now, "store")
+	version, body, err := k.Body(DocumentEndpoints)
+	if err != nil || version != 7 || len(body) > 10_000 {
+		t.Errorf("version %d, %d bytes, error %v", version, len(body), err)
+	}
+	if _, again, err := k.Body(DocumentEndpoints); err != nil || &again[0] != &body[0] {
+		t.Error("the same version is packed twice")
 	}
 }
 
 // source counts reads, and may be away.
 type source struct {
+	mu     sync.Mutex
 	reads  int
 	away   bool
 	config string
 }
 
 func (s *source) Endpoints(context.Context) (traffic.Endpoints, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.reads++
 	if s.away {
 		return traffic.Endpoints{}, errors.New("away")
@@ -174,6 +209,19 @@
 	return table(1, "a"), nil
 }
 
+// set has the store go away or return, and counts anew.
+func (s *source) set(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away, s.reads = away, 0
+}
+
+func (s *source) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 func (s *source) Configuration(context.Context) ([]byte, error) { return []byte(s.config), nil }
 
 // TestOneVMReads shows that of two VMs that hear each other one reads, and that the other reads
@@ -200,13 +248,13 @@
 			}
 		}
 		beats(10 * time.Second)
-		if sa.reads < 10 || sb.reads > 2 {
-			t.Errorf("the first read %d times, the second %d times", sa.reads, sb.reads)
+		if a, b := sa.count(), sb.count(); a < 10 || b > 2 {
+			t.Errorf("the first read %d times, the second %d times", a, b)
 		}
-		sa.away = true
+		sa.set(true)
 		beats(5 * time.Second)
-		if sb.reads < 4 {
-			t.Errorf("with the first cut off the second read %d times", sb.reads)
+		if sb.count() < 4 {
+			t.Errorf("with the first cut off the second read %d times", sb.count())
 		}
 		if age := a.Age(); age > 2*time.Second {
 			t.Errorf("the VM that is cut off has a table of age %s", age)
@@ -215,3 +263,46 @@
 		synctest.Wait()
 	})
 }
+
+// TestAnOutageCostsFewCalls shows how often the VMs of a large data centre call a store that is
+// away, and that they go by a new table soon after its return.
+func TestAnOutageCostsFewCalls(t *testing.T) {
+	const vms, outage, most = 21, 10 * time.Second, 100
+	synctest.Test(t, func(t *testing.T) {
+		now := clock.NewProcess()
+		ctx, stop := context.WithCancel(t.Context())
+		s := &source{config: "1"}
+		var keepers []*Keeper
+		for rank := range vms {
+			k, _ := newTestKeeper(now)
+			keepers = append(keepers, k)
+			f := &Follower{Keeper: k, Source: s, Rank: func() int { return rank }, Log: zap.NewNop()}
+			go f.Run(ctx)
+		}
+		beats := func(d time.Duration) {
+			for range d / (100 * time.Millisecond) {
+				time.Sleep(100 * time.Millisecond)
+				for _, from := range keepers {
+					for _, to := range keepers {
+						to.Confirm(from.Versions()[DocumentEndpoints], from.Age())
+					}
+				}
+			}
+		}
+		beats(5 * time.Second)
+		s.set(true)
+		beats(outage)
+		if reads := s.count(); reads > most {
+			t.Errorf("%d VMs called a store that is away %d times in %s, want %d at the most", vms, reads, outage, most)
+		}
+		s.set(false)
+		beats(2 * time.Second)
+		for rank, k := range keepers {
+			if age := k.Age(); age > 2*time.Second {
+				t.Errorf("VM %d has a table of age %s", rank, age)
+			}
+		}
+		stop()
+		synctest.Wait()
+	})
+}
