--- a/Makefile
+++ b/Makefile
@@ -17,4 +17,4 @@
 	go test -race -timeout 300s -skip '$(SKIP)' ./...
 
 fmt:
-	go tool gofumpt -w cmd internal measure test
+	go tool gofumpt -w cmd internal measure platform test
--- a/internal/sweep/machine_test.go
+++ b/internal/sweep/machine_test.go
@@ -29,8 +29,8 @@
 	born, lost map[Held]clock.Instant
 	// over holds what was cancelled, or freed itself, which only ended requests do.
 	over map[Held]bool
-	up         [testVMs]bool
-	life       [testVMs]ident.Incarnation
+	up   [testVMs]bool
+	life [testVMs]ident.Incarnation
 	// noticed says that the members list shows a VM's death or new life.
 	noticed  [testVMs]bool
 	lookIn   [testEndpoints]int
