Prompts do not queue at engines; heartbeats repeat everything only each second

(b) Heartbeats each 200 ms repeated all that a VM holds, although changes are told at once: about half of the bytes between data centres on small Partilha. Change: (a) an engine is given a prompt only if it is predicted to be read within 0.4 of the latency objective, or has nothing to do (TestPromptsDoNotQueueAtEngines); else the call waits here in its turn. (b) A heartbeat is full each second, when a VM is new or was silent, and at a stop.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -30,6 +30,10 @@
 	stallMin    = 900 * time.Millisecond
 	// roomPart is the part of the latency objective for which a generation waits for memory.
 	roomPart = 0.6
+	// readPart is the part of the latency objective that the reading of a prompt may take by
+	// prediction; what would take longer waits here, where it goes to the engine that is free
+	// first and costs nothing if its caller leaves.
+	readPart = 0.4
 	// lateRoom is how long a call whose answer has begun waits for memory to go on.
 	lateRoom = 3 * time.Second
 )
@@ -121,7 +125,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	prefill, err = g.place(ctx, g.ask(traffic.Prefill, decode.Endpoint.DataCentre, nil), g.roomLimit())
+	ask := g.ask(traffic.Prefill, decode.Endpoint.DataCentre, nil)
+	ask.Patience = time.Duration(readPart * float64(g.c.Route.Target))
+	prefill, err = g.place(ctx, ask, g.roomLimit())
 	if err != nil {
 		decode.Release()
 		return nil, nil, err
--- a/internal/exchange/digest.go
+++ b/internal/exchange/digest.go
@@ -114,7 +114,7 @@
 	s.mu.Unlock()
 	for _, m := range d.Members {
 		m.DataCentre = d.From.DataCentre
-		s.noteBeat(&beat{From: m}, false)
+		s.noteBeat(&beat{From: m})
 	}
 	if !large {
 		return nil, nil // its VMs tell everything themselves
--- a/internal/exchange/digest_test.go
+++ b/internal/exchange/digest_test.go
@@ -22,7 +22,7 @@
 func TestDigestsRotateOverTheVMsOfOtherDataCentres(t *testing.T) {
 	r := newRoster(member(1, 1, "a"))
 	for n := 2; n <= largeFleet+2; n++ {
-		r.hear(start(), &beat{From: member(n, 1, "abc"[n%3:n%3+1])}, false)
+		r.hear(start(), &beat{From: member(n, 1, "abc"[n%3:n%3+1])})
 	}
 	if !r.sendsDigests() {
 		t.Error("the VM with the lowest address sends no digests")
@@ -48,7 +48,7 @@
 	for self := 1; self <= largeFleet+2; self++ {
 		r := newRoster(member(self, 1, "ab"[self%2:self%2+1]))
 		for n := 1; n <= largeFleet+2; n++ {
-			r.hear(start(), &beat{From: member(n, 1, "ab"[n%2:n%2+1])}, true)
+			r.hear(start(), &beat{From: member(n, 1, "ab"[n%2:n%2+1])})
 		}
 		if r.sendsDigests() {
 			sending++
@@ -62,7 +62,7 @@
 func TestADataCentreOfWhichNoVMIsHeardIsUnheard(t *testing.T) {
 	r := newRoster(member(1, 1, "a"))
 	r.listed(start(), []Member{member(2, 1, "b"), member(3, 1, "c")})
-	r.hear(start(), &beat{From: member(2, 1, "b")}, false)
+	r.hear(start(), &beat{From: member(2, 1, "b")})
 	if got := r.unheard(); !slices.Equal(got, []string{"c"}) {
 		t.Errorf("unheard %v, want c", got)
 	}
--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -17,30 +17,36 @@
 type nothing struct{}
 
 func (s *Service) onBeat(_ context.Context, _ ident.VM, b *beat) (*nothing, error) {
-	admitted, ok := s.noteBeat(b, true)
+	admitted, ok := s.noteBeat(b)
 	if !ok {
 		return nil, nil
 	}
 	for workspace, tokens := range admitted {
 		s.opts.Plans.Heard(workspace, tokens)
 	}
-	if !b.Leaving {
+	if b.Leaving {
+		return nil, nil
+	}
+	if b.Full {
 		s.opts.Work.HeardAllWork(b.From.VM, b.Seq, byEndpoint(b.Work))
-		s.compare(b.From, b.Versions, b.Age)
 	}
+	s.compare(b.From, b.Versions, b.Age)
 	return nil, nil
 }
 
-// noteBeat takes over that a VM is up, and gives what it admitted since it last told. tells is
-// as that of roster.hear; ok is false for a heartbeat that comes late.
-func (s *Service) noteBeat(b *beat, tells bool) (admitted map[string]int64, ok bool) {
+// noteBeat takes over that a VM is up, and gives what it admitted since it last told. ok is
+// false for a heartbeat that comes late.
+func (s *Service) noteBeat(b *beat) (admitted map[string]int64, ok bool) {
 	s.mu.Lock()
-	c := s.roster.hear(s.opts.Clock.Now(), b, tells)
+	c := s.roster.hear(s.opts.Clock.Now(), b)
 	known, heard := s.roster.counts()
 	share, split := s.roster.share(), s.roster.split()
 	if b.Leaving {
 		s.hangUp(b.From.Address)
 	}
+	if c.joined || c.returned {
+		s.fullAt = 0 // it knows nothing of this VM yet
+	}
 	s.mu.Unlock()
 	if c.late {
 		return nil, false
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -52,6 +52,9 @@
 	From Member
 	// Leaving VMs take no more calls.
 	Leaving bool
+	// Full: Work and Used hold all that the VM holds and admitted; else they are empty, as
+	// changes are told at once and this only repairs what was lost of them.
+	Full bool
 	// Seq numbers the changes of Work.
 	Seq  uint64
 	Work []endpointWork
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -17,6 +17,8 @@
 	// is that in a large fleet, where changes alone are frequent signs of life.
 	shortPeriod = 200 * time.Millisecond
 	largePeriod = 400 * time.Millisecond
+	// fullPeriod is the time between heartbeats that repeat all that a VM holds and admitted.
+	fullPeriod = time.Second
 	// largeFleet is the number of other VMs from which those of other data centres are told by
 	// digests: otherwise messages and bytes between data centres grow with the square of the
 	// fleet.
@@ -93,9 +95,8 @@
 	late bool
 }
 
-// hear takes over a heartbeat. tells is false for one that others passed on without what the VM
-// admitted.
-func (r *roster) hear(now clock.Instant, b *beat, tells bool) change {
+// hear takes over a heartbeat.
+func (r *roster) hear(now clock.Instant, b *beat) change {
 	if _, over := r.ended[b.From.VM]; over || b.From.VM == r.self.VM {
 		return change{late: true}
 	}
@@ -120,7 +121,7 @@
 	}
 	c.returned = p.silent
 	p.member, p.heard, p.everHeard, p.silent = b.From, now, true, false
-	if tells {
+	if b.Full {
 		c.admitted = p.draw(b.Used)
 	}
 	if b.Leaving {
--- a/internal/exchange/roster_test.go
+++ b/internal/exchange/roster_test.go
@@ -19,15 +19,15 @@
 
 func TestARestartedVMReplacesItsEarlierLife(t *testing.T) {
 	r := newRoster(member(1, 1, "a"))
-	r.hear(start(), &beat{From: member(2, 5, "a")}, true)
-	c := r.hear(start(), &beat{From: member(2, 6, "a"), Used: []use{{Workspace: "w", Tokens: 900}}}, true)
+	r.hear(start(), &beat{From: member(2, 5, "a")})
+	c := r.hear(start(), &beat{From: member(2, 6, "a"), Full: true, Used: []use{{Workspace: "w", Tokens: 900}}})
 	if c.replaced != (ident.VM{Name: "vm-2", Incarnation: 5}) {
 		t.Errorf("replaced %v", c.replaced)
 	}
 	if len(c.admitted) != 0 {
 		t.Errorf("what the new life admitted before it was known counts: %v", c.admitted)
 	}
-	if late := r.hear(start(), &beat{From: member(2, 5, "a")}, true); !late.late {
+	if late := r.hear(start(), &beat{From: member(2, 5, "a")}); !late.late {
 		t.Error("a heartbeat of the earlier life was taken")
 	}
 }
@@ -36,25 +36,25 @@
 // behind numbers its life lower than the former one.
 func TestALifeBegunAfterTheClockWasSetBackIsHeard(t *testing.T) {
 	r := newRoster(member(1, 1, "a"))
-	r.hear(start(), &beat{From: member(2, 5, "a")}, true)
-	if late := r.hear(start(), &beat{From: member(2, 3, "a")}, true); !late.late {
+	r.hear(start(), &beat{From: member(2, 5, "a")})
+	if late := r.hear(start(), &beat{From: member(2, 3, "a")}); !late.late {
 		t.Error("a lower life took the place of one that is heard")
 	}
 	later := start().Add(silentAfter + time.Millisecond)
 	r.pass(later)
-	if c := r.hear(later, &beat{From: member(2, 3, "a")}, true); c.late || c.replaced != (ident.VM{Name: "vm-2", Incarnation: 5}) {
+	if c := r.hear(later, &beat{From: member(2, 3, "a")}); c.late || c.replaced != (ident.VM{Name: "vm-2", Incarnation: 5}) {
 		t.Errorf("after the former life fell silent: %+v", c)
 	}
-	if late := r.hear(later, &beat{From: member(2, 5, "a")}, true); !late.late {
+	if late := r.hear(later, &beat{From: member(2, 5, "a")}); !late.late {
 		t.Error("a late heartbeat brought the former life back")
 	}
 }
 
 func TestAVMThatLeftDoesNotComeBack(t *testing.T) {
 	r := newRoster(member(1, 1, "a"))
-	r.hear(start(), &beat{From: member(2, 5, "a")}, true)
-	r.hear(start(), &beat{From: member(2, 5, "a"), Leaving: true}, true)
-	if c := r.hear(start(), &beat{From: member(2, 5, "a")}, true); !c.late {
+	r.hear(start(), &beat{From: member(2, 5, "a")})
+	r.hear(start(), &beat{From: member(2, 5, "a"), Leaving: true})
+	if c := r.hear(start(), &beat{From: member(2, 5, "a")}); !c.late {
 		t.Error("a late heartbeat brought the VM back")
 	}
 	if known, _ := r.counts(); known != 1 {
@@ -64,7 +64,7 @@
 
 func TestSilentThenGone(t *testing.T) {
 	r := newRoster(member(1, 1, "a"))
-	r.hear(start(), &beat{From: member(2, 5, "a")}, true)
+	r.hear(start(), &beat{From: member(2, 5, "a")})
 	silent, gone := r.pass(start().Add(silentAfter + time.Millisecond))
 	if len(silent) != 1 || len(gone) != 0 {
 		t.Fatalf("silent %v, gone %v", silent, gone)
@@ -80,11 +80,11 @@
 func TestAdmittedIsTheDifference(t *testing.T) {
 	r := newRoster(member(1, 1, "a"))
 	from := member(2, 5, "a")
-	r.hear(start(), &beat{From: from, Used: []use{{Workspace: "w", Tokens: 100}}}, true)
+	r.hear(start(), &beat{From: from, Full: true, Used: []use{{Workspace: "w", Tokens: 100}}})
 	if got := r.spent(from.VM, from.Address, []use{{Workspace: "w", Tokens: 250}})["w"]; got != 150 {
 		t.Errorf("admitted %d, want 150", got)
 	}
-	c := r.hear(start(), &beat{From: from, Used: []use{{Workspace: "w", Tokens: 250}}}, true)
+	c := r.hear(start(), &beat{From: from, Full: true, Used: []use{{Workspace: "w", Tokens: 250}}})
 	if got := c.admitted["w"]; got != 0 {
 		t.Errorf("the heartbeat counts %d again", got)
 	}
@@ -100,10 +100,10 @@
 	for n := 1; n <= 6; n++ {
 		m := member(n, 1, map[bool]string{true: "a", false: "b"}[n == 1])
 		if n != 1 {
-			lone.hear(start(), &beat{From: m}, true)
+			lone.hear(start(), &beat{From: m})
 		}
 		if n != 2 {
-			other.hear(start(), &beat{From: m}, true)
+			other.hear(start(), &beat{From: m})
 		}
 	}
 	if lone.share() != 1 || other.share() != 1 {
@@ -112,7 +112,7 @@
 	later := start().Add(silentAfter + time.Millisecond)
 	lone.pass(later)
 	for n := 3; n <= 6; n++ {
-		other.hear(later, &beat{From: member(n, 1, "b")}, true)
+		other.hear(later, &beat{From: member(n, 1, "b")})
 	}
 	other.pass(later)
 	if lone.share() != 0.5 || other.share() != 0.5 {
@@ -123,7 +123,7 @@
 func TestALargeFleetTellsFarVMsLess(t *testing.T) {
 	r := newRoster(member(1, 1, "a"))
 	for n := 2; n <= largeFleet+1; n++ {
-		r.hear(start(), &beat{From: member(n, 1, "ab"[n%2:n%2+1])}, true)
+		r.hear(start(), &beat{From: member(n, 1, "ab"[n%2:n%2+1])})
 	}
 	near, far := 0, 0
 	for _, p := range r.peers {
@@ -143,3 +143,20 @@
 		t.Errorf("the lowest address is first %v, rank %d", r.first(), r.rank())
 	}
 }
+
+// TestALightHeartbeatSaysNothingOfPlans shows that only a full one is taken for what a VM admitted.
+func TestALightHeartbeatSaysNothingOfPlans(t *testing.T) {
+	r := newRoster(member(1, 1, "a"))
+	from := member(2, 5, "a")
+	full := func(tokens int64) *beat {
+		return &beat{From: from, Full: true, Used: []use{{Workspace: "w", Tokens: tokens}}}
+	}
+	r.hear(start(), &beat{From: from})
+	if c := r.hear(start(), full(900)); len(c.admitted) != 0 {
+		t.Errorf("what was admitted before the first full heartbeat counts: %v", c.admitted)
+	}
+	r.hear(start(), &beat{From: from})
+	if c := r.hear(start(), full(950)); c.admitted["w"] != 50 {
+		t.Errorf("after a light heartbeat %v is counted, want 50", c.admitted)
+	}
+}
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -98,6 +98,8 @@
 	spent   map[string]int64
 	lines   map[netip.AddrPort]*line
 	leaving bool
+	// fullAt is when all that this VM holds was last told, 0 if it is to be told next.
+	fullAt clock.Instant
 	// digests counts those that came, so that a later one takes the place of an earlier one.
 	digests uint64
 	asking  map[int]bool
@@ -224,6 +226,9 @@
 func (s *Service) take(members []Member) {
 	s.mu.Lock()
 	fresh := s.roster.listed(s.opts.Clock.Now(), members)
+	if len(fresh) > 0 {
+		s.fullAt = 0
+	}
 	s.mu.Unlock()
 	for _, m := range fresh {
 		s.opts.Log.Info("vm listed", zap.String("vm", m.VM.Name), zap.Stringer("address", m.Address), zap.String("data_centre", m.DataCentre))
@@ -294,14 +299,18 @@
 
 // beat sends a heartbeat to the VMs that are told everything; to all, when this VM leaves.
 func (s *Service) beat() {
-	held := s.opts.Work.Held()
-	b := beat{
-		From: s.opts.Self, Seq: held.Seq, Work: endpointWorks(held.Work), Used: uses(s.opts.Plans.Used()),
-		Versions: s.opts.Documents.Versions(), Age: s.opts.Documents.Age(),
-	}
+	now := s.opts.Clock.Now()
 	s.mu.Lock()
-	b.Leaving = s.leaving
+	b := beat{From: s.opts.Self, Leaving: s.leaving, Full: s.leaving || s.fullAt == 0 || now.Sub(s.fullAt) >= fullPeriod}
+	if b.Full {
+		s.fullAt = now
+	}
 	s.mu.Unlock()
+	b.Versions, b.Age = s.opts.Documents.Versions(), s.opts.Documents.Age()
+	if b.Full {
+		held := s.opts.Work.Held()
+		b.Seq, b.Work, b.Used = held.Seq, endpointWorks(held.Work), uses(s.opts.Plans.Used())
+	}
 	to := s.roster.near
 	if b.Leaving {
 		to = everyone
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -24,9 +24,12 @@
 	if s.Slots > 0 && s.load(now).Calls >= s.Slots+queued(s) {
 		return false
 	}
-	if a.Stage != traffic.Decode || a.Tokens == nil {
+	if a.Tokens == nil {
 		return true
 	}
+	if a.Stage != traffic.Decode {
+		return a.Patience <= 0 || s.total().Calls == 0 || s.readTime(now, a.Tokens.Prompt) <= a.Patience
+	}
 	room := s.room(now)
 	if t.farLate && s.engine != nil && s.DataCentre != t.dataCentre {
 		room -= int64(farMargin * float64(s.engine.Capacity))
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -175,6 +175,9 @@
 	Once bool
 	// Pressing calls go before those that wait: their prompt is read and kept for a moment only.
 	Pressing bool
+	// Patience is the longest predicted reading of the prompt, behind those that an engine has
+	// yet to read; 0 for any. An engine with nothing to do is always good enough.
+	Patience time.Duration
 }
 
 func (a *Ask) avoids(id traffic.EndpointID) bool {
