VMs that tell each other pool the retry budget

Change: calls and extra sends are counted as tokens of plans are, told with changes of work, and the VMs that tell each other at once keep to the ratio of all their calls and to their part of the slack.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
@@ -12,12 +11,12 @@
 // Gate guards Plans and Retries for the goroutines of calls.
 type Gate struct {
 	clock clock.Clock
-	// admitted is told what this VM has admitted for a workspace since it started. It must not block.
-	admitted func(workspace string, tokens int64)
-	// vms is the number of VMs that share the slack of the retry budget.
-	vms atomic.Int32
+	// counted is told what this VM has counted since it started. It must not block.
+	counted func(c Count, total int64)
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// part is the part of the fleet's VMs that tell each other at once, this one counted.
+	part    float64
 	plans   *Plans
 	retries *Retries
 }
@@ -31,15 +30,16 @@
 	Slack  Slack
 }
 
-// NewGate makes a Gate for a fleet of which vms VMs are taken to be up. admitted is told what
-// this VM has admitted for a workspace since it started; it must not block and may be nil.
-func NewGate(c clock.Clock, b RetryBudget, plans PlanBounds, vms int, admitted func(workspace string, tokens int64)) *Gate {
-	if admitted == nil {
-		admitted = func(string, int64) {}
+// NewGate makes a Gate for a fleet of which vms VMs are taken to be up until others are heard.
+// counted is told what this VM has counted since it started; it must not block and may be nil.
+func NewGate(c clock.Clock, b RetryBudget, plans PlanBounds, vms int, counted func(c Count, total int64)) *Gate {
+	if counted == nil {
+		counted = func(Count, int64) {}
+	}
+	return &Gate{
+		clock: c, counted: counted, part: 1 / float64(max(1, vms)),
+		plans: NewPlans(c.Now(), plans.Window, plans.Notice, plans.Slack), retries: NewRetries(c.Now(), b),
 	}
-	g := &Gate{clock: c, admitted: admitted, plans: NewPlans(c.Now(), plans.Window, plans.Notice, plans.Slack), retries: NewRetries(b)}
-	g.vms.Store(int32(vms))
-	return g
 }
 
 // SetBudget changes the retry budget.
@@ -49,13 +49,13 @@
 	g.retries.SetBudget(b)
 }
 
-// Fleet states how many VMs there are, which part of the fleet this one hears, itself counted,
-// and which part of a plan's rest the VMs that tell each other at once may use; see
-// Plans.SetSplit.
-func (g *Gate) Fleet(vms int, share, split float64) {
-	g.vms.Store(int32(max(1, vms)))
+// Fleet states which part of the fleet's VMs tell each other at once, which part of the fleet
+// this VM hears, itself counted in both, and which part of a plan's rest those that tell each
+// other at once may use; see Plans.SetSplit.
+func (g *Gate) Fleet(part, share, split float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.part = part
 	g.plans.SetShare(share)
 	g.plans.SetSplit(split)
 }
@@ -69,7 +69,7 @@
 	defer g.mu.Unlock()
 	v := g.plans.Admit(g.clock.Now(), w.Name, Limit{Rate: w.Rate, Burst: w.Burst}, cost)
 	if v.Admitted {
-		g.admitted(w.Name, v.Used)
+		g.counted(Count{Tokens, w.Name}, v.Used)
 	}
 	return v
 }
@@ -84,11 +84,19 @@
 	g.plans.Return(g.clock.Now(), w.Name, cost)
 }
 
-// Heard draws what another VM admitted.
-func (g *Gate) Heard(workspace string, tokens int64) {
+// Heard takes over what another VM counted since it last told.
+func (g *Gate) Heard(c Count, n int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.plans.Heard(g.clock.Now(), workspace, tokens)
+	now := g.clock.Now()
+	switch c.Of {
+	case Tokens:
+		g.plans.Heard(now, c.Name, n)
+	case Calls:
+		g.retries.Heard(now, c.Name, int(n), 0)
+	case Extra:
+		g.retries.Heard(now, c.Name, 0, int(n))
+	}
 }
 
 // HeardFar takes over what the VMs of another data centre admitted in the window, in tokens by
@@ -107,23 +115,30 @@
 	return g.plans.Together(g.clock.Now())
 }
 
-// Used gives what this VM admitted for each workspace since it started, in tokens.
-func (g *Gate) Used() map[string]int64 {
+// Own gives what this VM counted since it started.
+func (g *Gate) Own() map[Count]int64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.plans.Used()
+	out := map[Count]int64{}
+	g.plans.own(out)
+	g.retries.own(out)
+	return out
 }
 
 // Called counts a caller's call to a service.
 func (g *Gate) Called(service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.retries.Called(g.clock.Now(), service)
+	g.counted(Count{Calls, service}, g.retries.Called(g.clock.Now(), service))
 }
 
 // Spend counts an extra send to a service if the budget has room for it and for keep more.
 func (g *Gate) Spend(service string, keep float64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.retries.Spend(g.clock.Now(), service, int(g.vms.Load()), keep)
+	total, ok := g.retries.Spend(g.clock.Now(), service, g.part, keep)
+	if ok {
+		g.counted(Count{Extra, service}, total)
+	}
+	return ok
 }
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -264,11 +264,9 @@
 	return out
 }
 
-// Used gives what this VM admitted for each workspace since it started, in tokens.
-func (p *Plans) Used() map[string]int64 {
-	out := make(map[string]int64, len(p.accounts))
+// own gives what this VM admitted since it started.
+func (p *Plans) own(out map[Count]int64) {
 	for name, a := range p.accounts {
-		out[name] = a.used
+		out[Count{Tokens, name}] = a.used
 	}
-	return out
 }
--- a/internal/admission/retries_test.go
+++ b/internal/admission/retries_test.go
@@ -18,7 +18,7 @@
 		vms := rapid.IntRange(1, 8).Draw(t, "vms")
 		fleet := make([]*Retries, vms)
 		for i := range fleet {
-			fleet[i] = NewRetries(budget)
+			fleet[i] = NewRetries(at(0), budget)
 		}
 		var calls, extra []clock.Instant
 		now := at(0)
@@ -36,7 +36,7 @@
 			if rapid.Bool().Draw(t, "call") {
 				r.Called(now, "s")
 				calls = append(calls, now)
-			} else if r.Spend(now, "s", vms, 0) {
+			} else if _, ok := r.Spend(now, "s", 1/float64(vms), 0); ok {
 				extra = append(extra, now)
 			}
 			w := budget.Window
@@ -49,15 +49,58 @@
 }
 
 func TestKeepIsLeftToOthers(t *testing.T) {
-	r := NewRetries(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 10})
+	r := NewRetries(at(-60*time.Second), RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 10})
 	spent := 0
-	for r.Spend(at(0), "s", 1, 3) {
+	for {
+		if _, ok := r.Spend(at(0), "s", 1, 3); !ok {
+			break
+		}
 		spent++
 	}
 	if spent != 4 {
 		t.Errorf("%d sends, 3 of the 7 given out are to be kept", spent)
 	}
-	if !r.Spend(at(0), "s", 1, 0) {
+	if _, ok := r.Spend(at(0), "s", 1, 0); !ok {
 		t.Error("what was kept cannot be spent")
 	}
 }
+
+// TestVMsThatTellEachOtherPoolTheBudget: one VM may use what the others leave, they know of it,
+// and one that starts anew, having forgotten all, keeps within the bound.
+func TestVMsThatTellEachOtherPoolTheBudget(t *testing.T) {
+	budget := RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}
+	const vms = 4
+	fleet := make([]*Retries, vms)
+	for i := range fleet {
+		fleet[i] = NewRetries(at(-60*time.Second), budget)
+	}
+	spend := func(i int, now clock.Instant) int {
+		n := 0
+		for ; ; n++ {
+			if _, ok := fleet[i].Spend(now, "s", 1, 0); !ok {
+				return n
+			}
+			for j := range fleet {
+				if j != i {
+					fleet[j].Heard(now, "s", 0, 1)
+				}
+			}
+		}
+	}
+	if got, most := spend(0, at(0)), int(slackUsed*budget.Slack); got != most {
+		t.Errorf("one VM spends %d, the four may %d", got, most)
+	}
+	if got := spend(1, at(0)); got != 0 {
+		t.Errorf("another VM spends %d more", got)
+	}
+	for i := range fleet {
+		fleet[i] = NewRetries(at(time.Second), budget) // all start anew
+	}
+	again := 0
+	for now := at(time.Second); now < at(budget.Window); now = now.Add(time.Second / 4) {
+		again += spend(int(now/clock.Instant(time.Second/4))%vms, now)
+	}
+	if most := int(budget.Slack * (1 - slackUsed)); again > most {
+		t.Errorf("after a new start of all they spend %d more, %d are left of the slack", again, most)
+	}
+}
--- a/internal/exchange/digest_test.go
+++ b/internal/exchange/digest_test.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
@@ -93,9 +94,9 @@
 func (n *node) HeardFailure(traffic.EndpointID, schedule.Outcome) {}
 func (n *node) Forget(ident.VM)                                   {}
 func (n *node) SetFarLate(bool)                                   {}
-func (n *node) Heard(string, int64)                               {}
-func (n *node) Used() map[string]int64                            { return nil }
-func (n *node) Fleet(int, float64, float64)                       {}
+func (n *node) Heard(admission.Count, int64)                      {}
+func (n *node) Own() map[admission.Count]int64                    { return nil }
+func (n *node) Fleet(float64, float64, float64)                   {}
 func (n *node) Versions() []uint64                                { return []uint64{1} }
 func (n *node) Wants(int, uint64) bool                            { return false }
 func (n *node) Body(int) (uint64, []byte, error)                  { return 1, nil, nil }
--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/schedule"
@@ -17,12 +18,12 @@
 type nothing struct{}
 
 func (s *Service) onBeat(_ context.Context, _ ident.VM, b *beat) (*nothing, error) {
-	admitted, ok := s.noteBeat(b)
+	counted, ok := s.noteBeat(b)
 	if !ok {
 		return nil, nil
 	}
-	for workspace, tokens := range admitted {
-		s.opts.Plans.Heard(workspace, tokens)
+	for name, n := range counted {
+		s.opts.Plans.Heard(name, n)
 	}
 	if b.Leaving {
 		return nil, nil
@@ -34,13 +35,13 @@
 	return nil, nil
 }
 
-// noteBeat takes over that a VM is up, and gives what it admitted since it last told. ok is
-// false for a heartbeat that comes late.
-func (s *Service) noteBeat(b *beat) (admitted map[string]int64, ok bool) {
+// noteBeat takes over that a VM is up, and gives what it counted since it last told. ok is false
+// for a heartbeat that comes late.
+func (s *Service) noteBeat(b *beat) (counted map[admission.Count]int64, ok bool) {
 	s.mu.Lock()
 	c := s.roster.hear(s.opts.Clock.Now(), b)
 	known, heard := s.roster.counts()
-	share, split := s.roster.share(), s.roster.split()
+	part, share, split := s.roster.togetherPart(), s.roster.share(), s.roster.split()
 	if b.Leaving {
 		s.hangUp(b.From.Address)
 	}
@@ -51,7 +52,7 @@
 	if c.late {
 		return nil, false
 	}
-	s.opts.Plans.Fleet(known, share, split)
+	s.opts.Plans.Fleet(part, share, split)
 	if c.joined || c.returned || !c.replaced.IsZero() {
 		s.opts.Log.Info("vm heard", zap.Stringer("vm", b.From.VM), zap.Bool("joined", c.joined), zap.Bool("returned", c.returned),
 			zap.Bool("leaving", b.Leaving), zap.Stringer("replaces", c.replaced), zap.Int("known", known), zap.Int("heard", heard))
@@ -59,7 +60,7 @@
 	if !c.replaced.IsZero() {
 		s.opts.Work.Forget(c.replaced)
 	}
-	return c.admitted, true
+	return c.counted, true
 }
 
 func byEndpoint(list []endpointWork) map[traffic.EndpointID]schedule.Work {
@@ -72,10 +73,10 @@
 
 func (s *Service) onChanges(_ context.Context, from ident.VM, m *changes) (*nothing, error) {
 	s.mu.Lock()
-	admitted := s.roster.spent(from, m.From, m.Used)
+	counted := s.roster.changed(from, m.From, m.Counts)
 	s.mu.Unlock()
-	for workspace, tokens := range admitted {
-		s.opts.Plans.Heard(workspace, tokens)
+	for name, n := range counted {
+		s.opts.Plans.Heard(name, n)
 	}
 	for _, w := range m.Work {
 		s.opts.Work.HeardWork(from, m.Seq, w.id(), w.Work)
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -34,8 +35,17 @@
 
 func (w endpointWork) id() traffic.EndpointID { return traffic.EndpointID{Name: w.Name, Born: w.Born} }
 
-// use is what was admitted for a workspace, in tokens: by a VM since it started, or by a data
-// centre in the window of plans.
+// count is what a VM counted since it started.
+type count struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Of   admission.CountOf
+	Name string
+	N    int64
+}
+
+// use is what a data centre admitted for a workspace in the window of plans, in tokens.
 type use struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
@@ -52,13 +62,13 @@
 	From Member
 	// Leaving VMs take no more calls.
 	Leaving bool
-	// Full: Work and Used hold all that the VM holds and admitted; else they are empty, as
+	// Full: Work and Counts hold all that the VM holds and counted; else they are empty, as
 	// changes are told at once and this only repairs what was lost of them.
 	Full bool
 	// Seq numbers the changes of Work.
-	Seq  uint64
-	Work []endpointWork
-	Used []use
+	Seq    uint64
+	Work   []endpointWork
+	Counts []count
 	// Versions of the documents that the sender has, in the order of Documents.
 	Versions []uint64
 	// Age is the time since they are known to have been the store's newest.
@@ -85,15 +95,15 @@
 	Age      time.Duration
 }
 
-// changes tells what changed of what a VM holds and has admitted.
+// changes tells what changed of what a VM holds and has counted.
 type changes struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	From netip.AddrPort
-	Seq  uint64
-	Work []endpointWork
-	Used []use
+	From   netip.AddrPort
+	Seq    uint64
+	Work   []endpointWork
+	Counts []count
 }
 
 // failure tells that an endpoint broke off, or was found dead.
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 )
@@ -48,8 +49,8 @@
 	known, heard clock.Instant
 	everHeard    bool
 	silent       bool
-	// used is what the VM had admitted by its last message, if it told.
-	used map[string]int64
+	// counts is what the VM had counted by its last message, nil if it did not tell yet.
+	counts map[admission.Count]int64
 }
 
 func newPeerState(m Member, now clock.Instant) *peerState {
@@ -89,8 +90,8 @@
 	returned bool
 	// replaced is the earlier life of the VM that is over.
 	replaced ident.VM
-	// admitted is what the VM admitted since its last heartbeat, by workspace.
-	admitted map[string]int64
+	// counted is what the VM counted since it last told.
+	counted map[admission.Count]int64
 	// late is set for a heartbeat of a life that is over.
 	late bool
 }
@@ -114,7 +115,7 @@
 		}
 		c.replaced = p.member.VM
 		r.ended[c.replaced] = now
-		p.used = nil
+		p.counts = nil
 	}
 	if !p.everHeard {
 		c.joined = true
@@ -122,7 +123,7 @@
 	c.returned = p.silent
 	p.member, p.heard, p.everHeard, p.silent = b.From, now, true, false
 	if b.Full {
-		c.admitted = p.draw(b.Used)
+		c.counted = p.draw(b.Counts)
 	}
 	if b.Leaving {
 		r.ended[b.From.VM] = now
@@ -132,32 +133,32 @@
 	return c
 }
 
-// draw gives what was admitted since the VM last told, nothing where it had not told yet: what
-// a life admitted before has long refilled. Messages of one VM arrive in order on its
-// connection; after a new connection an older one may come late and is put right by the next
-// heartbeat.
-func (p *peerState) draw(used []use) map[string]int64 {
-	out := map[string]int64{}
-	first := p.used == nil
+// draw gives what was counted since the VM last told, nothing where it had not told yet: what a
+// life admitted before has long refilled. Messages of one VM arrive in order on its connection;
+// after a new connection an older one may come late and is put right by the next heartbeat.
+func (p *peerState) draw(counts []count) map[admission.Count]int64 {
+	out := map[admission.Count]int64{}
+	first := p.counts == nil
 	if first {
-		p.used = map[string]int64{}
+		p.counts = map[admission.Count]int64{}
 	}
-	for _, u := range used {
-		if more := u.Tokens - p.used[u.Workspace]; more != 0 && !first {
-			out[u.Workspace] = more
+	for _, c := range counts {
+		name := admission.Count{Of: c.Of, Name: c.Name}
+		if more := c.N - p.counts[name]; more != 0 && !first {
+			out[name] = more
 		}
-		p.used[u.Workspace] = u.Tokens
+		p.counts[name] = c.N
 	}
 	return out
 }
 
-// spent takes over what a VM has admitted, between heartbeats.
-func (r *roster) spent(vm ident.VM, from netip.AddrPort, used []use) map[string]int64 {
+// changed takes over what a VM has counted, between heartbeats.
+func (r *roster) changed(vm ident.VM, from netip.AddrPort, counts []count) map[admission.Count]int64 {
 	p := r.peers[from]
-	if p == nil || p.member.VM != vm || p.used == nil {
-		return nil // its next heartbeat tells
+	if p == nil || p.member.VM != vm || p.counts == nil {
+		return nil // its next full heartbeat tells
 	}
-	return p.draw(used)
+	return p.draw(counts)
 }
 
 // pass marks VMs that fell silent or are gone.
@@ -222,6 +223,17 @@
 	return known, heard
 }
 
+// togetherPart is the part of the known VMs that tell each other everything, this one counted.
+func (r *roster) togetherPart() float64 {
+	n := 1
+	for _, p := range r.peers {
+		if !p.silent && r.near(p) {
+			n++
+		}
+	}
+	return float64(n) / float64(len(r.peers)+1)
+}
+
 // unevenness is how many times its even part a data centre may use of what is left of a plan.
 const unevenness = 1.2
 
--- a/internal/exchange/roster_test.go
+++ b/internal/exchange/roster_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 )
@@ -20,12 +21,12 @@
 func TestARestartedVMReplacesItsEarlierLife(t *testing.T) {
 	r := newRoster(member(1, 1, "a"))
 	r.hear(start(), &beat{From: member(2, 5, "a")})
-	c := r.hear(start(), &beat{From: member(2, 6, "a"), Full: true, Used: []use{{Workspace: "w", Tokens: 900}}})
+	c := r.hear(start(), &beat{From: member(2, 6, "a"), Full: true, Counts: []count{{Name: "w", N: 900}}})
 	if c.replaced != (ident.VM{Name: "vm-2", Incarnation: 5}) {
 		t.Errorf("replaced %v", c.replaced)
 	}
-	if len(c.admitted) != 0 {
-		t.Errorf("what the new life admitted before it was known counts: %v", c.admitted)
+	if len(c.counted) != 0 {
+		t.Errorf("what the new life admitted before it was known counts: %v", c.counted)
 	}
 	if late := r.hear(start(), &beat{From: member(2, 5, "a")}); !late.late {
 		t.Error("a heartbeat of the earlier life was taken")
@@ -80,15 +81,15 @@
 func TestAdmittedIsTheDifference(t *testing.T) {
 	r := newRoster(member(1, 1, "a"))
 	from := member(2, 5, "a")
-	r.hear(start(), &beat{From: from, Full: true, Used: []use{{Workspace: "w", Tokens: 100}}})
-	if got := r.spent(from.VM, from.Address, []use{{Workspace: "w", Tokens: 250}})["w"]; got != 150 {
+	r.hear(start(), &beat{From: from, Full: true, Counts: []count{{Name: "w", N: 100}}})
+	if got := r.changed(from.VM, from.Address, []count{{Name: "w", N: 250}})[admission.Count{Name: "w"}]; got != 150 {
 		t.Errorf("admitted %d, want 150", got)
 	}
-	c := r.hear(start(), &beat{From: from, Full: true, Used: []use{{Workspace: "w", Tokens: 250}}})
-	if got := c.admitted["w"]; got != 0 {
+	c := r.hear(start(), &beat{From: from, Full: true, Counts: []count{{Name: "w", N: 250}}})
+	if got := c.counted[admission.Count{Name: "w"}]; got != 0 {
 		t.Errorf("the heartbeat counts %d again", got)
 	}
-	if got := r.spent(ident.VM{Name: "vm-2", Incarnation: 4}, from.Address, []use{{Workspace: "w", Tokens: 900}})["w"]; got != 0 {
+	if got := r.changed(ident.VM{Name: "vm-2", Incarnation: 4}, from.Address, []count{{Name: "w", N: 900}})[admission.Count{Name: "w"}]; got != 0 {
 		t.Errorf("a message of an earlier life counts %d", got)
 	}
 }
@@ -149,14 +150,14 @@
 	r := newRoster(member(1, 1, "a"))
 	from := member(2, 5, "a")
 	full := func(tokens int64) *beat {
-		return &beat{From: from, Full: true, Used: []use{{Workspace: "w", Tokens: tokens}}}
+		return &beat{From: from, Full: true, Counts: []count{{Name: "w", N: tokens}}}
 	}
 	r.hear(start(), &beat{From: from})
-	if c := r.hear(start(), full(900)); len(c.admitted) != 0 {
-		t.Errorf("what was admitted before the first full heartbeat counts: %v", c.admitted)
+	if c := r.hear(start(), full(900)); len(c.counted) != 0 {
+		t.Errorf("what was admitted before the first full heartbeat counts: %v", c.counted)
 	}
 	r.hear(start(), &beat{From: from})
-	if c := r.hear(start(), full(950)); c.admitted["w"] != 50 {
-		t.Errorf("after a light heartbeat %v is counted, want 50", c.admitted)
+	if c := r.hear(start(), full(950)); c.counted[admission.Count{Name: "w"}] != 50 {
+		t.Errorf("after a light heartbeat %v is counted, want 50", c.counted)
 	}
 }
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
@@ -42,18 +43,20 @@
 	SetFarLate(late bool)
 }
 
-// Plans is told what other VMs admitted, and tells what this one did.
+// Plans is told what other VMs counted for plans and the retry budget, and tells what this one
+// did.
 type Plans interface {
-	// Heard is told what another VM admitted.
-	Heard(workspace string, tokens int64)
-	Used() map[string]int64
+	// Heard is told what another VM counted since it last told.
+	Heard(c admission.Count, n int64)
+	// Own gives what this VM counted since it started.
+	Own() map[admission.Count]int64
 	// HeardFar is told what the VMs of another data centre admitted in the window of plans;
 	// Together gives the same of those that tell each other everything.
 	HeardFar(dataCentre string, tokens map[string]int64)
 	Together() map[string]int64
-	// Fleet is told how many VMs may be serving, the part of them that is heard, and the part of
-	// a plan's rest that those that tell each other at once may use.
-	Fleet(vms int, share, split float64)
+	// Fleet is told which part of the VMs tell each other everything, which part of the fleet is
+	// heard, and which part of a plan's rest those that tell each other at once may use.
+	Fleet(part, share, split float64)
 }
 
 // Documents are numbered from 0, the same on all VMs.
@@ -95,7 +98,7 @@
 	roster  *roster
 	pending map[traffic.EndpointID]schedule.Work
 	seq     uint64
-	spent   map[string]int64
+	counted map[admission.Count]int64
 	lines   map[netip.AddrPort]*line
 	leaving bool
 	// fullAt is when all that this VM holds was last told, 0 if it is to be told next.
@@ -125,7 +128,7 @@
 func New(o Options) *Service {
 	s := &Service{
 		opts: o, changed: make(chan struct{}, 1), failures: make(chan failure, failureBacklog),
-		roster: newRoster(o.Self), pending: map[traffic.EndpointID]schedule.Work{}, spent: map[string]int64{}, lines: map[netip.AddrPort]*line{}, asking: map[int]bool{},
+		roster: newRoster(o.Self), pending: map[traffic.EndpointID]schedule.Work{}, counted: map[admission.Count]int64{}, lines: map[netip.AddrPort]*line{}, asking: map[int]bool{},
 	}
 	peer.Handle(o.Transport, peer.KindBeat, s.onBeat)
 	peer.Handle(o.Transport, peer.KindWork, s.onChanges)
@@ -145,14 +148,14 @@
 	s.wake()
 }
 
-// Admitted notes what this VM has admitted for a workspace since it started. In a large fleet
-// it is told with the next change of work or heartbeat.
-func (s *Service) Admitted(workspace string, tokens int64) {
+// Counted notes what this VM has counted since it started. Calls, and in a large fleet tokens
+// too, are told with the next change of work or heartbeat.
+func (s *Service) Counted(c admission.Count, total int64) {
 	s.mu.Lock()
-	s.spent[workspace] = tokens
-	large := s.roster.large()
+	s.counted[c] = total
+	urgent := c.Of == admission.Extra || c.Of == admission.Tokens && !s.roster.large()
 	s.mu.Unlock()
-	if !large {
+	if urgent {
 		s.wake()
 	}
 }
@@ -277,12 +280,12 @@
 	}
 	silent, gone := s.roster.pass(s.opts.Clock.Now())
 	known, heard := s.roster.counts()
-	share, split := s.roster.share(), s.roster.split()
+	part, share, split := s.roster.togetherPart(), s.roster.share(), s.roster.split()
 	for _, m := range gone {
 		s.hangUp(m.Address)
 	}
 	s.mu.Unlock()
-	s.opts.Plans.Fleet(known, share, split)
+	s.opts.Plans.Fleet(part, share, split)
 	s.opts.Work.SetFarLate(split < 1)
 	for _, m := range silent {
 		s.opts.Log.Warn("vm silent", zap.Stringer("vm", m.VM), zap.Int("known", known), zap.Int("heard", heard))
@@ -309,7 +312,7 @@
 	b.Versions, b.Age = s.opts.Documents.Versions(), s.opts.Documents.Age()
 	if b.Full {
 		held := s.opts.Work.Held()
-		b.Seq, b.Work, b.Used = held.Seq, endpointWorks(held.Work), uses(s.opts.Plans.Used())
+		b.Seq, b.Work, b.Counts = held.Seq, endpointWorks(held.Work), counts(s.opts.Plans.Own())
 	}
 	to := s.roster.near
 	if b.Leaving {
@@ -336,9 +339,9 @@
 func (s *Service) takeChanges() changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := changes{From: s.opts.Self.Address, Seq: s.seq, Work: endpointWorks(s.pending), Used: uses(s.spent)}
+	out := changes{From: s.opts.Self.Address, Seq: s.seq, Work: endpointWorks(s.pending), Counts: counts(s.counted)}
 	clear(s.pending)
-	clear(s.spent)
+	clear(s.counted)
 	return out
 }
 
@@ -350,6 +353,14 @@
 	return out
 }
 
+func counts(counted map[admission.Count]int64) []count {
+	var out []count
+	for name, n := range counted {
+		out = append(out, count{Of: name.Of, Name: name.Name, N: n})
+	}
+	return out
+}
+
 func uses(used map[string]int64) []use {
 	var out []use
 	for name, tokens := range used {
