The duties of a VM are joined in internal/resident; platform/ only translates

Far engines are taken to read 2.5 times as slowly as known, since VMs of several data centres choose the same one in a moment (TestFarEnginesAreTakenToReadSlowly).

--- a/platform/idle.go
+++ b/internal/resident/idle.go
@@ -1,4 +1,4 @@
-package platform
+package resident
 
 import (
 	"net"
--- a/internal/schedule/far_test.go
+++ b/internal/schedule/far_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -27,3 +28,22 @@
 		t.Errorf("a data centre that is forgotten holds %v", w)
 	}
 }
+
+// TestFarEnginesAreTakenToReadSlowly: VMs of several data centres may choose the same engine in
+// one moment, so that one which has work already is left to those that know of all of it.
+func TestFarEnginesAreTakenToReadSlowly(t *testing.T) {
+	s, _ := newTestScheduler(endpoint("far", "b", traffic.Prefill))
+	s.SetFarLate(true)
+	ask := prefillAsk()
+	ask.Patience = 400 * time.Millisecond
+	first, err := s.Place(ask, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if near := 100 * time.Millisecond; first.Expected <= near {
+		t.Errorf("expected %s, as if nobody else chose it", first.Expected)
+	}
+	if c, err := s.Place(ask, nil); err == nil {
+		t.Errorf("a second prompt went there, expected %s", c.Expected)
+	}
+}
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -28,7 +28,7 @@
 		return true
 	}
 	if a.Stage != traffic.Decode {
-		return a.Patience <= 0 || s.total().Calls == 0 || s.readTime(now, a.Tokens.Prompt) <= a.Patience
+		return a.Patience <= 0 || s.total().Calls == 0 || t.expectedRead(now, s, a.Tokens.Prompt) <= a.Patience
 	}
 	room := s.room(now)
 	if t.farLate && s.engine != nil && s.DataCentre != t.dataCentre {
@@ -37,6 +37,19 @@
 	return decodeNeed(*a.Tokens) <= room
 }
 
+// farReadFactor is how many times as long as by what is known a prompt may take to be read in
+// another data centre, as VMs of the others choose the same engine without telling at once.
+const farReadFactor = 2.5
+
+// expectedRead predicts how long the reading of a prompt takes.
+func (t *table) expectedRead(now clock.Instant, s *state, prompt int64) time.Duration {
+	d := s.readTime(now, prompt)
+	if t.farLate && s.DataCentre != t.dataCentre {
+		return time.Duration(farReadFactor * float64(d))
+	}
+	return d
+}
+
 // queued is the number of calls beyond its slots that an endpoint may be given. Calls to plain
 // services are short and wait there; engines are not made to queue.
 func queued(s *state) int {
@@ -71,7 +84,7 @@
 	cost := failScore(now, s, a)
 	switch a.Stage {
 	case traffic.Prefill:
-		return cost + s.readTime(now, a.work().Tokens) + t.distance(s, a, farPrefillCost)
+		return cost + t.expectedRead(now, s, a.work().Tokens) + t.distance(s, a, farPrefillCost)
 	case traffic.Decode:
 		return cost + memoryScore(now, s, a) + t.distance(s, a, farDecodeCost)
 	default:
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -265,7 +265,7 @@
 		Endpoint: best.Endpoint, Score: score, Among: len(sound), Version: t.version, Held: best.total(), Ejected: ejected,
 	}
 	if a.Stage == traffic.Prefill && a.Tokens != nil {
-		c.Expected = best.readTime(now, a.Tokens.Prompt)
+		c.Expected = t.expectedRead(now, best, a.Tokens.Prompt)
 	}
 	return best, c, chosen
 }
