A VM that starts anew learns what was used of plans; silent VMs keep their part for 25 s

Change: full heartbeats hold what their sender knows to have been used in the whole window; a VM that started in it adopts that and gives out what is left. Without such word it ramps up from its burst, with no slack. Silent VMs keep their part for 25 s. Tests in plan_test.go fail without the change.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -99,20 +99,28 @@
 	}
 }
 
-// HeardFar takes over what the VMs of another data centre admitted in the window, in tokens by
-// workspace.
-func (g *Gate) HeardFar(dataCentre string, tokens map[string]int64) {
+// HeardWindow takes over what another VM knows to have been used of plans in the whole window, in
+// tokens by workspace; it counts only soon after this VM's start.
+func (g *Gate) HeardWindow(tokens map[string]int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.plans.HeardFar(g.clock.Now(), dataCentre, tokens)
+	g.plans.HeardWindow(g.clock.Now(), tokens)
 }
 
-// Together gives what this VM and those that tell it at once admitted in the window, in tokens
-// by workspace.
-func (g *Gate) Together() map[string]int64 {
+// Window gives what this VM knows to have been used in the window, and whether that is all.
+func (g *Gate) Window() (tokens map[string]int64, whole bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.plans.Together(g.clock.Now())
+	now := g.clock.Now()
+	return g.plans.Together(now), g.plans.Whole(now)
+}
+
+// HeardFar takes over what the VMs of another data centre admitted in the window, in tokens by
+// workspace.
+func (g *Gate) HeardFar(dataCentre string, tokens map[string]int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.plans.HeardFar(g.clock.Now(), dataCentre, tokens)
 }
 
 // Own gives what this VM counted since it started.
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -45,11 +45,9 @@
 }
 
 const (
-	// cutSlack is the part of the slack that the sides of a cut share, startSlack that which a VM
-	// uses after its start, splitSlack that which data centres share that tell each other
-	// late. Together they leave some.
+	// cutSlack is the part of the slack that the sides of a cut share, splitSlack that which data
+	// centres share that tell each other late. The rest is for VMs that start anew in a cut.
 	cutSlack   = 0.35
-	startSlack = 0.25
 	splitSlack = 0.25
 )
 
@@ -65,6 +63,8 @@
 	accounts map[string]*account
 	// started is when this VM began to hear what is used; what was before, it does not know.
 	started clock.Instant
+	// learnt is set when another VM told what was used before.
+	learnt bool
 	// share is the part of each plan that this side of a cut may use.
 	share float64
 	// split is the part of what is left of a plan that VMs that tell each other at once may use
@@ -105,6 +105,9 @@
 		p.accounts[workspace] = a
 	}
 	p.advance(a, now)
+	if a.limit == (Limit{}) {
+		a.limit = l // known from another VM only
+	}
 	if a.limit != l {
 		a.former, a.loweredAt = p.allowed(a, now), now.Add(p.notice)
 		a.limit = l
@@ -145,14 +148,19 @@
 	return sum
 }
 
-// full is what a plan allows in a whole window, in tokens. After its start a VM takes the plan
-// to have been used at its rate before, but for a part of the slack.
+// full is what a plan allows in a whole window, in tokens. A VM that does not know all that was
+// used in it takes the plan to have been used at its rate before its start.
 func (p *Plans) full(now clock.Instant, l Limit) float64 {
-	whole := l.Rate*p.window.Seconds() + l.Burst
-	counted := min(p.window, now.Sub(p.started))
-	return min(whole, l.Rate*counted.Seconds()+l.Burst+p.slack.of(whole, startSlack))
+	counted := p.window
+	if !p.Whole(now) {
+		counted = now.Sub(p.started)
+	}
+	return l.Rate*counted.Seconds() + l.Burst
 }
 
+// Whole reports whether this VM knows what was used in the whole window.
+func (p *Plans) Whole(now clock.Instant) bool { return p.learnt || now.Sub(p.started) >= p.window }
+
 // here is what this side of a cut may use of what is allowed: its share, and that of the slack.
 func (p *Plans) here(allowed float64) float64 {
 	return min(allowed, p.share*(allowed+p.slack.of(allowed, cutSlack)))
@@ -233,6 +241,24 @@
 	}
 }
 
+// HeardWindow takes over what another VM knows to have been used in the whole window, where this
+// one started too lately to know of it. It counts as used now.
+func (p *Plans) HeardWindow(now clock.Instant, tokens map[string]int64) {
+	if now.Sub(p.started) >= p.window {
+		return
+	}
+	p.learnt = true
+	for workspace, n := range tokens {
+		a := p.accounts[workspace]
+		if a == nil {
+			a = &account{bin: p.bin(now)}
+			p.accounts[workspace] = a
+		}
+		p.advance(a, now)
+		a.add(max(0, n-a.sum))
+	}
+}
+
 // HeardFar takes over what the VMs of another data centre admitted in the window, in place of
 // what they told before.
 func (p *Plans) HeardFar(now clock.Instant, dataCentre string, tokens map[string]int64) {
--- a/internal/admission/plan_test.go
+++ b/internal/admission/plan_test.go
@@ -66,6 +66,23 @@
 			p.Heard(at(0), "w", 8000)
 			return p.Admit(at(0), "w", limit, 500).Admitted
 		}, false},
+		{"what others know of the window counts after a start", func(*Plans) bool {
+			p := NewPlans(at(-testWindow/2), testWindow, testNotice, Slack{})
+			p.Admit(at(0), "w", limit, 1)
+			p.HeardWindow(at(0), map[string]int64{"w": 8000})
+			p.HeardWindow(at(0), map[string]int64{"w": 7900}) // another VM knows of less
+			return p.Admit(at(0), "w", limit, 1000).Admitted
+		}, false},
+		{"a VM that learnt of the window gives out all that is left", func(*Plans) bool {
+			p := NewPlans(at(-time.Second), testWindow, testNotice, Slack{})
+			p.HeardWindow(at(0), map[string]int64{"w": 500})
+			return p.Admit(at(0), "w", limit, 7900).Admitted
+		}, true},
+		{"a VM that has seen the whole window knows better", func(p *Plans) bool {
+			p.Admit(at(0), "w", limit, 1)
+			p.HeardWindow(at(0), map[string]int64{"w": 8000})
+			return p.Admit(at(0), "w", limit, 1000).Admitted
+		}, true},
 		{"what other data centres used counts", func(p *Plans) bool {
 			p.HeardFar(at(0), "b", map[string]int64{"w": 5000})
 			p.HeardFar(at(0), "c", map[string]int64{"w": 3000})
--- a/internal/exchange/digest.go
+++ b/internal/exchange/digest.go
@@ -93,9 +93,10 @@
 	for _, m := range members {
 		vms = append(vms, m.VM)
 	}
+	used, _ := s.opts.Plans.Window()
 	return digest{
 		From: s.opts.Self, HandOn: true, Members: append(members, s.opts.Self),
-		Work: endpointWorks(s.opts.Work.HeldTogether(vms)), Used: uses(s.opts.Plans.Together()),
+		Work: endpointWorks(s.opts.Work.HeldTogether(vms)), Used: uses(used),
 		Versions: s.opts.Documents.Versions(), Age: s.opts.Documents.Age(),
 	}
 }
@@ -119,11 +120,7 @@
 	if !large {
 		return nil, nil // its VMs tell everything themselves
 	}
-	used := make(map[string]int64, len(d.Used))
-	for _, u := range d.Used {
-		used[u.Workspace] = u.Tokens
-	}
-	s.opts.Plans.HeardFar(d.From.DataCentre, used)
+	s.opts.Plans.HeardFar(d.From.DataCentre, byWorkspace(d.Used))
 	s.opts.Work.HeardDataCentre(d.From.DataCentre, seq, byEndpoint(d.Work))
 	s.opts.Log.Debug("digest heard", zap.String("data_centre", d.From.DataCentre), zap.Stringer("vm", d.From.VM),
 		zap.Int("vms", len(d.Members)), zap.Int("endpoints", len(d.Work)), zap.Duration("took", s.opts.Clock.Now().Sub(now)))
--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -29,6 +29,9 @@
 		return nil, nil
 	}
 	if b.Full {
+		if b.Whole {
+			s.opts.Plans.HeardWindow(byWorkspace(b.Window))
+		}
 		s.opts.Work.HeardAllWork(b.From.VM, b.Seq, byEndpoint(b.Work))
 	}
 	s.compare(b.From, b.Versions, b.Age)
@@ -63,6 +66,14 @@
 	return c.counted, true
 }
 
+func byWorkspace(list []use) map[string]int64 {
+	out := make(map[string]int64, len(list))
+	for _, u := range list {
+		out[u.Workspace] = u.Tokens
+	}
+	return out
+}
+
 func byEndpoint(list []endpointWork) map[traffic.EndpointID]schedule.Work {
 	out := make(map[traffic.EndpointID]schedule.Work, len(list))
 	for _, w := range list {
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -62,13 +62,17 @@
 	From Member
 	// Leaving VMs take no more calls.
 	Leaving bool
-	// Full: Work and Counts hold all that the VM holds and counted; else they are empty, as
-	// changes are told at once and this only repairs what was lost of them.
+	// Full: Work and Counts hold all that the VM holds and counted, and Window what it knows to
+	// have been used of plans; else they are empty, as changes are told at once and this only
+	// repairs what was lost of them.
 	Full bool
 	// Seq numbers the changes of Work.
 	Seq    uint64
 	Work   []endpointWork
 	Counts []count
+	Window []use
+	// Whole: nothing that was used in the window is missing there.
+	Whole bool
 	// Versions of the documents that the sender has, in the order of Documents.
 	Versions []uint64
 	// Age is the time since they are known to have been the store's newest.
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -12,8 +12,9 @@
 const (
 	// silentAfter is how long a VM may give no heartbeat before it counts as unheard.
 	silentAfter = 1200 * time.Millisecond
-	// goneAfter is how long before it counts as gone. Until then it may be serving behind a cut.
-	goneAfter = 10 * time.Second
+	// goneAfter is how long before it counts as gone. Until then it may be serving behind a cut,
+	// and keeps its part of plans.
+	goneAfter = 25 * time.Second
 	// shortPeriod is the time between heartbeats to VMs that are told everything; largePeriod
 	// is that in a large fleet, where changes alone are frequent signs of life.
 	shortPeriod = 200 * time.Millisecond
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -50,10 +50,13 @@
 	Heard(c admission.Count, n int64)
 	// Own gives what this VM counted since it started.
 	Own() map[admission.Count]int64
+	// HeardWindow is told what another VM knows to have been used in the window of plans.
+	HeardWindow(tokens map[string]int64)
 	// HeardFar is told what the VMs of another data centre admitted in the window of plans;
-	// Together gives the same of those that tell each other everything.
+	// Window gives the same of those that tell each other everything, as far as this one knows,
+	// and whether that is all.
 	HeardFar(dataCentre string, tokens map[string]int64)
-	Together() map[string]int64
+	Window() (tokens map[string]int64, whole bool)
 	// Fleet is told which part of the VMs tell each other everything, which part of the fleet is
 	// heard, and which part of a plan's rest those that tell each other at once may use.
 	Fleet(part, share, split float64)
@@ -312,7 +315,8 @@
 	b.Versions, b.Age = s.opts.Documents.Versions(), s.opts.Documents.Age()
 	if b.Full {
 		held := s.opts.Work.Held()
-		b.Seq, b.Work, b.Counts = held.Seq, endpointWorks(held.Work), counts(s.opts.Plans.Own())
+		used, whole := s.opts.Plans.Window()
+		b.Seq, b.Work, b.Counts, b.Window, b.Whole = held.Seq, endpointWorks(held.Work), counts(s.opts.Plans.Own()), uses(used), whole
 	}
 	to := s.roster.near
 	if b.Leaving {
