--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -235,9 +235,6 @@
 	return float64(n) / float64(len(r.peers)+1)
 }
 
-// unevenness is how many times its even part a data centre may use of what is left of a plan.
-const unevenness = 1.2
-
 // split is the part of what is left of a plan that the VMs of this data centre may use until
 // those of the others have told what they used.
 func (r *roster) split() float64 {
@@ -250,7 +247,7 @@
 			heard[p.member.DataCentre] = true
 		}
 	}
-	return min(1, unevenness/float64(len(heard)))
+	return 1 / float64(len(heard))
 }
 
 // share is the part of the fleet that is heard, this VM counted: each data centre counts the
--- a/internal/schedule/far_test.go
+++ b/internal/schedule/far_test.go
@@ -1,9 +1,11 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -47,3 +49,32 @@
 		t.Errorf("a second prompt went there, expected %s", c.Expected)
 	}
 }
+
+// TestFarEnginesAreDrawn: VMs that know the same of far engines do not all choose the same one.
+func TestFarEnginesAreDrawn(t *testing.T) {
+	var list []traffic.Endpoint
+	for i := range 20 {
+		list = append(list, endpoint(fmt.Sprint("far", i), "b", traffic.Decode))
+	}
+	chosen := map[string]int{}
+	for seed := range uint64(200) {
+		c := &manual{now: clock.Instant(time.Hour)}
+		s := New(Options{Clock: c, DataCentre: "a", Seed: seed})
+		s.Update(traffic.Endpoints{Version: 1, List: list}, testServices)
+		s.SetFarLate(true)
+		s.HeardDataCentre("b", 1, map[traffic.EndpointID]Work{{Name: "far0"}: {Calls: 8, Tokens: 40_000}, {Name: "far1"}: {Calls: 1, Tokens: 3000}})
+		claim, err := s.Place(decodeAsk(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		chosen[claim.Endpoint.ID.Name]++
+	}
+	for name, n := range chosen {
+		if n > 30 {
+			t.Errorf("%d of 200 VMs chose %s", n, name)
+		}
+	}
+	if chosen["far0"] > 0 || chosen["far1"] == 0 {
+		t.Errorf("chosen: %v", chosen)
+	}
+}
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -270,21 +270,33 @@
 	return best, c, chosen
 }
 
-// pick gives the cheapest endpoint; equals are drawn.
+// farSpread is by how much endpoints of other data centres may cost more than the cheapest and be
+// taken all the same: VMs of all data centres know the same of them, and would choose the same.
+const farSpread = 150 * time.Millisecond
+
+// pick gives the cheapest endpoint; equals are drawn, and those of other data centres that tell
+// late are drawn among the cheap ones.
 func (t *table) pick(now clock.Instant, from []*state, a *Ask) (*state, time.Duration) {
-	var best *state
-	var least time.Duration
-	equal := 0
-	for _, s := range from {
-		score := t.score(now, s, a)
-		switch {
-		case best == nil || score < least:
-			best, least, equal = s, score, 1
-		case score == least:
-			if equal++; t.random.IntN(equal) == 0 {
-				best = s
-			}
+	scores := make([]time.Duration, len(from))
+	best := 0
+	for i, s := range from {
+		if scores[i] = t.score(now, s, a); scores[i] < scores[best] {
+			best = i
+		}
+	}
+	far := t.farLate && from[best].engine != nil && from[best].DataCentre != t.dataCentre
+	chosen, among := best, 0
+	for i, s := range from {
+		alike := scores[i] == scores[best]
+		if far && s.DataCentre != t.dataCentre {
+			alike = scores[i] <= scores[best]+farSpread
+		}
+		if !alike {
+			continue
+		}
+		if among++; t.random.IntN(among) == 0 {
+			chosen = i
 		}
 	}
-	return best, least
+	return from[chosen], scores[chosen]
 }
