--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -199,7 +199,7 @@
 		synctest.Wait()
 		stop()
 		synctest.Wait()
-		if held := s.Held().Work; len(held) != 0 {
+		if _, held := s.Held(); len(held) != 0 {
 			t.Errorf("after the call %v is held", held)
 		}
 	})
--- a/internal/exchange/digest.go
+++ b/internal/exchange/digest.go
@@ -44,7 +44,7 @@
 // receivers gives one VM of each other data centre, another one at each turn, so that one that
 // cannot be reached costs a digest at most now and then. VMs that are not heard are taken where
 // a data centre has no others.
-func (r *roster) receivers(turn int) []netip.AddrPort {
+func (r *roster) receivers(turn int) map[string]netip.AddrPort {
 	heard, all := map[string][]netip.AddrPort{}, map[string][]netip.AddrPort{}
 	for addr, p := range r.peers {
 		if r.near(p) {
@@ -55,13 +55,13 @@
 			heard[p.member.DataCentre] = append(heard[p.member.DataCentre], addr)
 		}
 	}
-	var out []netip.AddrPort
+	out := map[string]netip.AddrPort{}
 	for dataCentre, from := range all {
 		if len(heard[dataCentre]) > 0 {
 			from = heard[dataCentre]
 		}
 		slices.SortFunc(from, netip.AddrPort.Compare)
-		out = append(out, from[turn%len(from)])
+		out[dataCentre] = from[turn%len(from)]
 	}
 	return out
 }
@@ -78,14 +78,17 @@
 		due := s.roster.sendsDigests() && !s.leaving
 		receivers := s.roster.receivers(turn)
 		s.mu.Unlock()
-		if due && len(receivers) > 0 {
-			d := s.makeDigest()
-			sendTo(s, peer.KindDigest, &d, receivers)
+		if !due {
+			continue
+		}
+		for dataCentre, to := range receivers {
+			d := s.makeDigest(dataCentre)
+			sendTo(s, peer.KindDigest, &d, []netip.AddrPort{to})
 		}
 	}
 }
 
-func (s *Service) makeDigest() digest {
+func (s *Service) makeDigest(to string) digest {
 	s.mu.Lock()
 	members := s.roster.together()
 	s.mu.Unlock()
@@ -96,7 +99,7 @@
 	used, _ := s.opts.Plans.Window()
 	return digest{
 		From: s.opts.Self, HandOn: true, Members: append(members, s.opts.Self),
-		Work: endpointWorks(s.opts.Work.HeldTogether(vms)), Used: uses(used),
+		Work: endpointWorks(s.opts.Work.HeldTogether(vms, to)), Used: uses(used),
 		Versions: s.opts.Documents.Versions(), Age: s.opts.Documents.Age(),
 	}
 }
--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -89,6 +89,10 @@
 	for name, n := range counted {
 		s.opts.Plans.Heard(name, n)
 	}
+	if m.All {
+		s.opts.Work.HeardAllWork(from, m.Seq, byEndpoint(m.Work))
+		return nil, nil
+	}
 	for _, w := range m.Work {
 		s.opts.Work.HeardWork(from, m.Seq, w.id(), w.Work)
 	}
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -90,7 +90,8 @@
 	HandOn bool
 	// Members are the VMs that the sender hears of its data centre, itself counted.
 	Members []Member
-	// Work is what they hold together.
+	// Work is what they hold together, but for endpoints of the receiver's data centre, of which
+	// they tell themselves.
 	Work []endpointWork
 	// Used is what they admitted together in the window of plans.
 	Used []use
@@ -99,7 +100,8 @@
 	Age      time.Duration
 }
 
-// changes tells what changed of what a VM holds and has counted.
+// changes tells what changed of what a VM holds and has counted. VMs of other data centres of a
+// large fleet are told of the endpoints of theirs only.
 type changes struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
@@ -108,6 +110,8 @@
 	Seq    uint64
 	Work   []endpointWork
 	Counts []count
+	// All: the sender holds nothing else at endpoints of the receiver's data centre.
+	All bool
 }
 
 // failure tells that an endpoint broke off, or was found dead.
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -198,6 +198,11 @@
 	return !r.large() || p.member.DataCentre == r.self.DataCentre
 }
 
+// farIn picks the VMs of another data centre that are not told everything.
+func (r *roster) farIn(dataCentre string) func(*peerState) bool {
+	return func(p *peerState) bool { return p.member.DataCentre == dataCentre && !p.silent && !r.near(p) }
+}
+
 // period is the time between heartbeats to VMs that are told everything. It grows with their
 // number, so that the work of a VM grows less than the fleet does.
 func (r *roster) period() time.Duration {
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -35,10 +35,11 @@
 	ForgetDataCentre(name string)
 	HeardFailure(id traffic.EndpointID, o schedule.Outcome)
 	Forget(vm ident.VM)
-	// Held gives what this VM holds.
-	Held() schedule.Holding
-	// HeldTogether gives what this VM and others hold in sum.
-	HeldTogether(others []ident.VM) map[traffic.EndpointID]schedule.Work
+	// Held gives what this VM holds, by data centre of the endpoints.
+	Held() (seq uint64, byDataCentre map[string]map[traffic.EndpointID]schedule.Work)
+	// HeldTogether gives what this VM and others hold in sum, but for endpoints of one data
+	// centre.
+	HeldTogether(others []ident.VM, except string) map[traffic.EndpointID]schedule.Work
 	// SetFarLate is told whether VMs of other data centres tell late what they hold.
 	SetFarLate(late bool)
 }
@@ -97,9 +98,13 @@
 	changed  chan struct{}
 	failures chan failure
 
-	mu      sync.Mutex
-	roster  *roster
-	pending map[traffic.EndpointID]schedule.Work
+	mu     sync.Mutex
+	roster *roster
+	// pending is work that changed and is not told yet, by data centre of the endpoints.
+	pending map[string]map[traffic.EndpointID]schedule.Work
+	// toldFar holds the data centres whose VMs were told of work there, and how often that is
+	// still to be repeated once there is none.
+	toldFar map[string]int
 	seq     uint64
 	counted map[admission.Count]int64
 	lines   map[netip.AddrPort]*line
@@ -123,6 +128,9 @@
 	registryRetry = 500 * time.Millisecond
 	// registryPeriod is the time between looks for VMs that no heartbeat made known.
 	registryPeriod = 15 * time.Second
+	// farRepeats is how often a VM repeats that it holds nothing in another data centre, as one
+	// message may be lost.
+	farRepeats = 3
 	// gatherTime is how long changes of work are gathered into one message.
 	gatherTime = time.Millisecond
 )
@@ -131,7 +139,7 @@
 func New(o Options) *Service {
 	s := &Service{
 		opts: o, changed: make(chan struct{}, 1), failures: make(chan failure, failureBacklog),
-		roster: newRoster(o.Self), pending: map[traffic.EndpointID]schedule.Work{}, counted: map[admission.Count]int64{}, lines: map[netip.AddrPort]*line{}, asking: map[int]bool{},
+		roster: newRoster(o.Self), pending: map[string]map[traffic.EndpointID]schedule.Work{}, toldFar: map[string]int{}, counted: map[admission.Count]int64{}, lines: map[netip.AddrPort]*line{}, asking: map[int]bool{},
 	}
 	peer.Handle(o.Transport, peer.KindBeat, s.onBeat)
 	peer.Handle(o.Transport, peer.KindWork, s.onChanges)
@@ -143,10 +151,13 @@
 
 // WorkChanged notes what this VM now holds at an endpoint, to be told to the others. A later
 // change takes the place of one not told yet, so nothing grows while they cannot be reached.
-func (s *Service) WorkChanged(seq uint64, id traffic.EndpointID, w schedule.Work) {
+func (s *Service) WorkChanged(seq uint64, id traffic.EndpointID, dataCentre string, w schedule.Work) {
 	s.mu.Lock()
 	s.seq = max(s.seq, seq)
-	s.pending[id] = w
+	if s.pending[dataCentre] == nil {
+		s.pending[dataCentre] = map[traffic.EndpointID]schedule.Work{}
+	}
+	s.pending[dataCentre][id] = w
 	s.mu.Unlock()
 	s.wake()
 }
@@ -314,9 +325,10 @@
 	s.mu.Unlock()
 	b.Versions, b.Age = s.opts.Documents.Versions(), s.opts.Documents.Age()
 	if b.Full {
-		held := s.opts.Work.Held()
+		seq, held := s.opts.Work.Held()
 		used, whole := s.opts.Plans.Window()
-		b.Seq, b.Work, b.Counts, b.Window, b.Whole = held.Seq, endpointWorks(held.Work), counts(s.opts.Plans.Own()), uses(used), whole
+		b.Seq, b.Work, b.Counts, b.Window, b.Whole = seq, allWorks(held), counts(s.opts.Plans.Own()), uses(used), whole
+		s.repeatFar(seq, held)
 	}
 	to := s.roster.near
 	if b.Leaving {
@@ -334,18 +346,61 @@
 			broadcast(s, peer.KindFailure, &f, everyone)
 		case <-s.changed:
 			time.Sleep(gatherTime)
-			out := s.takeChanges()
-			broadcast(s, peer.KindWork, &out, s.roster.near)
+			near, far := s.takeChanges()
+			broadcast(s, peer.KindWork, &near, s.roster.near)
+			for dataCentre, m := range far {
+				broadcast(s, peer.KindWork, m, s.roster.farIn(dataCentre))
+			}
 		}
 	}
 }
 
-func (s *Service) takeChanges() changes {
+// takeChanges gives what is to be told to the VMs that are told everything, and to those of each
+// other data centre of a large fleet about the endpoints there, which they fill as well.
+func (s *Service) takeChanges() (near changes, far map[string]*changes) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := changes{From: s.opts.Self.Address, Seq: s.seq, Work: endpointWorks(s.pending), Counts: counts(s.counted)}
+	near = changes{From: s.opts.Self.Address, Seq: s.seq, Work: allWorks(s.pending), Counts: counts(s.counted)}
+	far = map[string]*changes{}
+	if s.roster.large() {
+		for dataCentre, work := range s.pending {
+			if dataCentre != s.opts.Self.DataCentre {
+				far[dataCentre] = &changes{From: s.opts.Self.Address, Seq: s.seq, Work: endpointWorks(work)}
+				s.toldFar[dataCentre] = farRepeats
+			}
+		}
+	}
 	clear(s.pending)
 	clear(s.counted)
+	return near, far
+}
+
+// repeatFar repeats to the VMs of other data centres all that this VM holds there, where they
+// were told of something since it last held nothing.
+func (s *Service) repeatFar(seq uint64, held map[string]map[traffic.EndpointID]schedule.Work) {
+	s.mu.Lock()
+	var to []string
+	for dataCentre := range s.toldFar {
+		to = append(to, dataCentre)
+		if len(held[dataCentre]) > 0 {
+			continue
+		}
+		if s.toldFar[dataCentre]--; s.toldFar[dataCentre] <= 0 {
+			delete(s.toldFar, dataCentre)
+		}
+	}
+	s.mu.Unlock()
+	for _, dataCentre := range to {
+		m := changes{From: s.opts.Self.Address, Seq: seq, Work: endpointWorks(held[dataCentre]), All: true}
+		broadcast(s, peer.KindWork, &m, s.roster.farIn(dataCentre))
+	}
+}
+
+func allWorks(byDataCentre map[string]map[traffic.EndpointID]schedule.Work) []endpointWork {
+	var out []endpointWork
+	for _, held := range byDataCentre {
+		out = append(out, endpointWorks(held)...)
+	}
 	return out
 }
 
--- a/internal/resident/process.go
+++ b/internal/resident/process.go
@@ -68,8 +68,10 @@
 		func(c admission.Count, total int64) { p.exchange.Counted(c, total) })
 	p.scheduler = schedule.New(schedule.Options{
 		Clock: p.clock, DataCentre: s.DataCentre, Seed: uint64(incarnation),
-		Changed: func(seq uint64, id traffic.EndpointID, w schedule.Work) { p.exchange.WorkChanged(seq, id, w) },
-		Failed:  func(id traffic.EndpointID, o schedule.Outcome) { p.exchange.Failed(id, o) },
+		Changed: func(seq uint64, id traffic.EndpointID, dataCentre string, w schedule.Work) {
+			p.exchange.WorkChanged(seq, id, dataCentre, w)
+		},
+		Failed: func(id traffic.EndpointID, o schedule.Outcome) { p.exchange.Failed(id, o) },
 	})
 	p.Keeper = inforce.New(inforce.Options{
 		Clock: p.clock, Log: log.Named("inforce"), Decode: e.Decode, Changed: p.changed,
--- a/internal/schedule/choose_test.go
+++ b/internal/schedule/choose_test.go
@@ -197,10 +197,12 @@
 		} else {
 			refused++
 		}
-		all := s.Held().Work
-		for id, w := range all {
-			if w.Tokens > testMemory || w.Tokens < 0 {
-				t.Fatalf("%d tokens claimed at %s", w.Tokens, id.Name)
+		_, all := s.Held()
+		for _, held := range all {
+			for id, w := range held {
+				if w.Tokens > testMemory || w.Tokens < 0 {
+					t.Fatalf("%d tokens claimed at %s", w.Tokens, id.Name)
+				}
 			}
 		}
 	}
@@ -210,7 +212,7 @@
 	for _, c := range held {
 		c.Release()
 	}
-	if all := s.Held().Work; len(all) != 0 {
+	if _, all := s.Held(); len(all) != 0 {
 		t.Errorf("after all releases %v is held", all)
 	}
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -20,8 +20,9 @@
 	DataCentre string
 	// Seed starts the draws between equal endpoints.
 	Seed uint64
-	// Changed is told what this VM now holds at an endpoint. It must not block. Nil tells nobody.
-	Changed func(seq uint64, id traffic.EndpointID, w Work)
+	// Changed is told what this VM now holds at an endpoint of a data centre. It must not block.
+	// Nil tells nobody.
+	Changed func(seq uint64, id traffic.EndpointID, dataCentre string, w Work)
 	// Failed is told of an endpoint that broke off or that this VM found dead. It must not block.
 	Failed func(id traffic.EndpointID, o Outcome)
 }
@@ -76,7 +77,7 @@
 // New makes a Scheduler.
 func New(o Options) *Scheduler {
 	if o.Changed == nil {
-		o.Changed = func(uint64, traffic.EndpointID, Work) {}
+		o.Changed = func(uint64, traffic.EndpointID, string, Work) {}
 	}
 	if o.Failed == nil {
 		o.Failed = func(traffic.EndpointID, Outcome) {}
@@ -170,7 +171,7 @@
 	e.own = w
 	s.seq++
 	if e.engine != nil { // plain endpoints tell their load with each answer
-		s.opts.Changed(s.seq, e.ID, w)
+		s.opts.Changed(s.seq, e.ID, e.DataCentre, w)
 	}
 }
 
@@ -305,28 +306,26 @@
 	s.wake()
 }
 
-// Holding is what one VM holds at engines. Seq numbers its changes.
-type Holding struct {
-	Seq  uint64
-	Work map[traffic.EndpointID]Work
-}
-
-// Held gives what this VM holds.
-func (s *Scheduler) Held() Holding {
+// Held gives what this VM holds, by data centre of the endpoints.
+func (s *Scheduler) Held() (seq uint64, byDataCentre map[string]map[traffic.EndpointID]Work) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := Holding{Seq: s.seq, Work: map[traffic.EndpointID]Work{}}
+	out := map[string]map[traffic.EndpointID]Work{}
 	for id, e := range s.table.states {
-		if e.own.Calls > 0 && e.engine != nil {
-			out.Work[id] = e.own
+		if e.own.Calls == 0 || e.engine == nil {
+			continue
+		}
+		if out[e.DataCentre] == nil {
+			out[e.DataCentre] = map[traffic.EndpointID]Work{}
 		}
+		out[e.DataCentre][id] = e.own
 	}
-	return out
+	return s.seq, out
 }
 
-// HeldTogether gives what this VM and others hold in sum.
-func (s *Scheduler) HeldTogether(others []ident.VM) map[traffic.EndpointID]Work {
+// HeldTogether gives what this VM and others hold in sum, but for endpoints of one data centre.
+func (s *Scheduler) HeldTogether(others []ident.VM, except string) map[traffic.EndpointID]Work {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.heldTogether(others)
+	return s.table.heldTogether(others, except)
 }
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -131,11 +131,12 @@
 	return max(0, nearNow-t.nearThen[s.DataCentre][pool{s.Service, s.Stage}])
 }
 
-// heldTogether gives what this VM and others hold in sum at engines.
-func (t *table) heldTogether(others []ident.VM) map[traffic.EndpointID]Work {
+// heldTogether gives what this VM and others hold in sum at engines, but for those of one data
+// centre.
+func (t *table) heldTogether(others []ident.VM, except string) map[traffic.EndpointID]Work {
 	out := map[traffic.EndpointID]Work{}
 	for id, s := range t.states {
-		if s.engine == nil {
+		if s.engine == nil || s.DataCentre == except {
 			continue
 		}
 		w := s.own
