--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -223,6 +223,9 @@
 	return err
 }
 
+// loadUnknown stands in log lines for an engine that did not state how many calls it runs.
+const loadUnknown = -1
+
 // decode sends the call to a decode engine and hands its events on.
 func (g *generation) decode(ctx context.Context, claim *schedule.Claim, h *backend.Handle) (taken bool, err error) {
 	o := g.order(claim.Endpoint)
@@ -235,10 +238,14 @@
 	defer cancel(nil)
 	stall := g.watchStall(cancel)
 	defer stall.Stop()
+	running := loadUnknown
 	reply, err := g.d.opts.Backend.Run(trying, o)
 	if err == nil {
 		defer func() { _ = reply.Body.Close() }()
 		claim.Reported(reply.Load)
+		if reply.Load != nil {
+			running = reply.Load.Running
+		}
 		if reply.NotRun {
 			err = &backend.SendError{Sent: true, Rejected: true, Err: errRejected}
 		}
@@ -248,7 +255,7 @@
 		err = g.take(reply, stall)
 	}
 	g.log.Info("decoded", zap.String("endpoint", claim.Endpoint.ID.Name), zap.String("after", o.After), zap.Int("events", g.stream.events),
-		zap.Duration("elapsed", g.elapsed()), zap.Error(err))
+		zap.Int("running", running), zap.Duration("elapsed", g.elapsed()), zap.Error(err))
 	if err == nil {
 		claim.Record(schedule.Good)
 		return true, nil
--- a/internal/exchange/digest_test.go
+++ b/internal/exchange/digest_test.go
@@ -93,6 +93,7 @@
 func (n *node) Members(context.Context, bool) ([]Member, error)                 { return nil, nil }
 func (n *node) HeardFailure(traffic.EndpointID, schedule.Outcome)               {}
 func (n *node) Forget(ident.VM)                                                 {}
+func (n *node) SetOrder([]ident.VM, int)                                        {}
 func (n *node) SetFarLate(bool)                                                 {}
 func (n *node) Heard(admission.Count, int64)                                    {}
 func (n *node) HeardWindow(map[string]int64)                                    {}
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/admission"
@@ -272,6 +273,20 @@
 	return sum / float64(len(known))
 }
 
+// order gives the VMs that tell each other everything and are heard, by address, and this one's
+// place among them.
+func (r *roster) order() (vms []ident.VM, self int) {
+	members := append(r.together(), r.self)
+	slices.SortFunc(members, func(a, b Member) int { return a.Address.Compare(b.Address) })
+	for i, m := range members {
+		if m.Address == r.self.Address {
+			self = i
+		}
+		vms = append(vms, m.VM)
+	}
+	return vms, self
+}
+
 // rank gives the number of heard VMs that are told everything and whose address comes before
 // this one's.
 func (r *roster) rank() int {
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -40,6 +40,9 @@
 	// HeldTogether gives what this VM and others hold in sum, but for endpoints of one data
 	// centre.
 	HeldTogether(others []ident.VM, except string) map[traffic.EndpointID]schedule.Work
+	// SetOrder is told of the VMs that tell each other everything, in an order that is the same
+	// at all, and of this one's place among them.
+	SetOrder(order []ident.VM, self int)
 	// SetFarLate is told whether VMs of other data centres tell late what they hold.
 	SetFarLate(late bool)
 }
@@ -295,11 +298,13 @@
 	silent, gone := s.roster.pass(s.opts.Clock.Now())
 	known, heard := s.roster.counts()
 	part, share, split := s.roster.togetherPart(), s.roster.share(), s.roster.split()
+	order, self := s.roster.order()
 	for _, m := range gone {
 		s.hangUp(m.Address)
 	}
 	s.mu.Unlock()
 	s.opts.Plans.Fleet(part, share, split)
+	s.opts.Work.SetOrder(order, self)
 	s.opts.Work.SetFarLate(split < 1)
 	for _, m := range silent {
 		s.opts.Log.Warn("vm silent", zap.Stringer("vm", m.VM), zap.Int("known", known), zap.Int("heard", heard))
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -38,6 +38,31 @@
 	freed chan struct{}
 	// turns holds the calls of this VM that wait for room, in the order of their coming.
 	turns map[pool][]*Turn
+	// order holds the VMs that tell each other everything, this one at self.
+	order []ident.VM
+	self  int
+}
+
+// slotTime is the time in which a claim is known to the VMs that are told at once.
+const slotTime = 3 * time.Millisecond
+
+// SetOrder states the VMs that tell each other everything, in an order that is the same at all,
+// and this one's place among them.
+func (s *Scheduler) SetOrder(order []ident.VM, self int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.order, s.self = order, self
+}
+
+// slot is how long after another VM gave room back this one's calls may ask for it. Each VM has
+// a slot of its own, counted from the one that gave: calls that wait at many VMs would else all
+// claim the same room in the moment in which they hear of it.
+func (s *Scheduler) slot(from ident.VM) time.Duration {
+	at := slices.Index(s.order, from)
+	if n := len(s.order); at >= 0 && n > 1 {
+		return slotTime * time.Duration((s.self-at+n)%n)
+	}
+	return 0
 }
 
 // pool is what calls wait for.
@@ -270,6 +295,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.heard(vm, seq, id, w)
+	if slot := s.slot(vm); slot > 0 && len(s.turns) > 0 {
+		time.AfterFunc(slot, s.Wake)
+		return
+	}
+	s.wake()
+}
+
+// Wake has the calls that wait look for room.
+func (s *Scheduler) Wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.wake()
 }
 
