--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -15,10 +15,10 @@
 	counted func(c Count, total int64)
 
 	mu sync.Mutex
-	// part is the part of the fleet's VMs that tell each other at once, this one counted.
-	part    float64
-	plans   *Plans
-	retries *Retries
+	// together is as that of Parts.
+	together float64
+	plans    *Plans
+	retries  *Retries
 }
 
 // PlanBounds say how plans are counted.
@@ -37,7 +37,7 @@
 		counted = func(Count, int64) {}
 	}
 	return &Gate{
-		clock: c, counted: counted, part: 1 / float64(max(1, vms)),
+		clock: c, counted: counted, together: 1 / float64(max(1, vms)),
 		plans: NewPlans(c.Now(), plans.Window, plans.Notice, plans.Slack), retries: NewRetries(c.Now(), b),
 	}
 }
@@ -49,15 +49,24 @@
 	g.retries.SetBudget(b)
 }
 
-// Fleet states which part of the fleet's VMs tell each other at once, which part of the fleet
-// this VM hears, itself counted in both, and which part of a plan's rest those that tell each
-// other at once may use; see Plans.SetSplit.
-func (g *Gate) Fleet(part, share, split float64) {
+// Parts say how much of a fleet a VM hears, and how much of plans is for those that it hears.
+type Parts struct {
+	// Together is the part of the VMs that tell each other everything at once, this one counted.
+	Together float64
+	// Heard is the part of the fleet that is heard, this VM counted; see Plans.SetShare.
+	Heard float64
+	// Split is the part of a plan's rest for those that tell each other at once; see
+	// Plans.SetSplit.
+	Split float64
+}
+
+// Fleet states how much of the fleet this VM hears.
+func (g *Gate) Fleet(p Parts) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.part = part
-	g.plans.SetShare(share)
-	g.plans.SetSplit(split)
+	g.together = p.Together
+	g.plans.SetShare(p.Heard)
+	g.plans.SetSplit(p.Split)
 }
 
 // Admit draws a call's cost from its workspace's plan.
@@ -144,7 +153,7 @@
 func (g *Gate) Spend(service string, keep float64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	total, ok := g.retries.Spend(g.clock.Now(), service, g.part, keep)
+	total, ok := g.retries.Spend(g.clock.Now(), service, g.together, keep)
 	if ok {
 		g.counted(Count{Extra, service}, total)
 	}
--- a/internal/exchange/digest_test.go
+++ b/internal/exchange/digest_test.go
@@ -98,7 +98,7 @@
 func (n *node) Heard(admission.Count, int64)                                    {}
 func (n *node) HeardWindow(map[string]int64)                                    {}
 func (n *node) Own() map[admission.Count]int64                                  { return nil }
-func (n *node) Fleet(float64, float64, float64)                                 {}
+func (n *node) Fleet(admission.Parts)                                           {}
 func (n *node) Versions() []uint64                                              { return []uint64{1} }
 func (n *node) Wants(int, uint64) bool                                          { return false }
 func (n *node) Body(int) (uint64, []byte, error)                                { return 1, nil, nil }
--- a/internal/exchange/handlers.go
+++ b/internal/exchange/handlers.go
@@ -44,7 +44,7 @@
 	s.mu.Lock()
 	c := s.roster.hear(s.opts.Clock.Now(), b)
 	known, heard := s.roster.counts()
-	part, share, split := s.roster.togetherPart(), s.roster.share(), s.roster.split()
+	parts := s.roster.parts()
 	if b.Leaving {
 		s.hangUp(b.From.Address)
 	}
@@ -55,7 +55,7 @@
 	if c.late {
 		return nil, false
 	}
-	s.opts.Plans.Fleet(part, share, split)
+	s.opts.Plans.Fleet(parts)
 	if c.joined || c.returned || !c.replaced.IsZero() {
 		s.opts.Log.Info("vm heard", zap.Stringer("vm", b.From.VM), zap.Bool("joined", c.joined), zap.Bool("returned", c.returned),
 			zap.Bool("leaving", b.Leaving), zap.Stringer("replaces", c.replaced), zap.Int("known", known), zap.Int("heard", heard))
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -230,6 +230,11 @@
 	return known, heard
 }
 
+// parts gives what plans and the retry budget need to know of the fleet.
+func (r *roster) parts() admission.Parts {
+	return admission.Parts{Together: r.togetherPart(), Heard: r.share(), Split: r.split()}
+}
+
 // togetherPart is the part of the known VMs that tell each other everything, this one counted.
 func (r *roster) togetherPart() float64 {
 	n := 1
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -31,7 +31,7 @@
 		return a.Patience <= 0 || s.total().Calls == 0 || t.expectedRead(now, s, a.Tokens.Prompt) <= a.Patience
 	}
 	room := s.room(now)
-	if t.farLate && s.engine != nil && s.DataCentre != t.dataCentre {
+	if t.far(s) {
 		room -= int64(farMargin * float64(s.engine.Capacity))
 	}
 	return decodeNeed(*a.Tokens) <= room
@@ -44,7 +44,7 @@
 // expectedRead predicts how long the reading of a prompt takes.
 func (t *table) expectedRead(now clock.Instant, s *state, prompt int64) time.Duration {
 	d := s.readTime(now, prompt)
-	if t.farLate && s.DataCentre != t.dataCentre {
+	if t.far(s) {
 		return time.Duration(farReadFactor * float64(d))
 	}
 	return d
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -110,6 +110,11 @@
 	t.nearThen[name] = then
 }
 
+// far reports whether an engine is in another data centre whose VMs tell late what they hold.
+func (t *table) far(s *state) bool {
+	return t.farLate && s.engine != nil && s.DataCentre != t.dataCentre
+}
+
 // nearMean is the mean work of the engines of this data centre, in tokens.
 func (t *table) nearMean(service string, stage traffic.Stage) int64 {
 	sum, n := int64(0), int64(0)
@@ -125,7 +130,7 @@
 // grown guesses the work that was given to an engine of another data centre since that one told:
 // as much as the engines of this one got meanwhile.
 func (t *table) grown(s *state, nearNow int64) int64 {
-	if !t.farLate || s.engine == nil || s.DataCentre == t.dataCentre {
+	if !t.far(s) {
 		return 0
 	}
 	return max(0, nearNow-t.nearThen[s.DataCentre][pool{s.Service, s.Stage}])
@@ -285,11 +290,11 @@
 			best = i
 		}
 	}
-	far := t.farLate && from[best].engine != nil && from[best].DataCentre != t.dataCentre
+	far := t.far(from[best])
 	chosen, among := best, 0
 	for i, s := range from {
 		alike := scores[i] == scores[best]
-		if far && s.DataCentre != t.dataCentre {
+		if far && t.far(s) {
 			alike = scores[i] <= scores[best]+farSpread
 		}
 		if !alike {
