What a new VM learns of the window leaves it evenly

Change: the first word counts, spread over the window, so that it leaves as the real use does (test first: what was learnt of the window leaves it evenly).

--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -242,9 +242,9 @@
 }
 
 // HeardWindow takes over what another VM knows to have been used in the whole window, where this
-// one started too lately to know of it. It counts as used now.
+// one started too lately to know of it; the first word counts. It leaves the window evenly.
 func (p *Plans) HeardWindow(now clock.Instant, tokens map[string]int64) {
-	if now.Sub(p.started) >= p.window {
+	if p.Whole(now) {
 		return
 	}
 	p.learnt = true
@@ -255,7 +255,17 @@
 			p.accounts[workspace] = a
 		}
 		p.advance(a, now)
-		a.add(max(0, n-a.sum))
+		a.spread(max(0, n-a.sum))
+	}
+}
+
+// spread adds what was used at some time in the window.
+func (a *account) spread(tokens int64) {
+	for i := range int64(planParts) {
+		part := tokens / (planParts - i)
+		a.bins[(a.bin-i+planBins*planParts)%planBins] += part
+		a.sum += part
+		tokens -= part
 	}
 }
 
--- a/internal/admission/plan_test.go
+++ b/internal/admission/plan_test.go
@@ -78,6 +78,13 @@
 			p.HeardWindow(at(0), map[string]int64{"w": 500})
 			return p.Admit(at(0), "w", limit, 7900).Admitted
 		}, true},
+		{"what was learnt of the window leaves it evenly", func(*Plans) bool {
+			p := NewPlans(at(-time.Second), testWindow, testNotice, Slack{})
+			for i := range 10 { // each heartbeat tells again
+				p.HeardWindow(at(time.Duration(i)*100*time.Millisecond), map[string]int64{"w": 8000})
+			}
+			return p.Admit(at(testWindow/2), "w", limit, 4000).Admitted
+		}, true},
 		{"a VM that has seen the whole window knows better", func(p *Plans) bool {
 			p.Admit(at(0), "w", limit, 1)
 			p.HeardWindow(at(0), map[string]int64{"w": 8000})
