--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -47,8 +47,8 @@
 const (
 	// cutSlack is the part of the slack that the sides of a cut share, splitSlack that which data
 	// centres share that tell each other late. The rest is for VMs that start anew in a cut.
-	cutSlack   = 0.35
-	splitSlack = 0.4
+	cutSlack   = 0.1
+	splitSlack = 0.25
 )
 
 // of gives a part of the slack of a plan that allows so much in a window.
