admission: a VM that starts adopts the plan window by time of use

Cause: a restarted VM learned what workspaces had used from the next full heartbeats (up to 200 ms late) and spread the sum evenly over the window. After a burst that used up a plan within 2 s it believed that an eighth of the plan became free each second, and admitted that much again.

Change: a VM asks its direct peers for the usage of the window as soon as it has listed them, and adopts it bucket by bucket, with the last reports of other data centres. Heartbeats no longer carry the window.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -112,21 +112,35 @@
 	}
 }
 
-// SeedWindow adds the usage of the whole window as known to another VM, in tokens by workspace.
-// It has an effect only soon after this VM's start.
-func (c *Controller) SeedWindow(tokens map[string]int64) {
+// WindowState returns what this VM knows of the usage in the plan window. ok is false if it started
+// too late to know all of it.
+func (c *Controller) WindowState() (state WindowState, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.plans.SeedWindow(c.clock.Now(), tokens)
+	return c.plans.WindowState(c.clock.Now())
+}
+
+// WindowComplete reports whether this VM knows the usage of the whole plan window.
+func (c *Controller) WindowComplete() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.plans.WindowComplete(c.clock.Now())
+}
+
+// AdoptWindow adds the usage in the plan window that another VM knows of. It has an effect only
+// soon after this VM's start.
+func (c *Controller) AdoptWindow(state WindowState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.plans.AdoptWindow(c.clock.Now(), state)
 }
 
 // WindowUsage returns the usage in the window by this VM and its direct peers, in tokens by
-// workspace. complete reports whether this VM knows the usage of the whole window.
-func (c *Controller) WindowUsage() (tokens map[string]int64, complete bool) {
+// workspace.
+func (c *Controller) WindowUsage() map[string]int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
-	return c.plans.WindowUsage(now), c.plans.WindowComplete(now)
+	return c.plans.WindowUsage(c.clock.Now())
 }
 
 // SetDataCentreUsage sets what the VMs of another data centre admitted in the window, in tokens by
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -85,16 +85,6 @@
 	dataCentres map[string]dataCentreUsage
 }
 
-// dataCentreUsage is what the VMs of a data centre had admitted in the window when they reported.
-type dataCentreUsage struct {
-	at     clock.Instant
-	tokens map[string]int64
-}
-
-// reportHold is how long a reported total counts in full. After that its weight falls linearly to 0
-// over one window.
-const reportHold = 2 * time.Second
-
 // NewPlans returns Plans that count usage over a window. loweringDelay is the time within which a
 // configuration change takes effect on all VMs; a lowered plan takes effect after it.
 func NewPlans(now clock.Instant, window, loweringDelay time.Duration, slack Slack) *Plans {
@@ -261,66 +251,6 @@
 	}
 }
 
-// SeedWindow adds the usage of the whole window as known to another VM, if this VM started too
-// late to know it. Only the first report counts. It is spread evenly over the window.
-func (p *Plans) SeedWindow(now clock.Instant, tokens map[string]int64) {
-	if p.WindowComplete(now) {
-		return
-	}
-	p.seeded = true
-	for workspace, n := range tokens {
-		a := p.accounts[workspace]
-		if a == nil {
-			a = &account{bucket: p.bucket(now)}
-			p.accounts[workspace] = a
-		}
-		p.advance(a, now)
-		a.spread(max(0, n-a.sum))
-	}
-}
-
-// spread adds tokens that were used at an unknown time in the window.
-func (a *account) spread(tokens int64) {
-	for i := range int64(windowBuckets) {
-		n := tokens / (windowBuckets - i)
-		a.buckets[(a.bucket-i+accountBuckets*windowBuckets)%accountBuckets] += n
-		a.sum += n
-		tokens -= n
-	}
-}
-
-// SetDataCentreUsage sets what the VMs of another data centre admitted in the window, replacing
-// their previous report.
-func (p *Plans) SetDataCentreUsage(now clock.Instant, dataCentre string, tokens map[string]int64) {
-	if len(tokens) == 0 {
-		delete(p.dataCentres, dataCentre)
-		return
-	}
-	p.dataCentres[dataCentre] = dataCentreUsage{at: now, tokens: tokens}
-}
-
-// dataCentreUsed returns what other data centres used of a workspace's plan in the window,
-// according to their last reports.
-func (p *Plans) dataCentreUsed(now clock.Instant, workspace string) int64 {
-	sum := 0.0
-	for _, u := range p.dataCentres {
-		left := 1 - float64(now.Sub(u.at)-reportHold)/float64(p.window)
-		sum += float64(u.tokens[workspace]) * max(0, min(1, left))
-	}
-	return int64(sum)
-}
-
-// WindowUsage returns what this VM and its direct peers admitted in the window.
-func (p *Plans) WindowUsage(now clock.Instant) map[string]int64 {
-	out := make(map[string]int64, len(p.accounts))
-	for name, a := range p.accounts {
-		if p.advance(a, now); a.sum > 0 {
-			out[name] = a.sum
-		}
-	}
-	return out
-}
-
 // ownTotals adds what this VM admitted since its start to out.
 func (p *Plans) ownTotals(out map[CounterKey]int64) {
 	for name, a := range p.accounts {
--- /dev/null
+++ b/internal/admission/window.go
@@ -0,0 +1,134 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+)
+
+// dataCentreUsage is what the VMs of a data centre had admitted in the window when they reported.
+type dataCentreUsage struct {
+	at     clock.Instant
+	tokens map[string]int64
+}
+
+// reportHold is how long a reported total counts in full. After that its weight falls linearly to 0
+// over one window.
+const reportHold = 2 * time.Second
+
+// SetDataCentreUsage sets what the VMs of another data centre admitted in the window, replacing
+// their previous report.
+func (p *Plans) SetDataCentreUsage(now clock.Instant, dataCentre string, tokens map[string]int64) {
+	if len(tokens) == 0 {
+		delete(p.dataCentres, dataCentre)
+		return
+	}
+	p.dataCentres[dataCentre] = dataCentreUsage{at: now, tokens: tokens}
+}
+
+// dataCentreUsed returns what other data centres used of a workspace's plan in the window,
+// according to their last reports.
+func (p *Plans) dataCentreUsed(now clock.Instant, workspace string) int64 {
+	sum := 0.0
+	for _, u := range p.dataCentres {
+		left := 1 - float64(now.Sub(u.at)-reportHold)/float64(p.window)
+		sum += float64(u.tokens[workspace]) * max(0, min(1, left))
+	}
+	return int64(sum)
+}
+
+// WindowUsage returns what this VM and its direct peers admitted in the window.
+func (p *Plans) WindowUsage(now clock.Instant) map[string]int64 {
+	out := make(map[string]int64, len(p.accounts))
+	for name, a := range p.accounts {
+		if p.advance(a, now); a.sum > 0 {
+			out[name] = a.sum
+		}
+	}
+	return out
+}
+
+// WindowState is what a VM knows of the usage in the current plan window. A VM that starts adopts
+// that of another one.
+type WindowState struct {
+	// Buckets holds the tokens that the VM and its direct peers admitted for each workspace, by age:
+	// element 0 is the current bucket, and each further one is a bucket older.
+	Buckets map[string][]int64
+	// DataCentres holds the last reports of the other data centres.
+	DataCentres map[string]DataCentreReport
+}
+
+// DataCentreReport is what the VMs of a data centre had admitted in the plan window when they
+// reported.
+type DataCentreReport struct {
+	// Age is the time since the report arrived.
+	Age time.Duration
+	// Tokens is the usage by workspace.
+	Tokens map[string]int64
+}
+
+// WindowState returns what this VM knows of the usage in the window. ok is false if it started too
+// late to know all of it.
+func (p *Plans) WindowState(now clock.Instant) (state WindowState, ok bool) {
+	if !p.WindowComplete(now) {
+		return WindowState{}, false
+	}
+	state = WindowState{Buckets: map[string][]int64{}, DataCentres: map[string]DataCentreReport{}}
+	for name, a := range p.accounts {
+		if p.advance(a, now); a.sum > 0 {
+			state.Buckets[name] = a.byAge()
+		}
+	}
+	for name, u := range p.dataCentres {
+		state.DataCentres[name] = DataCentreReport{Age: now.Sub(u.at), Tokens: u.tokens}
+	}
+	return state, true
+}
+
+// AdoptWindow adds the usage in the window that another VM knows of, if this VM started too late to
+// know it. Usage that both know of counts once: a bucket keeps the larger of the two amounts.
+func (p *Plans) AdoptWindow(now clock.Instant, state WindowState) {
+	if now.Sub(p.startedAt) >= p.window {
+		return
+	}
+	p.seeded = true
+	for name, tokens := range state.Buckets {
+		a := p.accounts[name]
+		if a == nil {
+			a = &account{bucket: p.bucket(now)}
+			p.accounts[name] = a
+		}
+		p.advance(a, now)
+		a.raise(tokens)
+	}
+	for name, r := range state.DataCentres {
+		if at := now.Add(-r.Age); at > p.dataCentres[name].at {
+			p.dataCentres[name] = dataCentreUsage{at: at, tokens: r.Tokens}
+		}
+	}
+}
+
+// index returns the position of the bucket of the given age.
+func (a *account) index(age int) int64 {
+	return (a.bucket - int64(age) + accountBuckets*accountBuckets) % accountBuckets
+}
+
+// byAge returns the buckets, the current one first.
+func (a *account) byAge() []int64 {
+	out := make([]int64, accountBuckets)
+	for age := range out {
+		out[age] = a.buckets[a.index(age)]
+	}
+	return out
+}
+
+// raise raises each bucket to at least the given tokens, which start with the current bucket.
+func (a *account) raise(tokens []int64) {
+	for age, n := range tokens[:min(len(tokens), accountBuckets)] {
+		i := a.index(age)
+		if more := n - a.buckets[i]; more > 0 {
+			a.buckets[i] += more
+			a.sum += more
+		}
+	}
+}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -44,4 +44,6 @@
 	KindDocument Kind = 18
 	// KindDigest carries the heartbeats of a data centre's VMs to another data centre.
 	KindDigest Kind = 19
+	// KindPlanWindow requests the usage in the current plan window.
+	KindPlanWindow Kind = 20
 )
--- a/internal/statesync/digest.go
+++ b/internal/statesync/digest.go
@@ -96,10 +96,9 @@
 	for _, m := range members {
 		vms = append(vms, m.VM)
 	}
-	used, _ := s.opts.Plans.WindowUsage()
 	return digest{
 		From: s.opts.Self, Forward: true, Members: append(members, s.opts.Self),
-		Work: workList(s.opts.Work.CombinedWork(vms, to)), Used: usageList(used),
+		Work: workList(s.opts.Work.CombinedWork(vms, to)), Used: usageList(s.opts.Plans.WindowUsage()),
 		Versions: s.opts.Documents.Versions(), Age: s.opts.Documents.Age(),
 	}
 }
--- a/internal/statesync/handlers.go
+++ b/internal/statesync/handlers.go
@@ -29,9 +29,6 @@
 		return nil, nil
 	}
 	if hb.Full {
-		if hb.Complete {
-			s.opts.Plans.SeedWindow(byWorkspace(hb.Window))
-		}
 		s.opts.Work.ReplaceWork(hb.From.VM, hb.Seq, byEndpoint(hb.Work))
 	}
 	s.requestNewer(hb.From, hb.Versions, hb.Age)
@@ -55,6 +52,9 @@
 	if c.stale {
 		return nil, false
 	}
+	if c.joined {
+		signal(s.membersAdded)
+	}
 	s.opts.Plans.SetFleetShares(shares)
 	if c.joined || c.recovered || !c.replaced.IsZero() {
 		s.opts.Log.Info("vm heard", zap.Stringer("vm", hb.From.VM), zap.Bool("joined", c.joined), zap.Bool("recovered", c.recovered),
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -69,17 +69,14 @@
 	From Member
 	// Leaving is set by a VM that accepts no more calls.
 	Leaving bool
-	// Full is set if Work and Counters hold the full state of the VM, and Window the usage that it
-	// knows of. Otherwise they are empty: changes are sent as they occur, and a full heartbeat
-	// only corrects the state after lost updates.
+	// Full is set if Work and Counters hold the full state of the VM. Otherwise they are empty:
+	// changes are sent as they occur, and a full heartbeat only corrects the state after lost
+	// updates.
 	Full bool
 	// Seq numbers the changes of Work.
 	Seq      uint64
 	Work     []endpointWork
 	Counters []counter
-	Window   []usage
-	// Complete is set if Window misses no usage.
-	Complete bool
 	// Versions are the versions of the sender's documents, indexed by document number.
 	Versions []uint64
 	// Age is the time since these versions were last known to be the newest in the store.
@@ -151,3 +148,16 @@
 	// Age is the time since the sender's documents were last known to be the newest in the store.
 	Age time.Duration
 }
+
+// windowRequest asks for the receiver's knowledge of the usage in the current plan window.
+type windowRequest struct{}
+
+// windowResponse is the reply to a windowRequest.
+type windowResponse struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Complete is set if the sender knows all usage in the window. Otherwise State is empty.
+	Complete bool
+	State    admission.WindowState
+}
--- a/internal/statesync/send.go
+++ b/internal/statesync/send.go
@@ -31,8 +31,7 @@
 	hb.Versions, hb.Age = s.opts.Documents.Versions(), s.opts.Documents.Age()
 	if hb.Full {
 		seq, work := s.opts.Work.OwnWork()
-		used, complete := s.opts.Plans.WindowUsage()
-		hb.Seq, hb.Work, hb.Counters, hb.Window, hb.Complete = seq, flatWorkList(work), counterList(s.opts.Plans.OwnTotals()), usageList(used), complete
+		hb.Seq, hb.Work, hb.Counters = seq, flatWorkList(work), counterList(s.opts.Plans.OwnTotals())
 		s.repeatRemoteWork(seq, work)
 	}
 	to := s.members.isDirect
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -55,13 +55,17 @@
 	AddFromPeer(c admission.CounterKey, n int64)
 	// OwnTotals returns the counters of this VM since it started.
 	OwnTotals() map[admission.CounterKey]int64
-	// SeedWindow receives the usage in the current plan window that another VM knows of.
-	SeedWindow(tokens map[string]int64)
+	// WindowComplete reports whether this VM knows all usage in the current plan window.
+	WindowComplete() bool
+	// WindowState returns what this VM knows of the usage in the current plan window. ok is false if
+	// it does not know all of it.
+	WindowState() (state admission.WindowState, ok bool)
+	// AdoptWindow receives what another VM knows of the usage in the current plan window.
+	AdoptWindow(state admission.WindowState)
 	// SetDataCentreUsage receives what the VMs of another data centre admitted in the current plan window.
 	SetDataCentreUsage(dataCentre string, tokens map[string]int64)
-	// WindowUsage returns what this VM and its direct peers admitted in the current plan window as far
-	// as this VM knows; complete is set if it knows all of it.
-	WindowUsage() (tokens map[string]int64, complete bool)
+	// WindowUsage returns what this VM and its direct peers admitted in the current plan window.
+	WindowUsage() map[string]int64
 	// SetFleetShares receives the shares of the fleet and of plans that belong to the live VMs.
 	SetFleetShares(p admission.FleetShares)
 }
@@ -101,6 +105,8 @@
 	// wakeup signals that there are pending changes to send.
 	wakeup   chan struct{}
 	failures chan failure
+	// membersAdded signals that VMs were added to the member table.
+	membersAdded chan struct{}
 
 	mu      sync.Mutex
 	members *memberTable
@@ -143,7 +149,8 @@
 // New returns a Service and registers its handlers with the transport.
 func New(o Options) *Service {
 	s := &Service{
-		opts: o, wakeup: make(chan struct{}, 1), failures: make(chan failure, failureQueueSize), members: newMemberTable(o.Self),
+		opts: o, wakeup: make(chan struct{}, 1), failures: make(chan failure, failureQueueSize), membersAdded: make(chan struct{}, 1),
+		members: newMemberTable(o.Self),
 		pending: map[string]map[traffic.EndpointID]schedule.Work{}, remoteRepeats: map[string]int{}, counters: map[admission.CounterKey]int64{},
 		queues: map[netip.AddrPort]*sendQueue{}, fetching: map[int]bool{},
 	}
@@ -152,6 +159,7 @@
 	peer.Handle(o.Transport, peer.KindEndpointFailure, s.onFailure)
 	peer.Handle(o.Transport, peer.KindDocument, s.onDocumentRequest)
 	peer.Handle(o.Transport, peer.KindDigest, s.onDigest)
+	peer.Handle(o.Transport, peer.KindPlanWindow, s.onWindowRequest)
 	return s
 }
 
@@ -180,9 +188,12 @@
 	}
 }
 
-func (s *Service) wake() {
+func (s *Service) wake() { signal(s.wakeup) }
+
+// signal wakes the receiver of a channel of capacity 1, unless a signal is pending already.
+func signal(c chan struct{}) {
 	select {
-	case s.wakeup <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -203,6 +214,7 @@
 	s.wg.Go(func() { s.discover(ctx) })
 	s.wg.Go(func() { s.sendUpdates(ctx) })
 	s.wg.Go(func() { s.digestLoop(ctx) })
+	s.wg.Go(func() { s.adoptWindow(ctx) })
 	s.heartbeatLoop(ctx)
 	s.wg.Wait()
 }
@@ -257,6 +269,7 @@
 		s.opts.Log.Info("vm found in the registry", zap.String("vm", m.VM.Name), zap.Stringer("address", m.Address), zap.String("data_centre", m.DataCentre))
 	}
 	if len(added) > 0 {
+		signal(s.membersAdded)
 		s.sendHeartbeat()
 	}
 }
--- /dev/null
+++ b/internal/statesync/window.go
@@ -0,0 +1,90 @@
+package statesync
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/peer"
+)
+
+const (
+	// windowSources is the number of VMs that are asked at once for the usage in the plan window.
+	windowSources = 3
+	// windowTimeout bounds one request for it.
+	windowTimeout = 200 * time.Millisecond
+	// The pause between two rounds of requests doubles from minWindowPause to maxWindowPause.
+	minWindowPause = 20 * time.Millisecond
+	maxWindowPause = time.Second
+)
+
+// adoptWindow asks direct peers for the usage in the current plan window until this VM knows it.
+// Without it, a VM that restarts would admit calls of workspaces that have used up their plans. In
+// a fleet that starts as a whole no VM knows it, and each one counts for a window instead.
+func (s *Service) adoptWindow(ctx context.Context) {
+	pause := minWindowPause
+	for turn := 0; !s.opts.Plans.WindowComplete(); turn++ {
+		s.mu.Lock()
+		sources := s.members.windowSources(turn)
+		s.mu.Unlock()
+		if s.requestWindow(ctx, sources) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.membersAdded:
+			pause = minWindowPause
+		case <-time.After(pause):
+			pause = min(2*pause, maxWindowPause)
+		}
+	}
+}
+
+// windowSources returns the direct peers to ask for the usage in the plan window, live ones if there
+// are any. The choice rotates with turn.
+func (t *memberTable) windowSources(turn int) []netip.AddrPort {
+	sources := t.addresses(func(p *peerState) bool { return t.isDirect(p) && !p.unresponsive })
+	if len(sources) == 0 {
+		sources = t.addresses(t.isDirect)
+	}
+	if len(sources) <= windowSources {
+		return sources
+	}
+	slices.SortFunc(sources, netip.AddrPort.Compare)
+	first := turn * windowSources % len(sources)
+	return append(sources[first:], sources[:first]...)[:windowSources]
+}
+
+// requestWindow asks VMs for the usage in the plan window and adopts what they know. It reports
+// whether one of them knew all of it.
+func (s *Service) requestWindow(ctx context.Context, sources []netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, windowTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, addr := range sources {
+		wg.Go(func() {
+			resp, err := peer.Call[windowRequest, windowResponse](ctx, s.opts.Transport, addr, peer.KindPlanWindow, &windowRequest{})
+			if err != nil {
+				s.opts.Log.Debug("plan window not received", zap.Stringer("address", addr), zap.Error(err))
+				return
+			}
+			if resp.Complete {
+				s.opts.Plans.AdoptWindow(resp.State)
+				s.opts.Log.Info("plan window adopted", zap.Stringer("address", addr), zap.Int("workspaces", len(resp.State.Buckets)))
+			}
+		})
+	}
+	wg.Wait()
+	return s.opts.Plans.WindowComplete()
+}
+
+func (s *Service) onWindowRequest(context.Context, ident.VM, *windowRequest) (*windowResponse, error) {
+	state, ok := s.opts.Plans.WindowState()
+	return &windowResponse{Complete: ok, State: state}, nil
+}
