ledger: an outcome that a repeat waits for is written at once

Cause of the known red TestRepeatWaitsForTheOutcome: a repeat waits 1 s for the outcome of the first attempt, and an outcome was held back for 0.5 s to be written with others. The clock of the test runs ten times as fast while the ticks of the owner do not, so 50 ms of delay and a tick of 50 ms met a wait of 100 ms.

Change: a finish whose key a repeat waits for makes its batch urgent. Callers that repeat get the answer half a second sooner. A test without a clock (TestAwaitedOutcomeIsWrittenAtOnce) fails before and passes after.

--- a/internal/ledger/decision_test.go
+++ b/internal/ledger/decision_test.go
@@ -70,6 +70,31 @@
 	}
 }
 
+// A repeat that waits for the outcome gets it as soon as it is known: the outcome is written at once
+// instead of after FlushDelay.
+func TestAwaitedOutcomeIsWrittenAtOnce(t *testing.T) {
+	s := newSimulation(t)
+	loc, _ := locate("w", newKey(epoch, 1))
+	first := operation{fingerprint: 1, nonce: "a", outcome: Outcome{Status: 201}}
+	s.execute(loc, opBegin, first)
+	submitted := func(id uint64, kind operationKind, op operation) *result {
+		op.id, op.kind, op.location = id, kind, loc
+		op.wallTime, op.deadline = epoch, s.now.Add(defaultTimeout)
+		return s.performActions(s.machine.Step(s.now, submit{&op}))
+	}
+	if got := submitted(100, opBegin, operation{fingerprint: 1, nonce: "b"}); got != nil {
+		t.Fatalf("the repeat did not wait: %+v", got)
+	}
+	s.now = s.now.Add(OutcomeWait - tickPeriod)
+	if got := submitted(101, opFinish, first); got == nil || got.err != nil {
+		t.Fatalf("the outcome was not recorded at once: %+v", got)
+	}
+	again := submitted(102, opBegin, operation{fingerprint: 1, nonce: "c"})
+	if again == nil || again.outcome == nil || again.outcome.Status != 201 {
+		t.Fatalf("a repeat after the outcome got %+v, want status 201", again)
+	}
+}
+
 func TestDecisionsForOneKey(t *testing.T) {
 	first := operation{fingerprint: 1, nonce: "a", outcome: Outcome{Status: 201}}
 	s := newSimulation(t)
--- a/internal/ledger/evaluate.go
+++ b/internal/ledger/evaluate.go
@@ -13,6 +13,8 @@
 	// write is delayed until flushAt.
 	urgent  bool
 	flushAt clock.Instant
+	// awaited holds the keys whose outcome a repeated begin operation waits for.
+	awaited map[keyHash]bool
 	// needsRead is set if an operation requires a page read issued after its arrival.
 	needsRead bool
 	// recordBytes and bodyBytes are the sizes after the write of the records, excluding response
@@ -34,7 +36,7 @@
 // evaluate completes the operations that can be decided from the confirmed records and stages the
 // changes that the others need.
 func (p *page) evaluate(o *owner, now clock.Instant) batch {
-	b := batch{staged: map[keyHash]record{}, recordBytes: p.recordBytes, bodyBytes: p.bodyBytes}
+	b := batch{staged: map[keyHash]record{}, awaited: map[keyHash]bool{}, recordBytes: p.recordBytes, bodyBytes: p.bodyBytes}
 	p.waiting = slices.DeleteFunc(p.waiting, func(op *operation) bool {
 		res, decided := p.decideOperation(now, op, &b)
 		if decided {
@@ -126,6 +128,7 @@
 		return undecided, false
 	}
 	if now.Before(op.arrivedAt.Add(OutcomeWait)) {
+		b.awaited[op.location.hash] = true
 		return undecided, false
 	}
 	return result{err: errOutcomeUnknown}, true
@@ -149,6 +152,7 @@
 	r.State = stateDone
 	r.Outcome = b.limitBody(op.outcome)
 	b.staged[op.location.hash] = r
+	b.urgent = b.urgent || b.awaited[op.location.hash]
 	b.flushBy(op.arrivedAt.Add(FlushDelay))
 	return undecided, false
 }
