--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -103,13 +103,20 @@
 // VMs are direct peers.
 func (p *Plans) SetRemainderShare(share float64) { p.remainderShare = share }
 
-func (p *Plans) account(now clock.Instant, workspace string, l Limit) *account {
+// usage returns the account of a workspace, whose limit is not set if it is new.
+func (p *Plans) usage(now clock.Instant, workspace string) *account {
 	a := p.accounts[workspace]
 	if a == nil {
-		a = &account{limit: l, bucket: p.bucket(now)}
+		a = &account{bucket: p.bucket(now)}
 		p.accounts[workspace] = a
 	}
 	p.advance(a, now)
+	return a
+}
+
+// account returns the account of a workspace, with its current limit.
+func (p *Plans) account(now clock.Instant, workspace string, l Limit) *account {
+	a := p.usage(now, workspace)
 	if a.limit == (Limit{}) {
 		a.limit = l // the account was created from another VM's report
 	}
@@ -245,10 +252,8 @@
 
 // AddFromPeer adds what another VM admitted. tokens is negative for a refund.
 func (p *Plans) AddFromPeer(now clock.Instant, workspace string, tokens int64) {
-	if a := p.accounts[workspace]; a != nil {
-		p.advance(a, now)
-		a.add(max(tokens, -a.sum))
-	}
+	a := p.usage(now, workspace)
+	a.add(max(tokens, -a.sum))
 }
 
 // ownTotals adds what this VM admitted since its start to out.
--- a/internal/admission/plan_test.go
+++ b/internal/admission/plan_test.go
@@ -61,6 +61,10 @@
 		{"within the plan", func(p *Plans) bool { return p.Admit(at(0), "w", limit, 8000).Admitted }, true},
 		{"over the plan", func(p *Plans) bool { return p.Admit(at(0), "w", limit, 9000).Admitted }, false},
 		{"no limit", func(p *Plans) bool { return p.Admit(at(0), "w", Limit{}, 1<<40).Admitted }, true},
+		{"usage by other VMs before this VM's first call counts", func(p *Plans) bool {
+			p.AddFromPeer(at(0), "w", 8000)
+			return p.Admit(at(0), "w", limit, 1000).Admitted
+		}, false},
 		{"usage by other VMs counts", func(p *Plans) bool {
 			p.Admit(at(0), "w", limit, 1)
 			p.AddFromPeer(at(0), "w", 8000)
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -93,13 +93,7 @@
 	}
 	p.seeded = true
 	for name, tokens := range state.Buckets {
-		a := p.accounts[name]
-		if a == nil {
-			a = &account{bucket: p.bucket(now)}
-			p.accounts[name] = a
-		}
-		p.advance(a, now)
-		a.raise(tokens)
+		p.usage(now, name).raise(tokens)
 	}
 	for name, r := range state.DataCentres {
 		if at := now.Add(-r.Age); at > p.dataCentres[name].at {
