Serve a store that is restored from a backup

The store may come back from a copy some seconds old: versions go back and are given out again, and its era rises. Until now a table counted as newer by its version alone, so VMs would have kept and handed on a table that no longer exists, and the fencing token could be used twice.

What was leaving stays leaving, what only the backup lists is not used before it has written again, VMs register again, the lease counts as lost, and fencing tokens of an era lie above those of all earlier ones. A VM that starts learns the documents' versions from the peers it asks for the plan window.

--- a/internal/activeconfig/refresher.go
+++ b/internal/activeconfig/refresher.go
@@ -13,11 +13,11 @@
 
 // Source reads the store.
 type Source interface {
-	// Endpoints returns the endpoint table. Its version increases with every change of any object
-	// in the store.
+	// Endpoints returns the endpoint table. Within an era of the store its version increases with
+	// every change of any object in the store.
 	Endpoints(ctx context.Context) (traffic.Endpoints, error)
-	// Configuration returns the configuration as operators wrote it.
-	Configuration(ctx context.Context) ([]byte, error)
+	// Configuration returns the configuration as operators wrote it, and the era of the store.
+	Configuration(ctx context.Context) (raw []byte, era uint64, err error)
 }
 
 const (
@@ -65,7 +65,7 @@
 	failures  int
 	storeLost bool
 	// configReadVersion is the version of the store at the last read of the configuration.
-	configReadVersion uint64
+	configReadVersion traffic.DocumentVersion
 }
 
 // Run reads the store whenever it is due, until ctx ends.
@@ -112,15 +112,15 @@
 	if err != nil {
 		return err
 	}
-	if e.Version != r.configReadVersion || r.State.Configuration() == nil {
-		raw, err := r.Source.Configuration(ctx)
+	if tableVersion(e) != r.configReadVersion || r.State.Configuration() == nil {
+		raw, era, err := r.Source.Configuration(ctx)
 		if err != nil {
 			return err
 		}
-		if err := r.State.ApplyConfiguration(raw, "store"); err != nil {
+		if err := r.State.ApplyConfiguration(raw, era, "store"); err != nil {
 			r.Log.Error("configuration passed over", zap.Uint64("table_version", e.Version), zap.Error(err))
 		}
-		r.configReadVersion = e.Version
+		r.configReadVersion = tableVersion(e)
 	}
 	r.State.ApplyEndpoints(e, asOf, "store")
 	if r.OnRead != nil {
--- /dev/null
+++ b/internal/activeconfig/restore.go
@@ -0,0 +1,61 @@
+package activeconfig
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// restoredStore selects the endpoints to use from the tables of a store that was restored from a
+// backup, by what was known before: the backup may list endpoints that are gone.
+type restoredStore struct {
+	// known holds the endpoints of the last table before.
+	known map[traffic.EndpointID]bool
+	// version is the store's version when this VM learned of the restoration. Entries up to it may be
+	// those of the backup. An endpoint that was not known before is used once it has written its
+	// entry again.
+	version uint64
+	// confirmedAt is when the entries of endpoints that are gone have expired in the store, so that
+	// all others are used.
+	confirmedAt clock.Instant
+}
+
+// expiryMargin is added to the time after which the store removes an entry without a heartbeat.
+const expiryMargin = time.Second
+
+// enterEra records the store's era with the first endpoint table, and prepares for the tables of a
+// store that was restored from a backup. s.mu must be held.
+func (s *State) enterEra(now clock.Instant, e traffic.Endpoints) {
+	s.opts.OnEra(e.Era, s.hasTable)
+	if !s.hasTable {
+		return
+	}
+	s.opts.Log.Warn("store restored from a backup", zap.Uint64("era", e.Era), zap.Uint64("table_version", e.Version),
+		zap.Uint64("previous_era", s.endpoints.Era), zap.Uint64("previous_table_version", s.endpoints.Version),
+		zap.Duration("retain_endpoints_for", s.opts.ReregisterTime))
+	s.retainUntil = now.Add(s.opts.ReregisterTime)
+	s.restored = newRestoredStore(s.endpoints.List, e.Version, now.Add(2*s.opts.EndpointTTL+expiryMargin))
+}
+
+func newRestoredStore(previous []traffic.Endpoint, version uint64, confirmedAt clock.Instant) *restoredStore {
+	r := &restoredStore{known: map[traffic.EndpointID]bool{}, version: version, confirmedAt: confirmedAt}
+	for _, e := range previous {
+		r.known[e.ID] = true
+	}
+	return r
+}
+
+// confirmed returns the endpoints of a list that may be used.
+func (r *restoredStore) confirmed(now clock.Instant, list []traffic.Endpoint) []traffic.Endpoint {
+	out := make([]traffic.Endpoint, 0, len(list))
+	for _, e := range list {
+		if r.known[e.ID] || e.Version > r.version && !e.Retained || !now.Before(r.confirmedAt) {
+			r.known[e.ID] = true
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- a/internal/activeconfig/state.go
+++ b/internal/activeconfig/state.go
@@ -1,8 +1,11 @@
 // Package activeconfig holds the configuration and the endpoint table that a VM uses: the newest ones
-// it received from the store or from another VM. An older version never replaces a newer one.
+// it received from the store or from another VM. An older version never replaces a newer one, also
+// if the store is restored from a backup.
 package activeconfig
 
 import (
+	"bytes"
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -34,6 +37,10 @@
 	// ReregisterTime is the time that endpoints may take to register again after an outage of the
 	// store.
 	ReregisterTime time.Duration
+	// OnEra is called with the store's era of the first endpoint table, and with each higher one when
+	// the store has been restored from a backup. It is called by one goroutine at a time, must not
+	// block and may be nil.
+	OnEra func(era uint64, restored bool)
 }
 
 // State holds the configuration and the endpoint table in force.
@@ -41,8 +48,10 @@
 	opts   Options
 	config atomic.Pointer[traffic.Configuration]
 
-	mu        sync.Mutex
-	raw       []byte
+	mu  sync.Mutex
+	raw []byte
+	// configEra is the era of the store in which the configuration in force was read last.
+	configEra uint64
 	endpoints traffic.Endpoints
 	hasTable  bool
 	// asOf is the latest time at which the store is known to have held this table, read by this
@@ -53,12 +62,19 @@
 	// hasRetained is set if the table was applied before retainUntil, and so may contain endpoints
 	// that the store does not have.
 	hasRetained bool
+	// restored is what was known before the store was restored from a backup, nil if it never was.
+	restored *restoredStore
 	// encoded caches the documents as last sent to other VMs.
 	encoded [documentCount]encodedDocument
 }
 
 // New returns a State without configuration and endpoint table.
-func New(o Options) *State { return &State{opts: o} }
+func New(o Options) *State {
+	if o.OnEra == nil {
+		o.OnEra = func(uint64, bool) {}
+	}
+	return &State{opts: o}
+}
 
 // Configuration returns the configuration in force, nil before the first.
 func (s *State) Configuration() *traffic.Configuration { return s.config.Load() }
@@ -70,8 +86,11 @@
 	return s.hasTable && s.config.Load() != nil
 }
 
-// ApplyConfiguration applies a configuration if it is newer than the one in force.
-func (s *State) ApplyConfiguration(raw []byte, from string) error {
+// ApplyConfiguration applies a configuration, read in the given era of the store, if it is newer
+// than the one in force: if its version is higher, or was written again in a later era. A store that
+// was restored from a backup has an older configuration until operators write the newest one again;
+// until then that one stays in force, so that no withdrawn key is valid again.
+func (s *State) ApplyConfiguration(raw []byte, era uint64, from string) error {
 	c, err := s.opts.Decode(raw)
 	if err != nil {
 		return err
@@ -79,12 +98,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.config.Load()
-	if old != nil && c.Version <= old.Version {
+	if old != nil && !newerConfiguration(traffic.DocumentVersion{Era: era, Number: c.Version}, s.configVersion(old)) {
+		return nil
+	}
+	s.configEra = era
+	if old != nil && bytes.Equal(raw, s.raw) {
 		return nil
 	}
 	s.raw = raw
 	s.config.Store(c)
-	s.opts.Log.Info("configuration in force", zap.Uint64("version", c.Version), zap.String("from", from),
+	s.opts.Log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Uint64("era", era), zap.String("from", from),
 		zap.Int("services", len(c.Services)), zap.Int("workspaces", len(c.Workspaces)))
 	s.opts.OnChange(c, s.endpoints)
 	return nil
@@ -99,16 +122,26 @@
 
 func (s *State) applyEndpointsLocked(e traffic.Endpoints, asOf clock.Instant, from string) {
 	now := s.opts.Clock.Now()
-	if s.hasTable && e.Version < s.endpoints.Version {
+	if s.hasTable && newerTable(tableVersion(s.endpoints), tableVersion(e)) {
 		return
 	}
+	if !s.hasTable || e.Era > s.endpoints.Era {
+		s.enterEra(now, e)
+	}
+	if s.hasTable {
+		e.List = withoutUnknownRetained(e.List, s.endpoints.List)
+	}
+	if s.restored != nil {
+		e.List = s.restored.confirmed(now, e.List)
+	}
+	keepLeaving(e.List, s.endpoints.List)
 	if s.hasTable && asOf.Sub(s.asOf) > s.opts.EndpointTTL {
 		s.retainUntil = now.Add(s.opts.ReregisterTime)
 		s.opts.Log.Info("store regained", zap.Duration("unavailable_for", asOf.Sub(s.asOf)), zap.Duration("retain_endpoints_for", s.opts.ReregisterTime))
 	}
 	s.asOf = max(s.asOf, asOf)
 	retain := now.Before(s.retainUntil)
-	if s.hasTable && !retain && !s.hasRetained && sameEndpoints(e.List, s.endpoints.List) {
+	if s.hasTable && !retain && !s.hasRetained && e.Era == s.endpoints.Era && sameEndpoints(e.List, s.endpoints.List) {
 		return // the version changed for other objects; no need to send the table to other VMs
 	}
 	if s.hasRetained = retain; retain {
@@ -144,14 +177,36 @@
 
 // ConfirmVersion records that, according to another VM, the store held this version of the table at
 // the time age before now.
-func (s *State) ConfirmVersion(version uint64, age time.Duration) {
+func (s *State) ConfirmVersion(version traffic.DocumentVersion, age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.hasTable && version == s.endpoints.Version && !s.hasRetained {
+	if s.hasTable && version == tableVersion(s.endpoints) && !s.hasRetained {
 		s.asOf = max(s.asOf, s.opts.Clock.Now().Add(-age))
 	}
 }
 
+// withoutUnknownRetained returns list without the endpoints that another VM has retained and that
+// previous lacks: this VM knows that they are gone.
+func withoutUnknownRetained(list, previous []traffic.Endpoint) []traffic.Endpoint {
+	known := map[traffic.EndpointID]bool{}
+	for _, e := range previous {
+		known[e.ID] = true
+	}
+	return slices.DeleteFunc(list, func(e traffic.Endpoint) bool { return e.Retained && !known[e.ID] })
+}
+
+// keepLeaving marks the endpoints of list that were leaving in previous. An endpoint that has begun to
+// leave never becomes ready again, but a store that was restored from a backup may say so.
+func keepLeaving(list, previous []traffic.Endpoint) {
+	leaving := map[traffic.EndpointID]bool{}
+	for _, e := range previous {
+		leaving[e.ID] = e.Leaving
+	}
+	for i, e := range list {
+		list[i].Leaving = e.Leaving || leaving[e.ID]
+	}
+}
+
 // withRetained adds to list the endpoints of previous that it lacks.
 func withRetained(list, previous []traffic.Endpoint) []traffic.Endpoint {
 	listed := map[string]bool{}
@@ -160,6 +215,7 @@
 	}
 	for _, e := range previous {
 		if !listed[e.ID.Name] {
+			e.Retained = true
 			list = append(list, e)
 		}
 	}
@@ -192,32 +248,54 @@
 	}
 }
 
-// Versions returns the version of each document, 0 for none.
-func (s *State) Versions() []uint64 {
+// Versions returns the version of each document, number 0 for none.
+func (s *State) Versions() []traffic.DocumentVersion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.versions()
 }
 
-func (s *State) versions() []uint64 {
-	out := make([]uint64, documentCount)
+func (s *State) versions() []traffic.DocumentVersion {
+	out := make([]traffic.DocumentVersion, documentCount)
 	if c := s.config.Load(); c != nil {
-		out[DocumentConfiguration] = c.Version
+		out[DocumentConfiguration] = s.configVersion(c)
 	}
-	out[DocumentEndpoints] = s.endpoints.Version
+	out[DocumentEndpoints] = tableVersion(s.endpoints)
 	return out
 }
 
+func (s *State) configVersion(c *traffic.Configuration) traffic.DocumentVersion {
+	return traffic.DocumentVersion{Era: s.configEra, Number: c.Version}
+}
+
+func tableVersion(e traffic.Endpoints) traffic.DocumentVersion {
+	return traffic.DocumentVersion{Era: e.Era, Number: e.Version}
+}
+
+// newerConfiguration reports whether a is newer than b. Operators number configurations, so the
+// number decides, also across eras.
+func newerConfiguration(a, b traffic.DocumentVersion) bool {
+	return cmp.Or(cmp.Compare(a.Number, b.Number), cmp.Compare(a.Era, b.Era)) > 0
+}
+
+// newerTable reports whether a is newer than b. The store numbers tables, so numbers of different
+// eras cannot be compared.
+func newerTable(a, b traffic.DocumentVersion) bool {
+	return cmp.Or(cmp.Compare(a.Era, b.Era), cmp.Compare(a.Number, b.Number)) > 0
+}
+
 // NeedsVersion reports whether another VM's version of a document is newer than the local one.
-func (s *State) NeedsVersion(document int, version uint64) bool {
+func (s *State) NeedsVersion(document int, version traffic.DocumentVersion) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if version.Number == 0 {
+		return false
+	}
 	switch document {
 	case DocumentConfiguration:
-		c := s.config.Load()
-		return version > 0 && (c == nil || version > c.Version)
+		return newerConfiguration(version, s.versions()[document])
 	case DocumentEndpoints:
-		return version > s.endpoints.Version
+		return newerTable(version, s.versions()[document])
 	}
 	return false
 }
--- a/internal/activeconfig/state_test.go
+++ b/internal/activeconfig/state_test.go
@@ -58,7 +58,7 @@
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	st, _ := newTestState(&fakeClock{})
 	for _, raw := range []string{"3", "5", "4", "broken"} {
-		if err := st.ApplyConfiguration([]byte(raw), "test"); (err != nil) != (raw == "broken") {
+		if err := st.ApplyConfiguration([]byte(raw), 0, "test"); (err != nil) != (raw == "broken") {
 			t.Errorf("configuration %s: error %v", raw, err)
 		}
 	}
@@ -121,13 +121,13 @@
 	st.ApplyEndpoints(table(7, "a", "b"), c.now, "store")
 	c.now = c.now.Add(time.Second)
 	st.ApplyEndpoints(table(9, "a", "b"), c.now, "store")
-	if v := st.Versions()[DocumentEndpoints]; v != 7 || st.Age() != 0 {
+	if v := st.Versions()[DocumentEndpoints].Number; v != 7 || st.Age() != 0 {
 		t.Errorf("version %d, age %s, want 7 and 0", v, st.Age())
 	}
 	leaving := table(10, "a", "b")
 	leaving.List[1].Leaving = true
 	st.ApplyEndpoints(leaving, c.now, "store")
-	if v := st.Versions()[DocumentEndpoints]; v != 10 {
+	if v := st.Versions()[DocumentEndpoints].Number; v != 10 {
 		t.Errorf("version %d after an endpoint began to leave, want 10", v)
 	}
 }
@@ -136,7 +136,7 @@
 	c := &fakeClock{now: clock.Instant(time.Hour)}
 	from, _ := newTestState(c)
 	to, last := newTestState(c)
-	if err := from.ApplyConfiguration([]byte("4"), "store"); err != nil {
+	if err := from.ApplyConfiguration([]byte("4"), 0, "store"); err != nil {
 		t.Fatal(err)
 	}
 	from.ApplyEndpoints(table(9, "a"), c.now.Add(-300*time.Millisecond), "store")
@@ -148,7 +148,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := to.Apply(i, body, from.Age(), "other"); err != nil {
+		if err := to.Apply(i, version.Era, body, from.Age(), "other"); err != nil {
 			t.Fatal(err)
 		}
 		if to.NeedsVersion(i, version) {
@@ -163,7 +163,7 @@
 		t.Fatal(err)
 	}
 	for _, body := range [][]byte{{0xc1}, invalid, nil} {
-		if err := to.Apply(DocumentEndpoints, body, 0, "other"); err == nil {
+		if err := to.Apply(DocumentEndpoints, 0, body, 0, "other"); err == nil {
 			t.Errorf("the invalid table %x was accepted", body)
 		}
 	}
@@ -184,8 +184,8 @@
 	}
 	st.ApplyEndpoints(e, c.now, "store")
 	version, body, err := st.Encode(DocumentEndpoints)
-	if err != nil || version != 7 || len(body) > 10_000 {
-		t.Errorf("version %d, %d bytes, error %v, want version 7 in 10 kB at most", version, len(body), err)
+	if err != nil || version.Number != 7 || len(body) > 10_000 {
+		t.Errorf("version %v, %d bytes, error %v, want version 7 in 10 kB at most", version, len(body), err)
 	}
 	if _, again, err := st.Encode(DocumentEndpoints); err != nil || &again[0] != &body[0] {
 		t.Error("the same version was encoded twice")
@@ -223,7 +223,9 @@
 	return s.reads
 }
 
-func (s *fakeSource) Configuration(context.Context) ([]byte, error) { return []byte(s.config), nil }
+func (s *fakeSource) Configuration(context.Context) ([]byte, uint64, error) {
+	return []byte(s.config), 0, nil
+}
 
 // TestOneVMReads checks that of two VMs that can reach each other one reads the store, and that the
 // other takes over when the first cannot reach the store.
--- a/internal/activeconfig/transfer.go
+++ b/internal/activeconfig/transfer.go
@@ -15,33 +15,33 @@
 // encodedDocument caches the compressed form of a document. Many VMs request the same version at
 // the same time, possibly over slow links.
 type encodedDocument struct {
-	version uint64
+	version traffic.DocumentVersion
 	body    []byte
 }
 
 // maxDocumentSize bounds the decompressed size of a document from another VM.
 const maxDocumentSize = 64 << 20
 
-// Encode returns a document encoded for another VM, and its version, 0 for none.
-func (s *State) Encode(document int) (uint64, []byte, error) {
+// Encode returns a document encoded for another VM, and its version, number 0 for none.
+func (s *State) Encode(document int) (traffic.DocumentVersion, []byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	version := s.versions()[document]
 	cached := &s.encoded[document]
 	// While endpoints are retained, the table may change without its version, so it is encoded again.
-	if version == 0 || cached.version == version && !s.hasRetained {
+	if version.Number == 0 || cached.version == version && !s.hasRetained {
 		return version, cached.body, nil
 	}
 	raw := s.raw
 	if document == DocumentEndpoints {
 		var err error
 		if raw, err = msgpack.Marshal(&s.endpoints); err != nil {
-			return 0, nil, fault.Wrap(err, fault.Internal, "report this", "encode the endpoint table")
+			return version, nil, fault.Wrap(err, fault.Internal, "report this", "encode the endpoint table")
 		}
 	}
 	body, err := compress(raw)
 	if err != nil {
-		return 0, nil, fault.Wrap(err, fault.Internal, "report this", "compress a document")
+		return version, nil, fault.Wrap(err, fault.Internal, "report this", "compress a document")
 	}
 	*cached = encodedDocument{version: version, body: body}
 	return version, body, nil
@@ -73,15 +73,15 @@
 
 var errDocumentTooLarge = fault.New(fault.TooLarge, "reduce the configuration or the number of endpoints", "the document exceeds the size limit")
 
-// Apply applies a document from another VM. age is the time since the store was last known to
-// hold the endpoint table that the other VM has.
-func (s *State) Apply(document int, body []byte, age time.Duration, from string) error {
+// Apply applies a document of the given era from another VM. age is the time since the store was
+// last known to hold the endpoint table that the other VM has.
+func (s *State) Apply(document int, era uint64, body []byte, age time.Duration, from string) error {
 	raw, err := decompress(body)
 	if err != nil {
 		return err
 	}
 	if document == DocumentConfiguration {
-		return s.ApplyConfiguration(raw, from)
+		return s.ApplyConfiguration(raw, era, from)
 	}
 	var e traffic.Endpoints
 	if err := msgpack.Unmarshal(raw, &e); err != nil {
--- a/internal/rebalance/planner_test.go
+++ b/internal/rebalance/planner_test.go
@@ -97,7 +97,9 @@
 // fakeCluster implements a store with one lease, and engines that accept any order and of which one
 // can always be moved.
 type fakeCluster struct {
-	lease  Lease
+	lease Lease
+	// era is the store's era.
+	era    uint64
 	orders []order
 	moving []traffic.EndpointID
 	// leaseDelay is how long AcquireLease takes.
@@ -118,10 +120,14 @@
 
 func (m *manualClock) Now() clock.Instant { return m.now }
 
-func (c *fakeCluster) ReadLease(context.Context) (Lease, error) { return c.lease, nil }
+func (c *fakeCluster) ReadLease(context.Context) (Lease, error) {
+	l := c.lease
+	l.Era = c.era
+	return l, nil
+}
 
 func (c *fakeCluster) AcquireLease(_ context.Context, next Lease) error {
-	if next.Version != c.lease.Version {
+	if next.Version != c.lease.Version || next.Era != c.era {
 		return errNotAcquired
 	}
 	next.Version++
@@ -153,7 +159,9 @@
 func (c *fakeCluster) MarkChangingStage(id traffic.EndpointID) { c.moving = append(c.moving, id) }
 
 func (c *fakeCluster) newRebalancer(name string) *Rebalancer {
-	return &Rebalancer{Self: name, Clock: c.clock, Store: c, Engines: c, Pools: c, LeaseDuration: 3 * time.Second, Log: zap.NewNop(), planner: NewPlanner()}
+	r := &Rebalancer{Self: name, Clock: c.clock, Store: c, Engines: c, Pools: c, LeaseDuration: 3 * time.Second, Log: zap.NewNop(), planner: NewPlanner()}
+	r.eraKnownAt = c.clock.now.Add(-time.Minute)
+	return r
 }
 
 // TestOnlyOneHolderAtATime checks that a second VM waits for the lease of the first to expire, and
--- a/internal/rebalance/rebalancer.go
+++ b/internal/rebalance/rebalancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,12 +20,16 @@
 	Fence uint64
 	// Version is the store's version for the conditional write; 0 if there is no lease yet.
 	Version uint64
+	// Era is the era of the store in which the lease was read. It rises when the store is restored
+	// from a backup, which may lose the last acquisitions.
+	Era uint64
 }
 
 // LeaseStore persists the lease.
 type LeaseStore interface {
 	ReadLease(ctx context.Context) (Lease, error)
-	// AcquireLease writes next if the stored lease still has next.Version.
+	// AcquireLease writes next if the stored lease still has next.Version. It fails if the store is in
+	// another era than next.Era.
 	AcquireLease(ctx context.Context, next Lease) error
 }
 
@@ -62,6 +67,11 @@
 	planner     *Planner
 	lastLease   Lease
 	lastLeaseAt clock.Instant
+
+	mu sync.Mutex
+	// era is the last known era of the store, eraKnownAt when it was first known.
+	era        uint64
+	eraKnownAt clock.Instant
 }
 
 const (
@@ -74,8 +84,30 @@
 	leaseMargin = 1500 * time.Millisecond
 	// retryDelay is the delay after a move that failed.
 	retryDelay = 2 * time.Second
+	// fencesPerEra is the number of fencing tokens of an era of the store. As the tokens of an era are
+	// above those of all earlier ones, none is used again if a restored store has lost the last one.
+	fencesPerEra = 1 << 24
 )
 
+// SetStoreEra records the era of the store. In a new era the lease counts as lost.
+func (r *Rebalancer) SetStoreEra(era uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.eraKnownAt != 0 && era <= r.era {
+		return
+	}
+	r.era, r.eraKnownAt = era, r.Clock.Now()
+	r.Log.Info("rebalancing lease lost with the store's previous era", zap.Uint64("era", era),
+		zap.Duration("acquired_after", r.LeaseDuration+leaseMargin))
+}
+
+// storeEra returns the last known era of the store and for how long it has been known.
+func (r *Rebalancer) storeEra() (era uint64, known time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.era, r.Clock.Now().Sub(r.eraKnownAt)
+}
+
 // Run samples the utilization and sends orders until ctx is done.
 func (r *Rebalancer) Run(ctx context.Context) {
 	r.planner = NewPlanner()
@@ -115,7 +147,7 @@
 		return fault.New(fault.Conflict, "wait until the other VM's lease expires", "another VM holds the rebalancing lease")
 	}
 	startedAt := r.Clock.Now()
-	next := Lease{Holder: r.Self, Fence: lease.Fence + 1, Version: lease.Version}
+	next := Lease{Holder: r.Self, Fence: max(lease.Fence, lease.Era*fencesPerEra) + 1, Version: lease.Version, Era: lease.Era}
 	if err := r.Store.AcquireLease(ctx, next); err != nil {
 		return err
 	}
@@ -123,22 +155,22 @@
 		return fault.New(fault.Timeout, "no action needed: the move is retried", "acquiring the rebalancing lease timed out")
 	}
 	r.planner.StartCooldown(r.Clock.Now(), m.Service)
-	r.sendOrders(ctx, m, next.Fence)
+	r.sendOrders(ctx, m, next)
 	return nil
 }
 
-// sendOrders sends the orders of a move.
-func (r *Rebalancer) sendOrders(ctx context.Context, m Move, fence uint64) {
+// sendOrders sends the orders of a move while the lease is held.
+func (r *Rebalancer) sendOrders(ctx context.Context, m Move, lease Lease) {
 	var ordered []traffic.EndpointID
 	for range m.Count {
 		e, ok := r.Pools.LeastLoaded(m.Service, m.From, ordered)
-		if !ok || ctx.Err() != nil {
+		if era, _ := r.storeEra(); !ok || ctx.Err() != nil || era != lease.Era {
 			return
 		}
 		ordered = append(ordered, e.ID)
-		err := r.Engines.OrderStage(ctx, e, m.To, r.Self, fence)
+		err := r.Engines.OrderStage(ctx, e, m.To, r.Self, lease.Fence)
 		r.Log.Info("stage ordered", zap.String("service", m.Service), zap.String("endpoint", e.ID.Name), zap.Stringer("from", m.From),
-			zap.Stringer("to", m.To), zap.Uint64("fence", fence), zap.Error(err))
+			zap.Stringer("to", m.To), zap.Uint64("fence", lease.Fence), zap.Error(err))
 		// Unless the engine rejected the order, it is assumed to change its stage: it may execute the
 		// order although its response was lost. The endpoint table then shows the new stage.
 		if !fault.Is(err, fault.Conflict) {
@@ -148,9 +180,14 @@
 }
 
 // leaseAvailable reports whether this VM may acquire the lease: it is the last holder, or the
-// stored lease of another VM has not changed for LeaseDuration and leaseMargin.
+// stored lease of another VM has not changed for LeaseDuration and leaseMargin. For that long after
+// the store was restored, another VM may still rely on an acquisition that the store has lost.
 func (r *Rebalancer) leaseAvailable(l Lease) bool {
+	r.SetStoreEra(l.Era)
 	now := r.Clock.Now()
+	if era, known := r.storeEra(); era != l.Era || known < r.LeaseDuration+leaseMargin {
+		return false
+	}
 	if l.Version == 0 || l.Holder == r.Self {
 		return true
 	}
--- a/internal/statesync/digest_test.go
+++ b/internal/statesync/digest_test.go
@@ -102,14 +102,15 @@
 func (n *node) AdoptWindow(admission.WindowState)                      {}
 func (n *node) OwnTotals() map[admission.CounterKey]int64              { return nil }
 func (n *node) SetFleetShares(admission.FleetShares)                   {}
-func (n *node) Versions() []uint64                                     { return []uint64{1} }
+func (n *node) Versions() []traffic.DocumentVersion                    { return []traffic.DocumentVersion{{Number: 1}} }
 
-func (n *node) NeedsVersion(int, uint64) bool { return false }
+func (n *node) NeedsVersion(int, traffic.DocumentVersion) bool { return false }
+
+func (n *node) Encode(int) (traffic.DocumentVersion, []byte, error)    { return n.Versions()[0], nil, nil }
+func (n *node) Apply(int, uint64, []byte, time.Duration, string) error { return nil }
+func (n *node) Age() time.Duration                                     { return 0 }
+func (n *node) ConfirmVersion(traffic.DocumentVersion, time.Duration)  {}
 
-func (n *node) Encode(int) (uint64, []byte, error)                                 { return 1, nil, nil }
-func (n *node) Apply(int, []byte, time.Duration, string) error                     { return nil }
-func (n *node) Age() time.Duration                                                 { return 0 }
-func (n *node) ConfirmVersion(uint64, time.Duration)                               {}
 func (n *node) WindowUsage() map[string]int64                                      { return map[string]int64{"w": 70} }
 func (n *node) OwnWork() (uint64, map[string]map[traffic.EndpointID]schedule.Work) { return 0, nil }
 func (n *node) CombinedWork(others []ident.VM, _ string) map[traffic.EndpointID]schedule.Work {
--- a/internal/statesync/handlers.go
+++ b/internal/statesync/handlers.go
@@ -106,7 +106,7 @@
 }
 
 // requestNewer fetches the documents of which another VM reports a newer version.
-func (s *Service) requestNewer(from Member, versions []uint64, age time.Duration) {
+func (s *Service) requestNewer(from Member, versions []traffic.DocumentVersion, age time.Duration) {
 	if n := len(versions); n > 0 {
 		s.opts.Documents.ConfirmVersion(versions[n-1], age)
 	}
@@ -132,10 +132,10 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	req := &documentRequest{Document: document, NewerThan: s.opts.Documents.Versions()[document]}
+	req := &documentRequest{Document: document, Known: s.opts.Documents.Versions()[document]}
 	resp, err := peer.Call[documentRequest, documentResponse](ctx, s.opts.Transport, addr, peer.KindDocument, req)
 	if err == nil && resp.Body != nil {
-		err = s.opts.Documents.Apply(document, resp.Body, resp.Age, vm.Name)
+		err = s.opts.Documents.Apply(document, resp.Version.Era, resp.Body, resp.Age, vm.Name)
 	}
 	if err != nil {
 		s.opts.Log.Warn("could not fetch document", zap.Int("document", document), zap.Stringer("vm", vm), zap.Error(err))
@@ -144,7 +144,7 @@
 
 func (s *Service) onDocumentRequest(_ context.Context, _ ident.VM, req *documentRequest) (*documentResponse, error) {
 	version, body, err := s.opts.Documents.Encode(req.Document)
-	if err != nil || version <= req.NewerThan {
+	if err != nil || version == req.Known {
 		return &documentResponse{}, err
 	}
 	return &documentResponse{Version: version, Body: body, Age: s.opts.Documents.Age()}, nil
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -78,7 +78,7 @@
 	Work     []endpointWork
 	Counters []counter
 	// Versions are the versions of the sender's documents, indexed by document number.
-	Versions []uint64
+	Versions []traffic.DocumentVersion
 	// Age is the time since these versions were last known to be the newest in the store.
 	Age time.Duration
 }
@@ -100,7 +100,7 @@
 	// Used is the combined usage that Members admitted in the current plan window.
 	Used []usage
 	// Versions and Age are as in a heartbeat.
-	Versions []uint64
+	Versions []traffic.DocumentVersion
 	Age      time.Duration
 }
 
@@ -129,27 +129,28 @@
 	Outcome   schedule.Outcome
 }
 
-// documentRequest asks for a document if its version is newer than NewerThan.
+// documentRequest asks for a document if its version is not Known.
 type documentRequest struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Document  int
-	NewerThan uint64
+	Document int
+	Known    traffic.DocumentVersion
 }
 
-// documentResponse carries a document. Body is empty if the sender has no newer version.
+// documentResponse carries a document. Body is empty if the sender has no other version.
 type documentResponse struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Version uint64
+	Version traffic.DocumentVersion
 	Body    []byte
 	// Age is the time since the sender's documents were last known to be the newest in the store.
 	Age time.Duration
 }
 
-// windowRequest asks for the receiver's knowledge of the usage in the current plan window.
+// windowRequest asks for the receiver's knowledge of the usage in the current plan window. Only a VM
+// that has just started sends it, so the reply also tells it which documents are in force.
 type windowRequest struct{}
 
 // windowResponse is the reply to a windowRequest.
@@ -160,4 +161,8 @@
 	// Complete is set if the sender knows all usage in the window. Otherwise State is empty.
 	Complete bool
 	State    admission.WindowState
+	// From, Versions and Age are as in a heartbeat.
+	From     Member
+	Versions []traffic.DocumentVersion
+	Age      time.Duration
 }
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -72,19 +73,19 @@
 
 // Documents holds the documents that VMs share. They are numbered from 0, the same on all VMs.
 type Documents interface {
-	// Versions returns the version of each document, 0 for none.
-	Versions() []uint64
+	// Versions returns the version of each document, number 0 for none.
+	Versions() []traffic.DocumentVersion
 	// NeedsVersion reports whether a version that another VM has is newer than the local one.
-	NeedsVersion(document int, version uint64) bool
+	NeedsVersion(document int, version traffic.DocumentVersion) bool
 	// Encode encodes a document.
-	Encode(document int) (version uint64, body []byte, err error)
-	// Apply receives a document from another VM, together with that VM's Age.
-	Apply(document int, body []byte, age time.Duration, from string) error
+	Encode(document int) (version traffic.DocumentVersion, body []byte, err error)
+	// Apply receives a document from another VM, together with its era and that VM's Age.
+	Apply(document int, era uint64, body []byte, age time.Duration, from string) error
 	// Age returns the time since the documents were last known to be the newest in the store.
 	Age() time.Duration
 	// ConfirmVersion records that the store held this version of the last document at the time age
 	// before now.
-	ConfirmVersion(version uint64, age time.Duration)
+	ConfirmVersion(version traffic.DocumentVersion, age time.Duration)
 }
 
 // Options configure a Service.
@@ -105,8 +106,9 @@
 	// wakeup signals that there are pending changes to send.
 	wakeup   chan struct{}
 	failures chan failure
-	// membersAdded signals that VMs were added to the member table.
-	membersAdded chan struct{}
+	// membersAdded signals that VMs were added to the member table, storeRestored that the registry
+	// may have lost the entry of this VM.
+	membersAdded, storeRestored chan struct{}
 
 	mu      sync.Mutex
 	members *memberTable
@@ -149,7 +151,7 @@
 // New returns a Service and registers its handlers with the transport.
 func New(o Options) *Service {
 	s := &Service{
-		opts: o, wakeup: make(chan struct{}, 1), failures: make(chan failure, failureQueueSize), membersAdded: make(chan struct{}, 1),
+		opts: o, wakeup: make(chan struct{}, 1), failures: make(chan failure, failureQueueSize), membersAdded: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1),
 		members: newMemberTable(o.Self),
 		pending: map[string]map[traffic.EndpointID]schedule.Work{}, remoteRepeats: map[string]int{}, counters: map[admission.CounterKey]int64{},
 		queues: map[netip.AddrPort]*sendQueue{}, fetching: map[int]bool{},
@@ -253,11 +255,24 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-s.storeRestored:
+			registered, listed = false, false
+			sleep(ctx, rand.N(registryRetryPause)) // all VMs register again
 		case <-time.After(wait):
 		}
 	}
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// StoreRestored makes this VM register again, because the registry was restored from a backup.
+func (s *Service) StoreRestored() { signal(s.storeRestored) }
+
 func (s *Service) addMembers(members []Member) {
 	s.mu.Lock()
 	added := s.members.addListed(s.opts.Clock.Now(), members)
--- a/internal/statesync/window.go
+++ b/internal/statesync/window.go
@@ -74,6 +74,7 @@
 				s.opts.Log.Debug("plan window not received", zap.Stringer("address", addr), zap.Error(err))
 				return
 			}
+			s.requestNewer(resp.From, resp.Versions, resp.Age)
 			if resp.Complete {
 				s.opts.Plans.AdoptWindow(resp.State)
 				s.opts.Log.Info("plan window adopted", zap.Stringer("address", addr), zap.Int("workspaces", len(resp.State.Buckets)))
@@ -86,5 +87,8 @@
 
 func (s *Service) onWindowRequest(context.Context, ident.VM, *windowRequest) (*windowResponse, error) {
 	state, ok := s.opts.Plans.WindowState()
-	return &windowResponse{Complete: ok, State: state}, nil
+	return &windowResponse{
+		Complete: ok, State: state,
+		From: s.opts.Self, Versions: s.opts.Documents.Versions(), Age: s.opts.Documents.Age(),
+	}, nil
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -176,10 +176,28 @@
 	Leaving bool
 	// Version is the store's version of this entry.
 	Version uint64
+	// Retained is set if the store lists the endpoint no more, but a VM keeps it in its table for a
+	// while after an outage of the store.
+	Retained bool
+}
+
+// DocumentVersion identifies a version of a document that is kept in the store. The store may be
+// restored from a backup: its versions then go back and are used again, and its era rises.
+type DocumentVersion struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Era is the era of the store in which the version was read, 0 if the store has none.
+	Era uint64
+	// Number is the store's version of the endpoint table, and the operators' version of the
+	// configuration. It is 0 for no document.
+	Number uint64
 }
 
 // Endpoints is the endpoint table at a version of the store.
 type Endpoints struct {
+	// Era is the era of the store; see DocumentVersion.
+	Era     uint64
 	Version uint64
 	List    []Endpoint
 }
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -77,7 +77,7 @@
 	})
 	p.State = activeconfig.New(activeconfig.Options{
 		Clock: p.clock, Log: log.Named("inforce"), Decode: platform.Decode, OnChange: p.updateScheduler,
-		EndpointTTL: missedHeartbeats * s.HeartbeatPeriod, ReregisterTime: reregisterTime,
+		EndpointTTL: missedHeartbeats * s.HeartbeatPeriod, ReregisterTime: reregisterTime, OnEra: p.enterEra,
 	})
 	p.stateSync = statesync.New(statesync.Options{
 		Self: self, Clock: p.clock, Transport: p.transport, Registry: platform.Registry,
@@ -99,6 +99,14 @@
 	}
 }
 
+// enterEra makes the components that keep state in the store check it again.
+func (p *Process) enterEra(era uint64, restored bool) {
+	p.rebalancer.SetStoreEra(era)
+	if restored {
+		p.stateSync.StoreRestored()
+	}
+}
+
 // buildBackgroundTasks creates the tasks that run independently of calls.
 func (p *Process) buildBackgroundTasks() {
 	p.refresher = &activeconfig.Refresher{
--- a/internal/vmserver/vmserver_test.go
+++ b/internal/vmserver/vmserver_test.go
@@ -52,7 +52,7 @@
 	if got := readyStatus(); got != http.StatusServiceUnavailable {
 		t.Errorf("without a configuration the readiness check returns %d, want 503", got)
 	}
-	if err := p.State.ApplyConfiguration([]byte("1"), "test"); err != nil {
+	if err := p.State.ApplyConfiguration([]byte("1"), 0, "test"); err != nil {
 		t.Fatal(err)
 	}
 	p.State.ApplyEndpoints(traffic.Endpoints{Version: 1}, clock.BootTime{}.Now(), "test")
