admission: a lowered plan takes effect at the same pace on all VMs

Calls were refused that the plan in force still allowed.

Change: each configuration that comes into force sets the limits of all its workspaces. A table case fails before.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -73,6 +73,19 @@
 	c.plans.SetRemainderShare(p.RemainderShare)
 }
 
+// SetWorkspaces receives the workspaces of a configuration that comes into force, so that a lowered
+// plan takes effect gradually for workspaces without calls here as well.
+func (c *Controller) SetWorkspaces(all map[string]*traffic.Workspace) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	for _, w := range all {
+		c.plans.SetLimit(now, w.Name, planLimit(w))
+	}
+}
+
+func planLimit(w *traffic.Workspace) Limit { return Limit{Rate: w.Rate, Burst: w.Burst} }
+
 // Admit charges a call's cost to its workspace's plan.
 func (c *Controller) Admit(w *traffic.Workspace, cost int64) Decision {
 	if w == nil {
@@ -80,7 +93,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := c.plans.Admit(c.clock.Now(), w.Name, Limit{Rate: w.Rate, Burst: w.Burst}, cost)
+	d := c.plans.Admit(c.clock.Now(), w.Name, planLimit(w), cost)
 	if d.Admitted {
 		c.onCount(CounterKey{AdmittedTokens, w.Name}, d.OwnTotal)
 	}
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -127,6 +127,13 @@
 	return a
 }
 
+// SetLimit receives the limit of a workspace's plan that is in force from now on.
+func (p *Plans) SetLimit(now clock.Instant, workspace string, l Limit) {
+	if l.Rate > 0 {
+		p.account(now, workspace, l)
+	}
+}
+
 func (p *Plans) bucketDuration() time.Duration { return p.window / windowBuckets }
 
 func (p *Plans) bucket(now clock.Instant) int64 { return int64(now) / int64(p.bucketDuration()) }
--- a/internal/admission/plan_test.go
+++ b/internal/admission/plan_test.go
@@ -106,6 +106,11 @@
 			p.Admit(at(time.Second), "w", Limit{Rate: 100}, 1)
 			return p.Admit(at(time.Second+testLoweringDelay+testWindow), "w", Limit{Rate: 100}, 900).Admitted
 		}, false},
+		{"plan lowered before the workspace's first call has no effect before the delay", func(p *Plans) bool {
+			p.SetLimit(at(0), "w", limit)
+			p.SetLimit(at(time.Second), "w", Limit{Rate: 100})
+			return p.Admit(at(time.Second+testLoweringDelay), "w", Limit{Rate: 100}, 7000).Admitted
+		}, true},
 		{"raised plan has an immediate effect", func(p *Plans) bool {
 			p.Admit(at(0), "w", Limit{Rate: 100}, 700)
 			return p.Admit(at(time.Second), "w", limit, 7000).Admitted
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -76,7 +76,7 @@
 		OnFailure: func(id traffic.EndpointID, o schedule.Outcome) { p.stateSync.EndpointFailed(id, o) },
 	})
 	p.State = activeconfig.New(activeconfig.Options{
-		Clock: p.clock, Log: log.Named("inforce"), Decode: platform.Decode, OnChange: p.updateScheduler,
+		Clock: p.clock, Log: log.Named("inforce"), Decode: platform.Decode, OnChange: p.applyChange,
 		EndpointTTL: missedHeartbeats * s.HeartbeatPeriod, ReregisterTime: reregisterTime, OnEra: p.enterEra,
 	})
 	p.stateSync = statesync.New(statesync.Options{
@@ -92,9 +92,10 @@
 	return p
 }
 
-// updateScheduler passes a changed configuration or endpoint table to the scheduler.
-func (p *Process) updateScheduler(c *traffic.Configuration, e traffic.Endpoints) {
+// applyChange passes a changed configuration or endpoint table to the components that decide by it.
+func (p *Process) applyChange(c *traffic.Configuration, e traffic.Endpoints) {
 	if c != nil {
+		p.admission.SetWorkspaces(c.Workspaces)
 		p.scheduler.UpdateEndpoints(e, c.Services)
 	}
 }
