--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -38,8 +38,10 @@
 	buckets [accountBuckets]int64
 	bucket  int64
 	sum     int64
-	// ownTotal is the number of tokens that this VM admitted since its start.
+	// ownTotal is the number of tokens that this VM admitted since its start. hasOwn is set once it
+	// admitted any.
 	ownTotal int64
+	hasOwn   bool
 }
 
 // Slack is the permitted overuse of a plan in a window while VMs cannot know the usage of others.
@@ -234,6 +236,7 @@
 	d.Admitted = true
 	a.add(cost)
 	a.ownTotal += cost
+	a.hasOwn = true
 	d.OwnTotal = a.ownTotal
 	return d
 }
@@ -263,9 +266,11 @@
 	a.add(max(tokens, -a.sum))
 }
 
-// ownTotals adds what this VM admitted since its start to out.
+// ownTotals adds what this VM admitted since its start to out, by workspaces that had any calls.
 func (p *Plans) ownTotals(out map[CounterKey]int64) {
 	for name, a := range p.accounts {
-		out[CounterKey{AdmittedTokens, name}] = a.ownTotal
+		if a.hasOwn {
+			out[CounterKey{AdmittedTokens, name}] = a.ownTotal
+		}
 	}
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/tcpconn"
@@ -81,6 +83,7 @@
 	c.nc = nc
 	c.awaitingSince, c.oneWaySince = time.Time{}, time.Time{}
 	c.mu.Unlock()
+	c.t.opened(c)
 	c.start()
 }
 
@@ -112,6 +115,21 @@
 	}
 }
 
+// isReady reports whether the connection is open.
+func (c *conn) isReady() bool {
+	select {
+	case <-c.done:
+		return false
+	default:
+	}
+	select {
+	case <-c.ready:
+		return true
+	default:
+		return false
+	}
+}
+
 func timeoutError(ctx context.Context) error {
 	return fault.Wrap(ctx.Err(), fault.Timeout, "retry or use another VM", "peer call", fault.WithExecution(fault.ExecutionUnknown))
 }
@@ -222,19 +240,15 @@
 func (c *conn) writeLoop() {
 	defer c.t.wg.Done()
 	w := bufio.NewWriter(c.nc)
-	ping := time.NewTicker(PingPeriod)
-	defer ping.Stop()
 	for {
-		var err error
 		select {
 		case <-c.done:
 			return
 		case f := <-c.outbox:
-			err = c.write(w, f)
-		case <-ping.C:
-			err = c.keepAlive(w)
-		}
-		if err != nil {
+			err := c.write(w, f)
+			if err == nil {
+				continue
+			}
 			c.close(fault.Wrap(err, fault.Unavailable, "retry or use another VM", "peer write", fault.WithExecution(fault.ExecutionUnknown)))
 			return
 		}
@@ -261,7 +275,7 @@
 
 // keepAlive pings a connection that awaits a response. It returns an error if the connection is
 // unresponsive or has been idle for too long.
-func (c *conn) keepAlive(w *bufio.Writer) error {
+func (c *conn) keepAlive() error {
 	c.mu.Lock()
 	if len(c.pending) > 0 && c.awaitingSince.IsZero() {
 		c.awaitingSince = time.Now()
@@ -281,7 +295,8 @@
 	if awaitingFor > InactivityTimeout {
 		return errUnresponsive
 	}
-	return c.write(w, &frame{Type: framePing})
+	_ = c.enqueue(&frame{Type: framePing}) // if the queue is full, the connection is awaiting already
+	return nil
 }
 
 var (
@@ -343,6 +358,15 @@
 		c.reply(f, nil, fault.New(fault.NotFound, "run the same release on all VMs", "no handler for this message kind"))
 		return
 	}
+	if f.Type == frameOneWay && c.t.inOrder[f.Kind] {
+		c.mu.Lock()
+		remote := c.remote
+		c.mu.Unlock()
+		if _, err := h(c.t.ctx, remote, f.Body); err != nil {
+			c.t.opts.Log.Warn("peer message not handled", zap.Uint8("kind", uint8(f.Kind)), zap.Stringer("vm", remote), zap.Error(err))
+		}
+		return
+	}
 	select {
 	case c.t.inbound <- struct{}{}:
 	default:
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -44,9 +44,15 @@
 	From  *ident.VM
 	Fault *fault.Detail
 	Body  msgpack.RawMessage
+
+	// encoded is the encoded frame if it is sent on several connections.
+	encoded []byte
 }
 
 func encodeFrame(f *frame) ([]byte, error) {
+	if f.encoded != nil {
+		return f.encoded, nil
+	}
 	if f.Body == nil {
 		f.Body = msgpack.RawMessage{nilByte}
 	}
@@ -107,9 +113,14 @@
 // allocates memory for whatever length a list claims and a short message could otherwise
 // request gigabytes.
 func unmarshal(body []byte, v any) error {
-	dec := msgpack.NewDecoder(bytes.NewReader(body))
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	r := bytes.NewReader(body)
+	dec.Reset(r)
 	if err := dec.Skip(); err != nil {
 		return fmt.Errorf("message is truncated or malformed: %w", err)
 	}
-	return msgpack.Unmarshal(body, v)
+	r.Reset(body)
+	dec.Reset(r)
+	return dec.Decode(v)
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -64,13 +64,19 @@
 type Transport struct {
 	opts     Options
 	handlers map[Kind]Handler
-	inbound  chan struct{}
+	// inOrder holds the kinds that are handled by the goroutine that reads the connection.
+	inOrder map[Kind]bool
+	inbound chan struct{}
 	nextID   atomic.Uint64
 
 	mu       sync.Mutex
 	conns    map[netip.AddrPort]*conn
 	accepted map[net.Conn]struct{}
-	closed   bool
+	// open holds the connections that are in use, dialed or accepted. keepAlive is set once
+	// keepAliveLoop runs.
+	open      map[*conn]struct{}
+	keepAlive bool
+	closed    bool
 	wg       sync.WaitGroup
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -88,9 +94,11 @@
 	return &Transport{
 		opts:     o,
 		handlers: map[Kind]Handler{},
+		inOrder:  map[Kind]bool{},
 		inbound:  make(chan struct{}, MaxInboundCalls),
 		conns:    map[netip.AddrPort]*conn{},
 		accepted: map[net.Conn]struct{}{},
+		open:     map[*conn]struct{}{},
 		ctx:      ctx,
 		cancel:   cancel,
 	}
@@ -99,6 +107,14 @@
 // Handle registers the handler of a kind. It must be called before Serve.
 func (t *Transport) Handle(kind Kind, h Handler) { t.handlers[kind] = h }
 
+// HandleOneWay registers the handler of a kind of one-way messages. Those of a connection are
+// handled one after the other, in order, before further messages are read, so h must not block. It
+// must be called before Serve.
+func (t *Transport) HandleOneWay(kind Kind, h Handler) {
+	t.handlers[kind] = h
+	t.inOrder[kind] = true
+}
+
 // Serve accepts connections on ln until Close is called.
 func (t *Transport) Serve(ln net.Listener) error {
 	if t.opts.TLS != nil {
@@ -130,11 +146,53 @@
 	c.onClose = func() {
 		t.mu.Lock()
 		delete(t.accepted, nc)
+		delete(t.open, c)
 		t.mu.Unlock()
 	}
+	t.openedLocked(c)
 	c.start()
 }
 
+// openedLocked records that a connection is in use. t.mu must be held.
+func (t *Transport) openedLocked(c *conn) {
+	t.open[c] = struct{}{}
+	if t.keepAlive || t.closed {
+		return
+	}
+	t.keepAlive = true
+	t.wg.Add(1)
+	go t.keepAliveLoop()
+}
+
+func (t *Transport) opened(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.openedLocked(c)
+}
+
+// keepAliveLoop checks all connections every PingPeriod until the transport is closed. One loop for
+// all of them wakes the process once per period, however many there are.
+func (t *Transport) keepAliveLoop() {
+	defer t.wg.Done()
+	tick := time.NewTicker(PingPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		t.mu.Lock()
+		open := slices.Collect(maps.Keys(t.open))
+		t.mu.Unlock()
+		for _, c := range open {
+			if err := c.keepAlive(); err != nil {
+				c.close(err)
+			}
+		}
+	}
+}
+
 // Close closes all connections and waits for their goroutines.
 func (t *Transport) Close() {
 	t.mu.Lock()
@@ -200,6 +258,7 @@
 func (t *Transport) removeConn(addr netip.AddrPort, c *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.open, c)
 	if t.conns[addr] == c {
 		delete(t.conns, addr)
 	}
@@ -231,10 +290,42 @@
 	return t.Send(ctx, addr, kind, body)
 }
 
-// Encode returns the body of a message that is sent to several VMs.
-func Encode[Msg any](msg *Msg) ([]byte, error) {
+// Broadcast is a one-way message that is encoded once and sent to several VMs.
+type Broadcast struct{ frame *frame }
+
+// NewBroadcast encodes a message for several VMs.
+func NewBroadcast[Msg any](kind Kind, msg *Msg) (Broadcast, error) {
 	body, err := marshal(msg)
-	return body, fault.Wrap(err, fault.Internal, "report this", "encode message")
+	if err != nil {
+		return Broadcast{}, fault.Wrap(err, fault.Internal, "report this", "encode message")
+	}
+	f := &frame{Type: frameOneWay, Kind: kind, Body: body}
+	f.encoded, err = encodeFrame(f)
+	return Broadcast{frame: f}, err
+}
+
+// SendBroadcast queues a broadcast on the connection to addr, which it opens if there is none.
+// Delivery is not guaranteed.
+func (t *Transport) SendBroadcast(ctx context.Context, addr netip.AddrPort, b Broadcast) error {
+	c, err := t.connTo(ctx, addr)
+	if err != nil {
+		return err
+	}
+	c.noteOneWay()
+	return c.enqueue(b.frame)
+}
+
+// TrySendBroadcast is like SendBroadcast, but returns false if there is no open connection to addr or
+// its queue is full. It does not block.
+func (t *Transport) TrySendBroadcast(addr netip.AddrPort, b Broadcast) bool {
+	t.mu.Lock()
+	c := t.conns[addr]
+	t.mu.Unlock()
+	if c == nil || !c.isReady() {
+		return false
+	}
+	c.noteOneWay()
+	return c.enqueue(b.frame) == nil
 }
 
 // Handle registers a typed handler with t. It must be called before Serve.
@@ -251,3 +342,15 @@
 		return marshal(resp)
 	})
 }
+
+// HandleOneWay registers a typed handler of one-way messages; see Transport.HandleOneWay.
+func HandleOneWay[Msg any](t *Transport, kind Kind, h func(ctx context.Context, from ident.VM, msg *Msg)) {
+	t.HandleOneWay(kind, func(ctx context.Context, from ident.VM, body []byte) ([]byte, error) {
+		var msg Msg
+		if err := unmarshal(body, &msg); err != nil {
+			return nil, fault.Wrap(err, fault.Malformed, "run the same release on all VMs", "decode message")
+		}
+		h(ctx, from, &msg)
+		return nil, nil
+	})
+}
--- a/internal/statesync/digest.go
+++ b/internal/statesync/digest.go
@@ -75,12 +75,11 @@
 		case <-time.After(digestPeriod):
 		}
 		s.mu.Lock()
-		isSender := s.members.sendsDigests() && !s.leaving
-		receivers := s.members.digestReceivers(turn)
-		s.mu.Unlock()
-		if !isSender {
-			continue
+		var receivers map[string]netip.AddrPort
+		if s.members.sendsDigests() && !s.leaving {
+			receivers = s.members.digestReceivers(turn)
 		}
+		s.mu.Unlock()
 		for dataCentre, to := range receivers {
 			d := s.newDigest(dataCentre)
 			sendTo(s, peer.KindDigest, &d, []netip.AddrPort{to})
--- a/internal/statesync/handlers.go
+++ b/internal/statesync/handlers.go
@@ -17,22 +17,21 @@
 // noReply is the reply type of one-way messages.
 type noReply struct{}
 
-func (s *Service) onHeartbeat(_ context.Context, _ ident.VM, hb *heartbeat) (*noReply, error) {
+func (s *Service) onHeartbeat(_ context.Context, _ ident.VM, hb *heartbeat) {
 	increments, ok := s.recordHeartbeat(hb)
 	if !ok {
-		return nil, nil
+		return
 	}
 	for key, n := range increments {
 		s.opts.Plans.AddFromPeer(key, n)
 	}
 	if hb.Leaving {
-		return nil, nil
+		return
 	}
 	if hb.Full {
 		s.opts.Work.ReplaceWork(hb.From.VM, hb.Seq, byEndpoint(hb.Work))
 	}
 	s.requestNewer(hb.From, hb.Versions, hb.Age)
-	return nil, nil
 }
 
 // recordHeartbeat marks a VM as up and returns how far its counters have grown since its previous
@@ -40,8 +39,6 @@
 func (s *Service) recordHeartbeat(hb *heartbeat) (increments map[admission.CounterKey]int64, ok bool) {
 	s.mu.Lock()
 	c := s.members.applyHeartbeat(s.opts.Clock.Now(), hb)
-	known, live := s.members.size()
-	shares := s.members.fleetShares()
 	if hb.Leaving {
 		s.closeQueue(hb.From.Address)
 	}
@@ -49,21 +46,27 @@
 		s.lastFull = 0 // the VM has no state of this one yet
 	}
 	s.mu.Unlock()
-	if c.stale {
-		return nil, false
+	if c.changesFleet() {
+		s.applyMemberChange(hb, c)
 	}
+	return c.increments, !c.stale
+}
+
+// applyMemberChange updates what depends on the members of the fleet.
+func (s *Service) applyMemberChange(hb *heartbeat, c memberChange) {
+	s.mu.Lock()
+	known, live := s.members.size()
+	shares := s.members.fleetShares()
+	s.mu.Unlock()
+	s.opts.Log.Info("vm heard", zap.Stringer("vm", hb.From.VM), zap.Bool("joined", c.joined), zap.Bool("recovered", c.recovered),
+		zap.Bool("leaving", hb.Leaving), zap.Stringer("replaces", c.replaced), zap.Int("known", known), zap.Int("heard", live))
+	s.opts.Plans.SetFleetShares(shares)
 	if c.joined {
 		signal(s.membersAdded)
 	}
-	s.opts.Plans.SetFleetShares(shares)
-	if c.joined || c.recovered || !c.replaced.IsZero() {
-		s.opts.Log.Info("vm heard", zap.Stringer("vm", hb.From.VM), zap.Bool("joined", c.joined), zap.Bool("recovered", c.recovered),
-			zap.Bool("leaving", hb.Leaving), zap.Stringer("replaces", c.replaced), zap.Int("known", known), zap.Int("heard", live))
-	}
 	if !c.replaced.IsZero() {
 		s.opts.Work.ForgetVM(c.replaced)
 	}
-	return c.increments, true
 }
 
 func byWorkspace(list []usage) map[string]int64 {
@@ -82,7 +85,7 @@
 	return out
 }
 
-func (s *Service) onUpdate(_ context.Context, from ident.VM, m *update) (*noReply, error) {
+func (s *Service) onUpdate(_ context.Context, from ident.VM, m *update) {
 	s.mu.Lock()
 	increments := s.members.applyCounters(from, m.From, m.Counters)
 	s.mu.Unlock()
@@ -91,18 +94,16 @@
 	}
 	if m.Snapshot {
 		s.opts.Work.ReplaceWork(from, m.Seq, byEndpoint(m.Work))
-		return nil, nil
+		return
 	}
 	for _, w := range m.Work {
 		s.opts.Work.UpdateWork(from, m.Seq, w.id(), w.Work)
 	}
-	return nil, nil
 }
 
-func (s *Service) onFailure(_ context.Context, from ident.VM, m *failure) (*noReply, error) {
+func (s *Service) onFailure(_ context.Context, from ident.VM, m *failure) {
 	s.opts.Log.Info("endpoint failed at another vm", zap.Stringer("vm", from), zap.String("endpoint", m.Name), zap.Stringer("outcome", m.Outcome))
 	s.opts.Work.RecordPeerOutcome(traffic.EndpointID{Name: m.Name, StartedAt: m.StartedAt}, m.Outcome)
-	return nil, nil
 }
 
 // requestNewer fetches the documents of which another VM reports a newer version.
--- a/internal/statesync/members.go
+++ b/internal/statesync/members.go
@@ -102,6 +102,9 @@
 	stale bool
 }
 
+// changesFleet reports whether other members of the fleet are live than before.
+func (c memberChange) changesFleet() bool { return c.joined || c.recovered || !c.replaced.IsZero() }
+
 // applyHeartbeat records a heartbeat.
 func (t *memberTable) applyHeartbeat(now clock.Instant, hb *heartbeat) memberChange {
 	if _, ended := t.ended[hb.From.VM]; ended || hb.From.VM == t.self.VM {
@@ -170,13 +173,18 @@
 
 // expire marks VMs as unresponsive, and removes those that have been so for long.
 func (t *memberTable) expire(now clock.Instant) (unresponsive, removed []Member) {
+	direct, remote := t.heartbeatTimeouts()
 	for addr, p := range t.peers {
+		timeout := remote
+		if t.isDirect(p) {
+			timeout = direct
+		}
 		last := max(p.firstSeen, p.lastHeartbeat)
 		switch {
 		case now.Sub(last) > removeAfter:
 			removed = append(removed, p.member)
 			delete(t.peers, addr)
-		case !p.unresponsive && now.Sub(p.lastHeartbeat) > t.heartbeatTimeout(p):
+		case !p.unresponsive && now.Sub(p.lastHeartbeat) > timeout:
 			p.unresponsive = true
 			unresponsive = append(unresponsive, p.member)
 		}
@@ -189,12 +197,10 @@
 	return unresponsive, removed
 }
 
-// heartbeatTimeout returns the time without a heartbeat after which a VM counts as unresponsive.
-func (t *memberTable) heartbeatTimeout(p *peerState) time.Duration {
-	if t.isDirect(p) {
-		return max(unresponsiveAfter, missedHeartbeats*t.heartbeatPeriod())
-	}
-	return missedHeartbeats * digestPeriod
+// heartbeatTimeouts returns the times without a heartbeat after which a direct peer, and any other
+// VM, counts as unresponsive.
+func (t *memberTable) heartbeatTimeouts() (direct, remote time.Duration) {
+	return max(unresponsiveAfter, missedHeartbeats*t.heartbeatPeriod()), missedHeartbeats * digestPeriod
 }
 
 func (t *memberTable) large() bool { return len(t.peers) >= largeFleet }
--- a/internal/statesync/queue.go
+++ b/internal/statesync/queue.go
@@ -3,22 +3,23 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/peer"
 )
 
-// sendQueue holds the messages to one VM. Each queue has its own goroutine, so that an unreachable
-// VM does not delay messages to others.
+// sendQueue holds the messages to one VM while there is no open connection to it. Each queue has its
+// own goroutine, so that an unreachable VM does not delay messages to others.
 type sendQueue struct {
-	messages chan message
+	messages chan peer.Broadcast
 	stop     context.CancelFunc
+	// sending is set while a message that was taken from the queue waits for the connection.
+	sending atomic.Bool
 }
 
-type message struct {
-	kind peer.Kind
-	body []byte
-}
+// idle reports whether no message is waiting.
+func (q *sendQueue) idle() bool { return len(q.messages) == 0 && !q.sending.Load() }
 
 const (
 	// sendQueueSize is the maximum number of messages queued for one VM. A full queue drops its
@@ -33,7 +34,7 @@
 	q := s.queues[addr]
 	if q == nil {
 		ctx, stop := context.WithCancel(s.ctx)
-		q = &sendQueue{messages: make(chan message, sendQueueSize), stop: stop}
+		q = &sendQueue{messages: make(chan peer.Broadcast, sendQueueSize), stop: stop}
 		s.queues[addr] = q
 		s.wg.Go(func() { s.runQueue(ctx, addr, q) })
 	}
@@ -48,8 +49,7 @@
 	}
 }
 
-func (q *sendQueue) push(kind peer.Kind, body []byte) {
-	m := message{kind: kind, body: body}
+func (q *sendQueue) push(m peer.Broadcast) {
 	for {
 		select {
 		case q.messages <- m:
@@ -69,12 +69,14 @@
 		case <-ctx.Done():
 			return
 		case m := <-q.messages:
+			q.sending.Store(true)
 			sendCtx, cancel := context.WithTimeout(ctx, sendTimeout)
 			// The error is ignored: later full heartbeats and digests repeat the state of a lost
 			// message, each VM also detects failed endpoints itself, and the member table detects
 			// unreachable VMs.
-			_ = s.opts.Transport.Send(sendCtx, addr, m.kind, m.body)
+			_ = s.opts.Transport.SendBroadcast(sendCtx, addr, m)
 			cancel()
+			q.sending.Store(false)
 		}
 	}
 }
--- a/internal/statesync/send.go
+++ b/internal/statesync/send.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/admission"
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -32,7 +33,9 @@
 	if hb.Full {
 		seq, work := s.opts.Work.OwnWork()
 		hb.Seq, hb.Work, hb.Counters = seq, flatWorkList(work), counterList(s.opts.Plans.OwnTotals())
-		s.repeatRemoteWork(seq, work)
+		if s.remoteRepeatDue(now) {
+			s.repeatRemoteWork(seq, work)
+		}
 	}
 	to := s.members.isDirect
 	if hb.Leaving {
@@ -80,6 +83,17 @@
 	return direct, remote
 }
 
+// remoteRepeatDue reports whether the work at endpoints of other data centres is to be repeated now.
+func (s *Service) remoteRepeatDue(now clock.Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.lastRemoteRepeat) < remoteRepeatPeriod {
+		return false
+	}
+	s.lastRemoteRepeat = now
+	return true
+}
+
 // repeatRemoteWork sends each other data centre all the work that this VM has there. A data centre
 // without any is sent emptyRepeats empty snapshots, and then nothing until work changes there again.
 func (s *Service) repeatRemoteWork(seq uint64, work map[string]map[traffic.EndpointID]schedule.Work) {
@@ -145,7 +159,7 @@
 }
 
 func sendTo[Msg any](s *Service, kind peer.Kind, msg *Msg, to []netip.AddrPort) {
-	body, err := peer.Encode(msg)
+	message, err := peer.NewBroadcast(kind, msg)
 	if err != nil {
 		s.opts.Log.Error("could not encode message to other vms", zap.Error(err))
 		return
@@ -156,6 +170,10 @@
 		return
 	}
 	for _, addr := range to {
-		s.queueTo(addr).push(kind, body)
+		q := s.queueTo(addr)
+		if q.idle() && s.opts.Transport.TrySendBroadcast(addr, message) {
+			continue
+		}
+		q.push(message)
 	}
 }
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -123,6 +123,8 @@
 	leaving       bool
 	// lastFull is the time of the last full heartbeat, 0 if the next one has to be full.
 	lastFull clock.Instant
+	// lastRemoteRepeat is the time of the last repetition of the work at remote endpoints.
+	lastRemoteRepeat clock.Instant
 	// digestSeq numbers the received digests, so that a later one replaces an earlier one.
 	digestSeq uint64
 	fetching  map[int]bool
@@ -141,9 +143,12 @@
 	// registryPeriod is the time between reads of the registry, which find VMs from which no
 	// heartbeat has come.
 	registryPeriod = 15 * time.Second
+	// remoteRepeatPeriod is the time between snapshots of the work at endpoints of another data
+	// centre, which go to all its VMs and only correct the state after lost updates.
+	remoteRepeatPeriod = 3 * time.Second
 	// emptyRepeats is how many empty snapshots of its work a VM sends to another data centre, as
 	// a message may be lost.
-	emptyRepeats = 3
+	emptyRepeats = 2
 	// batchDelay is how long changes of work and counters are collected into one message.
 	batchDelay = time.Millisecond
 )
@@ -156,9 +161,9 @@
 		pending: map[string]map[traffic.EndpointID]schedule.Work{}, remoteRepeats: map[string]int{}, counters: map[admission.CounterKey]int64{},
 		queues: map[netip.AddrPort]*sendQueue{}, fetching: map[int]bool{},
 	}
-	peer.Handle(o.Transport, peer.KindHeartbeat, s.onHeartbeat)
-	peer.Handle(o.Transport, peer.KindWork, s.onUpdate)
-	peer.Handle(o.Transport, peer.KindEndpointFailure, s.onFailure)
+	peer.HandleOneWay(o.Transport, peer.KindHeartbeat, s.onHeartbeat)
+	peer.HandleOneWay(o.Transport, peer.KindWork, s.onUpdate)
+	peer.HandleOneWay(o.Transport, peer.KindEndpointFailure, s.onFailure)
 	peer.Handle(o.Transport, peer.KindDocument, s.onDocumentRequest)
 	peer.Handle(o.Transport, peer.KindDigest, s.onDigest)
 	peer.Handle(o.Transport, peer.KindPlanWindow, s.onWindowRequest)
