--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -67,7 +67,7 @@
 	// inOrder holds the kinds that are handled by the goroutine that reads the connection.
 	inOrder map[Kind]bool
 	inbound chan struct{}
-	nextID   atomic.Uint64
+	nextID  atomic.Uint64
 
 	mu       sync.Mutex
 	conns    map[netip.AddrPort]*conn
@@ -77,9 +77,9 @@
 	open      map[*conn]struct{}
 	keepAlive bool
 	closed    bool
-	wg       sync.WaitGroup
-	ctx      context.Context
-	cancel   context.CancelFunc
+	wg        sync.WaitGroup
+	ctx       context.Context
+	cancel    context.CancelFunc
 }
 
 // New returns a Transport. Handlers must be registered before Serve.
