--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -56,7 +56,7 @@
 	// and shared by the data centres while their usage reports are delayed. The rest is for VMs that
 	// restart during a partition.
 	partitionSlack = 0.1
-	remainderSlack = 0.25
+	remainderSlack = 0.5
 )
 
 // amount returns the given fraction of the slack, in tokens, for a plan that allows the given number
