Claims of half the output again; only a first start waits to read the store

A VM that restarts reads the store at once, as before; only the VMs of a fleet that starts for the first time wait for one of them.

--- a/internal/activeconfig/refresher.go
+++ b/internal/activeconfig/refresher.go
@@ -41,8 +41,8 @@
 	backgroundRetryPause = 4 * time.Second
 	// pollInterval is the maximum time between checks of the age.
 	pollInterval = 100 * time.Millisecond
-	// settleTime is the time after the start in which a VM may learn of the others and receive what
-	// they know, before it reads the store itself.
+	// settleTime is the time in which the VMs of a fleet that starts for the first time learn of each
+	// other, before one of them reads the store.
 	settleTime = 150 * time.Millisecond
 )
 
@@ -63,7 +63,9 @@
 	Rank func() int
 	// OnRead, if not nil, is called after each successful read, to notify the other VMs.
 	OnRead func()
-	Log    *zap.Logger
+	// FirstStart is set if the whole fleet starts for the first time, so that no VM knows anything.
+	FirstStart bool
+	Log        *zap.Logger
 
 	startedAt clock.Instant
 	// failures is the number of consecutive failed reads.
@@ -94,13 +96,16 @@
 	}
 }
 
-// untilRead returns the time until the next read is due. Before a table is known, a VM with rank 0
-// reads as soon as it may know its rank, and the others give it time.
+// untilRead returns the time until the next read is due. A VM that restarts reads at once. If the
+// whole fleet starts, one VM reads as soon as it may know its rank, and the others give it time.
 func (r *Refresher) untilRead() time.Duration {
 	rank := r.Rank()
 	if r.State.hasEndpoints() {
 		return ReadAge(rank) - r.State.Age()
 	}
+	if !r.FirstStart {
+		return 0
+	}
 	wait := settleTime
 	if rank > 0 {
 		wait += ReadAge(rank)
--- a/internal/activeconfig/state_test.go
+++ b/internal/activeconfig/state_test.go
@@ -337,7 +337,7 @@
 		for rank := range vms {
 			st, _ := newTestState(now)
 			states = append(states, st)
-			r := &Refresher{State: st, Source: s, Rank: func() int { return rank }, Log: zap.NewNop()}
+			r := &Refresher{State: st, Source: s, Rank: func() int { return rank }, FirstStart: true, Log: zap.NewNop()}
 			go r.Run(ctx)
 		}
 		exchangeFor := func(d time.Duration) {
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -160,13 +160,12 @@
 // an estimate of their own.
 const defaultOutputFraction = 0.4
 
-// decodeMemory returns the memory that a call takes until it has decoded its expected output, in
-// tokens. Calls that arrive in a burst reach the end of their outputs at the same time, and an engine
-// without memory left preempts some of them and prefills them again.
+// decodeMemory returns the memory that a call takes while it decodes, in tokens: its prompt and half
+// of its expected output, because on average the calls of an engine are halfway through their output.
 func decodeMemory(t traffic.Tokens) int64 {
 	expected := t.ExpectedOutput
 	if expected <= 0 {
 		expected = int64(defaultOutputFraction * float64(t.MaxOutput))
 	}
-	return (t.Prompt + min(expected, t.MaxOutput) + memoryBlock - 1) / memoryBlock * memoryBlock
+	return (t.Prompt + min(expected, t.MaxOutput)/2 + memoryBlock - 1) / memoryBlock * memoryBlock
 }
--- a/internal/vmserver/settings.go
+++ b/internal/vmserver/settings.go
@@ -14,6 +14,8 @@
 	// Callers, Ready, Peers and Metrics are the addresses on which the VM listens for callers,
 	// readiness checks, messages of other VMs and scrapes of its metrics.
 	Callers, Ready, Peers, Metrics netip.AddrPort
+	// FirstStart is set if the whole fleet starts for the first time.
+	FirstStart bool
 	// MemoryBytes is the memory limit above which the process is killed.
 	MemoryBytes int64
 	// HeartbeatPeriod is the time between two heartbeats of an endpoint.
