placement: the end of a request's own time is no failure of the owner

Cause: a VM passes what is left of a request's time to the owner of the cell. On a busy machine the owner's answer that this time is over can arrive before the VM's own timer fires. It was taken for a failure of the owner: the VM took over the cell, without the leases that the owner held, and placed the request on a slot that was taken.

Change: the deadline is compared with the clock, besides ctx.Err. TestOwnDeadlineIsNotAnOwnerFailure plays it with a timer that never fires; it failed before (placed at the VM itself) and passes now.

--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -43,7 +43,7 @@
 		if err == nil {
 			return l.accept(owner, reply)
 		}
-		if ctx.Err() != nil {
+		if hasEnded(ctx) {
 			l.sendRelease(owner)
 			return errRequestEnded
 		}
@@ -54,6 +54,13 @@
 	return fault.Wrap(lastErr, fault.Unavailable, "retry later", "no owner answered for cell "+l.cell, fault.WithRetryAfter(minEjection))
 }
 
+// hasEnded reports whether ctx is done or its deadline has passed. On a busy machine the timer of ctx
+// may fire after the owner, which received the same deadline, has given up the request.
+func hasEnded(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
+
 // remainingTargets returns the unspent part of the latency targets.
 func (l *lease) remainingTargets() (firstToken, deadline time.Duration) {
 	elapsed := l.service.opts.Clock.Now().Sub(l.startedAt)
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -239,6 +239,33 @@
 	waitFor(t, "all claims are released", func() bool { return running(owner) == 0 })
 }
 
+// lateContext has a deadline, but its timer fires only after the test.
+type lateContext struct {
+	context.Context
+	deadline time.Time
+}
+
+func (c lateContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+// TestOwnDeadlineIsNotAnOwnerFailure guards against a takeover of the cell at the end of a request:
+// the owner answers that the request's time is over before the timer of the sender has fired.
+func TestOwnDeadlineIsNotAnOwnerFailure(t *testing.T) {
+	nodes := startFleet(t, 1, "a", "b")
+	owner, other := ownerAndNext(nodes)
+	for seq := range uint64(2) {
+		l, err := other.service.Place(t.Context(), request(other, seq+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Release()
+	}
+	ctx := lateContext{t.Context(), time.Now().Add(50 * time.Millisecond)}
+	if l, err := other.service.Place(ctx, request(other, 3)); !fault.Is(err, fault.Timeout) {
+		t.Fatalf("got %v, %v; want a timeout: both slots are taken", l, err)
+	}
+	waitFor(t, "the owner counts both claims", func() bool { return running(owner) == 2 })
+}
+
 func TestNextOwnerRestoresLiveLeases(t *testing.T) {
 	nodes := startFleet(t, 2, "a", "b", "c")
 	owner, next := ownerAndNext(nodes)
