placement: a reassigned request is served late rather than refused

Cause: a request whose prefill engine was unresponsive kept its first-token target.

Change: the target no longer applies to a reassignment, as was so once the decode had started; the field that said so is gone from the message.

--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -132,7 +132,7 @@
 		r.PrefillHolder = l.current.Prefill
 	}
 	l.active = false
-	return placeMessage{Cell: l.cell, Request: r, Failed: failed, DecodeStarted: l.stage >= StageTransferDone}
+	return placeMessage{Cell: l.cell, Request: r, Failed: failed}
 }
 
 // Progress reports a completed stage to the owner.
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -27,13 +27,11 @@
 }
 
 // ReassignInput abandons a placed request's endpoints after Failed has failed, and requests
-// others. Request contains the remaining targets and the endpoints to avoid.
+// others. Request contains the remaining deadline and the endpoints to avoid; its first-token target
+// no longer applies.
 type ReassignInput struct {
 	Request Request
 	Failed  string
-	// DecodeStarted is set if the decode has started. The first-token target then no longer
-	// applies.
-	DecodeStarted bool
 }
 
 // RestoreInput carries an assignment made by a previous owner.
--- a/internal/placement/reassignments.go
+++ b/internal/placement/reassignments.go
@@ -15,23 +15,19 @@
 		return
 	}
 	c.recordFailure(now, in.Failed)
-	decodeStarted := in.DecodeStarted
-	previous := c.claims[r.ID]
-	if previous != nil {
-		decodeStarted = decodeStarted || previous.stage >= StageTransferDone
+	if previous := c.claims[r.ID]; previous != nil {
 		c.freeClaim(now, previous)
 	}
 	w := c.newQueuedRequest(now, r)
 	w.reassignment = true
 	c.queued[r.ID] = w
 	c.reassignments = append(c.reassignments, w)
-	switch {
-	case !r.NeedPrefill:
+	// The latency target no longer decides: an answer that is late serves an admitted request better
+	// than a refusal.
+	w.firstTokenDue = 0
+	w.waitDeadline = now.Add(r.Deadline)
+	if !r.NeedPrefill {
 		w.waitDeadline = now.Add(scaleDuration(c.cost.resultTTL, keepFraction))
-		w.firstTokenDue = 0
-	case decodeStarted || r.FirstToken <= 0:
-		w.firstTokenDue = 0
-		w.waitDeadline = now.Add(r.Deadline)
 	}
 	if !c.budget.tryWithdraw() {
 		c.refuse(now, w, Rejections{}, fault.Detail{
--- a/internal/placement/runner.go
+++ b/internal/placement/runner.go
@@ -166,7 +166,7 @@
 
 func (m placeMessage) input() Input {
 	if m.Failed != "" {
-		return ReassignInput{Request: m.Request, Failed: m.Failed, DecodeStarted: m.DecodeStarted}
+		return ReassignInput{Request: m.Request, Failed: m.Failed}
 	}
 	return PlaceInput{Request: m.Request}
 }
--- a/internal/placement/wire.go
+++ b/internal/placement/wire.go
@@ -13,11 +13,10 @@
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Cell          string
-	Request       Request
-	Failed        string
-	DecodeStarted bool
-	Wait          time.Duration
+	Cell    string
+	Request Request
+	Failed  string
+	Wait    time.Duration
 }
 
 // placeReply answers a placeMessage.
