rebalance: replace prefill engines that were removed; a new leader reads the lease early

Change: an engine moves once prefill has had one less than its minimum share for 2.4 s under load and decode can spare one; a VM that leads reads the lease after 2 s; a move that waits for the lease is retried when that has expired. Tests: TestLostPrefillEnginesAreReplaced, TestNewLeaderWaitsForTheLease- BeforeAMoveIsDue.

--- a/internal/rebalance/planner.go
+++ b/internal/rebalance/planner.go
@@ -60,6 +60,9 @@
 	// keeps: moves correct the ratio of prefill to decode engines and do not follow every burst.
 	minPrefillShare = 0.3
 	minDecodeShare  = 0.4
+	// minShortLoad is the prefill load from which an engine moves to prefill without regard to the
+	// ratio of the loads, if prefill has lost engines; see serviceState.prefillShort.
+	minShortLoad = 0.4
 	// moveDivisor limits a move to 1/moveDivisor of a service's engines, but at least one engine.
 	moveDivisor = 16
 	// largeMoveDivisor replaces moveDivisor if the ratio of prefill to decode engines is far off:
@@ -73,9 +76,10 @@
 
 // serviceState is the state of a service: the moving averages of its prefill load and decode memory
 // use, the last numbers of engines in each stage, and the cooldown after a move. samples counts the
-// samples since the last cooldown began.
+// samples since the last cooldown began, shortSamples the last consecutive ones with prefillShort.
 type serviceState struct {
 	samples         int
+	shortSamples    int
 	prefillLoad     float64
 	memoryUse       float64
 	cooldownUntil   clock.Instant
@@ -96,6 +100,10 @@
 		p.services[service] = s
 	}
 	s.prefill, s.decode = sample.Prefill, sample.Decode
+	s.shortSamples++
+	if !s.prefillShort() {
+		s.shortSamples = 0
+	}
 	prefillLoad := prefillBusyFraction * float64(sample.Prefilling) / float64(max(1, sample.Prefill))
 	if s.samples == 0 {
 		s.prefillLoad, s.memoryUse = prefillLoad, sample.MemoryUse
@@ -131,7 +139,7 @@
 			return Move{From: traffic.Prefill, To: traffic.Decode, Count: count}, true
 		}
 	}
-	if s.shouldMoveToPrefill() {
+	if s.shouldMoveToPrefill() || s.shouldReplacePrefill() {
 		return Move{From: traffic.Decode, To: traffic.Prefill, Count: 1}, true
 	}
 	return Move{}, false
@@ -155,6 +163,21 @@
 		s.prefillLoad*n/(n+1) >= minPrefillRatio*memoryGrowth*s.memoryUse*m/(m-1)
 }
 
+// prefillShort reports whether prefill has at least one engine less than its minimum share. As moves
+// keep that share, engines have left since.
+func (s *serviceState) prefillShort() bool {
+	return float64(s.prefill+1) <= minPrefillShare*float64(s.prefill+s.decode)
+}
+
+// shouldReplacePrefill reports whether prefill has been short for minSamples, is in use, and decode can
+// spare an engine. It answers the removal of prefill engines: their prompts queue at the few that are
+// left, and decode memory runs empty meanwhile.
+func (s *serviceState) shouldReplacePrefill() bool {
+	n, m := float64(s.prefill), float64(s.decode)
+	return s.shortSamples >= minSamples && m-1 >= minDecodeShare*(n+m) && s.prefillLoad >= minShortLoad &&
+		memoryGrowth*s.memoryUse*m/(m-1) <= 1
+}
+
 // StartCooldown starts the cooldown of a service after an attempted move and discards its samples.
 func (p *Planner) StartCooldown(now clock.Instant, service string) {
 	if s := p.services[service]; s != nil {
--- a/internal/rebalance/planner_test.go
+++ b/internal/rebalance/planner_test.go
@@ -72,6 +72,51 @@
 	}
 }
 
+// TestLostPrefillEnginesAreReplaced removes two of three prefill engines under load. The prompts then
+// queue at the last one, and decode memory is used so much that the ratio of the loads moves no engine.
+func TestLostPrefillEnginesAreReplaced(t *testing.T) {
+	p := NewPlanner()
+	now := clock.Instant(time.Minute)
+	for range minSamplesToPrefill {
+		p.AddSample("s", Utilization{Prefill: 3, Decode: 6, Prefilling: 3, MemoryUse: 0.36})
+	}
+	if m, due := p.NextMove(now); due {
+		t.Fatalf("unexpected move %+v before the loss", m)
+	}
+	samples := 0
+	for due := false; !due && samples < 2*minSamples; samples++ {
+		p.AddSample("s", Utilization{Prefill: 1, Decode: 6, Prefilling: 3, MemoryUse: 0.36})
+		var m Move
+		if m, due = p.NextMove(now); due && m.To != traffic.Prefill {
+			t.Fatalf("move %+v, want one to prefill", m)
+		}
+	}
+	if samples != minSamples {
+		t.Errorf("move after %d samples, want %d", samples, minSamples)
+	}
+}
+
+// TestNewLeaderWaitsForTheLeaseBeforeAMoveIsDue checks that a VM that has been the leader for a while
+// can move engines at once, although the previous leader has not given back its lease.
+func TestNewLeaderWaitsForTheLeaseBeforeAMoveIsDue(t *testing.T) {
+	c := &fakeCluster{clock: &manualClock{now: clock.Instant(time.Hour)}}
+	a, b := c.newRebalancer("a"), c.newRebalancer("b")
+	b.IsLeader = func() bool { return true }
+	m := Move{Service: "s", From: traffic.Decode, To: traffic.Prefill, Count: 1}
+	if err := a.move(t.Context(), m); err != nil {
+		t.Fatal(err)
+	}
+	for range 100 {
+		c.clock.now = c.clock.now.Add(samplePeriod)
+		if b.leads(c.clock.now) {
+			b.observeLease(t.Context(), c.clock.now)
+		}
+	}
+	if err := b.move(t.Context(), m); err != nil {
+		t.Errorf("the lease of the former leader has expired, but %v", err)
+	}
+}
+
 func TestNoMoveDuringCooldown(t *testing.T) {
 	p := NewPlanner()
 	sample := Utilization{Prefill: 6, Decode: 6, MemoryUse: 0.7}
--- a/internal/rebalance/rebalancer.go
+++ b/internal/rebalance/rebalancer.go
@@ -67,6 +67,10 @@
 	planner     *Planner
 	lastLease   Lease
 	lastLeaseAt clock.Instant
+	// leaderSince is when this VM became the leader, 0 if it is not. observed is set once it has read
+	// the lease as the leader.
+	leaderSince clock.Instant
+	observed    bool
 
 	mu sync.Mutex
 	// era is the last known era of the store, eraKnownAt when it was first known.
@@ -84,6 +88,8 @@
 	leaseMargin = 1500 * time.Millisecond
 	// retryDelay is the delay after a move that failed.
 	retryDelay = 2 * time.Second
+	// observeDelay is how long a VM is the leader before it reads the lease for the first time.
+	observeDelay = 2 * time.Second
 	// fencesPerEra is the number of fencing tokens of an era of the store. As the tokens of an era are
 	// above those of all earlier ones, none is used again if a restored store has lost the last one.
 	fencesPerEra = 1 << 24
@@ -124,17 +130,60 @@
 			r.planner.AddSample(service, sample)
 		}
 		now := r.Clock.Now()
+		if !r.leads(now) {
+			continue
+		}
+		r.observeLease(ctx, now)
 		m, due := r.planner.NextMove(now)
-		if !due || !r.IsLeader() || now.Before(retryAt) {
+		if !due || now.Before(retryAt) {
 			continue
 		}
 		if err := r.move(ctx, m); err != nil {
 			r.Log.Warn("engine not moved", zap.String("service", m.Service), zap.Stringer("to", m.To), zap.Error(err))
-			retryAt = r.Clock.Now().Add(retryDelay)
+			retryAt = r.retryAt(r.Clock.Now())
 		}
 	}
 }
 
+// retryAt returns when to retry a move that failed now: after retryDelay, or earlier if the lease of
+// another VM has expired by then.
+func (r *Rebalancer) retryAt(now clock.Instant) clock.Instant {
+	retry := now.Add(retryDelay)
+	if expiry := r.lastLeaseAt.Add(r.LeaseDuration + leaseMargin); now.Before(expiry) {
+		retry = min(retry, expiry)
+	}
+	return retry
+}
+
+// leads reports whether this VM is the leader, and records since when.
+func (r *Rebalancer) leads(now clock.Instant) bool {
+	switch {
+	case !r.IsLeader():
+		r.leaderSince, r.observed = 0, false
+	case r.leaderSince == 0:
+		r.leaderSince = now
+	}
+	return r.leaderSince != 0
+}
+
+// observeLease reads the lease once observeDelay after this VM became the leader. Otherwise the wait for
+// the lease of the previous leader to expire would begin only when a move is due.
+func (r *Rebalancer) observeLease(ctx context.Context, now clock.Instant) {
+	if r.observed || now.Sub(r.leaderSince) < observeDelay {
+		return
+	}
+	r.observed = true
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	lease, err := r.Store.ReadLease(ctx)
+	if err != nil {
+		r.Log.Warn("could not read the rebalancing lease; it is read when a move is due", zap.Error(err))
+		return
+	}
+	available := r.leaseAvailable(lease)
+	r.Log.Info("rebalancing lease read", zap.String("holder", lease.Holder), zap.Uint64("fence", lease.Fence), zap.Bool("available", available))
+}
+
 // move acquires the lease and sends the orders of a move.
 func (r *Rebalancer) move(ctx context.Context, m Move) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
