statesync: the registry does not bring back a VM that was removed

Cause: a lost VM's entry stays in the registry, which each VM lists every 15 s. Removed after 25 s of silence, it was listed again, and so kept its share of the plans for 25 s of every 30.

Change: a listed VM that was removed counts again only when it sends a heartbeat; it is sent one at each list, so that the sides of a partition longer than 25 s find each other. Test: TestRegistryDoesNotRestoreRemovedVM.

--- a/internal/statesync/members.go
+++ b/internal/statesync/members.go
@@ -70,22 +70,29 @@
 	// incarnation numbers is not enough: they are taken from the wall clock, which may have been
 	// set back before a restart.
 	ended map[ident.VM]clock.Instant
+	// gone holds the VMs that were removed without a heartbeat since. The registry may list them still,
+	// as nothing deletes the entry of a VM that was lost.
+	gone map[ident.VM]bool
 }
 
 func newMemberTable(self Member) *memberTable {
-	return &memberTable{self: self, peers: map[netip.AddrPort]*peerState{}, ended: map[ident.VM]clock.Instant{}}
+	return &memberTable{self: self, peers: map[netip.AddrPort]*peerState{}, ended: map[ident.VM]clock.Instant{}, gone: map[ident.VM]bool{}}
 }
 
-// addListed adds members listed in the registry and returns the new ones.
-func (t *memberTable) addListed(now clock.Instant, members []Member) (added []Member) {
+// addListed adds members listed in the registry and returns the new ones. lost are the listed VMs that
+// were removed: they count again only once they send a heartbeat.
+func (t *memberTable) addListed(now clock.Instant, members []Member) (added, lost []Member) {
 	for _, m := range members {
-		if m.Address == t.self.Address || !m.Address.IsValid() || t.peers[m.Address] != nil {
-			continue
+		switch {
+		case m.Address == t.self.Address || !m.Address.IsValid() || t.peers[m.Address] != nil:
+		case t.gone[m.VM]:
+			lost = append(lost, m)
+		default:
+			t.peers[m.Address] = newPeerState(m, now)
+			added = append(added, m)
 		}
-		t.peers[m.Address] = newPeerState(m, now)
-		added = append(added, m)
 	}
-	return added
+	return added, lost
 }
 
 // memberChange is the effect of a heartbeat.
@@ -110,6 +117,7 @@
 	if _, ended := t.ended[hb.From.VM]; ended || hb.From.VM == t.self.VM {
 		return memberChange{stale: true}
 	}
+	delete(t.gone, hb.From.VM)
 	p := t.peers[hb.From.Address]
 	var c memberChange
 	if p == nil {
@@ -184,6 +192,7 @@
 		case now.Sub(last) > removeAfter:
 			removed = append(removed, p.member)
 			delete(t.peers, addr)
+			t.gone[p.member.VM] = true
 		case !p.unresponsive && now.Sub(p.lastHeartbeat) > timeout:
 			p.unresponsive = true
 			unresponsive = append(unresponsive, p.member)
--- a/internal/statesync/members_test.go
+++ b/internal/statesync/members_test.go
@@ -78,6 +78,26 @@
 	}
 }
 
+// TestRegistryDoesNotRestoreRemovedVM guards against a lost VM that keeps its share of the plans for
+// ever: its entry stays in the registry, which is read again and again.
+func TestRegistryDoesNotRestoreRemovedVM(t *testing.T) {
+	table := newMemberTable(member(1, 1, "a"))
+	lostVM := member(2, 5, "a")
+	table.addListed(start(), []Member{lostVM})
+	later := start().Add(removeAfter + time.Millisecond)
+	table.expire(later)
+	added, lost := table.addListed(later, []Member{lostVM, member(3, 1, "a")})
+	if len(added) != 1 || added[0].VM.Name != "vm-3" || len(lost) != 1 || lost[0].VM != lostVM.VM {
+		t.Fatalf("added %v, lost %v", added, lost)
+	}
+	if c := table.applyHeartbeat(later, &heartbeat{From: lostVM}); !c.joined || c.stale {
+		t.Errorf("heartbeat of the lost VM: %+v, want it to join again", c)
+	}
+	if restarted := member(2, 6, "a"); len(table.gone) != 0 || table.peers[restarted.Address] == nil {
+		t.Errorf("lost VMs %v, members %v", table.gone, table.peers)
+	}
+}
+
 func TestCounterIncrements(t *testing.T) {
 	table := newMemberTable(member(1, 1, "a"))
 	from := member(2, 5, "a")
--- a/internal/statesync/send.go
+++ b/internal/statesync/send.go
@@ -44,6 +44,16 @@
 	broadcast(s, peer.KindHeartbeat, &hb, to)
 }
 
+// greet sends VMs that are not members a heartbeat, to which a live one responds with its own.
+func (s *Service) greet(vms []Member) {
+	hb := heartbeat{From: s.opts.Self, Versions: s.opts.Documents.Versions(), Age: s.opts.Documents.Age()}
+	var to []netip.AddrPort
+	for _, m := range vms {
+		to = append(to, m.Address)
+	}
+	sendTo(s, peer.KindHeartbeat, &hb, to)
+}
+
 func (s *Service) sendUpdates(ctx context.Context) {
 	for {
 		select {
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -280,7 +280,7 @@
 
 func (s *Service) addMembers(members []Member) {
 	s.mu.Lock()
-	added := s.members.addListed(s.opts.Clock.Now(), members)
+	added, lost := s.members.addListed(s.opts.Clock.Now(), members)
 	if len(added) > 0 {
 		s.lastFull = 0
 	}
@@ -292,6 +292,9 @@
 		signal(s.membersAdded)
 		s.sendHeartbeat()
 	}
+	if len(lost) > 0 { // after a long partition each side has removed the other one
+		s.greet(lost)
+	}
 }
 
 // HasLowestAddress reports whether this VM has the lowest address of all live VMs.
