--- a/internal/vmserver/vmserver_test.go
+++ b/internal/vmserver/vmserver_test.go
@@ -68,9 +68,7 @@
 // TestReload checks that a new retry budget takes effect immediately, and that a failed reload
 // changes nothing.
 func TestReload(t *testing.T) {
-	results := make(chan error, 2)
-	results <- fault.New(fault.Malformed, "correct the settings", "invalid settings")
-	results <- nil
+	results := make(chan error)
 	p := newTestProcess(func() (admission.RetryBudget, error) {
 		return admission.RetryBudget{Window: 10 * time.Second}, <-results
 	})
@@ -82,11 +80,13 @@
 		p.await(ctx, reload)
 	}()
 	reload <- syscall.SIGHUP
+	results <- fault.New(fault.Malformed, "correct the settings", "invalid settings")
+	reload <- syscall.SIGHUP // accepted once the first one has been handled
 	// The VM's share of the slack allows less than one retry; the negative reserve makes up for it.
-	if len(results) > 1 || !p.admission.SpendRetry("s", -0.9) {
+	if !p.admission.SpendRetry("s", -0.9) {
 		t.Error("the failed reload changed the retry budget")
 	}
-	reload <- syscall.SIGHUP
+	results <- nil
 	stop()
 	<-done
 	if p.admission.SpendRetry("s", 0) {
