peer: both VMs use one connection

Cause: each of two VMs dialed the other, so 49 direct peers meant 98 connections a VM and, as one-way messages have no replies, a ping and a pong every 4 s on each; on the large site a VM spends its time on messages. A VM also sent on a connection to a peer's earlier incarnation until that timed out.

Change: a VM names its address in the first frame, and the accepting side sends on that connection; one from a new incarnation replaces the old.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -18,8 +18,12 @@
 
 // conn is a dialed or accepted connection. One goroutine reads from it and one writes to it.
 type conn struct {
-	t       *Transport
-	addr    netip.AddrPort
+	t *Transport
+	// addr is the address of the VM that messages on this connection are sent to, invalid for an
+	// accepted connection that is not shared. It is guarded by the mutex of t.
+	addr netip.AddrPort
+	// dialed is set if this side opened the connection.
+	dialed  bool
 	nc      net.Conn
 	outbox  chan *frame
 	ready   chan struct{}
@@ -59,7 +63,7 @@
 
 func newDialing(t *Transport, addr netip.AddrPort) *conn {
 	c := newConn(t, nil)
-	c.addr = addr
+	c.addr, c.dialed = addr, true
 	c.onClose = func() { t.removeConn(addr, c) }
 	return c
 }
@@ -97,7 +101,9 @@
 }
 
 func (c *conn) start() {
-	c.outbox <- &frame{Type: frameHello, From: &c.t.opts.Self}
+	if first, err := c.t.newHello(); err == nil {
+		c.outbox <- first
+	}
 	c.t.wg.Add(2)
 	go c.readLoop()
 	go c.writeLoop()
@@ -287,7 +293,7 @@
 	idle := time.Since(c.lastUsed)
 	c.mu.Unlock()
 	if !awaiting {
-		if c.addr.IsValid() && idle > IdleTimeout {
+		if c.dialed && idle > IdleTimeout {
 			return errIdle
 		}
 		return nil
@@ -301,6 +307,7 @@
 
 var (
 	errIdle         = fault.New(fault.Unavailable, "none needed: the next call dials again", "peer connection idle")
+	errReplaced     = fault.New(fault.Unavailable, "none needed: the next call uses the new connection", "the VM has restarted")
 	errUnresponsive = fault.New(fault.Unavailable, "none needed: the next call dials again", "no response on peer connection")
 )
 
@@ -316,6 +323,9 @@
 		c.t.opts.CountFrame(false, f.Kind, n)
 		c.mu.Lock()
 		c.awaitingSince, c.oneWaySince = time.Time{}, time.Time{}
+		if f.Type == frameCall || f.Type == frameOneWay {
+			c.lastUsed = time.Now()
+		}
 		c.mu.Unlock()
 		c.dispatch(f)
 	}
@@ -324,11 +334,7 @@
 func (c *conn) dispatch(f *frame) {
 	switch f.Type {
 	case frameHello:
-		if f.From != nil {
-			c.mu.Lock()
-			c.remote = *f.From
-			c.mu.Unlock()
-		}
+		c.receiveHello(f)
 	case frameReply:
 		c.mu.Lock()
 		reply := c.pending[f.ID]
--- /dev/null
+++ b/internal/peer/shared.go
@@ -0,0 +1,64 @@
+package peer
+
+import (
+	"net/netip"
+
+	"github.com/fulmartide/fulmartide/internal/ident"
+)
+
+// A transport with an advertised address names it in the first frame of each connection that it
+// dials. The other side then sends on that connection as well, instead of dialing one of its own: in a
+// large fleet this halves the connections, and frequent messages in both directions need no pings.
+
+// hello is the body of the first frame of a connection.
+type hello struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Address is where the sender accepts connections, invalid if it does not advertise one.
+	Address netip.AddrPort
+}
+
+// newHello returns the first frame of a connection.
+func (t *Transport) newHello() (*frame, error) {
+	body, err := marshal(&hello{Address: t.opts.Advertise})
+	return &frame{Type: frameHello, From: &t.opts.Self, Body: body}, err
+}
+
+// receiveHello records who the other side of an accepted connection is, and uses the connection for
+// messages to it.
+func (c *conn) receiveHello(f *frame) {
+	if f.From == nil {
+		return
+	}
+	c.mu.Lock()
+	c.remote = *f.From
+	c.mu.Unlock()
+	var h hello
+	if err := unmarshal(f.Body, &h); err != nil || !h.Address.IsValid() || c.dialed {
+		return
+	}
+	if replaced := c.t.share(c, h.Address, *f.From); replaced != nil {
+		replaced.close(errReplaced)
+	}
+}
+
+// share uses an accepted connection for messages to addr, unless there is one to the same incarnation
+// of the VM already. It returns the connection to an earlier incarnation, which is to be closed.
+func (t *Transport) share(c *conn, addr netip.AddrPort, from ident.VM) (replaced *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	existing := t.conns[addr]
+	if existing != nil && (!existing.isReady() || existing.remoteVM() == from) {
+		return nil
+	}
+	c.addr = addr
+	t.conns[addr] = c
+	return existing
+}
+
+func (c *conn) remoteVM() ident.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.remote
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -52,6 +52,9 @@
 type Options struct {
 	// Self identifies this VM in the first frame of each connection.
 	Self ident.VM
+	// Advertise is the address at which this VM accepts connections. If it is valid, other VMs may
+	// send on the connections that this one dials.
+	Advertise netip.AddrPort
 	// TLS is used for dialed and accepted connections; nil means plain TCP.
 	TLS *tls.Config
 	// Log is the logger; nil disables logging.
@@ -69,7 +72,9 @@
 	inbound chan struct{}
 	nextID  atomic.Uint64
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// conns holds the connections for messages to other VMs, by address: dialed ones, and accepted ones
+	// that are shared.
 	conns    map[netip.AddrPort]*conn
 	accepted map[net.Conn]struct{}
 	// open holds the connections that are in use, dialed or accepted. keepAlive is set once
@@ -147,6 +152,9 @@
 		t.mu.Lock()
 		delete(t.accepted, nc)
 		delete(t.open, c)
+		if t.conns[c.addr] == c {
+			delete(t.conns, c.addr)
+		}
 		t.mu.Unlock()
 	}
 	t.openedLocked(c)
