--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -23,8 +23,8 @@
 	// OnWorkChange is called with this VM's new work at an endpoint of a data centre. It must not
 	// block. It may be nil.
 	OnWorkChange func(seq uint64, id traffic.EndpointID, dataCentre string, w Work)
-	// OnFailure is called if an endpoint of a data centre aborted a call, was found dead by this VM
-	// before any other, or was ordered to change its stage. It must not block. It may be nil.
+	// OnFailure is called if an endpoint of a data centre aborted a call, was found dead by this VM,
+	// or was ordered to change its stage. It must not block. It may be nil.
 	OnFailure func(id traffic.EndpointID, dataCentre string, o Outcome)
 }
 
@@ -226,10 +226,8 @@
 	if e == nil {
 		return
 	}
-	now := s.opts.Clock.Now()
-	known := o == Dead && e.health.ejected(now)
-	e.health.record(now, o)
-	if o >= Failed && !known {
+	e.health.record(s.opts.Clock.Now(), o)
+	if o >= Failed {
 		s.opts.OnFailure(c.Endpoint.ID, c.Endpoint.DataCentre, o)
 	}
 }
