statesync: fewer heartbeats in a large data centre, fewer requests for the plan window at a start

Change: in a data centre that is divided into subsets a heartbeat is always a full one, every 2 s for 48 peers (full ones came every 1.6 s before), and updates, which go to all, count as a sign of life; silence is noticed after 4.5 s there instead of 3.3. Digests are forwarded four at a time. A VM that starts asks for the plan window at most ten times a second. Test: TestUpdateShowsThatAVMIsUp.

--- a/internal/statesync/digest.go
+++ b/internal/statesync/digest.go
@@ -102,9 +102,12 @@
 	}
 }
 
-// forwardPause is the pause between the copies of a forwarded digest: the link of a small VM
+// A digest is forwarded to forwardBatch VMs at a time, with forwardPause between: the link of a small VM
 // needs milliseconds for each copy.
-const forwardPause = 8 * time.Millisecond
+const (
+	forwardBatch = 4
+	forwardPause = 32 * time.Millisecond
+)
 
 // onDigest records which VMs of another data centre are live and, in a large fleet, the work and
 // usage of that data centre. If the digest is to be forwarded, it also requests newer documents from
@@ -142,8 +145,8 @@
 	s.mu.Lock()
 	to := s.members.addresses(s.members.isDirect)
 	s.mu.Unlock()
-	for _, addr := range to {
-		sendTo(s, peer.KindDigest, &forwarded, []netip.AddrPort{addr})
+	for batch := range slices.Chunk(to, forwardBatch) {
+		sendTo(s, peer.KindDigest, &forwarded, batch)
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/statesync/handlers.go
+++ b/internal/statesync/handlers.go
@@ -87,7 +87,7 @@
 
 func (s *Service) onUpdate(_ context.Context, from ident.VM, m *update) {
 	s.mu.Lock()
-	increments := s.members.applyCounters(from, m.From, m.Counters)
+	increments := s.members.applyCounters(s.opts.Clock.Now(), from, m.From, m.Counters)
 	s.mu.Unlock()
 	for key, n := range increments {
 		s.opts.Plans.AddFromPeer(key, n)
--- a/internal/statesync/members.go
+++ b/internal/statesync/members.go
@@ -31,8 +31,10 @@
 	// data centre.
 	digestSenders = 2
 	digestPeriod  = 800 * time.Millisecond
-	// missedHeartbeats is the number of missed heartbeats after which a VM counts as unresponsive.
+	// missedHeartbeats is the number of missed heartbeats after which a VM counts as unresponsive, but
+	// no later than maxSilence after the first one was due.
 	missedHeartbeats = 4
+	maxSilence       = 2500 * time.Millisecond
 )
 
 // hasLowestAddress reports whether this VM has the lowest address of all live VMs.
@@ -170,12 +172,14 @@
 	return out
 }
 
-// applyCounters records counters that arrive in an update, between full heartbeats.
-func (t *memberTable) applyCounters(vm ident.VM, from netip.AddrPort, counters []counter) map[admission.CounterKey]int64 {
+// applyCounters records counters that arrive in an update, between full heartbeats. The update shows that
+// the VM is up.
+func (t *memberTable) applyCounters(now clock.Instant, vm ident.VM, from netip.AddrPort, counters []counter) map[admission.CounterKey]int64 {
 	p := t.peers[from]
 	if p == nil || p.member.VM != vm || p.totals == nil {
 		return nil // the next full heartbeat of the VM brings them
 	}
+	p.lastHeartbeat = now
 	return p.updateTotals(counters)
 }
 
@@ -209,7 +213,8 @@
 // heartbeatTimeouts returns the times without a heartbeat after which a direct peer, and any other
 // VM, counts as unresponsive.
 func (t *memberTable) heartbeatTimeouts() (direct, remote time.Duration) {
-	return max(unresponsiveAfter, missedHeartbeats*t.heartbeatPeriod()), missedHeartbeats * digestPeriod
+	period := t.heartbeatPeriod()
+	return max(unresponsiveAfter, min(missedHeartbeats*period, period+maxSilence)), missedHeartbeats * digestPeriod
 }
 
 func (t *memberTable) large() bool { return len(t.peers) >= largeFleet }
@@ -235,7 +240,8 @@
 }
 
 // heartbeatPeriod returns the time between heartbeats to the direct peers. It grows with their
-// number, so that the load of a VM grows more slowly than the fleet.
+// number, so that the load of a VM grows more slowly than the fleet. In a data centre that is divided
+// into subsets, updates go to all direct peers as well and show that a busy VM is up.
 func (t *memberTable) heartbeatPeriod() time.Duration {
 	if !t.large() {
 		return smallFleetPeriod
@@ -246,7 +252,11 @@
 			direct++
 		}
 	}
-	return largeFleetPeriod * time.Duration(max(largeFleet, direct)) / largeFleet
+	period := largeFleetPeriod
+	if subsets(direct+1) > 1 {
+		period = fullHeartbeatPeriod
+	}
+	return period * time.Duration(max(largeFleet, direct)) / largeFleet
 }
 
 // size returns the number of VMs that may be serving and of those that are live, both including
--- a/internal/statesync/members_test.go
+++ b/internal/statesync/members_test.go
@@ -102,14 +102,14 @@
 	table := newMemberTable(member(1, 1, "a"))
 	from := member(2, 5, "a")
 	table.applyHeartbeat(start(), &heartbeat{From: from, Full: true, Counters: []counter{{Name: "w", Total: 100}}})
-	if got := table.applyCounters(from.VM, from.Address, []counter{{Name: "w", Total: 250}})[admission.CounterKey{Name: "w"}]; got != 150 {
+	if got := table.applyCounters(start(), from.VM, from.Address, []counter{{Name: "w", Total: 250}})[admission.CounterKey{Name: "w"}]; got != 150 {
 		t.Errorf("increment %d, want 150", got)
 	}
 	c := table.applyHeartbeat(start(), &heartbeat{From: from, Full: true, Counters: []counter{{Name: "w", Total: 250}}})
 	if got := c.increments[admission.CounterKey{Name: "w"}]; got != 0 {
 		t.Errorf("the heartbeat counts %d tokens again", got)
 	}
-	if got := table.applyCounters(ident.VM{Name: "vm-2", Incarnation: 4}, from.Address, []counter{{Name: "w", Total: 900}})[admission.CounterKey{Name: "w"}]; got != 0 {
+	if got := table.applyCounters(start(), ident.VM{Name: "vm-2", Incarnation: 4}, from.Address, []counter{{Name: "w", Total: 900}})[admission.CounterKey{Name: "w"}]; got != 0 {
 		t.Errorf("an update of an earlier incarnation counts %d tokens", got)
 	}
 }
@@ -165,6 +165,28 @@
 	}
 }
 
+// TestUpdateShowsThatAVMIsUp checks that a VM whose heartbeats are rare is not taken for unresponsive
+// while its updates arrive.
+func TestUpdateShowsThatAVMIsUp(t *testing.T) {
+	n, _ := largeFleetNode(t)
+	table := n.members
+	direct, _ := table.heartbeatTimeouts()
+	if period := table.heartbeatPeriod(); direct < 2*period || direct > period+maxSilence {
+		t.Fatalf("a VM that sends a heartbeat every %s counts as unresponsive after %s", period, direct)
+	}
+	busy := table.peers[fleetAddress(0, 1)]
+	table.applyCounters(start().Add(direct), busy.member.VM, busy.member.Address, nil)
+	unresponsive, _ := table.expire(start().Add(direct + time.Millisecond))
+	for _, m := range unresponsive {
+		if m.VM == busy.member.VM {
+			t.Errorf("%v counts as unresponsive after its update", m.VM)
+		}
+	}
+	if len(unresponsive) == 0 {
+		t.Error("no VM counts as unresponsive")
+	}
+}
+
 // TestHeartbeatWithoutCountersKeepsTotals checks that a heartbeat that is not full neither sets nor
 // resets the counters of a VM.
 func TestHeartbeatWithoutCountersKeepsTotals(t *testing.T) {
--- a/internal/statesync/window.go
+++ b/internal/statesync/window.go
@@ -21,6 +21,9 @@
 	// The pause between two rounds of requests doubles from minWindowPause to maxWindowPause.
 	minWindowPause = 20 * time.Millisecond
 	maxWindowPause = time.Second
+	// joinWindowPause is the maximum pause after VMs have joined. It is not shorter, because the VMs of
+	// a fleet that starts join one after the other.
+	joinWindowPause = 100 * time.Millisecond
 )
 
 // adoptWindow asks direct peers for the usage in the current plan window until this VM knows it.
@@ -39,7 +42,7 @@
 		case <-ctx.Done():
 			return
 		case <-s.membersAdded:
-			pause = minWindowPause
+			sleep(ctx, min(pause, joinWindowPause))
 		case <-time.After(pause):
 			pause = min(2*pause, maxWindowPause)
 		}
