admission: the sides of a partition share what is left of a plan

Cause: when a partition was noticed, what all VMs had used in the window counted against the share of one side.

Change: the share of the fleet that a VM could reach is kept for each bucket of the window, and what it knows of the usage in a bucket stands for that share of the fleet's. So each side may use its share of what is left. The share also applies to the time in which the partition was not yet noticed, and to the whole window for a VM that has just started; when VMs are reachable again they report what they used.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -57,8 +57,10 @@
 	// DirectShare is the share of the fleet's VMs that are this VM or a direct peer of it. Direct
 	// peers exchange every update immediately.
 	DirectShare float64
-	// LiveShare is the reachable share of the fleet, including this VM; see Plans.SetLiveShare.
-	LiveShare float64
+	// LiveShare is the reachable share of the fleet, including this VM, and UnnoticedFor the time for
+	// which a VM may be unreachable before it counts as such; see Plans.SetLiveShare.
+	LiveShare    float64
+	UnnoticedFor time.Duration
 	// RemainderShare is the share of a plan's remainder that this VM and its direct peers may use; see
 	// Plans.SetRemainderShare.
 	RemainderShare float64
@@ -69,7 +71,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.directShare = p.DirectShare
-	c.plans.SetLiveShare(p.LiveShare)
+	c.plans.SetLiveShare(c.clock.Now(), p.LiveShare, p.UnnoticedFor)
 	c.plans.SetRemainderShare(p.RemainderShare)
 }
 
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -76,9 +76,9 @@
 	startedAt clock.Instant
 	// seeded is set when another VM has reported the usage before startedAt.
 	seeded bool
-	// liveShare is the share of the fleet that this VM can reach, including itself. The VMs that can
-	// reach each other may use this share of each plan.
-	liveShare float64
+	// shares is the share of the fleet that this VM could reach, including itself, in each bucket. The
+	// VMs that can reach each other may use this share of what is left of each plan.
+	shares shareHistory
 	// remainderShare is the share of a plan's remainder that this VM and its direct peers may use
 	// until the other data centres report again. The remainder is what the plan still allows, not
 	// counting what this VM and its direct peers admitted in the recent buckets.
@@ -90,15 +90,24 @@
 // NewPlans returns Plans that count usage over a window. loweringDelay is the time within which a
 // configuration change takes effect on all VMs; a lowered plan takes effect after it.
 func NewPlans(now clock.Instant, window, loweringDelay time.Duration, slack Slack) *Plans {
-	return &Plans{
+	p := &Plans{
 		startedAt: now, window: window, loweringDelay: loweringDelay, slack: slack, accounts: map[string]*account{},
-		liveShare: 1, remainderShare: 1, dataCentres: map[string]dataCentreUsage{},
+		remainderShare: 1, dataCentres: map[string]dataCentreUsage{},
 	}
+	p.shares = newShareHistory(p.bucket(now))
+	return p
 }
 
 // SetLiveShare sets the share of the fleet that this VM can reach, including itself. Unreachable
-// VMs may still be admitting calls, so their share of each plan is reserved for them.
-func (p *Plans) SetLiveShare(share float64) { p.liveShare = share }
+// VMs may still be admitting calls, so their share of each plan is reserved for them. If the share falls,
+// they may have been unreachable for up to the time unnoticed already, or for the whole window if this VM
+// has just started.
+func (p *Plans) SetLiveShare(now clock.Instant, share float64, unnoticed time.Duration) {
+	if now.Sub(p.startedAt) < p.window {
+		unnoticed = p.window
+	}
+	p.shares.set(p.bucket(now), share, int64(unnoticed/p.bucketDuration()))
+}
 
 // SetRemainderShare sets the share of a plan's remainder that this VM and its direct peers may use
 // until the other data centres report their usage again; see Plans.remainderShare. It is 1 if all
@@ -184,10 +193,12 @@
 	return p.seeded || now.Sub(p.startedAt) >= p.window
 }
 
-// allowedOnThisSide returns what the VMs on this side of a partition may use: their share of what
-// the plan allows and of the slack.
-func (p *Plans) allowedOnThisSide(allowed float64) float64 {
-	return min(allowed, p.liveShare*(allowed+p.slack.amount(allowed, partitionSlack)))
+// allowedOnThisSide returns what the VMs on this side of a partition may use in the window, including
+// what they have used: their share of what is left of the plan and of the slack. used is the usage that
+// this VM knows of, estimated that of the whole fleet.
+func (p *Plans) allowedOnThisSide(allowed float64, used int64, estimated float64) float64 {
+	left := allowed + p.slack.amount(allowed, partitionSlack) - estimated
+	return min(allowed, float64(used)+p.shares.current*left)
 }
 
 // allowed returns what a plan allows in the window that ends now, in tokens. In a window that
@@ -220,7 +231,9 @@
 		return Decision{Admitted: true}
 	}
 	a := p.account(now, workspace, l)
-	d := Decision{UsedBefore: a.sum + p.dataCentreUsed(now, workspace), Allowed: p.allowedOnThisSide(p.allowed(a, now))}
+	remote, estimatedRemote := p.dataCentreUsed(now, workspace)
+	d := Decision{UsedBefore: a.sum + remote}
+	d.Allowed = p.allowedOnThisSide(p.allowed(a, now), d.UsedBefore, p.shares.estimate(a)+estimatedRemote)
 	if float64(d.UsedBefore+cost) > d.Allowed {
 		d.RetryAfter = p.timeUntilFreed(a, float64(d.UsedBefore+cost)-d.Allowed)
 		return d
@@ -241,10 +254,11 @@
 	return d
 }
 
-// timeUntilFreed returns the time until at least excess tokens have left the window.
+// timeUntilFreed returns the time until usage that leaves the window allows excess tokens more.
 func (p *Plans) timeUntilFreed(a *account, excess float64) time.Duration {
 	for i := int64(1); i <= accountBuckets; i++ {
-		excess -= float64(a.buckets[(a.bucket+i)%accountBuckets])
+		bucket := (a.bucket + i) % accountBuckets
+		excess -= float64(a.buckets[bucket]) * p.shares.current / p.shares.shares[bucket]
 		if excess <= 0 {
 			return time.Duration(i) * p.bucketDuration()
 		}
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -26,15 +26,22 @@
 	p.dataCentres[dataCentre] = dataCentreUsage{at: now, tokens: tokens}
 }
 
-// dataCentreUsed returns what other data centres used of a workspace's plan in the window,
-// according to their last reports.
-func (p *Plans) dataCentreUsed(now clock.Instant, workspace string) int64 {
+// dataCentreUsed returns what other data centres used of a workspace's plan in the window, according to
+// their last reports, and an estimate of the usage that this stands for: what a data centre that still
+// reports has used is, like this VM's own usage, that of one side of a partition.
+func (p *Plans) dataCentreUsed(now clock.Instant, workspace string) (used int64, estimated float64) {
 	sum := 0.0
 	for _, u := range p.dataCentres {
-		left := 1 - float64(now.Sub(u.at)-reportHold)/float64(p.window)
-		sum += float64(u.tokens[workspace]) * max(0, min(1, left))
+		age := now.Sub(u.at)
+		left := 1 - float64(age-reportHold)/float64(p.window)
+		tokens := float64(u.tokens[workspace]) * max(0, min(1, left))
+		sum += tokens
+		if age <= reportHold {
+			tokens /= p.shares.current
+		}
+		estimated += tokens
 	}
-	return int64(sum)
+	return int64(sum), estimated
 }
 
 // WindowUsage returns what this VM and its direct peers admitted in the window.
--- a/internal/statesync/members.go
+++ b/internal/statesync/members.go
@@ -273,7 +273,14 @@
 
 // fleetShares returns the shares of the fleet that plans and the retry budget depend on.
 func (t *memberTable) fleetShares() admission.FleetShares {
-	return admission.FleetShares{DirectShare: t.directShare(), LiveShare: t.liveShare(), RemainderShare: t.remainderShare()}
+	unnoticed, remote := t.heartbeatTimeouts()
+	if t.large() {
+		unnoticed = max(unnoticed, remote)
+	}
+	return admission.FleetShares{
+		DirectShare: t.directShare(), RemainderShare: t.remainderShare(),
+		LiveShare: t.liveShare(), UnnoticedFor: unnoticed,
+	}
 }
 
 // directShare returns the fraction of the known VMs that are live direct peers, including this VM.
