schedule: one call at a time tries ejected endpoints, the others are refused at once

All endpoints were ejected, so one was chosen nevertheless, for every call, and each call waited for connections until its deadline.

Change: an ejected endpoint is tried only while this VM has no call there.

--- a/internal/schedule/closed_test.go
+++ b/internal/schedule/closed_test.go
@@ -62,3 +62,37 @@
 		t.Error("a refusal after a successful prefill counts as a consecutive one")
 	}
 }
+
+// TestEjectedEndpointsAreTriedByOneCall plays the partition of a data centre whose service has endpoints in
+// other data centres only: one call at a time tries an ejected endpoint, the others are refused at once
+// instead of waiting for a connection until their deadlines.
+func TestEjectedEndpointsAreTriedByOneCall(t *testing.T) {
+	s, _ := newTestScheduler(newPlainEndpoint("x", "b"), newPlainEndpoint("y", "c"))
+	request := plainRequest()
+	for range 2 {
+		claim, err := s.Place(request, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		claim.RecordOutcome(Dead)
+		claim.Release()
+	}
+	var tries []*Claim
+	refused := 0
+	for range 10 {
+		claim, err := s.Place(request, nil)
+		if err != nil {
+			refused++
+			continue
+		}
+		tries = append(tries, claim)
+	}
+	if len(tries) != 2 || refused != 8 {
+		t.Fatalf("%d calls try an ejected endpoint, %d are refused, want 2 and 8", len(tries), refused)
+	}
+	tries[0].RecordOutcome(Succeeded)
+	tries[0].Release()
+	if claim, err := s.Place(request, nil); err != nil || claim.Endpoint.ID != tries[0].Endpoint.ID {
+		t.Errorf("after the endpoint answered: chose %v, error %v", claim, err)
+	}
+}
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -229,7 +229,7 @@
 	TableVersion uint64
 	// EndpointWork is the work of all VMs at the endpoint before this call.
 	EndpointWork Work
-	// Ejected is set if all usable endpoints were ejected and one of them was chosen nevertheless.
+	// Ejected is set if all usable endpoints were ejected and one of them is tried nevertheless.
 	Ejected bool
 }
 
@@ -268,7 +268,7 @@
 		if failure == allFull {
 			return nil, Choice{}, allFull
 		}
-		healthy = usable
+		healthy = probeable(usable)
 	}
 	if len(healthy) == 0 {
 		return nil, Choice{}, failure
@@ -283,6 +283,19 @@
 	return best, c, chosen
 }
 
+// probeable returns the endpoints that may be tried although they are ejected: those without a call of
+// this VM. One call at a time finds out whether an endpoint is back; the others would only wait for
+// their timeouts.
+func probeable(ejected []*endpointState) []*endpointState {
+	var out []*endpointState
+	for _, s := range ejected {
+		if s.own.Calls == 0 {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // remoteScoreSpread is the score difference up to which endpoints of other data centres count as
 // equal to the cheapest one. VMs of all data centres have the same information about them and
 // would otherwise all choose the same one.
