schedule, admission: wake-ups by subset; a plan window of at least a second; files split

- Calls that wait in a large data centre claim freed capacity in slots of 3 ms by the order of all its VMs, up to 0.15 s, although only a subset is told now: the slots of a subset follow each other.
Test: TestWakeSlotsOfSubsets.
- NewPlans divided by a window of 0 since the share of the fleet is kept by bucket (found by the tests of vmserver; the settings always state one).
Test: TestPlansWithoutWindow.
- statesync: shares.go; schedule: queue.go.

--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -87,11 +87,14 @@
 	dataCentres map[string]dataCentreUsage
 }
 
-// NewPlans returns Plans that count usage over a window. loweringDelay is the time within which a
+// minWindow is the shortest window.
+const minWindow = time.Second
+
+// NewPlans returns Plans that count usage over a window of at least minWindow. loweringDelay is the time within which a
 // configuration change takes effect on all VMs; a lowered plan takes effect after it.
 func NewPlans(now clock.Instant, window, loweringDelay time.Duration, slack Slack) *Plans {
 	p := &Plans{
-		startedAt: now, window: window, loweringDelay: loweringDelay, slack: slack, accounts: map[string]*account{},
+		startedAt: now, window: max(window, minWindow), loweringDelay: loweringDelay, slack: slack, accounts: map[string]*account{},
 		remainderShare: 1, dataCentres: map[string]dataCentreUsage{},
 	}
 	p.shares = newShareHistory(p.bucket(now))
--- a/internal/admission/plan_test.go
+++ b/internal/admission/plan_test.go
@@ -51,6 +51,15 @@
 	})
 }
 
+// TestPlansWithoutWindow checks that a site that states no window gets the shortest one.
+func TestPlansWithoutWindow(t *testing.T) {
+	p := NewPlans(oldStart(), 0, 0, Slack{})
+	limit := Limit{Rate: 1000, Burst: 500}
+	if !p.Admit(at(0), "w", limit, 1500).Admitted || p.Admit(at(0), "w", limit, 1).Admitted {
+		t.Error("the plan does not hold for a window of one second")
+	}
+}
+
 func TestPlansAdmit(t *testing.T) {
 	limit := Limit{Rate: 1000, Burst: 500}
 	for _, tc := range []struct {
--- a/internal/schedule/order_test.go
+++ b/internal/schedule/order_test.go
@@ -28,7 +28,7 @@
 		}
 		for i := range order {
 			fleet[i], _ = newTestScheduler(newEngine("x", "a", traffic.Decode))
-			fleet[i].SetPeerOrder(order, i)
+			fleet[i].SetPeerOrder(order, i, 1)
 		}
 		report(0, 1, Work{Calls: 9, Tokens: testCapacity - 100}) // the engine is full
 		time.Sleep(2 * latency)
@@ -66,3 +66,27 @@
 		}
 	})
 }
+
+// TestWakeSlotsOfSubsets checks that in a large data centre the VMs that are told of freed capacity claim it
+// in slots that follow each other directly.
+func TestWakeSlotsOfSubsets(t *testing.T) {
+	order := make([]ident.VM, 48)
+	for i := range order {
+		order[i].Name = string(rune('A' + i))
+	}
+	for _, tc := range []struct {
+		self, subsets int
+		want          time.Duration
+	}{
+		{self: 0, subsets: 1, want: 0},
+		{self: 45, subsets: 1, want: 45 * wakeSlot},
+		{self: 3, subsets: 3, want: wakeSlot},
+		{self: 45, subsets: 3, want: 15 * wakeSlot},
+	} {
+		s, _ := newTestScheduler()
+		s.SetPeerOrder(order, tc.self, tc.subsets)
+		if got := s.wakeDelay(order[0]); got != tc.want {
+			t.Errorf("VM %d of 48 in %d subsets waits %s, want %s", tc.self, tc.subsets, got, tc.want)
+		}
+	}
+}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -39,65 +39,10 @@
 	capacityFreed chan struct{}
 	// queues holds the calls of this VM that wait for capacity, in order of arrival.
 	queues map[pool][]*QueueEntry
-	// peers lists this VM and its direct peers. This VM has the index self.
-	peers []ident.VM
-	self  int
-}
-
-// wakeSlot is the time within which a claim becomes known to the direct peers.
-const wakeSlot = 3 * time.Millisecond
-
-// SetPeerOrder sets the list of this VM and its direct peers, and this VM's index in it. The order
-// must be the same on all of them.
-func (s *Scheduler) SetPeerOrder(order []ident.VM, self int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.peers, s.self = order, self
-}
-
-// wakeDelay returns how long after another VM freed capacity this VM's queued calls may claim it.
-// Each VM has its own slot, counted from the VM that freed the capacity. Otherwise the calls
-// queued at many VMs would all claim the same capacity as soon as they learn of it.
-func (s *Scheduler) wakeDelay(from ident.VM) time.Duration {
-	at := slices.Index(s.peers, from)
-	if n := len(s.peers); at >= 0 && n > 1 {
-		return wakeSlot * time.Duration((s.self-at+n)%n)
-	}
-	return 0
-}
-
-// pool identifies the endpoints that calls queue for.
-type pool struct {
-	service string
-	stage   traffic.Stage
-}
-
-// QueueEntry is a call's entry in the queue for capacity. Without the queue, small calls would take
-// all capacity that becomes available, and large ones would never be placed.
-type QueueEntry struct {
-	scheduler *Scheduler
-	pool      pool
-}
-
-// Enqueue appends a call to the queue for its service and stage.
-func (s *Scheduler) Enqueue(req *Request) *QueueEntry {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e := &QueueEntry{scheduler: s, pool: pool{req.Service, req.Stage}}
-	s.queues[e.pool] = append(s.queues[e.pool], e)
-	return e
-}
-
-// Leave removes the call from the queue. It may be called more than once.
-func (e *QueueEntry) Leave() {
-	s := e.scheduler
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.queues[e.pool] = slices.DeleteFunc(s.queues[e.pool], func(o *QueueEntry) bool { return o == e })
-	if len(s.queues[e.pool]) == 0 {
-		delete(s.queues, e.pool)
-	}
-	s.wakeLocked()
+	// peers lists this VM and its direct peers, in the given number of subsets. This VM has the index
+	// self.
+	peers         []ident.VM
+	self, subsets int
 }
 
 // New returns a Scheduler without endpoints.
@@ -139,19 +84,6 @@
 	return e != nil && !e.Leaving
 }
 
-// wakeLocked wakes the calls that wait for capacity. The caller must hold s.mu.
-func (s *Scheduler) wakeLocked() {
-	close(s.capacityFreed)
-	s.capacityFreed = make(chan struct{})
-}
-
-// CapacityFreed returns a channel that is closed when capacity may have become available.
-func (s *Scheduler) CapacityFreed() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.capacityFreed
-}
-
 // Claim reserves the capacity for one call at one endpoint until Release.
 type Claim struct {
 	Choice
@@ -307,13 +239,6 @@
 	s.wakeLocked()
 }
 
-// wake wakes the calls that wait for capacity.
-func (s *Scheduler) wake() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.wakeLocked()
-}
-
 // ReplaceWork applies a report of all work of another VM.
 func (s *Scheduler) ReplaceWork(vm ident.VM, seq uint64, all map[traffic.EndpointID]Work) {
 	s.mu.Lock()
--- a/internal/statesync/digest_test.go
+++ b/internal/statesync/digest_test.go
@@ -94,7 +94,7 @@
 func (n *node) Members(context.Context, bool) ([]Member, error)        { return nil, nil }
 func (n *node) RecordPeerOutcome(traffic.EndpointID, schedule.Outcome) {}
 func (n *node) ForgetVM(ident.VM)                                      {}
-func (n *node) SetPeerOrder([]ident.VM, int)                           {}
+func (n *node) SetPeerOrder([]ident.VM, int, int)                      {}
 func (n *node) SetRemoteReportsDelayed(bool)                           {}
 func (n *node) AddFromPeer(admission.CounterKey, int64)                {}
 func (n *node) WindowComplete() bool                                   { return true }
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -41,9 +41,9 @@
 	// CombinedWork returns the combined work of this VM and others, except on endpoints of one
 	// data centre.
 	CombinedWork(others []ident.VM, except string) map[traffic.EndpointID]schedule.Work
-	// SetPeerOrder receives this VM and its live direct peers, sorted the same way on all of them, and
-	// the index of this VM.
-	SetPeerOrder(order []ident.VM, self int)
+	// SetPeerOrder receives this VM and its live direct peers, sorted the same way on all of them, the
+	// index of this VM, and the number of subsets that they are divided into.
+	SetPeerOrder(order []ident.VM, self, subsets int)
 	// SetRemoteReportsDelayed is called with true if VMs of other data centres report their work only
 	// in digests, and so with a delay.
 	SetRemoteReportsDelayed(delayed bool)
@@ -346,7 +346,7 @@
 	}
 	s.mu.Unlock()
 	s.opts.Plans.SetFleetShares(shares)
-	s.opts.Work.SetPeerOrder(order, self)
+	s.opts.Work.SetPeerOrder(order, self, subsets(len(order)))
 	s.opts.Work.SetRemoteReportsDelayed(shares.RemainderShare < 1)
 	for _, m := range unresponsive {
 		s.opts.Log.Warn("vm silent", zap.Stringer("vm", m.VM), zap.Int("known", known), zap.Int("heard", live))
