peer: two VMs that dial each other at once keep both connections

Cause, found by reading the change and shown by a test: a VM took its own new connection, whose first frame had not arrived, for one to an earlier incarnation, and closed it when the other VM's connection came in. Both sides did so, and messages were lost: about 25 of 400 calls of pairs that call each other first.

Change: a connection whose other side is not known yet is kept. The first frame's errors are logged.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -101,9 +101,7 @@
 }
 
 func (c *conn) start() {
-	if first, err := c.t.newHello(); err == nil {
-		c.outbox <- first
-	}
+	c.outbox <- c.t.newHello()
 	c.t.wg.Add(2)
 	go c.readLoop()
 	go c.writeLoop()
--- a/internal/peer/shared.go
+++ b/internal/peer/shared.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 
+	"go.uber.org/zap"
+
 	"github.com/fulmartide/fulmartide/internal/ident"
 )
 
@@ -20,9 +22,13 @@
 }
 
 // newHello returns the first frame of a connection.
-func (t *Transport) newHello() (*frame, error) {
+func (t *Transport) newHello() *frame {
 	body, err := marshal(&hello{Address: t.opts.Advertise})
-	return &frame{Type: frameHello, From: &t.opts.Self, Body: body}, err
+	if err != nil {
+		t.opts.Log.Error("could not encode the advertised address; connections are not shared", zap.Error(err))
+		body = nil
+	}
+	return &frame{Type: frameHello, From: &t.opts.Self, Body: body}
 }
 
 // receiveHello records who the other side of an accepted connection is, and uses the connection for
@@ -35,7 +41,11 @@
 	c.remote = *f.From
 	c.mu.Unlock()
 	var h hello
-	if err := unmarshal(f.Body, &h); err != nil || !h.Address.IsValid() || c.dialed {
+	if err := unmarshal(f.Body, &h); err != nil {
+		c.t.opts.Log.Warn("first frame of a peer connection not decoded; the connection is not shared", zap.Stringer("vm", *f.From), zap.Error(err))
+		return
+	}
+	if !h.Address.IsValid() || c.dialed {
 		return
 	}
 	if replaced := c.t.share(c, h.Address, *f.From); replaced != nil {
@@ -43,14 +53,18 @@
 	}
 }
 
-// share uses an accepted connection for messages to addr, unless there is one to the same incarnation
-// of the VM already. It returns the connection to an earlier incarnation, which is to be closed.
+// share uses an accepted connection for messages to addr, unless there is one already. It replaces one to
+// an earlier incarnation of the VM, and returns that to be closed.
 func (t *Transport) share(c *conn, addr netip.AddrPort, from ident.VM) (replaced *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	existing := t.conns[addr]
-	if existing != nil && (!existing.isReady() || existing.remoteVM() == from) {
-		return nil
+	if existing != nil {
+		// If two VMs dial each other at the same time, each one keeps its own connection. What it has
+		// dialed may not have been answered by a first frame yet.
+		if remote := existing.remoteVM(); remote.IsZero() || remote == from {
+			return nil
+		}
 	}
 	c.addr = addr
 	t.conns[addr] = c
--- a/internal/peer/shared_test.go
+++ b/internal/peer/shared_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -85,3 +86,24 @@
 		t.Errorf("the restarted VM accepted %d connections, want none", n)
 	}
 }
+
+// TestSimultaneousDialsLoseNoMessage has pairs of VMs call each other at the same time, as in a fleet that
+// starts: neither side may close the connection that the other one has begun to use.
+func TestSimultaneousDialsLoseNoMessage(t *testing.T) {
+	const pairs, calls = 40, 5
+	var wg sync.WaitGroup
+	for range pairs {
+		a := startVM(t, ident.VM{Name: "a", Incarnation: 1}, "127.0.0.1:0")
+		b := startVM(t, ident.VM{Name: "b", Incarnation: 1}, "127.0.0.1:0")
+		for _, way := range [][2]*vm{{a, b}, {b, a}} {
+			wg.Go(func() {
+				for range calls {
+					if _, err := peer.Call[echo, echo](t.Context(), way[0].Transport, way[1].addr, peer.KindOperator, &echo{}); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+	}
+	wg.Wait()
+}
