statesync: the standby sends half as many digests in a large data centre

The first VM's digests, every 0.8 s, still bound how late other data centres learn of usage; the second sends every 1.6 s until it is the first. Test: TestStandbyOfLargeDataCentreSendsFewerDigests.

--- a/internal/statesync/digest.go
+++ b/internal/statesync/digest.go
@@ -15,6 +15,15 @@
 // sendsDigests reports whether this VM sends digests of its data centre to the other ones.
 func (t *memberTable) sendsDigests() bool { return t.large() && t.rank() < digestSenders }
 
+// digestPause returns the time until this VM's next digest. In a data centre that is divided into subsets
+// each digest is forwarded to many VMs, and the standby sends only every other one.
+func (t *memberTable) digestPause() time.Duration {
+	if t.rank() > 0 && t.subsets() > 1 {
+		return 2 * digestPeriod
+	}
+	return digestPeriod
+}
+
 // liveDirectPeers returns the live direct peers, without this VM.
 func (t *memberTable) liveDirectPeers() []Member {
 	var out []Member
@@ -69,10 +78,13 @@
 // digestLoop periodically sends digests to the other data centres while this VM is a digest sender.
 func (s *Service) digestLoop(ctx context.Context) {
 	for turn := 0; ; turn++ {
+		s.mu.Lock()
+		pause := s.members.digestPause()
+		s.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(digestPeriod):
+		case <-time.After(pause):
 		}
 		s.mu.Lock()
 		var receivers map[string]netip.AddrPort
--- a/internal/statesync/digest_test.go
+++ b/internal/statesync/digest_test.go
@@ -60,6 +60,21 @@
 	}
 }
 
+// TestStandbyOfLargeDataCentreSendsFewerDigests checks that the second sender of a data centre with many
+// VMs sends half as many digests as the first, and as many once it is the first.
+func TestStandbyOfLargeDataCentreSendsFewerDigests(t *testing.T) {
+	n, _ := largeFleetNodeAt(1)
+	table := n.members
+	if !table.sendsDigests() || table.digestPause() != 2*digestPeriod {
+		t.Errorf("the second VM sends digests: %v, every %s", table.sendsDigests(), table.digestPause())
+	}
+	first := table.peers[fleetAddress(0, 0)]
+	first.unresponsive = true
+	if table.digestPause() != digestPeriod {
+		t.Errorf("without the first VM the second sends digests every %s", table.digestPause())
+	}
+}
+
 func TestDataCentreWithoutResponsiveVMIsUnreachable(t *testing.T) {
 	table := newMemberTable(member(1, 1, "a"))
 	table.addListed(start(), []Member{member(2, 1, "b"), member(3, 1, "c")})
--- a/internal/statesync/members.go
+++ b/internal/statesync/members.go
@@ -246,17 +246,30 @@
 	if !t.large() {
 		return smallFleetPeriod
 	}
-	direct := 0
+	period := largeFleetPeriod
+	if t.subsets() > 1 {
+		period = fullHeartbeatPeriod
+	}
+	return period * time.Duration(max(largeFleet, t.directPeers())) / largeFleet
+}
+
+// directPeers returns the number of known direct peers.
+func (t *memberTable) directPeers() int {
+	n := 0
 	for _, p := range t.peers {
 		if t.isDirect(p) {
-			direct++
+			n++
 		}
 	}
-	period := largeFleetPeriod
-	if subsets(direct+1) > 1 {
-		period = fullHeartbeatPeriod
+	return n
+}
+
+// subsets returns into how many subsets this VM and its direct peers are divided; see releaseSubset.
+func (t *memberTable) subsets() int {
+	if !t.large() {
+		return 1
 	}
-	return period * time.Duration(max(largeFleet, direct)) / largeFleet
+	return subsets(t.directPeers() + 1)
 }
 
 // directOrder returns this VM and its live direct peers sorted by address, and the index of this
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -341,12 +341,13 @@
 	known, live := s.members.size()
 	shares := s.members.fleetShares()
 	order, self := s.members.directOrder()
+	parts := s.members.subsets()
 	for _, m := range removed {
 		s.closeQueue(m.Address)
 	}
 	s.mu.Unlock()
 	s.opts.Plans.SetFleetShares(shares)
-	s.opts.Work.SetPeerOrder(order, self, subsets(len(order)))
+	s.opts.Work.SetPeerOrder(order, self, parts)
 	s.opts.Work.SetRemoteReportsDelayed(shares.RemainderShare < 1)
 	for _, m := range unresponsive {
 		s.opts.Log.Warn("vm silent", zap.Stringer("vm", m.VM), zap.Int("known", known), zap.Int("heard", live))
--- a/internal/statesync/updates.go
+++ b/internal/statesync/updates.go
@@ -42,11 +42,7 @@
 	defer s.mu.Unlock()
 	grown, shrunk := s.changes.take()
 	direct := s.members.addresses(s.members.isDirect)
-	parts := 1
-	if s.members.large() {
-		parts = subsets(len(direct) + 1)
-	}
-	out := s.directUpdates(grown, shrunk, direct, parts)
+	out := s.directUpdates(grown, shrunk, direct, s.members.subsets())
 	if !s.members.large() {
 		return out
 	}
