--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -90,8 +90,8 @@
 // minWindow is the shortest window.
 const minWindow = time.Second
 
-// NewPlans returns Plans that count usage over a window of at least minWindow. loweringDelay is the time within which a
-// configuration change takes effect on all VMs; a lowered plan takes effect after it.
+// NewPlans returns Plans that count usage over a window of at least minWindow. loweringDelay is the time
+// within which a configuration change takes effect on all VMs; a lowered plan takes effect after it.
 func NewPlans(now clock.Instant, window, loweringDelay time.Duration, slack Slack) *Plans {
 	p := &Plans{
 		startedAt: now, window: max(window, minWindow), loweringDelay: loweringDelay, slack: slack, accounts: map[string]*account{},
