activeconfig: at a first start VMs go by the registry who reads the store

Cause: a VM of a fleet that starts for the first time read the store after 150 ms if it had not heard of a VM that is to read before it.

Change: until a table is known, listed VMs count as well, whether they have been heard or not, and the others wait twice as long for the reader's document.

--- a/internal/activeconfig/refresher.go
+++ b/internal/activeconfig/refresher.go
@@ -44,6 +44,9 @@
 	// settleTime is the time in which the VMs of a fleet that starts for the first time learn of each
 	// other, before one of them reads the store.
 	settleTime = 150 * time.Millisecond
+	// firstStartFactor multiplies the wait of the other VMs then: the processors of small VMs are busy
+	// with the start, so that the document of the first reader arrives late.
+	firstStartFactor = 2
 )
 
 // ReadAge returns the age of the endpoint table at which the VM of a rank reads the store.
@@ -64,7 +67,10 @@
 	// OnRead, if not nil, is called after each successful read, to notify the other VMs.
 	OnRead func()
 	// FirstStart is set if the whole fleet starts for the first time, so that no VM knows anything.
+	// ListedRank is then used in place of Rank until the first endpoint table is known: it also counts
+	// VMs that have not been heard from, as they are starting as well. listed is false while it is unknown.
 	FirstStart bool
+	ListedRank func() (rank int, listed bool)
 	Log        *zap.Logger
 
 	startedAt clock.Instant
@@ -99,16 +105,16 @@
 // untilRead returns the time until the next read is due. A VM that restarts reads at once. If the
 // whole fleet starts, one VM reads as soon as it may know its rank, and the others give it time.
 func (r *Refresher) untilRead() time.Duration {
-	rank := r.Rank()
 	if r.State.hasEndpoints() {
-		return ReadAge(rank) - r.State.Age()
+		return ReadAge(r.Rank()) - r.State.Age()
 	}
 	if !r.FirstStart {
 		return 0
 	}
+	rank, listed := r.ListedRank()
 	wait := settleTime
-	if rank > 0 {
-		wait += ReadAge(rank)
+	if rank > 0 || !listed {
+		wait += firstStartFactor * ReadAge(max(rank, 1))
 	}
 	return wait - r.State.opts.Clock.Now().Sub(r.startedAt)
 }
--- a/internal/activeconfig/state_test.go
+++ b/internal/activeconfig/state_test.go
@@ -325,8 +325,8 @@
 }
 
 // TestStartWithoutConfiguration starts the VMs of a data centre together, before operators have
-// applied a configuration. One of them reads the store for all, and the configuration is in force
-// soon after it was written.
+// applied a configuration and before they have heard from each other. One of them reads the store for
+// all, and the configuration is in force soon after it was written.
 func TestStartWithoutConfiguration(t *testing.T) {
 	const vms, maxReads = 49, 30
 	synctest.Test(t, func(t *testing.T) {
@@ -337,7 +337,14 @@
 		for rank := range vms {
 			st, _ := newTestState(now)
 			states = append(states, st)
-			r := &Refresher{State: st, Source: s, Rank: func() int { return rank }, FirstStart: true, Log: zap.NewNop()}
+			r := &Refresher{State: st, Source: s, FirstStart: true, Log: zap.NewNop()}
+			r.Rank = func() int {
+				if !st.hasEndpoints() { // nothing has been heard from the others
+					return 0
+				}
+				return rank
+			}
+			r.ListedRank = func() (int, bool) { return rank, true }
 			go r.Run(ctx)
 		}
 		exchangeFor := func(d time.Duration) {
--- a/internal/statesync/members.go
+++ b/internal/statesync/members.go
@@ -297,6 +297,17 @@
 	return n
 }
 
+// listedRank returns the number of known direct peers with a lower address than this VM.
+func (t *memberTable) listedRank() int {
+	n := 0
+	for addr, p := range t.peers {
+		if t.isDirect(p) && addr.Compare(t.self.Address) < 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // addresses returns the addresses of the known VMs for which match returns true.
 func (t *memberTable) addresses(match func(*peerState) bool) []netip.AddrPort {
 	var out []netip.AddrPort
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -121,6 +121,8 @@
 	counters      map[admission.CounterKey]int64
 	queues        map[netip.AddrPort]*sendQueue
 	leaving       bool
+	// listed is set once the registry has been listed.
+	listed bool
 	// lastFull is the time of the last full heartbeat, 0 if the next one has to be full.
 	lastFull clock.Instant
 	// lastRemoteRepeat is the time of the last repetition of the work at remote endpoints.
@@ -284,6 +286,7 @@
 
 func (s *Service) addMembers(members []Member) {
 	s.mu.Lock()
+	s.listed = true
 	added, lost := s.members.addListed(s.opts.Clock.Now(), members)
 	if len(added) > 0 {
 		s.lastFull = 0
@@ -315,6 +318,14 @@
 	return s.members.rank()
 }
 
+// ListedRank returns the number of known direct peers with a lower address than this VM, whether they
+// have been heard from or not. listed is false until the registry has been listed.
+func (s *Service) ListedRank() (rank int, listed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.listedRank(), s.listed
+}
+
 func (s *Service) heartbeatLoop(ctx context.Context) {
 	for {
 		s.mu.Lock()
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -117,7 +117,7 @@
 func (p *Process) buildBackgroundTasks() {
 	p.refresher = &activeconfig.Refresher{
 		State: p.State, Rank: p.stateSync.Rank, OnRead: p.stateSync.SendHeartbeat, Log: p.log.Named("follower"),
-		Source: p.platform.Source, FirstStart: p.settings.FirstStart,
+		Source: p.platform.Source, FirstStart: p.settings.FirstStart, ListedRank: p.stateSync.ListedRank,
 	}
 	p.rebalancer = &rebalance.Rebalancer{
 		Self: p.settings.VMName, Clock: p.clock, Store: p.platform.Leases, Engines: p.platform.Engines, Pools: p.scheduler,
