peer: the restart test waits until the listener is closed

Close returns before the listener is closed, which happens when the context ends; the test listened on the same port again.

--- a/internal/peer/shared_test.go
+++ b/internal/peer/shared_test.go
@@ -31,6 +31,8 @@
 	*peer.Transport
 	addr     netip.AddrPort
 	listener *countingListener
+	// served is closed when the listener is closed.
+	served chan struct{}
 }
 
 func startVM(t *testing.T, self ident.VM, addr string) *vm {
@@ -39,12 +41,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	v := &vm{addr: netip.MustParseAddrPort(ln.Addr().String()), listener: &countingListener{Listener: ln}}
+	v := &vm{addr: netip.MustParseAddrPort(ln.Addr().String()), listener: &countingListener{Listener: ln}, served: make(chan struct{})}
 	v.Transport = peer.New(peer.Options{Self: self, Advertise: v.addr})
 	peer.Handle(v.Transport, peer.KindOperator, func(_ context.Context, from ident.VM, _ *echo) (*echo, error) {
 		return &echo{Text: from.Name}, nil
 	})
-	go func() { _ = v.Serve(v.listener) }()
+	go func() {
+		defer close(v.served)
+		_ = v.Serve(v.listener)
+	}()
 	t.Cleanup(v.Close)
 	return v
 }
@@ -75,10 +80,11 @@
 // TestRestartedVMReplacesItsConnection checks that messages to a VM that has restarted do not wait for
 // the connection of its earlier incarnation to time out.
 func TestRestartedVMReplacesItsConnection(t *testing.T) {
-	a := startVM(t, ident.VM{Name: "a", Incarnation: 1}, "127.0.0.1:0")
+	a := startVM(t, ident.VM{Name: "a", Incarnation: 1}, "127.0.0.2:0") // no other socket takes a port of it
 	b := startVM(t, ident.VM{Name: "b", Incarnation: 1}, "127.0.0.1:0")
 	b.mustCall(t, a)
 	a.Close()
+	<-a.served
 	restarted := startVM(t, ident.VM{Name: "a", Incarnation: 2}, a.addr.String())
 	restarted.mustCall(t, b)
 	b.mustCall(t, restarted)
