dispatch: the decoded line says how a stream was framed and what followed its last event

Callers got broken-off streams as complete (docs/incidents/stream-ends-with-connection.md). The log could not tell a stream that ends with its connection inside an event from one whose last chunk came too early. The decoded line now has delimited and trailing; no logic is changed.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -42,6 +42,9 @@
 	Status int
 	Header map[string][]string
 	Body   io.ReadCloser
+	// Delimited is set if the endpoint marks the end of the body. Otherwise the body ends with the
+	// connection, and an endpoint that breaks off may look as if it had finished.
+	Delimited bool
 	// Rejected is set if the endpoint states that it did not run the call and will not run it.
 	Rejected bool
 	// Load is nil if the endpoint does not report its load.
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -120,6 +120,9 @@
 	Header http.Header
 	// Length is the length of the body, -1 if unknown.
 	Length int64
+	// Delimited is set if a length or chunks mark the end of the body. Otherwise it ends with the
+	// connection.
+	Delimited bool
 
 	conn        *conn
 	body        io.ReadCloser
@@ -132,10 +135,10 @@
 func newResponse(c *conn, resp *http.Response, written chan error, stopCancel func() bool) *Response {
 	r := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		conn: c, body: resp.Body, written: written, stopCancel: stopCancel,
+		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		conn:      c, body: resp.Body, written: written, stopCancel: stopCancel,
 	}
-	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if delimited && !resp.Close {
+	if r.Delimited && !resp.Close {
 		r.idleTimeout = idleTimeout(resp.Header)
 	}
 	return r
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -249,11 +249,12 @@
 	defer cancel(nil)
 	stall := g.startStallTimer(cancel)
 	defer stall.Stop()
-	running := loadUnknown
+	running, delimited := loadUnknown, false
 	reply, err := g.dispatcher.opts.Backend.Run(stageCtx, req)
 	if err == nil {
 		defer func() { _ = reply.Body.Close() }()
 		claim.RecordLoad(reply.Load)
+		delimited = reply.Delimited
 		if reply.Load != nil {
 			running = reply.Load.Running
 		}
@@ -266,7 +267,7 @@
 		err = g.forward(reply, stall)
 	}
 	g.log.Info("decoded", zap.String("endpoint", claim.Endpoint.ID.Name), zap.String("after", req.LastEventID),
-		zap.Int("events", g.stream.events),
+		zap.Int("events", g.stream.events), zap.Bool("delimited", delimited), zap.Int("trailing", g.stream.trailing),
 		zap.Int("running", running), zap.Duration("elapsed", g.elapsed()), zap.Error(err))
 	if err == nil {
 		claim.RecordOutcome(schedule.Succeeded)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -18,6 +18,8 @@
 	// Last-Event-Id.
 	lastID string
 	events int
+	// trailing is the number of bytes that followed the last event of the latest response.
+	trailing int
 }
 
 func newEventStream(f *inflightCall) *eventStream {
@@ -40,6 +42,7 @@
 // first event, so until then another endpoint can still run the call.
 func (s *eventStream) forward(reply *backend.Response, stall *stallTimer) error {
 	var pending []byte
+	defer func() { s.trailing = len(pending) }()
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := reply.Body.Read(buf)
