dispatch: a stream that ends inside an event has been broken off

Cause: an engine may send a stream with neither a length nor chunks; closing the connection in order is then the end of the body, and the VM delivered the part of an event that came last and its own last chunk.

An answer of a generation is a series of events unless its content type says otherwise; what follows its last complete event, other than line ends, is a broken-off event, whatever the framing. It is not delivered, the call fails or goes on as after any lost connection. A stream without framing that ends before its first event counts as broken off as well. Lines may end with CR LF.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -45,6 +45,8 @@
 	// Delimited is set if the endpoint marks the end of the body. Otherwise the body ends with the
 	// connection, and an endpoint that breaks off may look as if it had finished.
 	Delimited bool
+	// EventStream is set if the body is a series of events, each of which ends with an empty line.
+	EventStream bool
 	// Rejected is set if the endpoint states that it did not run the call and will not run it.
 	Rejected bool
 	// Load is nil if the endpoint does not report its load.
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -10,8 +10,8 @@
 )
 
 // eventStream delivers the events of one call to the caller, each one once, even if several endpoints
-// run the call in turn. Until a response ends it delivers only complete events; data after the last
-// event is delivered at the end of a complete response.
+// run the call in turn. It delivers only complete events; a response that ends inside an event has been
+// broken off by its endpoint. The body of a response that is no series of events is delivered at its end.
 type eventStream struct {
 	inflight *inflightCall
 	// lastID is the ID of the last event that the caller has received, initially the call's
@@ -33,15 +33,17 @@
 )
 
 var (
-	eventEnd         = []byte("\n\n")
-	idField          = []byte("id:")
-	errEventTooLarge = errors.New("the engine sent an event that exceeds the maximum size")
+	idField           = []byte("id:")
+	errEventTooLarge  = errors.New("the engine sent an event that exceeds the maximum size")
+	errStreamBroken   = errors.New("the engine broke its stream off inside an event")
+	errStreamNotBegun = errors.New("the engine closed the connection before the first event of its stream")
 )
 
 // forward reads a response to its end and delivers each event as it arrives. The header is sent with the
 // first event, so until then another endpoint can still run the call.
 func (s *eventStream) forward(reply *backend.Response, stall *stallTimer) error {
 	var pending []byte
+	eventsBefore := s.events
 	defer func() { s.trailing = len(pending) }()
 	buf := make([]byte, readBufferBytes)
 	for {
@@ -49,9 +51,7 @@
 		if n > 0 {
 			stall.reset()
 			pending = append(pending, buf[:n]...)
-			complete := bytes.LastIndex(pending, eventEnd)
-			if complete >= 0 {
-				complete += len(eventEnd)
+			if complete := completeEvents(pending); complete > 0 {
 				if writeErr := s.write(reply, pending[:complete]); writeErr != nil {
 					return writeErr
 				}
@@ -62,7 +62,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return s.finish(reply, pending)
+			return s.finish(reply, pending, eventsBefore)
 		}
 		if err != nil {
 			return &backend.SendError{Sent: true, Err: err}
@@ -70,8 +70,26 @@
 	}
 }
 
-// finish delivers the data that follows the last event of a complete response.
-func (s *eventStream) finish(reply *backend.Response, rest []byte) error {
+// completeEvents returns the length of the part of p that consists of complete events. An empty line ends an
+// event; lines end with a line feed, or with a carriage return and a line feed.
+func completeEvents(p []byte) int {
+	for end := bytes.LastIndexByte(p, '\n'); end > 0; end = bytes.LastIndexByte(p[:end], '\n') {
+		if line := bytes.TrimSuffix(p[:end], []byte("\r")); bytes.HasSuffix(line, []byte("\n")) {
+			return end + 1
+		}
+	}
+	return 0
+}
+
+// finish handles the end of a response, which rest precedes since the last event. eventsBefore is the number
+// of events before this response.
+func (s *eventStream) finish(reply *backend.Response, rest []byte, eventsBefore int) error {
+	if reply.EventStream && len(bytes.Trim(rest, "\r\n")) > 0 {
+		return &backend.SendError{Sent: true, Err: errStreamBroken}
+	}
+	if reply.EventStream && !reply.Delimited && s.events == eventsBefore {
+		return &backend.SendError{Sent: true, Err: errStreamNotBegun}
+	}
 	if len(rest) == 0 && s.inflight.responseStarted {
 		return nil
 	}
@@ -95,8 +113,10 @@
 
 // record counts events and stores the last event ID.
 func (s *eventStream) record(p []byte) {
-	s.events += bytes.Count(p, eventEnd)
 	for line := range bytes.Lines(p) {
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			s.events++
+		}
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			s.lastID = string(bytes.TrimSpace(id))
 		}
