connpool: a response header of an endpoint ends after 64 KiB

A header may have 64 KiB now, then the connection is closed and the call fails as after a lost connection. Bodies were bounded already: plain 8 MiB, events 1 MiB, prefill and order answers 64 KiB, other calls' answers 1 MiB. Frames of peers are bounded by their length, documents when they are unpacked; JSON of the store that ends early fails to decode.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,6 +19,8 @@
 	// maxResponseReads is the maximum number of responses read per request, including interim
 	// responses, responses to other requests and the matching one.
 	maxResponseReads = 3
+	// maxHeaderBytes is the maximum size of a response header, including what is read of the body with it.
+	maxHeaderBytes = 64 << 10
 	// maxUnmatchedBytes limits the body of a discarded response, which must be smaller.
 	maxUnmatchedBytes = 1 << 20
 )
@@ -27,12 +30,37 @@
 	pool      *Pool
 	target    Target
 	nc        net.Conn
+	in        *limitedReader
 	br        *bufio.Reader
 	idleUntil time.Time
 }
 
 func newConn(p *Pool, t Target, nc net.Conn) *conn {
-	return &conn{pool: p, target: t, nc: nc, br: bufio.NewReaderSize(nc, readBufferSize)}
+	in := &limitedReader{r: nc, remaining: noLimit}
+	return &conn{pool: p, target: t, nc: nc, in: in, br: bufio.NewReaderSize(in, readBufferSize)}
+}
+
+// noLimit lets a limitedReader read on.
+const noLimit = math.MaxInt64
+
+var errHeaderTooLarge = errors.New("the endpoint's response header exceeds the maximum size")
+
+// limitedReader fails with errHeaderTooLarge once remaining bytes have been read.
+type limitedReader struct {
+	r         io.Reader
+	remaining int64
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.remaining <= 0 {
+		return 0, errHeaderTooLarge
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.remaining)])
+	if l.remaining != noLimit {
+		l.remaining -= int64(n)
+	}
+	return n, err
 }
 
 func (c *conn) close() { _ = c.nc.Close() }
@@ -90,7 +118,9 @@
 func (c *conn) readHeader(r *Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	for range maxResponseReads {
+		c.in.remaining = maxHeaderBytes
 		resp, err := http.ReadResponse(c.br, req)
+		c.in.remaining = noLimit
 		if err != nil {
 			return nil, err
 		}
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -267,3 +267,40 @@
 	}
 	<-closed // the server has seen the connection close
 }
+
+// TestHeaderWithoutEndIsAborted covers an endpoint that goes on sending a header until its peer closes.
+func TestHeaderWithoutEndIsAborted(t *testing.T) {
+	const tooMuch = 16 << 20
+	for name, line := range map[string]string{
+		"one field":    strings.Repeat("a", 8<<10),
+		"many fields":  strings.Repeat("X-Filler: aaaaaaaaaaaaaaaaaaaaaaaa\r\n", 200),
+		"no status":    strings.Repeat("\x00", 8<<10),
+		"interim":      "HTTP/1.1 100 Continue\r\n\r\n",
+		"other answer": response("2", "x"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			written := make(chan int, 1)
+			s := startServer(t, func(_ int, _ *http.Request, c net.Conn) bool {
+				total := 0
+				if name == "one field" || name == "many fields" {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Filler: ")
+				}
+				for total < tooMuch {
+					n, err := io.WriteString(c, line)
+					total += n
+					if err != nil {
+						break
+					}
+				}
+				written <- total
+				return false
+			})
+			if _, err := get(t, connpool.New(nil), s.request("GET")); err == nil {
+				t.Error("a response without an end was accepted")
+			}
+			if n := <-written; n >= tooMuch {
+				t.Errorf("the endpoint could send %d bytes", n)
+			}
+		})
+	}
+}
