--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -158,7 +158,7 @@
 	defer cancel()
 	h, err := g.dispatcher.opts.Backend.Prefill(stageCtx, g.newRequest(claim.Endpoint))
 	took := g.dispatcher.opts.Clock.Now().Sub(start)
-	g.log.Info("prompt read", zap.String("endpoint", claim.Endpoint.ID.Name), zap.Int64("tokens", g.call.Tokens.Prompt),
+	g.failureLog(err).Info("prompt read", zap.String("endpoint", claim.Endpoint.ID.Name), zap.Int64("tokens", g.call.Tokens.Prompt),
 		zap.Duration("expected", claim.ExpectedPrefill), zap.Duration("took", took), zap.Error(err))
 	g.dispatcher.opts.Metrics.GetOrCreateHistogram(`fulmartide_prefill_seconds`).Update(took.Seconds())
 	if err == nil {
@@ -266,7 +266,7 @@
 	if err == nil {
 		err = g.forward(reply, stall)
 	}
-	g.log.Info("decoded", zap.String("endpoint", claim.Endpoint.ID.Name), zap.String("after", req.LastEventID),
+	g.failureLog(err).Info("decoded", zap.String("endpoint", claim.Endpoint.ID.Name), zap.String("after", req.LastEventID),
 		zap.Int("events", g.stream.events), zap.Bool("delimited", delimited), zap.Int("trailing", g.stream.trailing),
 		zap.Int("running", running), zap.Duration("elapsed", g.elapsed()), zap.Error(err))
 	if err == nil {
@@ -277,6 +277,15 @@
 	return backend.MayHaveRun(err), err
 }
 
+// failureLog returns the logger for the result of a send. Only lines about failures name the parts of the
+// prompt.
+func (g *generation) failureLog(err error) *zap.Logger {
+	if err == nil {
+		return g.log
+	}
+	return g.log.With(zap.Strings("prompt_parts", g.call.PromptParts))
+}
+
 // forward delivers the response of an engine that accepted the call.
 func (g *generation) forward(reply *backend.Response, stall *stallTimer) error {
 	if reply.Status >= http.StatusMultipleChoices {
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -120,6 +120,9 @@
 	Key string
 	// Tokens is nil for a call without token counts.
 	Tokens *Tokens
+	// PromptParts are the ids of the parts of the prompt that other calls may have as well, in order. The
+	// last part of a prompt is the call's own and is not among them.
+	PromptParts []string
 	// LastEventID is the id of the last event that the caller has received, empty for none.
 	LastEventID string
 	// ArrivedAt is the time at which the call arrived. Deadline is the time by which the caller expects
