quarantine: only answers that had begun count as crashes, and a call counts once

Tests: TestJudge 'one call that is sent again' (failed before: p quarantined); the rapid model and the dispatch test hold.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -175,9 +175,6 @@
 		return h, nil
 	}
 	g.recordFailure(stageCtx, claim, err)
-	if crashed(stageCtx, err) {
-		g.dispatcher.opts.Quarantine.RecordCrash(claim.Endpoint.ID, g.call.PromptParts)
-	}
 	return h, err
 }
 
@@ -292,8 +289,8 @@
 		return true, nil
 	}
 	g.recordFailure(stageCtx, claim, err)
-	if g.stream.beginning() && crashed(stageCtx, err) {
-		g.dispatcher.opts.Quarantine.RecordCrash(claim.Endpoint.ID, g.call.PromptParts)
+	if reply != nil && g.stream.beginning() && crashed(stageCtx, err) {
+		g.dispatcher.opts.Quarantine.RecordCrash(claim.Endpoint.ID, g.call.ID, g.call.PromptParts)
 	}
 	return backend.MayHaveRun(err), err
 }
--- a/internal/dispatch/prompt.go
+++ b/internal/dispatch/prompt.go
@@ -30,8 +30,8 @@
 		"calls with a part of this prompt crash engines", fault.WithRetryAfter(d.RetryAfter))
 }
 
-// crashed reports whether an endpoint broke off its response, as one does that crashes. It does not if this
-// side ended the request, the endpoint rejected it or failed it with a status, or nothing came in time.
+// crashed reports whether an endpoint broke off a response that it had begun, as one does that crashes. It does
+// not if this side ended the request, the endpoint failed it with a status, or nothing came in time.
 func crashed(ctx context.Context, err error) bool {
 	if ctx.Err() != nil || !backend.MayHaveRun(err) {
 		return false
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -76,14 +76,17 @@
 }
 
 // RecordCrash records that an engine crashed while it began to answer a call with these prompt parts.
-func (c *Controller) RecordCrash(endpoint traffic.EndpointID, parts []string) {
+func (c *Controller) RecordCrash(endpoint traffic.EndpointID, call string, parts []string) {
 	if len(parts) == 0 {
 		return
 	}
 	c.opts.Metrics.GetOrCreateCounter(`fulmartide_crashes_at_start_total`).Inc()
-	c.record(Record{ID: rand.Uint64(), Endpoint: endpoint, Parts: parts})
+	c.record(Record{ID: rand.Uint64(), Endpoint: endpoint, Call: call[:min(len(call), maxCallID)], Parts: parts})
 }
 
+// maxCallID is the maximum size of the id of a call in a record, in bytes.
+const maxCallID = 64
+
 // RecordStart records that the engine of a call with these prompt parts began to answer. trial is the
 // quarantined part that the call was to try, empty if none.
 func (c *Controller) RecordStart(parts []string, trial string) {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -24,6 +24,8 @@
 	Endpoint traffic.EndpointID
 	// Parts are the parts of the prompt, in order.
 	Parts []string
+	// Call is the id of the call. A call that is sent again after a crash counts once.
+	Call string
 	// Age is the time since the event.
 	Age time.Duration
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -79,10 +79,12 @@
 // collect returns the parts in the records whose crashes are not explained yet.
 func collect(records []entry, explained map[traffic.EndpointID]bool) map[string]suspect {
 	out := map[string]suspect{}
+	calls := map[string]bool{}
 	for _, r := range records {
-		if explained[r.Endpoint] {
+		if explained[r.Endpoint] || calls[r.Call] {
 			continue
 		}
+		calls[r.Call] = true
 		for i, part := range r.Parts {
 			out[part] = out[part].withCrash(part, i, r.at)
 		}
--- a/internal/quarantine/verdict_test.go
+++ b/internal/quarantine/verdict_test.go
@@ -14,7 +14,7 @@
 func crashes(prompts ...[]string) []entry {
 	var out []entry
 	for i, parts := range prompts {
-		r := Record{ID: uint64(i + 1), Endpoint: traffic.EndpointID{Name: "e" + strconv.Itoa(i)}, Parts: parts}
+		r := Record{ID: uint64(i + 1), Endpoint: traffic.EndpointID{Name: "e" + strconv.Itoa(i)}, Parts: parts, Call: "c" + strconv.Itoa(i)}
 		out = append(out, entry{Record: r, at: clock.Instant(i+1) * clock.Instant(time.Second)})
 	}
 	return out
@@ -33,6 +33,10 @@
 	for i := range sameEngine {
 		sameEngine[i].Endpoint.Name = "e" + strconv.Itoa(i/2)
 	}
+	again := crashes([]string{"p"}, []string{"p"}, []string{"p"})
+	for i := range again {
+		again[i].Call = "c"
+	}
 	clearing := append(crashes([]string{"f", "p"}, []string{"f", "p"}), entry{Record: Record{ID: 9, Parts: []string{"p"}}, at: clock.Instant(time.Hour)})
 	for _, tc := range []struct {
 		name    string
@@ -50,6 +54,7 @@
 		{"another crash tells parts apart", crashes([]string{"p", "f"}, []string{"p", "f"}, []string{"p", "g"}), nil, []string{"p"}},
 		{"two parts, each with its crashes", crashes([]string{"f", "p"}, []string{"f", "q"}, []string{"f", "p"}, []string{"f", "q"}), map[string]int{"f": 9}, []string{"p", "q"}},
 		{"engines that end at the same moment", atOnce, nil, nil},
+		{"one call that is sent again", again, nil, nil},
 		{"a crash every moment", steady, nil, []string{"p"}},
 		{"two calls at an engine that crashes", sameEngine, map[string]int{"q": 1}, []string{"p"}},
 		{"cleared by a call that was answered", clearing, nil, nil},
@@ -72,7 +77,7 @@
 	tr := newTracker()
 	parts := []string{"f", "p", "own"}
 	add := func(at time.Duration, endpoint string) {
-		tr.add(clock.Instant(at), []Record{{ID: uint64(at), Endpoint: traffic.EndpointID{Name: endpoint}, Parts: []string{"p"}}})
+		tr.add(clock.Instant(at), []Record{{ID: uint64(at), Endpoint: traffic.EndpointID{Name: endpoint}, Parts: []string{"p"}, Call: endpoint}})
 	}
 	add(time.Second, "e1")
 	add(2*time.Second, "e2")
@@ -97,8 +102,8 @@
 
 func TestRecordsExpire(t *testing.T) {
 	tr := newTracker()
-	tr.add(0, []Record{{ID: 1, Endpoint: traffic.EndpointID{Name: "e1"}, Parts: []string{"p"}}})
-	tr.add(clock.Instant(time.Second), []Record{{ID: 2, Endpoint: traffic.EndpointID{Name: "e2"}, Parts: []string{"p"}}})
+	tr.add(0, []Record{{ID: 1, Endpoint: traffic.EndpointID{Name: "e1"}, Parts: []string{"p"}, Call: "c1"}})
+	tr.add(clock.Instant(time.Second), []Record{{ID: 2, Endpoint: traffic.EndpointID{Name: "e2"}, Parts: []string{"p"}, Call: "c2"}})
 	if got := tr.check(clock.Instant(retention-time.Second), []string{"p"}, false); got.part != "p" {
 		t.Error("released before the records expired")
 	}
--- a/internal/statesync/quarantine_test.go
+++ b/internal/statesync/quarantine_test.go
@@ -43,14 +43,14 @@
 		members[i].Address = ln.Addr().(*net.TCPAddr).AddrPort()
 		quarantines[i] = &mergedQuarantine{Controller: newQuarantine(), merged: make(chan string, 64)}
 	}
-	quarantines[0].RecordCrash(traffic.EndpointID{Name: "e1"}, []string{"p"})
+	quarantines[0].RecordCrash(traffic.EndpointID{Name: "e1"}, "call", []string{"p"})
 	for i := range nodes {
 		nodes[i] = startNodeWith(t, members[i], listeners[i], members[:i], quarantines[i])
 	}
 	for quarantines[1].Fingerprint() != quarantines[0].Fingerprint() {
 		<-quarantines[1].merged
 	}
-	news := quarantine.State{Records: []quarantine.Record{{ID: 7, Endpoint: traffic.EndpointID{Name: "e2"}, Parts: []string{"p"}}}}
+	news := quarantine.State{Records: []quarantine.Record{{ID: 7, Endpoint: traffic.EndpointID{Name: "e2"}, Call: "another", Parts: []string{"p"}}}}
 	quarantines[1].Controller.Merge(news, false, "test")
 	nodes[1].QuarantineChanged(news)
 	for quarantines[0].Fingerprint() != quarantines[1].Fingerprint() {
