schedule: endpoints that say that they leave get no new calls, those that name a time get nothing until then

What callers saw: calls sent to an endpoint that had said in its answers that it leaves, as long as the store listed it as ready, and calls sent again and again to one that had turned them away for a time. Cause: neither header of an endpoint's answer was read.

Leaving: no new calls while another endpoint can serve them; if there is none, for half of the drain time; then refused at once with 503, not run. The entry in the store, lost or listed again, does not undo it; peers that place there are told by the existing failure message, which saves each of them a call to a leaving endpoint; a restart of the VM forgets it and costs one such call. A pause: nothing is placed there, claimed decodes go to another engine, handles are left to lapse, stage orders go elsewhere; afterwards one call at a time until the first answer. If all endpoints have named times, the call is refused at once with the earliest.

IsUsable of the scheduler had no user and is gone.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -53,6 +53,14 @@
 	Load *Load
 }
 
+// Notice is what an endpoint says about itself in any response.
+type Notice struct {
+	// Leaving is set if the endpoint takes no new calls any more.
+	Leaving bool
+	// Pause is how long the endpoint wants nothing from this VM, 0 if it does not say so.
+	Pause time.Duration
+}
+
 // Client sends calls to endpoints.
 type Client interface {
 	// Run sends a call and returns the response once its header has arrived. The caller must close
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -210,7 +210,7 @@
 // run selects the execution path for the service.
 func (f *inflightCall) run(ctx context.Context) error {
 	s := f.dispatcher.opts.Scheduler
-	if f.call.Tokens != nil && s.HasStage(f.call.Service.Name, traffic.Decode) {
+	if f.call.Tokens != nil && s.ListsStage(f.call.Service.Name, traffic.Decode) {
 		return f.generate(ctx)
 	}
 	return f.servePlain(ctx)
@@ -259,7 +259,8 @@
 		}
 		wait := maxElapsed - f.elapsed()
 		if wait <= 0 || fault.Is(err, fault.Unavailable) && len(request.Exclude) > 0 ||
-			!fault.Is(err, fault.Overloaded) && !fault.Is(err, fault.Unavailable) {
+			!fault.Is(err, fault.Overloaded) && !fault.Is(err, fault.Unavailable) ||
+			schedule.IsHeldBack(err) && fault.DetailOf(err).RetryAfter >= wait {
 			f.log.Info("not placed", zap.Stringer("stage", request.Stage), zap.String("service", request.Service),
 				zap.Bool("waited", waited), zap.Error(err))
 			return nil, err
@@ -360,6 +361,11 @@
 		case <-ctx.Done():
 			return
 		case h := <-d.freeQueue:
+			if !d.opts.Scheduler.MayReach(h.Endpoint.ID) {
+				d.opts.Log.Info("handle not freed, left to expire",
+					zap.String("endpoint", h.Endpoint.ID.Name), zap.String("why", "the endpoint asked for a pause"))
+				continue
+			}
 			freeCtx, cancel := context.WithTimeout(ctx, freeTimeout)
 			if err := d.opts.Backend.Free(freeCtx, h); err != nil {
 				d.opts.Log.Info("handle not freed, left to expire", zap.String("endpoint", h.Endpoint.ID.Name), zap.Error(err))
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -255,6 +255,9 @@
 	if err := g.checkPrompt(); err != nil {
 		return false, &attemptError{err: &backend.SendError{Err: err}, final: true}
 	}
+	if !g.dispatcher.opts.Scheduler.MayReach(claim.Endpoint.ID) { // it asked for a pause after it was claimed
+		return false, &backend.SendError{Err: errEndpointPaused}
+	}
 	g.decodes++
 	g.stream.beginResponse()
 	stageCtx, cancel := context.WithCancelCause(ctx)
@@ -321,6 +324,8 @@
 	return g.stream.forward(reply, nil)
 }
 
+var errEndpointPaused = errors.New("the engine takes no calls for a time it named")
+
 var errEngineErrorStatus = errors.New("the engine responded with an error status")
 
 // stallTimer aborts a request to an engine when no data has arrived for the timer's timeout. A nil
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -37,6 +37,8 @@
 	// ChangingStage means that the endpoint was ordered to change its stage and takes no work
 	// meanwhile.
 	ChangingStage
+	// Leaving means that the endpoint said that it leaves.
+	Leaving
 )
 
 // String returns the name used in logs.
@@ -47,7 +49,7 @@
 	return "unknown"
 }
 
-var outcomeNames = [...]string{"good", "errored", "failed", "dead", "moving"}
+var outcomeNames = [...]string{"good", "errored", "failed", "dead", "moving", "leaving"}
 
 // health tracks the outcomes of calls to an endpoint.
 type health struct {
--- a/internal/schedule/pools.go
+++ b/internal/schedule/pools.go
@@ -18,7 +18,7 @@
 	for service, endpoints := range s.table.byService {
 		u, claimed, capacity := rebalance.Utilization{}, int64(0), int64(0)
 		for _, e := range endpoints {
-			if e.Leaving || e.engine == nil {
+			if !e.staying() || e.engine == nil {
 				continue
 			}
 			switch e.Stage {
@@ -44,8 +44,9 @@
 func (s *Scheduler) LeastLoaded(service string, stage traffic.Stage, except []traffic.EndpointID) (traffic.Endpoint, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.opts.Clock.Now()
 	eligible := func(e *endpointState) bool {
-		return e.Stage == stage && !e.Leaving && !slices.Contains(except, e.ID) && !e.health.ejected(s.opts.Clock.Now())
+		return e.Stage == stage && e.staying() && !slices.Contains(except, e.ID) && !e.health.ejected(now) && !e.notice.paused(now)
 	}
 	count := map[string]int{}
 	for _, e := range s.table.byService[service] {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -26,6 +26,11 @@
 	// OnFailure is called if an endpoint of a data centre aborted a call, was found dead by this VM,
 	// or was ordered to change its stage. It must not block. It may be nil.
 	OnFailure func(id traffic.EndpointID, dataCentre string, o Outcome)
+	// OnHold is called when this VM begins or ends to hold back calls because of what an endpoint said. It must
+	// not block. It may be nil.
+	OnHold func(Hold)
+	// DrainTime is how long endpoints that leave take calls.
+	DrainTime time.Duration
 }
 
 // Scheduler makes a table of endpoints safe for concurrent use.
@@ -53,9 +58,12 @@
 	if o.OnFailure == nil {
 		o.OnFailure = func(traffic.EndpointID, string, Outcome) {}
 	}
+	if o.OnHold == nil {
+		o.OnHold = func(Hold) {}
+	}
 	return &Scheduler{
 		opts:          o,
-		table:         newTable(o.DataCentre, rand.New(rand.NewPCG(o.Seed, 0))),
+		table:         newTable(o.DataCentre, o.DrainTime, rand.New(rand.NewPCG(o.Seed, 0))),
 		capacityFreed: make(chan struct{}),
 		queues:        map[pool][]*QueueEntry{},
 	}
@@ -65,23 +73,22 @@
 func (s *Scheduler) UpdateEndpoints(eps traffic.Endpoints, services map[string]*traffic.Service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.update(eps, services)
+	s.table.update(s.opts.Clock.Now(), eps, services)
 	s.wakeLocked()
 }
 
-// HasStage reports whether a service has usable endpoints in a stage.
+// HasStage reports whether a service has endpoints in a stage that are not leaving.
 func (s *Scheduler) HasStage(service string, stage traffic.Stage) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.table.byService[service], func(e *endpointState) bool { return e.Stage == stage && !e.Leaving })
+	return slices.ContainsFunc(s.table.byService[service], func(e *endpointState) bool { return e.Stage == stage && e.staying() })
 }
 
-// IsUsable reports whether an endpoint is known and not leaving.
-func (s *Scheduler) IsUsable(id traffic.EndpointID) bool {
+// ListsStage reports whether a service has endpoints in a stage, be they leaving or not.
+func (s *Scheduler) ListsStage(service string, stage traffic.Stage) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.table.states[id]
-	return e != nil && !e.Leaving
+	return slices.ContainsFunc(s.table.byService[service], func(e *endpointState) bool { return e.Stage == stage })
 }
 
 // Claim reserves the capacity for one call at one endpoint until Release.
@@ -91,6 +98,8 @@
 	work      Work
 	claimedAt clock.Instant
 	released  bool
+	// probe is the notice of the endpoint if the call finds out whether its pause is over, else nil.
+	probe *notice
 }
 
 // Errors of Place. The dispatcher distinguishes them by kind.
@@ -114,14 +123,15 @@
 		return nil, errAllFull
 	}
 	now := s.opts.Clock.Now()
-	e, c, result := s.table.choose(now, req)
-	switch result {
-	case noEndpoint:
-		return nil, errNoEndpoint
-	case allFull:
-		return nil, errAllFull
+	e, c, err := s.table.choose(now, req)
+	if err != nil {
+		return nil, err
 	}
 	claim := &Claim{Choice: c, scheduler: s, work: req.work(), claimedAt: now}
+	if e.notice.reopening(now) {
+		claim.probe = e.notice
+		claim.probe.probing = true
+	}
 	s.setOwnWork(e, e.own.plus(claim.work))
 	return claim, nil
 }
@@ -143,6 +153,9 @@
 		return
 	}
 	c.released = true
+	if c.probe != nil {
+		c.probe.probing = false
+	}
 	if e := s.table.states[c.Endpoint.ID]; e != nil {
 		s.setOwnWork(e, e.own.minus(c.work))
 	}
@@ -152,16 +165,27 @@
 // RecordOutcome records the outcome of an attempt at the claim's endpoint.
 func (c *Claim) RecordOutcome(o Outcome) {
 	s := c.scheduler
+	known, pauseEnded := s.recordOutcome(c.Endpoint.ID, o)
+	if pauseEnded {
+		s.opts.OnHold(Hold{Endpoint: c.Endpoint.ID})
+	}
+	if known && o >= Failed {
+		s.opts.OnFailure(c.Endpoint.ID, c.Endpoint.DataCentre, o)
+	}
+}
+
+// recordOutcome records an outcome of this VM's. It reports whether the endpoint is known, and whether the outcome
+// ended a pause of it.
+func (s *Scheduler) recordOutcome(id traffic.EndpointID, o Outcome) (known, pauseEnded bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.table.states[c.Endpoint.ID]
+	e := s.table.states[id]
 	if e == nil {
-		return
-	}
-	e.health.record(s.opts.Clock.Now(), o)
-	if o >= Failed {
-		s.opts.OnFailure(c.Endpoint.ID, c.Endpoint.DataCentre, o)
+		return false, false
 	}
+	now := s.opts.Clock.Now()
+	e.health.record(now, o)
+	return true, o <= Errored && e.endPause(now)
 }
 
 // RecordRefusal records that the claim's endpoint refused the call for lack of capacity.
@@ -215,6 +239,10 @@
 
 // RecordPeerOutcome records the outcome of another VM's attempt at, or order to, an endpoint.
 func (s *Scheduler) RecordPeerOutcome(id traffic.EndpointID, o Outcome) {
+	if o == Leaving {
+		s.recordLeaving(id, false)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.table.states[id]
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -7,11 +7,6 @@
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
-// eligible reports whether an endpoint may be used for a request, regardless of its load.
-func eligible(s *endpointState, req *Request) bool {
-	return !s.Leaving && s.Stage == req.Stage && !req.excludes(s.ID)
-}
-
 // remoteMemoryMargin is the fraction of the memory of an engine in another data centre that is
 // reserved for calls which VMs there have placed but not reported yet.
 const remoteMemoryMargin = 0.2
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -34,6 +34,8 @@
 	own    Work
 	peers  peerWork
 	health health
+	// notice is what the endpoint said about itself; nil if nothing.
+	notice *notice
 	// prefillRate is the measured prefill speed, in tokens per second.
 	prefillRate float64
 	// reportedCalls is the load that the endpoint reported at reportedAt.
@@ -82,6 +84,9 @@
 	delete(p.byVM, vm)
 }
 
+// staying reports whether the endpoint neither is listed as leaving nor said so.
+func (s *endpointState) staying() bool { return !s.Leaving && !s.notice.saysLeaving() }
+
 // totalWork returns the work of all VMs.
 func (s *endpointState) totalWork() Work { return s.own.plus(s.peers.total) }
 
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -16,6 +16,9 @@
 	version    uint64
 	states     map[traffic.EndpointID]*endpointState
 	byService  map[string][]*endpointState
+	// drainTime is how long endpoints that leave take calls.
+	drainTime time.Duration
+	notices   map[traffic.EndpointID]*notice
 	// unknown is reported work at endpoints that this VM does not know yet.
 	unknown map[traffic.EndpointID]*peerWork
 	// remoteReportsDelayed is set if VMs of other data centres report their work with a delay.
@@ -25,9 +28,11 @@
 	localAtReport map[string]map[pool]int64
 }
 
-func newTable(dataCentre string, random *rand.Rand) *table {
+func newTable(dataCentre string, drainTime time.Duration, random *rand.Rand) *table {
 	return &table{
 		dataCentre:    dataCentre,
+		drainTime:     drainTime,
+		notices:       map[traffic.EndpointID]*notice{},
 		random:        random,
 		states:        map[traffic.EndpointID]*endpointState{},
 		byService:     map[string][]*endpointState{},
@@ -37,7 +42,7 @@
 }
 
 // update replaces the endpoints and the engine parameters of their services.
-func (t *table) update(eps traffic.Endpoints, services map[string]*traffic.Service) {
+func (t *table) update(now clock.Instant, eps traffic.Endpoints, services map[string]*traffic.Service) {
 	previous := t.states
 	t.version = eps.Version
 	t.states = make(map[traffic.EndpointID]*endpointState, len(eps.List))
@@ -55,6 +60,7 @@
 			s.closedUntil, s.refusals = 0, 0
 		}
 		s.Endpoint = e
+		s.notice = t.notices[e.ID]
 		s.engine = nil
 		if svc := services[e.Service]; svc != nil {
 			s.engine = svc.Engine
@@ -62,6 +68,7 @@
 		t.states[e.ID] = s
 		t.byService[e.Service] = append(t.byService[e.Service], s)
 	}
+	t.forgetNotices(now)
 }
 
 // maxUnknown is the maximum number of unknown endpoints whose reported work is kept.
@@ -233,54 +240,86 @@
 	Ejected bool
 }
 
-// choiceResult is the result of choose.
-type choiceResult uint8
+// candidates are the endpoints of a service and stage, by what keeps them from being used.
+type candidates struct {
+	// usable endpoints have capacity, healthy ones are not ejected besides. lastResort holds leaving ones that
+	// may be used if there is no other one.
+	usable, healthy, lastResort []*endpointState
+	// full is set if some endpoints have no capacity, leaving if some are leaving.
+	full, leaving bool
+	// pausedUntil is the earliest end of a pause, 0 if no endpoint has asked for one.
+	pausedUntil clock.Instant
+}
 
-const (
-	chosen choiceResult = iota
-	// noEndpoint means that the service has no eligible endpoint.
-	noEndpoint
-	// allFull means that there are eligible endpoints, but none has capacity.
-	allFull
-)
+// add adds an endpoint that has the service and stage.
+func (c *candidates) add(now clock.Instant, t *table, s *endpointState, req *Request) {
+	switch {
+	case s.Leaving:
+		c.leaving = true
+	case s.notice.paused(now):
+		if c.pausedUntil == 0 || s.notice.heldUntil.Before(c.pausedUntil) {
+			c.pausedUntil = s.notice.heldUntil
+		}
+	case s.notice.reopening(now) && s.notice.probing, !t.hasCapacity(now, s, req):
+		c.full = true
+	case s.notice.saysLeaving():
+		c.leaving = true
+		if s.notice.lastResort(now, t.drainTime) {
+			c.lastResort = append(c.lastResort, s)
+		}
+	default:
+		c.usable = append(c.usable, s)
+		if !s.health.ejected(now) {
+			c.healthy = append(c.healthy, s)
+		}
+	}
+}
 
-// choose filters and scores the endpoints and picks one.
-func (t *table) choose(now clock.Instant, req *Request) (*endpointState, Choice, choiceResult) {
-	var usable, healthy []*endpointState
-	failure := noEndpoint
+// none returns the error if no endpoint can be used.
+func (c *candidates) none(now clock.Instant) error {
+	switch {
+	case c.full:
+		return errAllFull
+	case len(c.usable) > 0: // all of them are ejected
+		return errNoEndpoint
+	case c.pausedUntil > 0:
+		return allPaused(c.pausedUntil.Sub(now))
+	case c.leaving:
+		return allLeaving()
+	}
+	return errNoEndpoint
+}
+
+// choose filters and scores the endpoints and picks one. Its errors are those of Place.
+func (t *table) choose(now clock.Instant, req *Request) (*endpointState, Choice, error) {
+	var c candidates
 	localMean := t.localMean(req.Service, req.Stage)
 	for _, s := range t.byService[req.Service] {
-		if !eligible(s, req) {
+		if s.Stage != req.Stage || req.excludes(s.ID) {
 			continue
 		}
 		s.unreportedTokens = t.estimateUnreported(s, localMean)
-		if !t.hasCapacity(now, s, req) {
-			failure = allFull
-			continue
-		}
-		usable = append(usable, s)
-		if !s.health.ejected(now) {
-			healthy = append(healthy, s)
-		}
+		c.add(now, t, s, req)
 	}
-	ejected := len(healthy) == 0
-	if ejected {
-		if failure == allFull {
-			return nil, Choice{}, allFull
-		}
-		healthy = probeable(usable)
+	from, ejected := c.healthy, false
+	if len(from) == 0 && !c.full {
+		from = probeable(c.usable)
+		ejected = len(from) > 0
+	}
+	if len(from) == 0 && !c.full && len(c.usable) == 0 {
+		from = c.lastResort
 	}
-	if len(healthy) == 0 {
-		return nil, Choice{}, failure
+	if len(from) == 0 {
+		return nil, Choice{}, c.none(now)
 	}
-	best, score := t.pick(now, healthy, req)
-	c := Choice{
-		Endpoint: best.Endpoint, Score: score, Candidates: len(healthy), TableVersion: t.version, EndpointWork: best.totalWork(), Ejected: ejected,
+	best, score := t.pick(now, from, req)
+	choice := Choice{
+		Endpoint: best.Endpoint, Score: score, Candidates: len(from), TableVersion: t.version, EndpointWork: best.totalWork(), Ejected: ejected,
 	}
 	if req.Stage == traffic.Prefill && req.Tokens != nil {
-		c.ExpectedPrefill = t.expectedPrefill(now, best, req.Tokens.Prompt)
+		choice.ExpectedPrefill = t.expectedPrefill(now, best, req.Tokens.Prompt)
 	}
-	return best, c, chosen
+	return best, choice, nil
 }
 
 // probeable returns the endpoints that may be tried although they are ejected: those without a call of
--- a/internal/vmserver/platform.go
+++ b/internal/vmserver/platform.go
@@ -24,6 +24,9 @@
 	// Backend and Engines send requests to endpoints.
 	Backend backend.Client
 	Engines rebalance.StageOrderer
+	// ObserveNotices sets the function that receives what endpoints say about themselves. It is called before
+	// the first request.
+	ObserveNotices func(observe func(traffic.EndpointID, backend.Notice))
 	// SweepIdleConnections closes idle connections to endpoints until ctx ends.
 	SweepIdleConnections func(ctx context.Context)
 	// Decode parses a configuration as operators write it.
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -82,7 +82,11 @@
 		OnFailure: func(id traffic.EndpointID, dataCentre string, o schedule.Outcome) {
 			p.stateSync.EndpointFailed(id, dataCentre, o)
 		},
+		OnHold: p.logHold, DrainTime: s.DrainTime,
 	})
+	if platform.ObserveNotices != nil {
+		platform.ObserveNotices(p.scheduler.RecordNotice)
+	}
 	p.quarantine = quarantine.NewController(quarantine.Options{
 		Clock: p.clock, Log: log.Named("quarantine"), Metrics: set,
 		OnChange: func(s quarantine.State) { p.stateSync.QuarantineChanged(s) }, OnQuarantine: func() { p.keeper.Changed() },
@@ -106,6 +110,20 @@
 	return p
 }
 
+// logHold logs that this VM begins or ends to hold back calls from an endpoint.
+func (p *Process) logHold(h schedule.Hold) {
+	reason := "it answers again"
+	switch {
+	case h.Leaving:
+		reason = "it leaves"
+	case h.Pause > 0:
+		reason = "it asked for a pause"
+	}
+	p.set.GetOrCreateCounter(`fulmartide_endpoint_holds_total{reason="` + reason + `"}`).Inc()
+	p.log.Named("schedule").Info("endpoint held back", zap.String("endpoint", h.Endpoint.Name), zap.Int64("born", h.Endpoint.StartedAt),
+		zap.String("reason", reason), zap.Duration("pause", h.Pause))
+}
+
 // applyChange passes a changed configuration or endpoint table to the components that decide by it.
 func (p *Process) applyChange(c *traffic.Configuration, e traffic.Endpoints) {
 	if c != nil {
--- a/internal/vmserver/settings.go
+++ b/internal/vmserver/settings.go
@@ -22,6 +22,8 @@
 	HeartbeatPeriod time.Duration
 	// GraceTime is the time between SIGTERM and SIGKILL.
 	GraceTime time.Duration
+	// DrainTime is how long endpoints that leave take calls.
+	DrainTime time.Duration
 	// RetryBudget bounds the retries to a service, Plans configures the accounting of plans.
 	RetryBudget admission.RetryBudget
 	Plans       admission.PlanOptions
