schedule: an endpoint whose entry is lost for a while keeps its work

Seen when the model of notices lost entries of the table: a call that was placed before an endpoint's entry was lost, and released after it was back, left work of -1 calls and -5,200 tokens there, which is told to all VMs: the engine is promised more memory than it has. Cause: the state of an endpoint went with its entry. Endpoints with calls of this VM are kept aside until these end, and taken up when listed again. TestReleaseAfterEntryWasLost failed before (-1 calls).

--- a/internal/schedule/closed_test.go
+++ b/internal/schedule/closed_test.go
@@ -96,3 +96,22 @@
 		t.Errorf("after the endpoint answered: chose %v, error %v", claim, err)
 	}
 }
+
+// TestReleaseAfterEntryWasLost checks the work at an endpoint whose entry was lost for a while during a call.
+func TestReleaseAfterEntryWasLost(t *testing.T) {
+	s, _ := newTestScheduler(newEngine("x", "a", traffic.Decode))
+	claim, err := s.Place(decodeRequest(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.UpdateEndpoints(traffic.Endpoints{Version: 2}, testServices)
+	s.UpdateEndpoints(traffic.Endpoints{Version: 3, List: []traffic.Endpoint{newEngine("x", "a", traffic.Decode)}}, testServices)
+	x := traffic.EndpointID{Name: "x"}
+	if _, work := s.OwnWork(); work["a"][x].Calls != 1 {
+		t.Errorf("during the call the own work is %+v", work)
+	}
+	claim.Release()
+	if own := s.table.states[x].own; own != (Work{}) {
+		t.Errorf("after the call the own work is %+v", own)
+	}
+}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -159,6 +159,11 @@
 	if e := s.table.states[c.Endpoint.ID]; e != nil {
 		s.setOwnWork(e, e.own.minus(c.work))
 	}
+	if e := s.table.departed[c.Endpoint.ID]; e != nil {
+		if e.own = e.own.minus(c.work); e.own.Calls == 0 {
+			delete(s.table.departed, c.Endpoint.ID)
+		}
+	}
 	s.wakeLocked()
 }
 
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -16,6 +16,8 @@
 	version    uint64
 	states     map[traffic.EndpointID]*endpointState
 	byService  map[string][]*endpointState
+	// departed holds the endpoints that are not listed any more and still have calls of this VM.
+	departed map[traffic.EndpointID]*endpointState
 	// drainTime is how long endpoints that leave take calls.
 	drainTime time.Duration
 	notices   map[traffic.EndpointID]*notice
@@ -36,6 +38,7 @@
 		random:        random,
 		states:        map[traffic.EndpointID]*endpointState{},
 		byService:     map[string][]*endpointState{},
+		departed:      map[traffic.EndpointID]*endpointState{},
 		unknown:       map[traffic.EndpointID]*peerWork{},
 		localAtReport: map[string]map[pool]int64{},
 	}
@@ -49,6 +52,10 @@
 	t.byService = map[string][]*endpointState{}
 	for _, e := range eps.List {
 		s := previous[e.ID]
+		if s == nil {
+			s = t.departed[e.ID]
+			delete(t.departed, e.ID)
+		}
 		if s == nil {
 			s = &endpointState{prefillRate: initialPrefillRate}
 			if w := t.unknown[e.ID]; w != nil {
@@ -68,6 +75,11 @@
 		t.states[e.ID] = s
 		t.byService[e.Service] = append(t.byService[e.Service], s)
 	}
+	for id, s := range previous {
+		if t.states[id] == nil && s.own.Calls > 0 {
+			t.departed[id] = s
+		}
+	}
 	t.forgetNotices(now)
 }
 
