admission: the usage of workspaces near their plans outlives the VMs

One VM (of each data centre in a large fleet) records the usage of workspaces above 0.4 of their plans in the store, and again after each further 0.1. A start at which no VM lived through the window adopts the records; what may be unrecorded counts as used for one window, less 0.4 of the slack; before the records are known 0.2 of the slack takes the place of the burst. A VM that did live through replaces them.

TestRestartedVMAssumesPlanWasUsed expected the whole burst for a VM that knows nothing; a burst used just before the end would be given twice. It expects what the slack covers now, for three sizes of the slack.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -135,13 +135,6 @@
 	return c.plans.WindowState(c.clock.Now())
 }
 
-// WindowComplete reports whether this VM knows the usage of the whole plan window.
-func (c *Controller) WindowComplete() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.plans.WindowComplete(c.clock.Now())
-}
-
 // AdoptWindow adds the usage in the plan window that another VM knows of. It has an effect only
 // soon after this VM's start.
 func (c *Controller) AdoptWindow(state WindowState) {
@@ -150,6 +143,45 @@
 	c.plans.AdoptWindow(c.clock.Now(), state)
 }
 
+// NeedsWindow reports whether a VM that lived through the plan window, if there is one, should still be asked for
+// it.
+func (c *Controller) NeedsWindow() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.plans.NeedsWindow(c.clock.Now())
+}
+
+// needsRecords reports whether this VM knows neither the window nor the records.
+func (c *Controller) needsRecords() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.plans.NeedsWindow(c.clock.Now()) && !c.plans.restarted
+}
+
+// Record returns the usage that is to be recorded outside of the VMs, and a function to call when it has been. ok
+// is false if nothing is due.
+func (c *Controller) Record() (r UsageRecord, done func(), ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	if !c.plans.RecordDue(now) {
+		return UsageRecord{}, nil, false
+	}
+	r, mark := c.plans.Record(now)
+	return r, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		mark()
+	}, true
+}
+
+// AdoptRecords adds the usage that was recorded before all VMs ended. group is the group of this VM.
+func (c *Controller) AdoptRecords(group string, records []UsageRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.plans.AdoptRecords(c.clock.Now(), group, records)
+}
+
 // WindowUsage returns the usage in the window by this VM and its direct peers, in tokens by
 // workspace.
 func (c *Controller) WindowUsage() map[string]int64 {
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -42,6 +42,8 @@
 	// admitted any.
 	ownTotal int64
 	hasOwn   bool
+	// counted is the number of tokens that were added since this VM started, by any VM.
+	counted int64
 }
 
 // Slack is the permitted overuse of a plan in a window while VMs cannot know the usage of others.
@@ -76,6 +78,15 @@
 	startedAt clock.Instant
 	// seeded is set when another VM has reported the usage before startedAt.
 	seeded bool
+	// restarted is set when all VMs ended and started again at restartedAt, and only records tell the usage
+	// before. hot are the workspaces in these records.
+	restarted   bool
+	restartedAt clock.Instant
+	// toldOfRestart is set once another VM has told what it knows since then.
+	toldOfRestart bool
+	hot           map[string]bool
+	// recorded is the usage of each workspace at the last record of this VM.
+	recorded map[string]recordedUsage
 	// shares is the share of the fleet that this VM could reach, including itself, in each bucket. The
 	// VMs that can reach each other may use this share of what is left of each plan.
 	shares shareHistory
@@ -95,7 +106,7 @@
 func NewPlans(now clock.Instant, window, loweringDelay time.Duration, slack Slack) *Plans {
 	p := &Plans{
 		startedAt: now, window: max(window, minWindow), loweringDelay: loweringDelay, slack: slack, accounts: map[string]*account{},
-		remainderShare: 1, dataCentres: map[string]dataCentreUsage{},
+		remainderShare: 1, dataCentres: map[string]dataCentreUsage{}, hot: map[string]bool{},
 	}
 	p.shares = newShareHistory(p.bucket(now))
 	return p
@@ -135,7 +146,7 @@
 		a.limit = l // the account was created from another VM's report
 	}
 	if a.limit != l {
-		a.previousAllowed, a.changeEffectiveAt = p.allowed(a, now), now.Add(p.loweringDelay)
+		a.previousAllowed, a.changeEffectiveAt = p.allowed(workspace, a, now), now.Add(p.loweringDelay)
 		a.limit = l
 	}
 	return a
@@ -166,6 +177,7 @@
 func (a *account) add(tokens int64) {
 	a.buckets[a.bucket%accountBuckets] += tokens
 	a.sum += tokens
+	a.counted += tokens
 }
 
 // recentBuckets is the number of buckets whose usage other data centres may not know yet.
@@ -181,18 +193,23 @@
 }
 
 // limitTokens returns what a limit allows in the part of the window whose usage this VM knows, in
-// tokens. A VM that does not know the usage of the whole window assumes that the plan was used at
-// its rate before the VM started.
-func (p *Plans) limitTokens(now clock.Instant, l Limit) float64 {
-	known := p.window
-	if !p.WindowComplete(now) {
-		known = now.Sub(p.startedAt)
+// tokens.
+func (p *Plans) limitTokens(now clock.Instant, workspace string, l Limit) float64 {
+	plan := p.plan(l)
+	switch {
+	case p.WindowComplete(now):
+		return plan
+	case p.restarted:
+		return plan + min(p.unrecorded(now, workspace, l), p.slack.amount(plan, restartSlack))
 	}
-	return l.Rate*known.Seconds() + l.Burst
+	return p.beforeRecords(now, l)
 }
 
 // WindowComplete reports whether this VM knows the usage of the whole window.
 func (p *Plans) WindowComplete(now clock.Instant) bool {
+	if p.restarted {
+		return now.Sub(p.restartedAt) >= p.window
+	}
 	return p.seeded || now.Sub(p.startedAt) >= p.window
 }
 
@@ -206,8 +223,8 @@
 
 // allowed returns what a plan allows in the window that ends now, in tokens. In a window that
 // includes the lowering of the plan, it interpolates between the previous and the current plan.
-func (p *Plans) allowed(a *account, now clock.Instant) float64 {
-	allowed := p.limitTokens(now, a.limit)
+func (p *Plans) allowed(workspace string, a *account, now clock.Instant) float64 {
+	allowed := p.limitTokens(now, workspace, a.limit)
 	if since := max(0, now.Sub(a.changeEffectiveAt)); since < p.window && a.previousAllowed > allowed {
 		allowed += (a.previousAllowed - allowed) * (1 - float64(since)/float64(p.window))
 	}
@@ -235,10 +252,15 @@
 	}
 	a := p.account(now, workspace, l)
 	remote, estimatedRemote := p.dataCentreUsed(now, workspace)
+	unrecorded := p.unrecorded(now, workspace, l)
+	remote, estimatedRemote = remote+int64(unrecorded), estimatedRemote+unrecorded
 	d := Decision{UsedBefore: a.sum + remote}
-	d.Allowed = p.allowedOnThisSide(p.allowed(a, now), d.UsedBefore, p.shares.estimate(a)+estimatedRemote)
+	d.Allowed = p.allowedOnThisSide(p.allowed(workspace, a, now), d.UsedBefore, p.shares.estimate(a)+estimatedRemote)
 	if float64(d.UsedBefore+cost) > d.Allowed {
 		d.RetryAfter = p.timeUntilFreed(a, float64(d.UsedBefore+cost)-d.Allowed)
+		if end := p.restartedAt.Add(p.window).Sub(now); p.restarted && end > 0 {
+			d.RetryAfter = min(d.RetryAfter, end)
+		}
 		return d
 	}
 	if p.remainderShare < 1 {
--- /dev/null
+++ b/internal/admission/recorder.go
@@ -0,0 +1,108 @@
+package admission
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// RecordStore keeps usage records while no VM is up.
+type RecordStore interface {
+	// SaveUsage replaces the record of this VM.
+	SaveUsage(ctx context.Context, r UsageRecord) error
+	// LoadUsage returns the records of all VMs.
+	LoadUsage(ctx context.Context) ([]UsageRecord, error)
+}
+
+// Recorder records the usage of plans, and adopts what was recorded if no VM lived through the window.
+type Recorder struct {
+	Controller *Controller
+	Store      RecordStore
+	// Group returns the data centre whose VMs know each other's usage in full, empty if all VMs do.
+	Group func() string
+	// Rank returns the number of live VMs of the group that are to record in preference to this one. ListedRank
+	// also counts those that have not been heard from, for the time of a start; listed is false while it is
+	// unknown.
+	Rank       func() int
+	ListedRank func() (rank int, listed bool)
+	// FirstStart is set if the whole fleet starts for the first time, so that there are no records.
+	FirstStart bool
+	Log        *zap.Logger
+}
+
+const (
+	// recordPeriod is the time between checks whether a record is due.
+	recordPeriod = 200 * time.Millisecond
+	// maxRecordPause bounds the pause after failed calls to the store, which doubles from recordPeriod.
+	maxRecordPause = 2 * time.Second
+	// peerTime is the time in which a VM that starts beside running ones has learned the window from them.
+	// loadStep is added for each VM that is to load the records first.
+	peerTime = 150 * time.Millisecond
+	loadStep = 100 * time.Millisecond
+	// maxLoadRank bounds the sum of these steps.
+	maxLoadRank = 10
+)
+
+// Run adopts the records if necessary, then records until ctx ends.
+func (r *Recorder) Run(ctx context.Context) {
+	if !r.FirstStart {
+		r.load(ctx)
+	}
+	pause := recordPeriod
+	for sleep(ctx, pause) {
+		pause = recordPeriod
+		if r.Rank() > 0 {
+			continue
+		}
+		if err := r.save(ctx); err != nil {
+			r.Log.Warn("could not record the usage of plans", zap.Error(err))
+			pause = maxRecordPause
+		}
+	}
+}
+
+func (r *Recorder) save(ctx context.Context) error {
+	record, done, due := r.Controller.Record()
+	if !due {
+		return nil
+	}
+	record.Group = r.Group()
+	if err := r.Store.SaveUsage(ctx, record); err != nil {
+		return err
+	}
+	done()
+	return nil
+}
+
+// load adopts the records unless another VM has told this one the window, or the window has passed.
+func (r *Recorder) load(ctx context.Context) {
+	for pause := r.loadDelay(); sleep(ctx, pause) && r.Controller.needsRecords(); pause = min(max(2*pause, recordPeriod), maxRecordPause) {
+		records, err := r.Store.LoadUsage(ctx)
+		if err != nil {
+			r.Log.Warn("could not load the recorded usage of plans", zap.Error(err))
+			continue
+		}
+		r.Controller.AdoptRecords(r.Group(), records)
+		r.Log.Info("recorded usage of plans adopted", zap.Int("records", len(records)), zap.String("group", r.Group()))
+		return
+	}
+}
+
+func (r *Recorder) loadDelay() time.Duration {
+	rank, listed := r.ListedRank()
+	if !listed {
+		return peerTime
+	}
+	return peerTime + loadStep*time.Duration(min(rank, maxLoadRank))
+}
+
+// sleep waits for d and returns false if ctx ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
@@ -63,6 +65,11 @@
 	Buckets map[string][]int64
 	// DataCentres holds the last reports of the other data centres.
 	DataCentres map[string]DataCentreReport
+	// Restarted is set if all VMs ended and started again SinceRestart ago, and the usage before that is only
+	// known from records. Hot are the workspaces in these records.
+	Restarted    bool
+	SinceRestart time.Duration
+	Hot          []string
 }
 
 // DataCentreReport is what the VMs of a data centre had admitted in the plan window when they
@@ -77,7 +84,7 @@
 // WindowState returns what this VM knows of the usage in the window. ok is false if it started too
 // late to know all of it.
 func (p *Plans) WindowState(now clock.Instant) (state WindowState, ok bool) {
-	if !p.WindowComplete(now) {
+	if !p.WindowComplete(now) && !p.restarted {
 		return WindowState{}, false
 	}
 	state = WindowState{Buckets: map[string][]int64{}, DataCentres: map[string]DataCentreReport{}}
@@ -89,6 +96,10 @@
 	for name, u := range p.dataCentres {
 		state.DataCentres[name] = DataCentreReport{Age: now.Sub(u.at), Tokens: u.tokens}
 	}
+	if !p.WindowComplete(now) {
+		state.Restarted, state.SinceRestart = true, now.Sub(p.restartedAt)
+		state.Hot = slices.Sorted(maps.Keys(p.hot))
+	}
 	return state, true
 }
 
@@ -98,7 +109,12 @@
 	if now.Sub(p.startedAt) >= p.window {
 		return
 	}
-	p.seeded = true
+	if state.Restarted && !p.adoptRestart(now, state) {
+		return
+	}
+	if !state.Restarted {
+		p.seeded, p.restarted = true, false
+	}
 	for name, tokens := range state.Buckets {
 		p.usage(now, name).raise(tokens)
 	}
@@ -109,6 +125,28 @@
 	}
 }
 
+// adoptRestart adopts from another VM that all VMs ended. It returns false if the state is of no use: a VM that
+// lived through the window has told it, or another one that started has; the buckets of two VMs are not aligned, so
+// that each further state would count some usage again.
+func (p *Plans) adoptRestart(now clock.Instant, state WindowState) bool {
+	if p.seeded || p.toldOfRestart {
+		return false
+	}
+	p.toldOfRestart = true
+	at := now.Add(-state.SinceRestart)
+	if !p.restarted || p.restartedAt.Before(at) {
+		p.restartedAt = at
+	}
+	p.restarted = true
+	for _, name := range state.Hot {
+		p.hot[name] = true
+	}
+	return true
+}
+
+// NeedsWindow reports whether a VM that lived through the window, if there is one, should still be asked for it.
+func (p *Plans) NeedsWindow(now clock.Instant) bool { return !p.seeded && !p.WindowComplete(now) }
+
 // index returns the position of the bucket of the given age.
 func (a *account) index(age int) int64 {
 	return (a.bucket - int64(age) + accountBuckets*accountBuckets) % accountBuckets
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -57,8 +57,8 @@
 	AddFromPeer(c admission.CounterKey, n int64)
 	// OwnTotals returns the counters of this VM since it started.
 	OwnTotals() map[admission.CounterKey]int64
-	// WindowComplete reports whether this VM knows all usage in the current plan window.
-	WindowComplete() bool
+	// NeedsWindow reports whether a VM that lived through the window should still be asked for it.
+	NeedsWindow() bool
 	// WindowState returns what this VM knows of the usage in the current plan window. ok is false if
 	// it does not know all of it.
 	WindowState() (state admission.WindowState, ok bool)
@@ -323,6 +323,16 @@
 	}
 }
 
+// Group returns the data centre whose VMs tell each other their usage in full, empty if all VMs of the fleet do.
+func (s *Service) Group() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.members.large() {
+		return s.opts.Self.DataCentre
+	}
+	return ""
+}
+
 // HasLowestAddress reports whether this VM has the lowest address of all live VMs.
 func (s *Service) HasLowestAddress() bool {
 	s.mu.Lock()
--- a/internal/statesync/window.go
+++ b/internal/statesync/window.go
@@ -26,12 +26,12 @@
 	joinWindowPause = 100 * time.Millisecond
 )
 
-// adoptWindow asks direct peers for the usage in the current plan window until this VM knows it.
-// Without it, a VM that restarts would admit calls of workspaces that have used up their plans. In
-// a fleet that starts as a whole no VM knows it, and each one counts for a window instead.
+// adoptWindow asks direct peers for the usage in the current plan window until one that lived through it has told
+// this VM. Without it, a VM that restarts would admit calls of workspaces that have used up their plans. In
+// a fleet that starts as a whole no VM did, and each one counts for a window instead.
 func (s *Service) adoptWindow(ctx context.Context) {
 	pause := minWindowPause
-	for turn := 0; !s.opts.Plans.WindowComplete(); turn++ {
+	for turn := 0; s.opts.Plans.NeedsWindow(); turn++ {
 		s.mu.Lock()
 		sources := s.members.windowSources(turn)
 		s.mu.Unlock()
@@ -80,12 +80,13 @@
 			s.requestNewer(resp.From, resp.Versions, resp.Age)
 			if resp.Complete {
 				s.opts.Plans.AdoptWindow(resp.State)
-				s.opts.Log.Info("plan window adopted", zap.Stringer("address", addr), zap.Int("workspaces", len(resp.State.Buckets)))
+				s.opts.Log.Info("plan window adopted", zap.Stringer("address", addr), zap.Int("workspaces", len(resp.State.Buckets)),
+					zap.Bool("from_records", resp.State.Restarted))
 			}
 		})
 	}
 	wg.Wait()
-	return s.opts.Plans.WindowComplete()
+	return !s.opts.Plans.NeedsWindow()
 }
 
 func (s *Service) onWindowRequest(context.Context, ident.VM, *windowRequest) (*windowResponse, error) {
--- a/internal/vmserver/platform.go
+++ b/internal/vmserver/platform.go
@@ -16,11 +16,12 @@
 
 // Platform holds the platform-specific parts of an installation, adapted to the interfaces of the router.
 type Platform struct {
-	// Registry, Source, Leases and Quarantine access the store of the installation.
+	// Registry, Source, Leases, Quarantine and Usage access the store of the installation.
 	Registry   statesync.Registry
 	Source     activeconfig.Source
 	Leases     rebalance.LeaseStore
 	Quarantine quarantine.Store
+	Usage      admission.RecordStore
 	// Backend and Engines send requests to endpoints.
 	Backend backend.Client
 	Engines rebalance.StageOrderer
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -44,6 +44,7 @@
 	rebalancer *rebalance.Rebalancer
 	quarantine *quarantine.Controller
 	keeper     *quarantine.Keeper
+	recorder   *admission.Recorder
 
 	stopping atomic.Bool
 	wg       sync.WaitGroup
@@ -149,6 +150,10 @@
 		State: p.State, Rank: p.stateSync.Rank, OnRead: p.stateSync.SendHeartbeat, Log: p.log.Named("follower"),
 		Source: p.platform.Source, FirstStart: p.settings.FirstStart, ListedRank: p.stateSync.ListedRank,
 	}
+	p.recorder = &admission.Recorder{
+		Controller: p.admission, Store: p.platform.Usage, Group: p.stateSync.Group, Rank: p.stateSync.Rank,
+		ListedRank: p.stateSync.ListedRank, FirstStart: p.settings.FirstStart, Log: p.log.Named("usage"),
+	}
 	p.rebalancer = &rebalance.Rebalancer{
 		Self: p.settings.VMName, Clock: p.clock, Store: p.platform.Leases, Engines: p.platform.Engines, Pools: p.scheduler,
 		IsLeader: func() bool { return p.stateSync.HasLowestAddress() && !p.stopping.Load() }, LeaseDuration: p.settings.LeaseDuration, Log: p.log.Named("layout"),
