One function for a wait that ends with its context; log lines of endpoints held back

Eight packages had their own copy of sleep; clock.Sleep replaces them. The two models of plans share their log of usage. An endpoint that the table lists as leaving is not told to the other VMs again, and 'endpoint taken back' is a line of its own.

--- a/internal/activeconfig/refresher.go
+++ b/internal/activeconfig/refresher.go
@@ -98,7 +98,7 @@
 		} else {
 			pause = min(pause, left)
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 }
 
@@ -127,15 +127,6 @@
 	return min(maxRetryPause, minRetryPause<<min(r.failures-1, 8)) + rand.N(minRetryPause)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // read reads the endpoint table, and the configuration if the store has changed.
 func (r *Refresher) read(ctx context.Context) error {
 	asOf := r.State.opts.Clock.Now()
--- a/internal/admission/plan_test.go
+++ b/internal/admission/plan_test.go
@@ -26,31 +26,44 @@
 	rapid.Check(t, func(t *rapid.T) {
 		p := NewPlans(oldStart(), testWindow, testLoweringDelay, Slack{})
 		limit := Limit{Rate: float64(rapid.IntRange(100, 5000).Draw(t, "rate")), Burst: float64(rapid.IntRange(0, 20000).Draw(t, "burst"))}
-		type admitted struct {
-			at   clock.Instant
-			cost int64
-		}
-		var admissions []admitted
+		var used usageLog
 		now := at(0)
 		for range rapid.IntRange(1, 200).Draw(t, "calls") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "pause")) * time.Millisecond)
 			cost := int64(rapid.IntRange(1, 9000).Draw(t, "cost"))
 			if p.Admit(now, "w", limit, cost).Admitted {
-				admissions = append(admissions, admitted{now, cost})
-			}
-			sum := int64(0)
-			for _, a := range admissions {
-				if now.Sub(a.at) < testWindow {
-					sum += a.cost
-				}
+				used.add(now, cost)
 			}
-			if bound := limit.Rate*testWindow.Seconds() + limit.Burst; float64(sum) > bound {
+			if sum, bound := used.inWindow(now), limit.Rate*testWindow.Seconds()+limit.Burst; float64(sum) > bound {
 				t.Fatalf("%d tokens admitted in a window, the plan allows %.0f", sum, bound)
 			}
 		}
 	})
 }
 
+// usageLog holds what was admitted, by time.
+type usageLog []struct {
+	at   clock.Instant
+	cost int64
+}
+
+func (l *usageLog) add(at clock.Instant, cost int64) {
+	*l = append(*l, struct {
+		at   clock.Instant
+		cost int64
+	}{at, cost})
+}
+
+// inWindow returns the sum of what was admitted in the window that ends now.
+func (l *usageLog) inWindow(now clock.Instant) (sum int64) {
+	for _, u := range *l {
+		if now.Sub(u.at) < testWindow {
+			sum += u.cost
+		}
+	}
+	return sum
+}
+
 // TestPlansWithoutWindow checks that a site that states no window gets the shortest one.
 func TestPlansWithoutWindow(t *testing.T) {
 	p := NewPlans(oldStart(), 0, 0, Slack{})
--- a/internal/admission/recorder.go
+++ b/internal/admission/recorder.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
 )
 
 // RecordStore keeps usage records while no VM is up.
@@ -50,7 +52,7 @@
 		r.load(ctx)
 	}
 	pause := recordPeriod
-	for sleep(ctx, pause) {
+	for clock.Sleep(ctx, pause) {
 		pause = recordPeriod
 		if r.Rank() > 0 {
 			continue
@@ -77,7 +79,7 @@
 
 // load adopts the records unless another VM has told this one the window, or the window has passed.
 func (r *Recorder) load(ctx context.Context) {
-	for pause := r.loadDelay(); sleep(ctx, pause) && r.Controller.needsRecords(); pause = min(max(2*pause, recordPeriod), maxRecordPause) {
+	for pause := r.loadDelay(); clock.Sleep(ctx, pause) && r.Controller.needsRecords(); pause = min(max(2*pause, recordPeriod), maxRecordPause) {
 		records, err := r.Store.LoadUsage(ctx)
 		if err != nil {
 			r.Log.Warn("could not load the recorded usage of plans", zap.Error(err))
@@ -96,13 +98,3 @@
 	}
 	return peerTime + loadStep*time.Duration(min(rank, maxLoadRank))
 }
-
-// sleep waits for d and returns false if ctx ends before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/admission/restart_test.go
+++ b/internal/admission/restart_test.go
@@ -53,11 +53,7 @@
 		limit := Limit{Rate: rate, Burst: rate * rapid.Float64Range(0, 2).Draw(t, "burst")}
 		slack := Slack{PlanFraction: 0.1, Tokens: rate * rapid.Float64Range(0.5, 4).Draw(t, "slack")}
 		p := &recordingPlans{Plans: NewPlans(oldStart(), testWindow, testLoweringDelay, slack)}
-		type admitted struct {
-			at   clock.Instant
-			cost int64
-		}
-		var admissions []admitted
+		var used usageLog
 		now := at(0)
 		for range rapid.IntRange(20, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 120).Draw(t, "pause")) * time.Millisecond)
@@ -68,16 +64,10 @@
 			}
 			cost := int64(rate * rapid.Float64Range(0.01, 0.4).Draw(t, "cost"))
 			if p.admit(now, limit, cost, time.Duration(rapid.IntRange(0, 200).Draw(t, "delay"))*time.Millisecond) {
-				admissions = append(admissions, admitted{now, cost})
-			}
-			sum := int64(0)
-			for _, a := range admissions {
-				if now.Sub(a.at) < testWindow {
-					sum += a.cost
-				}
+				used.add(now, cost)
 			}
 			plan := limit.Rate*testWindow.Seconds() + limit.Burst
-			if bound := plan*(1+slack.PlanFraction) + slack.Tokens; float64(sum) > bound {
+			if sum, bound := used.inWindow(now), plan*(1+slack.PlanFraction)+slack.Tokens; float64(sum) > bound {
 				t.Fatalf("%d tokens admitted in a window, %.0f are allowed", sum, bound)
 			}
 		}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -53,3 +54,15 @@
 	_ Clock = BootTime{}
 	_ Clock = Monotonic{}
 )
+
+// Sleep waits for d and returns true, or returns false as soon as ctx ends.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/configuration/apply.go
+++ b/internal/configuration/apply.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/replication"
@@ -171,7 +172,7 @@
 		if resolved {
 			return version, err
 		}
-		if !sleep(ctx, resolveInterval) {
+		if !clock.Sleep(ctx, resolveInterval) {
 			break
 		}
 	}
@@ -242,17 +243,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // History returns the latest accepted changes, oldest first, at most MaxRevisions of them. They are
 // stored in the same object as the document, so the list has no gaps. If the object becomes too
 // large, the older half of the changes is dropped.
--- a/internal/keys/change.go
+++ b/internal/keys/change.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/membership"
 	"github.com/fulmartide/fulmartide/internal/objectstore"
@@ -159,7 +160,7 @@
 		if !retry {
 			return err
 		}
-		if !fault.Is(err, fault.Conflict) && !sleep(ctx, writeRetryDelay) || ctx.Err() != nil {
+		if !fault.Is(err, fault.Conflict) && !clock.Sleep(ctx, writeRetryDelay) || ctx.Err() != nil {
 			return writeError(err, mayBeWritten)
 		}
 	}
@@ -241,9 +242,9 @@
 // operator and, on bridges, all of them.
 func (s *Service) storeLoop(ctx context.Context) {
 	wait := storePeriod
-	for sleep(ctx, wait) {
+	for clock.Sleep(ctx, wait) {
 		wait = storePeriod
-		if len(s.unstoredIDs()) == 0 || !sleep(ctx, s.storeDelay()) {
+		if len(s.unstoredIDs()) == 0 || !clock.Sleep(ctx, s.storeDelay()) {
 			continue
 		}
 		ids := s.unstoredIDs()
--- a/internal/keys/exchange.go
+++ b/internal/keys/exchange.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/membership"
 	"github.com/fulmartide/fulmartide/internal/replication"
@@ -90,7 +91,7 @@
 		case m := <-s.exchangeQueue:
 			s.exchangeWith(ctx, m)
 		}
-		if !sleep(ctx, exchangeInterval) {
+		if !clock.Sleep(ctx, exchangeInterval) {
 			return
 		}
 	}
@@ -159,14 +160,3 @@
 	out = append(out, rest...)
 	return out[:min(len(out), maxRelays)]
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/operator/command/handler.go
+++ b/internal/operator/command/handler.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/keys"
@@ -112,7 +113,7 @@
 	var err error
 	for range maxDrainAttempts {
 		resp, err = h.drainOnce(ctx, req)
-		if !fault.Is(err, fault.Conflict) || !sleep(ctx, drainRetryInterval) {
+		if !fault.Is(err, fault.Conflict) || !clock.Sleep(ctx, drainRetryInterval) {
 			break
 		}
 	}
@@ -145,14 +146,3 @@
 	resp.Version, resp.Changed = version, true
 	return resp, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/placement/poll.go
+++ b/internal/placement/poll.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/endpoint"
 )
@@ -130,7 +131,7 @@
 		semaphore <- struct{}{}
 		p.readLoad(ctx, e, engine)
 		<-semaphore
-		sleep(ctx, loadPeriod-loadJitter+rand.N(2*loadJitter))
+		clock.Sleep(ctx, loadPeriod-loadJitter+rand.N(2*loadJitter))
 	}
 }
 
@@ -154,13 +155,13 @@
 		events, err := engine.Events(call, after)
 		cancel()
 		if err != nil {
-			sleep(ctx, eventsRetryDelay/2+rand.N(eventsRetryDelay))
+			clock.Sleep(ctx, eventsRetryDelay/2+rand.N(eventsRetryDelay))
 			continue
 		}
 		if len(events) > 0 {
 			after = max(after, events[len(events)-1].Seq)
 			p.put(ctx, CacheInput{Endpoint: e.name, Events: events})
 		}
-		sleep(ctx, eventsInterval)
+		clock.Sleep(ctx, eventsInterval)
 	}
 }
--- a/internal/placement/updates.go
+++ b/internal/placement/updates.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/membership"
 	"github.com/fulmartide/fulmartide/internal/peer"
@@ -125,23 +126,13 @@
 			return
 		case <-q.wake:
 		}
-		sleep(ctx, updatePeriod)
+		clock.Sleep(ctx, updatePeriod)
 		for _, name := range q.takeReady() {
 			wg.Go(func() { q.drain(ctx, name) })
 		}
 	}
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // takeReady returns the VMs that have queued updates and no send in progress, and marks them as
 // sending.
 func (q *updateQueue) takeReady() []string {
@@ -202,7 +193,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		sleep(ctx, updatePeriod<<(2*attempt))
+		clock.Sleep(ctx, updatePeriod<<(2*attempt))
 	}
 	return false
 }
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
 )
 
@@ -71,11 +72,7 @@
 			return
 		}
 		k.log.Warn("could not "+name+" quarantined prompts", zap.Error(err), zap.Duration("pause", pause))
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(pause):
-		}
+		clock.Sleep(ctx, pause)
 	}
 }
 
--- a/internal/replication/calls.go
+++ b/internal/replication/calls.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/membership"
 	"github.com/fulmartide/fulmartide/internal/peer"
@@ -84,7 +85,7 @@
 	targets := LocalPeers(r.opts.Directory.View())
 	pending := unconfirmed(r.CallAll(ctx, targets, &Message{Op: OpPush, Version: d.Version, Delta: raw}), d.Version)
 	for attempt := 0; len(pending) > 0 && attempt < maxConfirmAttempts; attempt++ {
-		if !sleep(ctx, confirmPeriod) {
+		if !clock.Sleep(ctx, confirmPeriod) {
 			return
 		}
 		pending = unconfirmed(r.CallAll(ctx, pending, &Message{Op: OpVersion}), d.Version)
@@ -183,15 +184,3 @@
 	}
 	return out
 }
-
-// sleep waits for d and returns true, or returns false as soon as ctx ends.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/replication/watch.go
+++ b/internal/replication/watch.go
@@ -77,7 +77,7 @@
 		// The first bridge is the leader: it pushes new versions to its data centre.
 		_ = r.loop.Put(ctx, LeaderChanged{IsLeader: bridge && rank == 0})
 		if !bridge {
-			sleep(ctx, bridgeCheckPeriod)
+			clock.Sleep(ctx, bridgeCheckPeriod)
 			continue
 		}
 		if err := r.watchOnce(ctx); err != nil {
@@ -93,7 +93,7 @@
 func (r *Replica) watchOnce(ctx context.Context) error {
 	after := r.latestVersion()
 	if r.tableBytes() > MaxWatchedBytes {
-		sleep(ctx, PollPeriod)
+		clock.Sleep(ctx, PollPeriod)
 		return r.checkVersion(ctx)
 	}
 	requestedAt := r.opts.Clock.Now()
@@ -105,7 +105,7 @@
 		return r.acceptObject(ctx, obj, requestedAt)
 	}
 	if !fault.Is(err, fault.Timeout) {
-		sleep(ctx, failedWatchDelay)
+		clock.Sleep(ctx, failedWatchDelay)
 	}
 	return r.checkVersion(ctx)
 }
@@ -142,7 +142,7 @@
 		r.opts.OnPlatformResponse(requestedAt)
 		return nil
 	}
-	if r.tableBytes() > MaxWatchedBytes && sleep(ctx, peerPushGrace) && version <= r.latestVersion() {
+	if r.tableBytes() > MaxWatchedBytes && clock.Sleep(ctx, peerPushGrace) && version <= r.latestVersion() {
 		return nil
 	}
 	return r.read(ctx)
@@ -201,6 +201,6 @@
 
 // backOff waits with jitter and returns the next delay.
 func (r *Replica) backOff(ctx context.Context, backoff time.Duration) time.Duration {
-	sleep(ctx, backoff/2+rand.N(backoff/2))
+	clock.Sleep(ctx, backoff/2+rand.N(backoff/2))
 	return min(2*backoff, backoffMax)
 }
--- a/internal/schedule/notice.go
+++ b/internal/schedule/notice.go
@@ -97,7 +97,8 @@
 	}
 }
 
-// recordLeaving records that an endpoint leaves. If tellPeers is set, the other VMs are told.
+// recordLeaving records that an endpoint leaves. If tellPeers is set, the other VMs are told, unless the table
+// lists it as leaving.
 func (s *Scheduler) recordLeaving(id traffic.EndpointID, tellPeers bool) {
 	s.mu.Lock()
 	now := s.opts.Clock.Now()
@@ -109,6 +110,7 @@
 	}
 	if e := s.table.states[id]; e != nil {
 		dataCentre = e.DataCentre
+		tellPeers = tellPeers && !e.Leaving
 	}
 	s.mu.Unlock()
 	if !first {
--- a/internal/statesync/quarantine.go
+++ b/internal/statesync/quarantine.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/quarantine"
@@ -60,7 +61,7 @@
 	} else {
 		s.opts.Quarantine.Merge(*state, true, from.VM.Name)
 	}
-	sleep(ctx, quarantinePause)
+	clock.Sleep(ctx, quarantinePause)
 	s.mu.Lock()
 	s.fetchingQuarantine = false
 	s.mu.Unlock()
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -287,19 +287,12 @@
 			return
 		case <-s.storeRestored:
 			registered, listed = false, false
-			sleep(ctx, rand.N(registryRetryPause)) // all VMs register again
+			clock.Sleep(ctx, rand.N(registryRetryPause)) // all VMs register again
 		case <-time.After(wait):
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // StoreRestored makes this VM register again, because the registry was restored from a backup.
 func (s *Service) StoreRestored() { signal(s.storeRestored) }
 
--- a/internal/statesync/window.go
+++ b/internal/statesync/window.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
 )
@@ -42,7 +43,7 @@
 		case <-ctx.Done():
 			return
 		case <-s.membersAdded:
-			sleep(ctx, min(pause, joinWindowPause))
+			clock.Sleep(ctx, min(pause, joinWindowPause))
 		case <-time.After(pause):
 			pause = min(2*pause, maxWindowPause)
 		}
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -113,15 +113,15 @@
 
 // logHold logs that this VM begins or ends to hold back calls from an endpoint.
 func (p *Process) logHold(h schedule.Hold) {
-	reason := "it answers again"
+	message, reason := "endpoint taken back", "answered"
 	switch {
 	case h.Leaving:
-		reason = "it leaves"
+		message, reason = "endpoint held back", "leaving"
 	case h.Pause > 0:
-		reason = "it asked for a pause"
+		message, reason = "endpoint held back", "pause"
 	}
 	p.set.GetOrCreateCounter(`fulmartide_endpoint_holds_total{reason="` + reason + `"}`).Inc()
-	p.log.Named("schedule").Info("endpoint held back", zap.String("endpoint", h.Endpoint.Name), zap.Int64("born", h.Endpoint.StartedAt),
+	p.log.Named("schedule").Info(message, zap.String("endpoint", h.Endpoint.Name), zap.Int64("born", h.Endpoint.StartedAt),
 		zap.String("reason", reason), zap.Duration("pause", h.Pause))
 }
 
