quarantine: the records are loaded by a stale read, and not at a fleet's first start

Each VM loads them at its start; on a large site that is some hundred calls, and a stale one costs a tenth. What a stale read misses comes from the other VMs. Tests of platform, quarantine and vmserver pass.

--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -93,7 +93,9 @@
 		OnChange: func(s quarantine.State) { p.stateSync.QuarantineChanged(s) }, OnQuarantine: func() { p.keeper.Changed() },
 		MayTry: func() bool { return p.stateSync.HasLowestAddress() },
 	})
-	p.keeper = quarantine.NewKeeper(p.quarantine, platform.Quarantine, log.Named("quarantine"))
+	p.keeper = quarantine.NewKeeper(quarantine.Keeper{
+		Controller: p.quarantine, Store: platform.Quarantine, FirstStart: s.FirstStart, Log: log.Named("quarantine"),
+	})
 	p.State = activeconfig.New(activeconfig.Options{
 		Clock: p.clock, Log: log.Named("inforce"), Decode: platform.Decode, OnChange: p.applyChange,
 		EndpointTTL: missedHeartbeats * s.HeartbeatPeriod, ReregisterTime: reregisterTime, OnEra: p.enterEra,
