vmserver: a stop does not wait for requests that arrive only in part

Connections are closed once no call has been in progress for a second. TestStopDoesNotWaitForRequestsThatNeverArrive failed before; TestStopWaitsForActiveCalls holds.

--- a/internal/vmserver/serve.go
+++ b/internal/vmserver/serve.go
@@ -122,6 +122,8 @@
 	// disableKeepAlivesAfter is the delay between the start of the shutdown and the time from which
 	// responses close their connections.
 	disableKeepAlivesAfter = 700 * time.Millisecond
+	// idleBeforeClose is how long no call must be in progress before the remaining connections are closed.
+	idleBeforeClose = time.Second
 	// stopMargin is the part of the platform's grace time that is left unused.
 	stopMargin = 600 * time.Millisecond
 )
@@ -138,12 +140,34 @@
 	stopCtx, cancel := context.WithDeadline(context.Background(), began.Add(p.settings.GraceTime-stopMargin))
 	defer cancel()
 	p.stateSync.Leave(stopCtx)
-	// Shutdown closes idle connections and refuses new ones; calls in progress continue.
-	if err := callers.Shutdown(stopCtx); err != nil {
+	if err := drain(stopCtx, callers, p.Handler.Active); err != nil {
 		p.log.Warn("connections cut by the stop", zap.Int64("calls", p.Handler.Active()), zap.Error(err))
 	}
 }
 
+// drain closes idle connections, refuses new ones and waits for the calls in progress until ctx ends. Shutdown also
+// waits for requests that arrive only in part; these connections are closed once no call has been in progress for
+// idleBeforeClose.
+func drain(ctx context.Context, s *http.Server, active func() int64) error {
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(ctx) }()
+	check := time.NewTicker(idleBeforeClose / 10)
+	defer check.Stop()
+	idleSince := time.Now()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case now := <-check.C:
+			if active() > 0 {
+				idleSince = now
+			} else if now.Sub(idleSince) >= idleBeforeClose {
+				return errors.Join(s.Close(), <-done)
+			}
+		}
+	}
+}
+
 func (p *Process) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+p.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/vmserver/vmserver_test.go
+++ b/internal/vmserver/vmserver_test.go
@@ -1,11 +1,13 @@
 package vmserver
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -120,3 +122,81 @@
 	t.Cleanup(func() { _ = a.Close(); _ = b.Close() })
 	return a
 }
+
+// pipeListener accepts in-memory connections.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestStopDoesNotWaitForRequestsThatNeverArrive covers a connection whose request header stops halfway.
+func TestStopDoesNotWaitForRequestsThatNeverArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: headerTimeout}
+		go func() { _ = server.Serve(l) }()
+		caller, accepted := net.Pipe()
+		l.conns <- accepted
+		if _, err := caller.Write([]byte("GET / HTTP/1.1\r\nHost: h")); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), headerTimeout)
+		defer cancel()
+		began := time.Now()
+		if err := drain(ctx, server, func() int64 { return 0 }); err != nil || time.Since(began) > 2*idleBeforeClose {
+			t.Errorf("drained after %v, error %v", time.Since(began), err)
+		}
+		if _, err := caller.Read(make([]byte, 1)); err == nil {
+			t.Error("the connection is still open")
+		}
+	})
+}
+
+// TestStopWaitsForActiveCalls checks that a call in progress is served to its end.
+func TestStopWaitsForActiveCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const callTime = 5 * time.Second
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		var active atomic.Int64
+		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			active.Add(1)
+			defer active.Add(-1)
+			time.Sleep(callTime)
+		})}
+		go func() { _ = server.Serve(l) }()
+		caller, accepted := net.Pipe()
+		l.conns <- accepted
+		answered := make(chan error, 1)
+		go func() {
+			_, _ = caller.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			_, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			answered <- err
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*callTime)
+		defer cancel()
+		if err := drain(ctx, server, active.Load); err != nil {
+			t.Error(err)
+		}
+		if err := <-answered; err != nil {
+			t.Errorf("the call in progress got no answer: %v", err)
+		}
+		_ = caller.Close()
+	})
+}
