--- a/internal/admission/recorder.go
+++ b/internal/admission/recorder.go
@@ -36,8 +36,10 @@
 const (
 	// recordPeriod is the time between checks whether a record is due.
 	recordPeriod = 200 * time.Millisecond
-	// maxRecordPause bounds the pause after failed calls to the store, which doubles from recordPeriod.
-	maxRecordPause = 2 * time.Second
+	// failurePause is the pause after a record could not be saved, maxLoadPause bounds the one between two tries to
+	// load the records, which doubles.
+	failurePause = 2 * time.Second
+	maxLoadPause = 2 * time.Second
 	// peerTime is the time in which a VM that starts beside running ones has learned the window from them.
 	// loadStep is added for each VM that is to load the records first.
 	peerTime = 150 * time.Millisecond
@@ -59,7 +61,7 @@
 		}
 		if err := r.save(ctx); err != nil {
 			r.Log.Warn("could not record the usage of plans", zap.Error(err))
-			pause = maxRecordPause
+			pause = failurePause
 		}
 	}
 }
@@ -79,7 +81,7 @@
 
 // load adopts the records unless another VM has told this one the window, or the window has passed.
 func (r *Recorder) load(ctx context.Context) {
-	for pause := r.loadDelay(); clock.Sleep(ctx, pause) && r.Controller.needsRecords(); pause = min(max(2*pause, recordPeriod), maxRecordPause) {
+	for pause := r.loadDelay(); clock.Sleep(ctx, pause) && r.Controller.needsRecords(); pause = min(2*pause, maxLoadPause) {
 		records, err := r.Store.LoadUsage(ctx)
 		if err != nil {
 			r.Log.Warn("could not load the recorded usage of plans", zap.Error(err))
--- a/internal/admission/restart.go
+++ b/internal/admission/restart.go
@@ -39,7 +39,7 @@
 	at    clock.Instant
 }
 
-// RecordDue reports whether the usage of some workspace has grown enough since MarkRecorded to be recorded.
+// RecordDue reports whether the usage of some workspace has grown enough since its last record to be recorded.
 func (p *Plans) RecordDue(now clock.Instant) bool {
 	for name, a := range p.accounts {
 		if !p.isHot(now, name, a) {
@@ -53,7 +53,7 @@
 	return false
 }
 
-// Record returns the usage to record now, and marks it as recorded when done is called.
+// Record returns the usage to record now. Calling done marks it as recorded.
 func (p *Plans) Record(now clock.Instant) (r UsageRecord, done func()) {
 	r.Buckets = map[string][]int64{}
 	recorded := map[string]recordedUsage{}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -242,7 +242,7 @@
 
 // place claims an endpoint. If all endpoints are full or none is available, it waits until maxElapsed
 // has passed since the call arrived. It does not wait if every available endpoint has been tried
-// already.
+// already, or if it is known that none takes calls by then.
 func (f *inflightCall) place(ctx context.Context, request *schedule.Request, maxElapsed time.Duration) (*schedule.Claim, error) {
 	s := f.dispatcher.opts.Scheduler
 	var entry *schedule.QueueEntry
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -11,7 +11,7 @@
 const (
 	// retention is how long records are kept.
 	retention = 30 * time.Minute
-	// maxRecords is the maximum number of records; the oldest ones are dropped.
+	// maxRecords is the maximum number of records.
 	maxRecords = 64
 	// enoughStarts is the number of starts of a part above which further ones are not told to other VMs.
 	enoughStarts = 16
@@ -101,12 +101,26 @@
 		slices.SortFunc(t.records, func(a, b entry) int {
 			return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.ID, b.ID))
 		})
-		t.records = t.records[max(0, len(t.records)-maxRecords):]
 	}
 	t.judge(now)
+	t.trim()
 	return added
 }
 
+// trim drops the oldest records above maxRecords, those of quarantined parts last.
+func (t *tracker) trim() {
+	for len(t.records) > maxRecords {
+		unrelated := slices.IndexFunc(t.records, func(r entry) bool { return !slices.ContainsFunc(r.Parts, t.isQuarantined) })
+		oldest := max(0, unrelated)
+		t.records = slices.Delete(t.records, oldest, oldest+1)
+	}
+}
+
+func (t *tracker) isQuarantined(part string) bool {
+	_, quarantined := t.quarantined[part]
+	return quarantined
+}
+
 func (t *tracker) knows(id uint64) bool {
 	return slices.ContainsFunc(t.records, func(r entry) bool { return r.ID == id })
 }
--- a/internal/quarantine/verdict_test.go
+++ b/internal/quarantine/verdict_test.go
@@ -114,3 +114,24 @@
 		t.Error("an expired record was added")
 	}
 }
+
+// TestQuarantineOutlastsManyCrashes checks that records of unrelated crashes do not push those of a quarantined
+// part out.
+func TestQuarantineOutlastsManyCrashes(t *testing.T) {
+	tr := newTracker()
+	for i := range 4 * maxRecords {
+		part := "sound" + strconv.Itoa(i)
+		if i < minCrashes {
+			part = "p"
+		}
+		now := clock.Instant(i+1) * clock.Instant(time.Second)
+		name := strconv.Itoa(i)
+		tr.add(now, []Record{{ID: uint64(i + 1), Endpoint: traffic.EndpointID{Name: name}, Parts: []string{part}, Call: name}})
+	}
+	if len(tr.records) > maxRecords {
+		t.Errorf("%d records are kept", len(tr.records))
+	}
+	if got := tr.check(clock.Instant(time.Hour/2-time.Minute), []string{"p"}, false); got.part != "p" {
+		t.Error("the part is released")
+	}
+}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -24,7 +24,7 @@
 	// block. It may be nil.
 	OnWorkChange func(seq uint64, id traffic.EndpointID, dataCentre string, w Work)
 	// OnFailure is called if an endpoint of a data centre aborted a call, was found dead by this VM,
-	// or was ordered to change its stage. It must not block. It may be nil.
+	// was ordered to change its stage, or said to this VM that it leaves. It must not block. It may be nil.
 	OnFailure func(id traffic.EndpointID, dataCentre string, o Outcome)
 	// OnHold is called when this VM begins or ends to hold back calls because of what an endpoint said. It must
 	// not block. It may be nil.
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -122,7 +122,7 @@
 	Snapshot bool
 }
 
-// failure reports that an endpoint aborted a call or was found dead.
+// failure reports that an endpoint aborted a call, was found dead, changes its stage, or leaves.
 type failure struct {
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
