quarantine: a prompt with another quarantined part is not tried

A call that was due as a trial of one part was let through although another of its parts was quarantined and not due (TestNoTrialOfAPromptWithAnotherQuarantinedPart failed before). Whether this VM may try is asked only when a part is quarantined.

--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -66,13 +66,19 @@
 	if len(parts) == 0 {
 		return Decision{}
 	}
-	mayTry := c.opts.MayTry()
-	var v verdict
+	v := c.check(parts, false)
+	if v.part != "" && c.opts.MayTry() {
+		v = c.check(parts, true)
+	}
+	return Decision{Part: v.part, Trial: v.trial, RetryAfter: v.wait}
+}
+
+func (c *Controller) check(parts []string, mayTry bool) (v verdict) {
 	c.update("", func(now clock.Instant) State {
 		v = c.tracker.check(now, parts, mayTry)
 		return State{}
 	})
-	return Decision{Part: v.part, Trial: v.trial, RetryAfter: v.wait}
+	return v
 }
 
 // RecordCrash records that an engine crashed while it began to answer a call with these prompt parts.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -61,27 +61,40 @@
 	wait time.Duration
 }
 
-// check decides about a call. mayTry is set if this VM may try quarantined parts.
+// check decides about a call. mayTry is set if this VM may try quarantined parts. All quarantined parts of the
+// prompt must be due for a trial; the first one is tried.
 func (t *tracker) check(now clock.Instant, parts []string, mayTry bool) verdict {
 	if len(t.records) > 0 && now.Sub(t.judgedAt) >= judgePeriod {
 		t.judge(now)
 	}
+	var v verdict
 	for _, part := range parts {
-		s, quarantined := t.quarantined[part]
-		if !quarantined {
+		if !t.isQuarantined(part) {
 			continue
 		}
-		due := s.trialAt()
-		if last, tried := t.trials[part]; tried && due.Before(last.Add(trialTimeout)) {
-			due = last.Add(trialTimeout)
+		wait := t.trialDue(part).Sub(now)
+		if v.part == "" || wait > max(0, v.wait) {
+			v.part, v.wait = part, wait
 		}
-		if mayTry && !now.Before(due) {
-			t.trials[part] = now
-			return verdict{part: part, trial: true}
-		}
-		return verdict{part: part, wait: max(due.Sub(now), minWait)}
 	}
-	return verdict{}
+	switch {
+	case v.part == "":
+	case mayTry && v.wait <= 0:
+		t.trials[v.part] = now
+		v.trial, v.wait = true, 0
+	default:
+		v.wait = max(v.wait, minWait)
+	}
+	return v
+}
+
+// trialDue returns when a call with a quarantined part may be tried by this VM.
+func (t *tracker) trialDue(part string) clock.Instant {
+	due := t.quarantined[part].trialAt()
+	if last, tried := t.trials[part]; tried {
+		due = max(due, last.Add(trialTimeout))
+	}
+	return due
 }
 
 // minWait is the minimum time after which a refused caller is told to come back.
--- a/internal/quarantine/verdict_test.go
+++ b/internal/quarantine/verdict_test.go
@@ -100,6 +100,26 @@
 	}
 }
 
+func TestNoTrialOfAPromptWithAnotherQuarantinedPart(t *testing.T) {
+	tr := newTracker()
+	add := func(at time.Duration, part string) {
+		name := at.String()
+		tr.add(clock.Instant(at), []Record{{ID: uint64(at), Endpoint: traffic.EndpointID{Name: name}, Parts: []string{part}, Call: name}})
+	}
+	add(time.Second, "p")
+	add(2*time.Second, "p")
+	add(50*time.Second, "q")
+	add(51*time.Second, "q")
+	for _, parts := range [][]string{{"p", "q"}, {"q", "p"}} {
+		if got := tr.check(clock.Instant(65*time.Second), parts, true); got.part != "q" || got.trial || got.wait != 46*time.Second {
+			t.Errorf("%v: %+v, want that q is to wait 46 s", parts, got)
+		}
+	}
+	if got := tr.check(clock.Instant(65*time.Second), []string{"p"}, true); !got.trial {
+		t.Errorf("p alone is not tried: %+v", got)
+	}
+}
+
 func TestRecordsExpire(t *testing.T) {
 	tr := newTracker()
 	tr.add(0, []Record{{ID: 1, Endpoint: traffic.EndpointID{Name: "e1"}, Parts: []string{"p"}, Call: "c1"}})
