--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -43,7 +43,7 @@
 	Header map[string][]string
 	Body   io.ReadCloser
 	// Delimited is set if the endpoint marks the end of the body. Otherwise the body ends with the
-	// connection, and an endpoint that breaks off may look as if it had finished.
+	// connection, and a truncated one may look complete.
 	Delimited bool
 	// EventStream is set if the body is a series of events, each of which ends with an empty line.
 	EventStream bool
@@ -57,7 +57,7 @@
 type Notice struct {
 	// Leaving is set if the endpoint takes no new calls any more.
 	Leaving bool
-	// Pause is how long the endpoint wants nothing from this VM, 0 if it does not say so.
+	// Pause is how long this VM is to send the endpoint no requests, 0 if it does not say so.
 	Pause time.Duration
 }
 
--- a/internal/dispatch/prompt.go
+++ b/internal/dispatch/prompt.go
@@ -30,14 +30,14 @@
 		"calls with a part of this prompt crash engines", fault.WithRetryAfter(d.RetryAfter))
 }
 
-// crashed reports whether an endpoint broke off a response that it had begun, as one does that crashes. It does
+// crashed reports whether an endpoint aborted a response that it had begun, as one does that crashes. It does
 // not if this side ended the request, the endpoint failed it with a status, or nothing came in time.
 func crashed(ctx context.Context, err error) bool {
 	if ctx.Err() != nil || !backend.MayHaveRun(err) {
 		return false
 	}
-	for _, broken := range []error{io.ErrUnexpectedEOF, io.EOF, syscall.ECONNRESET, syscall.EPIPE, errStreamBroken, errStreamNotBegun} {
-		if errors.Is(err, broken) {
+	for _, aborted := range []error{io.ErrUnexpectedEOF, io.EOF, syscall.ECONNRESET, syscall.EPIPE, errStreamTruncated, errStreamEmpty} {
+		if errors.Is(err, aborted) {
 			return true
 		}
 	}
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -55,7 +55,7 @@
 		})
 		ctx, stop := context.WithCancel(t.Context())
 		go d.Run(ctx)
-		crashes, sends, soundServed := 0, 0, 0
+		crashes, sends, harmlessServed := 0, 0, 0
 		for i := range calls {
 			s.UpdateEndpoints(startedAgain(testEndpoints(), i), cfg.Services) // crashed engines come back as new ones
 			call := newCall(streamPath)
@@ -73,7 +73,7 @@
 			sent := slices.ContainsFunc(f.sends[before:], func(s sentRequest) bool { return s.method != "free" })
 			switch {
 			case !crashing && err == nil && strings.Contains(out.body.String(), "id: 3"):
-				soundServed++
+				harmlessServed++
 			case crashing && sent && crashes < crashesToNotice:
 				crashes++
 			case crashing && sent:
@@ -84,8 +84,8 @@
 		if sends > maxSendsAfterwards {
 			t.Errorf("%d calls with the part were sent after it had crashed %d engines, want at most %d", sends, crashesToNotice, maxSendsAfterwards)
 		}
-		if soundServed != calls/2 {
-			t.Errorf("%d sound calls were served, want %d", soundServed, calls/2)
+		if harmlessServed != calls/2 {
+			t.Errorf("%d harmless calls were served, want %d", harmlessServed, calls/2)
 		}
 		stop()
 		synctest.Wait()
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -10,8 +10,8 @@
 )
 
 // eventStream delivers the events of one call to the caller, each one once, even if several endpoints
-// run the call in turn. It delivers only complete events; a response that ends inside an event has been
-// broken off by its endpoint. The body of a response that is no series of events is delivered at its end.
+// run the call in turn. It delivers only complete events; a response that ends in the middle of an event was
+// truncated by its endpoint. The body of a response that is no series of events is delivered at its end.
 type eventStream struct {
 	inflight *inflightCall
 	// lastID is the ID of the last event that the caller has received, initially the call's
@@ -37,10 +37,10 @@
 )
 
 var (
-	idField           = []byte("id:")
-	errEventTooLarge  = errors.New("the engine sent an event that exceeds the maximum size")
-	errStreamBroken   = errors.New("the engine broke its stream off inside an event")
-	errStreamNotBegun = errors.New("the engine closed the connection before the first event of its stream")
+	idField            = []byte("id:")
+	errEventTooLarge   = errors.New("the engine sent an event that exceeds the maximum size")
+	errStreamTruncated = errors.New("the engine ended its stream in the middle of an event")
+	errStreamEmpty     = errors.New("the engine closed the connection before the first event of its stream")
 )
 
 // beginResponse prepares for the next response.
@@ -92,10 +92,10 @@
 // finish handles the end of a response, which rest precedes since the last event.
 func (s *eventStream) finish(reply *backend.Response, rest []byte) error {
 	if reply.EventStream && len(bytes.Trim(rest, "\r\n")) > 0 {
-		return &backend.SendError{Sent: true, Err: errStreamBroken}
+		return &backend.SendError{Sent: true, Err: errStreamTruncated}
 	}
 	if reply.EventStream && !reply.Delimited && s.events == s.eventsBefore {
-		return &backend.SendError{Sent: true, Err: errStreamNotBegun}
+		return &backend.SendError{Sent: true, Err: errStreamEmpty}
 	}
 	if len(rest) == 0 && s.inflight.responseStarted {
 		return nil
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -70,10 +70,10 @@
 	}
 }
 
-// TestFleetQuarantinesOnlyThePartThatCrashesEngines plays sound calls and calls with a crashing part, which
+// TestFleetQuarantinesOnlyThePartThatCrashesEngines plays harmless calls and calls with a crashing part, which
 // share their other parts, at VMs that restart and are cut off.
 func TestFleetQuarantinesOnlyThePartThatCrashesEngines(t *testing.T) {
-	kinds := append(slices.Repeat([]string{"sound"}, 12), slices.Repeat([]string{"crashing"}, 12)...)
+	kinds := append(slices.Repeat([]string{"harmless"}, 12), slices.Repeat([]string{"crashing"}, 12)...)
 	kinds = append(kinds, "cut", "heal", "restart")
 	rapid.Check(t, func(rt *rapid.T) {
 		f := newFleet()
@@ -83,9 +83,9 @@
 			i := rapid.IntRange(0, len(f.vms)-1).Draw(rt, "vm")
 			first := "first" + strconv.Itoa(rapid.IntRange(0, 1).Draw(rt, "first"))
 			switch rapid.SampledFrom(kinds).Draw(rt, "what") {
-			case "sound":
+			case "harmless":
 				if d := f.vms[i].Check([]string{first}); d.Refused() {
-					rt.Fatalf("a sound call was refused because of part %s", d.Part)
+					rt.Fatalf("a harmless call was refused because of part %s", d.Part)
 				}
 				f.vms[i].RecordStart([]string{first}, "")
 			case "crashing":
--- a/internal/quarantine/verdict_test.go
+++ b/internal/quarantine/verdict_test.go
@@ -48,7 +48,7 @@
 		{"two crashes", crashes([]string{"p"}, []string{"p"}), nil, []string{"p"}},
 		{"most calls get their answers", crashes([]string{"p"}, []string{"p"}), map[string]int{"p": 3}, nil},
 		{"half of the calls crash an engine", crashes([]string{"p"}, []string{"p"}), map[string]int{"p": 2}, []string{"p"}},
-		{"the part that sound calls do not have", crashes([]string{"f", "p"}, []string{"f", "p"}, []string{"f", "p"}), map[string]int{"f": 2}, []string{"p"}},
+		{"the part that harmless calls do not have", crashes([]string{"f", "p"}, []string{"f", "p"}, []string{"f", "p"}), map[string]int{"f": 2}, []string{"p"}},
 		{"the first part, others differ", crashes([]string{"p", "a"}, []string{"p", "b"}), nil, []string{"p"}},
 		{"the last of parts that always come together", crashes([]string{"f", "p"}, []string{"f", "p"}), nil, []string{"p"}},
 		{"another crash tells parts apart", crashes([]string{"p", "f"}, []string{"p", "f"}, []string{"p", "g"}), nil, []string{"p"}},
@@ -140,7 +140,7 @@
 func TestQuarantineOutlastsManyCrashes(t *testing.T) {
 	tr := newTracker()
 	for i := range 4 * maxRecords {
-		part := "sound" + strconv.Itoa(i)
+		part := "harmless" + strconv.Itoa(i)
 		if i < minCrashes {
 			part = "p"
 		}
--- a/internal/schedule/notice.go
+++ b/internal/schedule/notice.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// recordPause records that an endpoint wants nothing from this VM for a time. A shorter time than one that it
+// recordPause records that an endpoint is to get no requests from this VM for a time. A shorter time than one that it
 // named before changes nothing.
 func (s *Scheduler) recordPause(id traffic.EndpointID, pause time.Duration) {
 	s.mu.Lock()
@@ -147,8 +147,8 @@
 	return true
 }
 
-// MayReach reports whether anything may be sent to an endpoint now. It is false while the endpoint wants nothing
-// from this VM.
+// MayReach reports whether anything may be sent to an endpoint now. It is false during a pause
+// that the endpoint asked for.
 func (s *Scheduler) MayReach(id traffic.EndpointID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
