admission: recorded usage counts once, and as the whole fleet's

Causes: a VM that had heard a quarter of the fleet took recorded usage for its share of the whole and multiplied it by four; an older record of another VM was added, misaligned; a record's usage counted after it had left the window. Besides all 85 VMs loaded the records, as none waited for the list of VMs, and polled each other for states of 10 kB for the whole window.

Recorded usage is not scaled by the share, the newest record of a group replaces those that are 2 s older, the first VMs of a data centre load and the others get the records from them once. Tests: TestRecordedUsageIsThatOfTheWholeFleet, TestNewerRecordReplacesAnother (both failed before); the model holds.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -151,6 +151,14 @@
 	return c.plans.NeedsWindow(c.clock.Now())
 }
 
+// KnowsRecords reports whether this VM knows the usage before its start from records, and another VM that started has
+// told it what it knows.
+func (c *Controller) KnowsRecords() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.plans.restarted && c.plans.toldOfRestart
+}
+
 // needsRecords reports whether this VM knows neither the window nor the records.
 func (c *Controller) needsRecords() bool {
 	c.mu.Lock()
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -117,7 +117,10 @@
 // they may have been unreachable for up to the time unnoticed already, or for the whole window if this VM
 // has just started.
 func (p *Plans) SetLiveShare(now clock.Instant, share float64, unnoticed time.Duration) {
-	if now.Sub(p.startedAt) < p.window {
+	switch sinceStart := now.Sub(p.startedAt); {
+	case p.restarted && sinceStart < p.window:
+		unnoticed = sinceStart // the usage before the start is known from records
+	case sinceStart < p.window:
 		unnoticed = p.window
 	}
 	p.shares.set(p.bucket(now), share, int64(unnoticed/p.bucketDuration()))
--- a/internal/admission/recorder.go
+++ b/internal/admission/recorder.go
@@ -41,9 +41,9 @@
 	failurePause = 2 * time.Second
 	maxLoadPause = 2 * time.Second
 	// peerTime is the time in which a VM that starts beside running ones has learned the window from them.
-	// loadStep is added for each VM that is to load the records first.
+	// loadStep is added for each VM that is to load the records first and passes them on.
 	peerTime = 150 * time.Millisecond
-	loadStep = 100 * time.Millisecond
+	loadStep = time.Second
 	// maxLoadRank bounds the sum of these steps.
 	maxLoadRank = 10
 )
@@ -81,7 +81,7 @@
 
 // load adopts the records unless another VM has told this one the window, or the window has passed.
 func (r *Recorder) load(ctx context.Context) {
-	for pause := r.loadDelay(); clock.Sleep(ctx, pause) && r.Controller.needsRecords(); pause = min(2*pause, maxLoadPause) {
+	for pause := r.loadDelay(ctx); clock.Sleep(ctx, pause) && r.Controller.needsRecords(); pause = min(max(2*pause, recordPeriod), maxLoadPause) {
 		records, err := r.Store.LoadUsage(ctx)
 		if err != nil {
 			r.Log.Warn("could not load the recorded usage of plans", zap.Error(err))
@@ -93,10 +93,12 @@
 	}
 }
 
-func (r *Recorder) loadDelay() time.Duration {
-	rank, listed := r.ListedRank()
-	if !listed {
-		return peerTime
+// loadDelay waits until the other VMs are listed, for at most loadStep, and returns how long to wait then.
+func (r *Recorder) loadDelay(ctx context.Context) time.Duration {
+	for waited := time.Duration(0); waited < loadStep && clock.Sleep(ctx, peerTime); waited += peerTime {
+		if rank, listed := r.ListedRank(); listed {
+			return loadStep * time.Duration(min(rank, maxLoadRank))
+		}
 	}
-	return peerTime + loadStep*time.Duration(min(rank, maxLoadRank))
+	return 0
 }
--- a/internal/admission/restart.go
+++ b/internal/admission/restart.go
@@ -96,32 +96,61 @@
 		return
 	}
 	p.restartedAt, p.restarted = p.startedAt, true
-	for _, r := range records {
-		age := max(0, r.Age)
-		if age >= p.window {
-			continue
-		}
+	p.knowBeforeStart(now)
+	for _, r := range p.current(records) {
 		for name, tokens := range r.Buckets {
 			p.hot[name] = true
 			if r.Group == group || group == "" {
-				p.usage(now, name).raise(p.shift(tokens, age))
+				p.usage(now, name).raise(p.shift(tokens, r.Age))
 			}
 		}
 		if r.Group != group && group != "" {
-			p.SetDataCentreUsage(now.Add(-age), r.Group, sums(r.Buckets))
+			p.dataCentres[r.Group] = dataCentreUsage{at: now.Add(-r.Age), tokens: p.sums(r), recorded: true}
 		}
 	}
 }
 
+// knowBeforeStart makes the usage before the start count as that of the whole fleet, which records tell, and not of
+// the share of it that this VM can reach.
+func (p *Plans) knowBeforeStart(now clock.Instant) {
+	share := p.shares.current
+	p.shares = newShareHistory(p.bucket(now))
+	p.shares.set(p.bucket(now), share, int64(now.Sub(p.startedAt)/p.bucketDuration()))
+}
+
+// recorderOverlap is the time within which two VMs may have recorded the same group, each for its side of a
+// partition.
+const recorderOverlap = 2 * time.Second
+
+// current returns the records that are within the window, without those that another one of their group replaces.
+func (p *Plans) current(records []UsageRecord) []UsageRecord {
+	newest := map[string]time.Duration{}
+	for _, r := range records {
+		if age, known := newest[r.Group]; !known || r.Age < age {
+			newest[r.Group] = r.Age
+		}
+	}
+	var out []UsageRecord
+	for _, r := range records {
+		if r.Age < p.window && r.Age-newest[r.Group] < recorderOverlap {
+			r.Age = max(0, r.Age)
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // shift returns buckets as they are some time later.
 func (p *Plans) shift(tokens []int64, by time.Duration) []int64 {
 	return append(make([]int64, by/p.bucketDuration()), tokens...)
 }
 
-func sums(buckets map[string][]int64) map[string]int64 {
+// sums returns the usage in a record that is still in the window.
+func (p *Plans) sums(r UsageRecord) map[string]int64 {
 	out := map[string]int64{}
-	for name, tokens := range buckets {
-		for _, n := range tokens {
+	inWindow := accountBuckets - int(r.Age/p.bucketDuration())
+	for name, tokens := range r.Buckets {
+		for _, n := range tokens[:min(len(tokens), inWindow)] {
 			out[name] += max(0, n)
 		}
 	}
--- a/internal/admission/restart_test.go
+++ b/internal/admission/restart_test.go
@@ -132,3 +132,33 @@
 		t.Error("the window of a VM that lived through it does not replace the records")
 	}
 }
+
+// TestRecordedUsageIsThatOfTheWholeFleet checks that a VM which has not heard most of the fleet yet does not take
+// what was recorded for its own share of the usage.
+func TestRecordedUsageIsThatOfTheWholeFleet(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 500} // 8500 tokens in a window
+	p := NewPlans(at(0), testWindow, testLoweringDelay, Slack{})
+	p.SetLiveShare(at(0), 0.25, 0)
+	p.AdoptRecords(at(0), "a", []UsageRecord{
+		{Group: "a", Age: time.Second, Buckets: map[string][]int64{"w": {1000}}}, {Group: "b", Age: time.Second, Buckets: map[string][]int64{"w": {1000}}},
+	})
+	// Of the plan 2000 are recorded and 1700 may be unrecorded; a quarter of the rest is for this side.
+	if p.Admit(at(0), "w", limit, 1300).Admitted {
+		t.Error("1300 tokens were admitted, want at most 1200")
+	}
+	if !p.Admit(at(0), "w", limit, 1100).Admitted {
+		t.Error("1100 tokens were refused, want 1200 allowed")
+	}
+}
+
+// TestNewerRecordReplacesAnother checks that the usage that two VMs recorded one after the other counts once.
+func TestNewerRecordReplacesAnother(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 500}
+	p := NewPlans(at(0), testWindow, testLoweringDelay, Slack{})
+	p.AdoptRecords(at(0), "", []UsageRecord{
+		{Age: time.Second, Buckets: map[string][]int64{"w": {0, 3000}}}, {Age: 4 * time.Second, Buckets: map[string][]int64{"w": {3000}}},
+	})
+	if !p.Admit(at(0), "w", limit, 3800).Admitted {
+		t.Error("the usage counts twice")
+	}
+}
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -12,6 +12,8 @@
 type dataCentreUsage struct {
 	at     clock.Instant
 	tokens map[string]int64
+	// recorded is set if this was recorded before all VMs ended, so that it is the usage of the whole data centre.
+	recorded bool
 }
 
 // reportHold is how long a reported total counts in full. After that its weight falls linearly to 0
@@ -38,7 +40,7 @@
 		left := 1 - float64(age-reportHold)/float64(p.window)
 		tokens := float64(u.tokens[workspace]) * max(0, min(1, left))
 		sum += tokens
-		if age <= reportHold {
+		if age <= reportHold && !u.recorded {
 			tokens /= p.shares.current
 		}
 		estimated += tokens
@@ -79,6 +81,8 @@
 	Age time.Duration
 	// Tokens is the usage by workspace.
 	Tokens map[string]int64
+	// Recorded is set if this was recorded before all VMs ended.
+	Recorded bool
 }
 
 // WindowState returns what this VM knows of the usage in the window. ok is false if it started too
@@ -94,7 +98,7 @@
 		}
 	}
 	for name, u := range p.dataCentres {
-		state.DataCentres[name] = DataCentreReport{Age: now.Sub(u.at), Tokens: u.tokens}
+		state.DataCentres[name] = DataCentreReport{Age: now.Sub(u.at), Tokens: u.tokens, Recorded: u.recorded}
 	}
 	if !p.WindowComplete(now) {
 		state.Restarted, state.SinceRestart = true, now.Sub(p.restartedAt)
@@ -120,7 +124,7 @@
 	}
 	for name, r := range state.DataCentres {
 		if at := now.Add(-r.Age); at > p.dataCentres[name].at {
-			p.dataCentres[name] = dataCentreUsage{at: at, tokens: r.Tokens}
+			p.dataCentres[name] = dataCentreUsage{at: at, tokens: r.Tokens, recorded: r.Recorded}
 		}
 	}
 }
@@ -138,6 +142,7 @@
 		p.restartedAt = at
 	}
 	p.restarted = true
+	p.knowBeforeStart(now)
 	for _, name := range state.Hot {
 		p.hot[name] = true
 	}
--- a/internal/statesync/digest_test.go
+++ b/internal/statesync/digest_test.go
@@ -112,6 +112,7 @@
 func (n *node) SetPeerOrder([]ident.VM, int, int)                      {}
 func (n *node) SetRemoteReportsDelayed(bool)                           {}
 func (n *node) AddFromPeer(admission.CounterKey, int64)                {}
+func (n *node) KnowsRecords() bool                                     { return false }
 func (n *node) NeedsWindow() bool                                      { return false }
 func (n *node) WindowState() (admission.WindowState, bool)             { return admission.WindowState{}, false }
 func (n *node) AdoptWindow(admission.WindowState)                      {}
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -154,7 +154,14 @@
 
 // windowRequest asks for the receiver's knowledge of the usage in the current plan window. Only a VM
 // that has just started sends it, so the reply also tells it which documents are in force.
-type windowRequest struct{}
+type windowRequest struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// LivedThrough is set if only a VM that lived through the window is asked: the sender knows already what the
+	// others have from records.
+	LivedThrough bool
+}
 
 // windowResponse is the reply to a windowRequest.
 type windowResponse struct {
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -59,6 +59,9 @@
 	OwnTotals() map[admission.CounterKey]int64
 	// NeedsWindow reports whether a VM that lived through the window should still be asked for it.
 	NeedsWindow() bool
+	// KnowsRecords reports whether this VM knows the usage before its start from records, and needs no other VM
+	// that has started to tell it.
+	KnowsRecords() bool
 	// WindowState returns what this VM knows of the usage in the current plan window. ok is false if
 	// it does not know all of it.
 	WindowState() (state admission.WindowState, ok bool)
--- a/internal/statesync/window.go
+++ b/internal/statesync/window.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
@@ -70,10 +71,11 @@
 func (s *Service) requestWindow(ctx context.Context, sources []netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, windowTimeout)
 	defer cancel()
+	request := windowRequest{LivedThrough: s.opts.Plans.KnowsRecords()}
 	var wg sync.WaitGroup
 	for _, addr := range sources {
 		wg.Go(func() {
-			resp, err := peer.Call[windowRequest, windowResponse](ctx, s.opts.Transport, addr, peer.KindPlanWindow, &windowRequest{})
+			resp, err := peer.Call[windowRequest, windowResponse](ctx, s.opts.Transport, addr, peer.KindPlanWindow, &request)
 			if err != nil {
 				s.opts.Log.Debug("plan window not received", zap.Stringer("address", addr), zap.Error(err))
 				return
@@ -90,8 +92,11 @@
 	return !s.opts.Plans.NeedsWindow()
 }
 
-func (s *Service) onWindowRequest(context.Context, ident.VM, *windowRequest) (*windowResponse, error) {
+func (s *Service) onWindowRequest(_ context.Context, _ ident.VM, req *windowRequest) (*windowResponse, error) {
 	state, ok := s.opts.Plans.WindowState()
+	if req.LivedThrough && state.Restarted {
+		state, ok = admission.WindowState{}, false
+	}
 	return &windowResponse{
 		Complete: ok, State: state,
 		From: s.opts.Self, Versions: s.opts.Documents.Versions(), Age: s.opts.Documents.Age(),
