schedule: the rate limit that an endpoint names is decoded and logged

'endpoint held back' with reason=limit says so now, once for each change. A response without a limit ends it as of the time at which its request was sent, so that one that was on its way does not. Nothing is placed differently. Tests of platform, schedule and vmserver pass.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -59,6 +59,12 @@
 	Leaving bool
 	// Pause is how long this VM is to send the endpoint no requests, 0 if it does not say so.
 	Pause time.Duration
+	// Limited is set if the endpoint names a rate limit: it takes RateLimit requests a second from all VMs together,
+	// until a later response names another limit or none.
+	Limited   bool
+	RateLimit float64
+	// Took is the time from sending the request to the response.
+	Took time.Duration
 }
 
 // Client sends calls to endpoints.
--- a/internal/schedule/notice.go
+++ b/internal/schedule/notice.go
@@ -21,7 +21,9 @@
 	heldBack  bool
 	heldUntil clock.Instant
 	// probing is set while such a call is placed.
-	probing   bool
+	probing bool
+	// limit is the limit that the endpoint named.
+	limit     rateLimit
 	updatedAt clock.Instant
 }
 
@@ -85,6 +87,9 @@
 	// again if Pause is 0.
 	Leaving bool
 	Pause   time.Duration
+	// Limited is set if the endpoint names another rate limit than before, of RateLimit requests a second.
+	Limited   bool
+	RateLimit float64
 }
 
 // RecordNotice records what an endpoint said about itself in a response to this VM.
@@ -95,6 +100,7 @@
 	if said.Pause > 0 {
 		s.recordPause(id, said.Pause)
 	}
+	s.recordLimit(id, said)
 }
 
 // recordLeaving records that an endpoint leaves. If tellPeers is set, the other VMs are told, unless the table
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -121,10 +121,12 @@
 		message, reason = "endpoint held back", "leaving"
 	case h.Pause > 0:
 		message, reason = "endpoint held back", "pause"
+	case h.Limited:
+		message, reason = "endpoint held back", "limit"
 	}
 	p.set.GetOrCreateCounter(`fulmartide_endpoint_holds_total{reason="` + reason + `"}`).Inc()
 	p.log.Named("schedule").Info(message, zap.String("endpoint", h.Endpoint.Name), zap.Int64("born", h.Endpoint.StartedAt),
-		zap.String("reason", reason), zap.Duration("pause", h.Pause))
+		zap.String("reason", reason), zap.Duration("pause", h.Pause), zap.Float64("limit", h.RateLimit))
 }
 
 // applyChange passes a changed configuration or endpoint table to the components that decide by it.
