schedule: the rate limit of an endpoint is divided among the VMs

A limited endpoint that is overrun fails calls of callers who had a place elsewhere. Cause: no code used the header, placement went by load alone. Why this works: package ratelimit issues a permit each 1/rate s of the wall clock, which belongs to one VM by rendezvous hashing of the addresses and is valid for a short time, such that all valid permits used at once stay within what the endpoint bears. Two VMs that know of each other never use the same permit, so no message has to arrive; VMs that are silent, removed or leaving keep their part for 10 minutes, a VM that has started uses only later permits, and none before it knows the others. Every send takes one: first sends, second tries, prefills, decodes (again after the prompt was read), trials of ejected endpoints, frees of handles; limited engines get no stage orders. A call that finds none at any endpoint is refused at once with the time of the next one. Limits go to the other VMs at once and with full heartbeats; of two statements the later one counts.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -260,7 +260,7 @@
 		wait := maxElapsed - f.elapsed()
 		if wait <= 0 || fault.Is(err, fault.Unavailable) && len(request.Exclude) > 0 ||
 			!fault.Is(err, fault.Overloaded) && !fault.Is(err, fault.Unavailable) ||
-			schedule.IsHeldBack(err) && fault.DetailOf(err).RetryAfter >= wait {
+			!schedule.MayWait(err, wait) {
 			f.log.Info("not placed", zap.Stringer("stage", request.Stage), zap.String("service", request.Service),
 				zap.Bool("waited", waited), zap.Error(err))
 			return nil, err
@@ -361,9 +361,9 @@
 		case <-ctx.Done():
 			return
 		case h := <-d.freeQueue:
-			if !d.opts.Scheduler.MayReach(h.Endpoint.ID) {
+			if !d.opts.Scheduler.StartSend(h.Endpoint.ID) {
 				d.opts.Log.Info("handle not freed, left to expire",
-					zap.String("endpoint", h.Endpoint.ID.Name), zap.String("why", "the endpoint asked for a pause"))
+					zap.String("endpoint", h.Endpoint.ID.Name), zap.Error(errHeldBack))
 				continue
 			}
 			freeCtx, cancel := context.WithTimeout(ctx, freeTimeout)
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -160,6 +160,9 @@
 func (g *generation) prefill(ctx context.Context, claim *schedule.Claim) (backend.Handle, error) {
 	defer claim.Release()
 	g.prefills++
+	if err := g.startSend(claim); err != nil {
+		return backend.Handle{}, err
+	}
 	start := g.dispatcher.opts.Clock.Now()
 	timeout := prefillFactor*claim.ExpectedPrefill + prefillSlack
 	stageCtx, cancel := context.WithTimeoutCause(ctx, timeout, errEndpointTimeout)
@@ -255,8 +258,8 @@
 	if err := g.checkPrompt(); err != nil {
 		return false, &attemptError{err: &backend.SendError{Err: err}, final: true}
 	}
-	if !g.dispatcher.opts.Scheduler.MayReach(claim.Endpoint.ID) { // it asked for a pause after it was claimed
-		return false, &backend.SendError{Err: errEndpointPaused}
+	if err := g.startSend(claim); err != nil {
+		return false, err
 	}
 	g.decodes++
 	g.stream.beginResponse()
@@ -324,8 +327,6 @@
 	return g.stream.forward(reply, nil)
 }
 
-var errEndpointPaused = errors.New("the engine takes no calls for a time it named")
-
 var errEngineErrorStatus = errors.New("the engine responded with an error status")
 
 // stallTimer aborts a request to an engine when no data has arrived for the timer's timeout. A nil
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -88,6 +88,9 @@
 	}
 	defer claim.Release()
 	f.tried = append(f.tried, claim.Endpoint.ID)
+	if err := f.startSend(claim); err != nil {
+		return nil, err
+	}
 	if timeout, ok := f.attemptTimeout(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeoutCause(ctx, timeout, errEndpointTimeout)
@@ -135,6 +138,18 @@
 	return &response{reply: reply, body: body}, nil
 }
 
+// startSend fails if nothing may be sent to the claimed endpoint now.
+func (f *inflightCall) startSend(claim *schedule.Claim) error {
+	if claim.StartSend() {
+		return nil
+	}
+	f.log.Info("not sent", zap.String("endpoint", claim.Endpoint.ID.Name), zap.Error(errHeldBack))
+	return &backend.SendError{Err: errHeldBack}
+}
+
+// errHeldBack means that a request was not sent because of what the endpoint had said in the meantime.
+var errHeldBack = errors.New("the endpoint asked for a pause, or its rate limit leaves this VM no request now")
+
 var (
 	errRejected         = errors.New("the endpoint rejected the call")
 	errResponseTooLarge = errors.New("the endpoint's response is too large")
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -50,4 +50,6 @@
 	KindQuarantine Kind = 21
 	// KindQuarantineState requests all that a VM knows about them.
 	KindQuarantineState Kind = 22
+	// KindEndpointLimit reports that an endpoint names another rate limit, or none any more.
+	KindEndpointLimit Kind = 23
 )
--- /dev/null
+++ b/internal/ratelimit/fleet.go
@@ -0,0 +1,64 @@
+// Package ratelimit divides the rate of requests that an endpoint takes among the VMs of a fleet, without messages.
+// A rate of R requests a second issues a permit every 1/R seconds of the wall clock. Each permit belongs to one VM,
+// which all VMs compute from the addresses in the fleet by rendezvous hashing, and is valid for a short time. Two VMs
+// that know of each other never use the same permit, whatever else each of them knows; a VM that is unreachable, or
+// knows of more VMs than there are, only leaves permits unused.
+package ratelimit
+
+import (
+	"hash/fnv"
+	"net/netip"
+	"slices"
+)
+
+// Fleet is the VMs that share a rate, as one of them knows them.
+type Fleet struct {
+	self   uint64
+	others []uint64
+}
+
+// NewFleet returns the fleet of a VM and others, by the addresses at which VMs reach each other. They are the same
+// after a restart.
+func NewFleet(self netip.AddrPort, others []netip.AddrPort) *Fleet {
+	f := &Fleet{self: hashOf(self.String())}
+	for _, addr := range others {
+		f.others = append(f.others, hashOf(addr.String()))
+	}
+	slices.Sort(f.others)
+	return f
+}
+
+// Equal reports whether both fleets have the same VMs.
+func (f *Fleet) Equal(o *Fleet) bool {
+	return o != nil && f.self == o.self && slices.Equal(f.others, o.others)
+}
+
+// size returns the number of VMs.
+func (f *Fleet) size() int { return len(f.others) + 1 }
+
+// owns reports whether a permit of an endpoint belongs to this VM: the one with the highest weight for it.
+func (f *Fleet) owns(endpoint, number uint64) bool {
+	key := mix(endpoint ^ mix(number))
+	own := mix(key ^ f.self)
+	for _, other := range f.others {
+		if mix(key^other) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func hashOf(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return mix(h.Sum64())
+}
+
+// mix is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/internal/schedule/limit.go
+++ b/internal/schedule/limit.go
@@ -1,10 +1,16 @@
 package schedule
 
 import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ratelimit"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -26,21 +32,88 @@
 
 // limitIn returns what a response says about the endpoint's limit.
 func limitIn(now clock.Instant, said backend.Notice) rateLimit {
-	if said.Limited {
+	if said.Limited && said.RateLimit <= ratelimit.MaxRate {
 		return rateLimit{limited: true, rate: said.RateLimit, since: now}
 	}
 	return rateLimit{since: now.Add(-max(time.Nanosecond, said.Took))}
 }
 
-// recordLimit records what a response says about the endpoint's limit.
+// Limit is what a VM tells others about the rate limit of an endpoint.
+type Limit struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Limited is set if the endpoint takes Rate requests a second from all VMs together.
+	Limited bool
+	Rate    float64
+	// Age is the time since the endpoint said so.
+	Age time.Duration
+}
+
+// limitTellPeriod is the minimum time between two messages to the other VMs about the limit of an endpoint.
+const limitTellPeriod = time.Second
+
+// recordLimit records what a response to this VM says about the endpoint's limit, and tells the other VMs of a change.
 func (s *Scheduler) recordLimit(id traffic.EndpointID, said backend.Notice) {
 	s.mu.Lock()
-	l := limitIn(s.opts.Clock.Now(), said)
-	changed := s.table.setLimit(l.since, id, l)
+	now := s.opts.Clock.Now()
+	l := limitIn(now, said)
+	changed := s.table.setLimit(now, id, l)
+	tell, dataCentre := false, ""
+	if n := s.table.notices[id]; changed && now.Sub(n.limitToldAt) >= limitTellPeriod {
+		n.limitToldAt, tell = now, true
+	}
+	if e := s.table.states[id]; e != nil {
+		dataCentre = e.DataCentre
+	}
 	s.mu.Unlock()
 	if changed {
 		s.opts.OnHold(Hold{Endpoint: id, Limited: l.limited, RateLimit: l.rate})
 	}
+	if tell {
+		s.opts.OnLimit(id, dataCentre, Limit{Limited: l.limited, Rate: l.rate, Age: now.Sub(l.since)})
+	}
+}
+
+// RecordPeerLimit records what another VM knows of the limit of an endpoint.
+func (s *Scheduler) RecordPeerLimit(id traffic.EndpointID, l Limit) {
+	s.mu.Lock()
+	now := s.opts.Clock.Now()
+	changed := s.table.setLimit(now, id, rateLimit{limited: l.Limited, rate: l.Rate, since: now.Add(-max(0, l.Age))})
+	s.mu.Unlock()
+	if changed {
+		s.opts.OnHold(Hold{Endpoint: id, Limited: l.Limited, RateLimit: l.Rate})
+	}
+}
+
+// Limits returns the limits in force.
+func (s *Scheduler) Limits() map[traffic.EndpointID]Limit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.opts.Clock.Now()
+	out := map[traffic.EndpointID]Limit{}
+	for id, n := range s.table.notices {
+		if n.rateLimited() {
+			out[id] = Limit{Limited: true, Rate: n.limit.rate, Age: now.Sub(n.limit.since)}
+		}
+	}
+	return out
+}
+
+// SetFleet sets the VMs among which the rates of endpoints are divided, by their addresses.
+func (s *Scheduler) SetFleet(self netip.AddrPort, others []netip.AddrPort) {
+	f := ratelimit.NewFleet(self, others)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Equal(s.table.fleet) {
+		return
+	}
+	s.table.fleet = f
+	for _, n := range s.table.notices {
+		if n.share != nil {
+			n.share.SetFleet(f, s.opts.Clock.Now())
+		}
+	}
 }
 
 // setLimit replaces the limit of an endpoint, unless a later one is known, and reports whether it differs.
@@ -54,5 +127,71 @@
 	}
 	changed = l.limited != n.limit.limited || l.rate != n.limit.rate
 	n.limit = l
+	switch {
+	case !l.limited:
+		n.share = nil
+	case changed:
+		name := id.Name + "/" + strconv.FormatInt(id.StartedAt, 10)
+		n.share = ratelimit.New(ratelimit.Options{Fleet: t.fleet, Endpoint: name, Rate: l.rate, Epoch: t.epoch}, now)
+	}
 	return changed
 }
+
+func (n *notice) rateLimited() bool { return n != nil && n.share != nil }
+
+// hasPermit reports whether a call may be placed at the endpoint as far as its limit is concerned.
+func (n *notice) hasPermit(now clock.Instant) bool {
+	return !n.rateLimited() || n.share.Available(now) > n.placed
+}
+
+// startSend reports whether a request may be sent to an endpoint now. If so, it uses up one request of the
+// endpoint's limit.
+func (t *table) startSend(now clock.Instant, id traffic.EndpointID) bool {
+	n := t.notices[id]
+	if n.paused(now) {
+		return false
+	}
+	return !n.rateLimited() || n.share.Take(now)
+}
+
+// StartSend reports whether a request without a claim may be sent to an endpoint now. It is to be called for each
+// send, right before it. It returns false during a pause that the endpoint asked for, and if its rate limit leaves
+// this VM nothing now.
+func (s *Scheduler) StartSend(id traffic.EndpointID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.startSend(s.opts.Clock.Now(), id)
+}
+
+// StartSend is Scheduler.StartSend for the call of the claim.
+func (c *Claim) StartSend() bool {
+	c.scheduler.mu.Lock()
+	defer c.scheduler.mu.Unlock()
+	c.returnPermit()
+	return c.scheduler.table.startSend(c.scheduler.opts.Clock.Now(), c.Endpoint.ID)
+}
+
+// returnPermit makes the permit that was set aside for the call available again.
+func (c *Claim) returnPermit() {
+	if c.limited != nil {
+		c.limited.placed--
+		c.limited = nil
+	}
+}
+
+// errRateLimited is the cause of errors of Place if the limits of endpoints leave this VM nothing now.
+var errRateLimited = fmt.Errorf("the rate limits of its endpoints are used up: %w", errHeldBack)
+
+// MayWait reports whether a call that could not be placed may be placed by waiting for a time. It may not if its
+// endpoints take no calls before, or if it waits for its turn within a rate limit, as others may do.
+func MayWait(err error, wait time.Duration) bool {
+	if errors.Is(err, errRateLimited) {
+		return false
+	}
+	return !errors.Is(err, errHeldBack) || fault.DetailOf(err).RetryAfter < wait
+}
+
+func allRateLimited(wait time.Duration) error {
+	return fault.Wrap(errRateLimited, fault.Overloaded, "retry after the stated time; operators: the service's endpoints name rate limits",
+		"the service takes no more calls now", fault.WithRetryAfter(wait))
+}
--- a/internal/schedule/notice.go
+++ b/internal/schedule/notice.go
@@ -7,6 +7,7 @@
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ratelimit"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -22,9 +23,14 @@
 	heldUntil clock.Instant
 	// probing is set while such a call is placed.
 	probing bool
-	// limit is the limit that the endpoint named.
-	limit     rateLimit
-	updatedAt clock.Instant
+	// limit is the limit that the endpoint named, share this VM's part of it; share is nil if there is no limit.
+	limit rateLimit
+	share *ratelimit.Share
+	// placed is the number of calls that are placed at the endpoint and have a permit of share set aside.
+	placed int
+	// limitToldAt is when the other VMs were last told of the limit.
+	limitToldAt clock.Instant
+	updatedAt   clock.Instant
 }
 
 const (
@@ -153,20 +159,9 @@
 	return true
 }
 
-// MayReach reports whether anything may be sent to an endpoint now. It is false during a pause
-// that the endpoint asked for.
-func (s *Scheduler) MayReach(id traffic.EndpointID) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.table.notices[id].paused(s.opts.Clock.Now())
-}
-
 // errHeldBack is the cause of errors of Place if no endpoint takes calls before a time that is known.
 var errHeldBack = errors.New("its endpoints are leaving or take no calls for a time they named")
 
-// IsHeldBack reports whether an error of Place means that waiting for less than its retry delay is of no use.
-func IsHeldBack(err error) bool { return errors.Is(err, errHeldBack) }
-
 func allPaused(wait time.Duration) error {
 	return fault.Wrap(errHeldBack, fault.Overloaded, "retry after the stated time", "the service takes no calls", fault.WithRetryAfter(wait))
 }
--- a/internal/schedule/pools.go
+++ b/internal/schedule/pools.go
@@ -46,7 +46,8 @@
 	defer s.mu.Unlock()
 	now := s.opts.Clock.Now()
 	eligible := func(e *endpointState) bool {
-		return e.Stage == stage && e.staying() && !slices.Contains(except, e.ID) && !e.health.ejected(now) && !e.notice.paused(now)
+		return e.Stage == stage && e.staying() && !slices.Contains(except, e.ID) && !e.health.ejected(now) &&
+			!e.notice.paused(now) && !e.notice.rateLimited()
 	}
 	count := map[string]int{}
 	for _, e := range s.table.byService[service] {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -29,6 +29,11 @@
 	// OnHold is called when this VM begins or ends to hold back calls because of what an endpoint said. It must
 	// not block. It may be nil.
 	OnHold func(Hold)
+	// OnLimit is called if a response to this VM changed what is known of the rate limit of an endpoint of a data
+	// centre. It must not block. It may be nil.
+	OnLimit func(id traffic.EndpointID, dataCentre string, l Limit)
+	// WallTime reads the wall clock, by which VMs divide rate limits; time.Now if nil.
+	WallTime func() time.Time
 	// DrainTime is how long endpoints that leave take calls.
 	DrainTime time.Duration
 }
@@ -61,12 +66,20 @@
 	if o.OnHold == nil {
 		o.OnHold = func(Hold) {}
 	}
-	return &Scheduler{
+	if o.OnLimit == nil {
+		o.OnLimit = func(traffic.EndpointID, string, Limit) {}
+	}
+	if o.WallTime == nil {
+		o.WallTime = time.Now
+	}
+	s := &Scheduler{
 		opts:          o,
 		table:         newTable(o.DataCentre, o.DrainTime, rand.New(rand.NewPCG(o.Seed, 0))),
 		capacityFreed: make(chan struct{}),
 		queues:        map[pool][]*QueueEntry{},
 	}
+	s.table.epoch = o.Clock.Now().Add(-time.Duration(o.WallTime().UnixNano()))
+	return s
 }
 
 // UpdateEndpoints replaces the endpoints and the engine parameters of their services.
@@ -100,6 +113,8 @@
 	released  bool
 	// probe is the notice of the endpoint if the call finds out whether its pause is over, else nil.
 	probe *notice
+	// limited is the notice of the endpoint if a permit of its rate limit is set aside for the call, else nil.
+	limited *notice
 }
 
 // Errors of Place. The dispatcher distinguishes them by kind.
@@ -132,6 +147,10 @@
 		claim.probe = e.notice
 		claim.probe.probing = true
 	}
+	if e.notice.rateLimited() {
+		claim.limited = e.notice
+		claim.limited.placed++
+	}
 	s.setOwnWork(e, e.own.plus(claim.work))
 	return claim, nil
 }
@@ -156,6 +175,7 @@
 	if c.probe != nil {
 		c.probe.probing = false
 	}
+	c.returnPermit()
 	if e := s.table.states[c.Endpoint.ID]; e != nil {
 		s.setOwnWork(e, e.own.minus(c.work))
 	}
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -6,6 +6,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/ratelimit"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -21,6 +22,10 @@
 	// drainTime is how long endpoints that leave take calls.
 	drainTime time.Duration
 	notices   map[traffic.EndpointID]*notice
+	// fleet is the VMs that share the rates of endpoints, nil until they are known; epoch is the reading of the
+	// clock at the Unix epoch.
+	fleet *ratelimit.Fleet
+	epoch clock.Instant
 	// unknown is reported work at endpoints that this VM does not know yet.
 	unknown map[traffic.EndpointID]*peerWork
 	// remoteReportsDelayed is set if VMs of other data centres report their work with a delay.
@@ -259,8 +264,16 @@
 	usable, healthy, lastResort []*endpointState
 	// full is set if some endpoints have no capacity, leaving if some are leaving.
 	full, leaving bool
-	// pausedUntil is the earliest end of a pause, 0 if no endpoint has asked for one.
-	pausedUntil clock.Instant
+	// heldUntil is the earliest time at which a held-back endpoint takes a call: the end of its pause, or the next
+	// permit of its rate limit. It is 0 if there is no such endpoint. rateLimited is set if a limit is among them.
+	heldUntil   clock.Instant
+	rateLimited bool
+}
+
+func (c *candidates) holdUntil(at clock.Instant) {
+	if c.heldUntil == 0 || at.Before(c.heldUntil) {
+		c.heldUntil = at
+	}
 }
 
 // add adds an endpoint that has the service and stage.
@@ -269,9 +282,10 @@
 	case s.Leaving:
 		c.leaving = true
 	case s.notice.paused(now):
-		if c.pausedUntil == 0 || s.notice.heldUntil.Before(c.pausedUntil) {
-			c.pausedUntil = s.notice.heldUntil
-		}
+		c.holdUntil(s.notice.heldUntil)
+	case !s.notice.hasPermit(now):
+		c.rateLimited = true
+		c.holdUntil(s.notice.share.NextAt(now))
 	case s.notice.reopening(now) && s.notice.probing, !t.hasCapacity(now, s, req):
 		c.full = true
 	case s.notice.saysLeaving():
@@ -294,8 +308,10 @@
 		return errAllFull
 	case len(c.usable) > 0: // all of them are ejected
 		return errNoEndpoint
-	case c.pausedUntil > 0:
-		return allPaused(c.pausedUntil.Sub(now))
+	case c.rateLimited:
+		return allRateLimited(c.heldUntil.Sub(now))
+	case c.heldUntil > 0:
+		return allPaused(c.heldUntil.Sub(now))
 	case c.leaving:
 		return allLeaving()
 	}
--- a/internal/statesync/handlers.go
+++ b/internal/statesync/handlers.go
@@ -31,6 +31,9 @@
 	if hb.Full {
 		s.opts.Work.ReplaceWork(hb.From.VM, hb.Seq, byEndpoint(hb.Work))
 	}
+	for i := range hb.Limits {
+		s.recordLimit(&hb.Limits[i])
+	}
 	s.requestNewer(hb.From, hb.Versions, hb.Age)
 	s.requestQuarantine(hb.From, hb.Quarantine)
 }
--- a/internal/statesync/members.go
+++ b/internal/statesync/members.go
@@ -16,6 +16,9 @@
 	// removeAfter is the time without a heartbeat after which a VM is removed. Until then it may
 	// still be serving behind a network partition and keeps its share of plans.
 	removeAfter = 25 * time.Second
+	// formerRetention is how long after its removal a VM keeps its part of the rate limits of endpoints. It may be
+	// behind a long network partition and reach the endpoints.
+	formerRetention = 10 * time.Minute
 	// smallFleetPeriod is the time between heartbeats to the direct peers in a small fleet,
 	// largeFleetPeriod the minimum in a large one, where updates keep a VM visible in between.
 	smallFleetPeriod = 200 * time.Millisecond
@@ -75,10 +78,15 @@
 	// gone holds the VMs that were removed without a heartbeat since. The registry may list them still,
 	// as nothing deletes the entry of a VM that was lost.
 	gone map[ident.VM]bool
+	// former holds the addresses of VMs that were removed or left, with the time. They may serve calls still.
+	former map[netip.AddrPort]clock.Instant
 }
 
 func newMemberTable(self Member) *memberTable {
-	return &memberTable{self: self, peers: map[netip.AddrPort]*peerState{}, ended: map[ident.VM]clock.Instant{}, gone: map[ident.VM]bool{}}
+	return &memberTable{
+		self: self, peers: map[netip.AddrPort]*peerState{}, ended: map[ident.VM]clock.Instant{}, gone: map[ident.VM]bool{},
+		former: map[netip.AddrPort]clock.Instant{},
+	}
 }
 
 // addListed adds members listed in the registry and returns the new ones. lost are the listed VMs that
@@ -120,6 +128,7 @@
 		return memberChange{stale: true}
 	}
 	delete(t.gone, hb.From.VM)
+	delete(t.former, hb.From.Address)
 	p := t.peers[hb.From.Address]
 	var c memberChange
 	if p == nil {
@@ -146,6 +155,7 @@
 	}
 	if hb.Leaving {
 		t.ended[hb.From.VM] = now
+		t.former[hb.From.Address] = now
 		delete(t.peers, hb.From.Address)
 		c.replaced = hb.From.VM
 	}
@@ -197,6 +207,7 @@
 			removed = append(removed, p.member)
 			delete(t.peers, addr)
 			t.gone[p.member.VM] = true
+			t.former[addr] = now
 		case !p.unresponsive && now.Sub(p.lastHeartbeat) > timeout:
 			p.unresponsive = true
 			unresponsive = append(unresponsive, p.member)
@@ -207,9 +218,25 @@
 			delete(t.ended, vm)
 		}
 	}
+	for addr, at := range t.former {
+		if now.Sub(at) > formerRetention {
+			delete(t.former, addr)
+		}
+	}
 	return unresponsive, removed
 }
 
+// fleet returns the addresses of all other VMs that may be up, reachable or not.
+func (t *memberTable) fleet() []netip.AddrPort {
+	out := t.addresses(allPeers)
+	for addr := range t.former {
+		if t.peers[addr] == nil && addr != t.self.Address {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
 // heartbeatTimeouts returns the times without a heartbeat after which a direct peer, and any other
 // VM, counts as unresponsive.
 func (t *memberTable) heartbeatTimeouts() (direct, remote time.Duration) {
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -83,6 +83,18 @@
 	Age time.Duration
 	// Quarantine is the fingerprint of what the sender knows about prompts that crash engines.
 	Quarantine uint64
+	// Limits are the rate limits of endpoints in force, in full heartbeats only.
+	Limits []endpointLimit
+}
+
+// endpointLimit is what a VM knows of the rate limit of an endpoint.
+type endpointLimit struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Name      string
+	StartedAt int64
+	Limit     schedule.Limit
 }
 
 // digest reports the combined state of one data centre's VMs to another data centre of a large fleet.
--- a/internal/statesync/send.go
+++ b/internal/statesync/send.go
@@ -32,6 +32,7 @@
 	if hb.Full {
 		seq, work := s.opts.Work.OwnWork()
 		hb.Seq, hb.Work, hb.Counters = seq, flatWorkList(work), counterList(s.opts.Plans.OwnTotals())
+		hb.Limits = limitList(s.opts.Work.Limits())
 		if s.remoteRepeatDue(now) {
 			s.repeatRemoteWork(seq, work)
 		}
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -37,6 +37,13 @@
 	ForgetDataCentre(name string)
 	RecordPeerOutcome(id traffic.EndpointID, o schedule.Outcome)
 	ForgetVM(vm ident.VM)
+	// RecordPeerLimit receives what another VM knows of the rate limit of an endpoint.
+	RecordPeerLimit(id traffic.EndpointID, l schedule.Limit)
+	// Limits returns the rate limits of endpoints in force.
+	Limits() map[traffic.EndpointID]schedule.Limit
+	// SetFleet receives the VMs among which these limits are divided, by address. It is not called as long as others
+	// may be up that this VM has not heard of.
+	SetFleet(self netip.AddrPort, others []netip.AddrPort)
 	// OwnWork returns the work of this VM, by data centre of the endpoints.
 	OwnWork() (seq uint64, byDataCentre map[string]map[traffic.EndpointID]schedule.Work)
 	// CombinedWork returns the combined work of this VM and others, except on endpoints of one
@@ -121,6 +128,7 @@
 	// wakeup signals that there are pending changes to send.
 	wakeup   chan struct{}
 	failures chan endpointFailure
+	limits   chan addressedLimit
 	// quarantine holds news about prompts that crash engines.
 	quarantine chan quarantine.State
 	// membersAdded signals that VMs were added to the member table, storeRestored that the registry
@@ -129,6 +137,8 @@
 
 	mu      sync.Mutex
 	members *memberTable
+	// startedAt is when the service was created.
+	startedAt clock.Instant
 	// changes is changed work that has not been sent yet.
 	changes *changes
 	// remoteRepeats holds the data centres to which updates about their endpoints were sent, each
@@ -157,6 +167,9 @@
 	// failureQueueSize is the maximum number of failures waiting to be sent. Further ones are
 	// dropped, as each VM also detects failures itself.
 	failureQueueSize = 64
+	// limitQueueSize is the maximum number of changed limits waiting to be sent. Further ones are dropped, as full
+	// heartbeats repeat the limits in force.
+	limitQueueSize = 64
 	// fetchTimeout bounds the fetching of a document from another VM.
 	fetchTimeout = time.Second
 	// registryRetryPause is the pause after a failed call to the registry.
@@ -178,6 +191,7 @@
 func New(o Options) *Service {
 	s := &Service{
 		opts: o, wakeup: make(chan struct{}, 1), failures: make(chan endpointFailure, failureQueueSize),
+		limits: make(chan addressedLimit, limitQueueSize), startedAt: o.Clock.Now(),
 		quarantine:   make(chan quarantine.State, quarantineQueueSize),
 		membersAdded: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1),
 		members: newMemberTable(o.Self), changes: newChanges(), remoteRepeats: map[string]int{}, counters: map[admission.CounterKey]int64{},
@@ -189,6 +203,7 @@
 	peer.Handle(o.Transport, peer.KindDocument, s.onDocumentRequest)
 	peer.Handle(o.Transport, peer.KindDigest, s.onDigest)
 	peer.Handle(o.Transport, peer.KindPlanWindow, s.onWindowRequest)
+	peer.HandleOneWay(o.Transport, peer.KindEndpointLimit, s.onLimit)
 	peer.HandleOneWay(o.Transport, peer.KindQuarantine, s.onQuarantine)
 	peer.Handle(o.Transport, peer.KindQuarantineState, s.onQuarantineRequest)
 	return s
@@ -378,10 +393,14 @@
 	shares := s.members.fleetShares()
 	order, self := s.members.directOrder()
 	parts := s.members.subsets()
+	fleet, complete := s.members.fleet(), s.listed || s.opts.Clock.Now().Sub(s.startedAt) > removeAfter
 	for _, m := range removed {
 		s.closeQueue(m.Address)
 	}
 	s.mu.Unlock()
+	if complete {
+		s.opts.Work.SetFleet(s.opts.Self.Address, fleet)
+	}
 	s.opts.Plans.SetFleetShares(shares)
 	s.opts.Work.SetPeerOrder(order, self, parts)
 	s.opts.Work.SetRemoteReportsDelayed(shares.RemainderShare < 1)
--- a/internal/statesync/updates.go
+++ b/internal/statesync/updates.go
@@ -11,7 +11,7 @@
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
-// sendUpdates sends changes of this VM's work and counters, failures of endpoints, and news about prompts that
+// sendUpdates sends changes of this VM's work and counters, failures and rate limits of endpoints, and news about prompts that
 // crash engines, until ctx ends.
 func (s *Service) sendUpdates(ctx context.Context) {
 	for {
@@ -20,6 +20,8 @@
 			return
 		case f := <-s.failures:
 			broadcast(s, peer.KindEndpointFailure, &f.failure, s.members.placesAt(f.dataCentre))
+		case l := <-s.limits:
+			broadcast(s, peer.KindEndpointLimit, &l.endpointLimit, s.members.placesAt(l.dataCentre))
 		case q := <-s.quarantine:
 			broadcast(s, peer.KindQuarantine, &q, allPeers)
 		case <-s.wakeup:
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -83,6 +83,9 @@
 		OnFailure: func(id traffic.EndpointID, dataCentre string, o schedule.Outcome) {
 			p.stateSync.EndpointFailed(id, dataCentre, o)
 		},
+		OnLimit: func(id traffic.EndpointID, dataCentre string, l schedule.Limit) {
+			p.stateSync.LimitChanged(id, dataCentre, l)
+		},
 		OnHold: p.logHold, DrainTime: s.DrainTime,
 	})
 	if platform.ObserveNotices != nil {
