dispatch: lines about failed sends name the request

RequestKey is a hash of workspace, target and body, the same on all VMs; the lines 'tried', 'prompt read' and 'decoded' have it after a failure. Nothing is decided by it. Tests of traffic and dispatch pass.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -300,6 +300,19 @@
 	return ok
 }
 
+// failureLog returns the logger for the result of a send. Only lines about failures name the request and the shared
+// parts of its prompt, by which the failures of different calls can be compared.
+func (f *inflightCall) failureLog(err error) *zap.Logger {
+	if err == nil {
+		return f.log
+	}
+	log := f.log.With(zap.String("request_key", f.call.RequestKey()))
+	if len(f.call.PromptParts) == 0 {
+		return log
+	}
+	return log.With(zap.Strings("prompt_parts", f.call.PromptParts))
+}
+
 // callerError converts the error that ended the call to the one sent to the caller.
 func (f *inflightCall) callerError(ctx context.Context, err error) error {
 	execution := fault.NotExecuted
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -301,15 +301,6 @@
 	return backend.MayHaveRun(err), err
 }
 
-// failureLog returns the logger for the result of a send. Only lines about failures name the parts of the
-// prompt.
-func (g *generation) failureLog(err error) *zap.Logger {
-	if err == nil {
-		return g.log
-	}
-	return g.log.With(zap.Strings("prompt_parts", g.call.PromptParts))
-}
-
 // forward delivers the response of an engine that accepted the call.
 func (g *generation) forward(reply *backend.Response, stall *stallTimer) error {
 	if reply.Status >= http.StatusMultipleChoices {
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -172,7 +172,7 @@
 	if resp != nil {
 		status = resp.reply.Status
 	}
-	f.log.Info("tried", zap.String("endpoint", claim.Endpoint.ID.Name), zap.Int("status", status),
+	f.failureLog(err).Info("tried", zap.String("endpoint", claim.Endpoint.ID.Name), zap.Int("status", status),
 		zap.Bool("may_have_run", err == nil || backend.MayHaveRun(err)), zap.Duration("elapsed", f.elapsed()), zap.Error(err))
 	switch {
 	case err == nil && status >= http.StatusInternalServerError:
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -4,7 +4,12 @@
 package traffic
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
@@ -135,6 +140,30 @@
 	Workspace *Workspace
 }
 
+// RequestKey identifies the request of a call: it is the same on all VMs for calls of the same workspace, target and
+// body, whatever their ids. It has a form that no id of a prompt part has.
+func (c *Call) RequestKey() string {
+	h := sha256.New()
+	workspace := ""
+	if c.Workspace != nil {
+		workspace = c.Workspace.Name
+	}
+	for _, field := range []string{workspace, c.Method, c.Host, c.RequestURI} {
+		_, _ = io.WriteString(h, strconv.Itoa(len(field))+":"+field)
+	}
+	_, _ = h.Write(c.Body)
+	return requestKeyPrefix + hex.EncodeToString(h.Sum(nil)[:requestKeyBytes])
+}
+
+// IsRequestKey reports whether s is a request key, and not the id of a prompt part.
+func IsRequestKey(s string) bool { return strings.HasPrefix(s, requestKeyPrefix) }
+
+const (
+	requestKeyPrefix = "request:"
+	// requestKeyBytes is the number of bytes of the hash in a request key.
+	requestKeyBytes = 12
+)
+
 // Cost returns the number of tokens that the call uses of its workspace's plan.
 func (c *Call) Cost() int64 {
 	switch {
