--- /dev/null
+++ b/internal/dispatch/crash_test.go
@@ -0,0 +1,119 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/admission"
+	"github.com/fulmartide/fulmartide/internal/backend"
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/dispatch"
+	"github.com/fulmartide/fulmartide/internal/schedule"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// crashingBody is the body of the request under which fake endpoints crash before they answer.
+const crashingBody = "crashes"
+
+// crashingFleet is a backend whose endpoints crash under a request and start again a while later.
+type crashingFleet struct {
+	fakeBackend
+	clock     clock.Clock
+	endpoints traffic.Endpoints
+	// downUntil is when a crashed endpoint starts again. A connection to it is refused until then.
+	downUntil map[traffic.EndpointID]clock.Instant
+	crashes   int
+}
+
+const crashedFor = 3 * time.Second
+
+func (f *crashingFleet) Refuses(_ context.Context, e traffic.Endpoint) bool {
+	_, down := f.downUntil[e.ID]
+	return down
+}
+
+func (f *crashingFleet) serve(_ int, _ context.Context, req backend.Request) (*backend.Response, error) {
+	id := req.Endpoint.ID
+	if _, down := f.downUntil[id]; down {
+		return nil, &backend.SendError{Err: syscall.ECONNREFUSED}
+	}
+	if string(req.Call.Body) != crashingBody {
+		return reply(http.StatusOK, events(1, 3)), nil
+	}
+	f.crashes++
+	f.downUntil[id] = f.clock.Now().Add(crashedFor)
+	return nil, &backend.SendError{Sent: true, Err: io.ErrUnexpectedEOF}
+}
+
+// restart starts the crashed endpoints whose time has come as new instances.
+func (f *crashingFleet) restart() traffic.Endpoints {
+	now := f.clock.Now()
+	for i, e := range f.endpoints.List {
+		if until, down := f.downUntil[e.ID]; down && !now.Before(until) {
+			f.endpoints.List[i].ID.StartedAt = int64(now)
+		}
+	}
+	return f.endpoints
+}
+
+func TestRequestThatCrashesEndpointsIsNoLongerSent(t *testing.T) {
+	const (
+		length             = 50 * time.Second
+		crashesToNotice    = 3
+		maxSendsAfterwards = 3
+	)
+	for _, path := range []string{repeatPath, oncePath, streamPath, resumablePath} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				now := clock.NewMonotonic()
+				cfg := testConfiguration()
+				f := &crashingFleet{clock: now, endpoints: testEndpoints(), downUntil: map[traffic.EndpointID]clock.Instant{}}
+				f.run = f.serve
+				s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7})
+				d := dispatch.New(dispatch.Options{
+					Clock: now, Configuration: func() *traffic.Configuration { return cfg }, Scheduler: s, Backend: f,
+					Admission: admission.NewController(now, admission.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 52}, admission.PlanOptions{Window: 8 * time.Second}, 1, nil),
+					Log:       zap.NewNop(), Metrics: metrics.NewSet(), Seed: 1,
+				})
+				ctx, stop := context.WithCancel(t.Context())
+				go d.Run(ctx)
+				serve := func(id int, body string) error {
+					call := newCall(path)
+					call.ID, call.Body, call.ArrivedAt = fmt.Sprint(id), []byte(body), now.Now()
+					call.Deadline = call.ArrivedAt.Add(time.Second)
+					return d.Serve(t.Context(), call, &recordingSink{})
+				}
+				harmless, harmlessServed := 0, 0
+				for i := 0; now.Now() < clock.Instant(length); i++ {
+					s.UpdateEndpoints(f.restart(), cfg.Services)
+					_ = serve(2*i, crashingBody)
+					synctest.Wait()
+					if now.Now() > clock.Instant(length/2) {
+						harmless++
+						if serve(2*i+1, "harmless") == nil {
+							harmlessServed++
+						}
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+				if f.crashes < crashesToNotice || f.crashes > crashesToNotice+maxSendsAfterwards {
+					t.Errorf("%d endpoints crashed, want %d and at most %d more", f.crashes, crashesToNotice, maxSendsAfterwards)
+				}
+				if harmlessServed != harmless {
+					t.Errorf("%d of %d harmless calls were served after the crashes", harmlessServed, harmless)
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
