quarantine: requests that crash endpoints are kept from them on all VMs

Cause: crashes were compared by parts of prompts only, and only if the head of an answer had come. A request without a prompt, whose endpoint crashes before it answers, left no record, so each repeat was placed at the next endpoint. Evidence: TestRequestThatCrashesEndpointsIsNoLongerSent failed (50 and 51 endpoints crash in 50 s on four kinds of route, no harmless call served); now three and at most three more, all 49 harmless calls served. The test's calls were over the plan of their key once they were answered, so it uses no keys; its fake endpoints have a lock. Why this works: after a request that an endpoint aborted, the VM connects to the endpoint once; if it refuses, it has crashed, and a record with the request's key goes to all VMs. Lost answers and reset connections leave none. Three crashes under one request, each after the one before and none answered since, quarantine it: it is refused before each send, first sends and second tries alike. Other calls that a crash ends leave records as well; an answer clears them, and what the strongest suspect explains does not count for them. A trial is sent once; three failed ones are the last until the records expire. Records are bounded (256, 30 minutes) and outlive the VMs in the store as before.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -76,6 +76,9 @@
 	Prefill(ctx context.Context, r Request) (Handle, error)
 	// Free releases a KV cache that no endpoint will fetch.
 	Free(ctx context.Context, h Handle) error
+	// Refuses connects to an endpoint and reports whether it refused the connection, as one does whose process has
+	// ended.
+	Refuses(ctx context.Context, e traffic.Endpoint) bool
 }
 
 // SendError reports a call that failed without a usable response.
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -101,6 +102,18 @@
 	return c.roundTrip(ctx, r)
 }
 
+// Refuses opens a connection and reports whether the endpoint refused it. A connection that it accepts is kept for a
+// later request.
+func (p *Pool) Refuses(ctx context.Context, t Target) bool {
+	c, err := p.dial(ctx, t)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.idleUntil = time.Now().Add(defaultIdleTimeout)
+	p.put(c)
+	return false
+}
+
 func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
 	nc, err := p.dialer.DialContext(ctx, "tcp", t.Address.String())
 	if err != nil {
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -304,3 +304,34 @@
 		})
 	}
 }
+
+func TestRefuses(t *testing.T) {
+	s := startServer(t, func(_ int, _ *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	dials := 0
+	p := connpool.New(func() { dials++ })
+	defer p.Close()
+	target := s.request("GET").Target
+	if p.Refuses(t.Context(), target) {
+		t.Error("an endpoint that accepts connections counts as one that refuses them")
+	}
+	resp, err := p.Do(t.Context(), s.request("GET"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Close()
+	if dials != 1 {
+		t.Errorf("%d connections, want the one that was accepted", dials)
+	}
+	_ = s.ln.Close()
+	if !p.Refuses(t.Context(), target) {
+		t.Error("a closed port does not count as refused")
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if p.Refuses(ended, target) {
+		t.Error("a cancelled attempt counts as refused")
+	}
+}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -29,6 +30,8 @@
 	fakeBackend
 	clock     clock.Clock
 	endpoints traffic.Endpoints
+
+	mu sync.Mutex
 	// downUntil is when a crashed endpoint starts again. A connection to it is refused until then.
 	downUntil map[traffic.EndpointID]clock.Instant
 	crashes   int
@@ -37,11 +40,15 @@
 const crashedFor = 3 * time.Second
 
 func (f *crashingFleet) Refuses(_ context.Context, e traffic.Endpoint) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	_, down := f.downUntil[e.ID]
 	return down
 }
 
 func (f *crashingFleet) serve(_ int, _ context.Context, req backend.Request) (*backend.Response, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	id := req.Endpoint.ID
 	if _, down := f.downUntil[id]; down {
 		return nil, &backend.SendError{Err: syscall.ECONNREFUSED}
@@ -56,6 +63,8 @@
 
 // restart starts the crashed endpoints whose time has come as new instances.
 func (f *crashingFleet) restart() traffic.Endpoints {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	now := f.clock.Now()
 	for i, e := range f.endpoints.List {
 		if until, down := f.downUntil[e.ID]; down && !now.Before(until) {
@@ -76,6 +85,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				now := clock.NewMonotonic()
 				cfg := testConfiguration()
+				cfg.RequiresKey = false // the harmless calls together are over the plan of the key
 				f := &crashingFleet{clock: now, endpoints: testEndpoints(), downUntil: map[traffic.EndpointID]clock.Instant{}}
 				f.run = f.serve
 				s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,7 +41,7 @@
 	Scheduler     *schedule.Scheduler
 	Backend       backend.Client
 	Admission     *admission.Controller
-	// Quarantine keeps prompts that crash engines from them. If nil, the Dispatcher creates one of its own.
+	// Quarantine keeps calls that crash endpoints from them. If nil, the Dispatcher creates one of its own.
 	Quarantine *quarantine.Controller
 	Log        *zap.Logger
 	Metrics    *metrics.Set
@@ -53,6 +53,8 @@
 type Dispatcher struct {
 	opts      Options
 	freeQueue chan backend.Handle
+	// aborted holds the sends to be examined for crashes of their endpoints.
+	aborted chan abortedSend
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -68,7 +70,7 @@
 		o.Quarantine = quarantine.NewController(quarantine.Options{Clock: o.Clock, Log: o.Log, Metrics: o.Metrics})
 	}
 	return &Dispatcher{
-		opts: o, freeQueue: make(chan backend.Handle, maxQueuedFrees),
+		opts: o, freeQueue: make(chan backend.Handle, maxQueuedFrees), aborted: make(chan abortedSend, maxAbortedSends),
 		random: rand.New(rand.NewPCG(o.Seed, 1)),
 	}
 }
@@ -124,7 +126,9 @@
 	// mayHaveRun is set once an endpoint may have run the call.
 	mayHaveRun      bool
 	responseStarted bool
-	// trialPart is the quarantined part of the prompt that this call tries, empty if none.
+	// sentAt is the time of the last send.
+	sentAt clock.Instant
+	// trialPart is the quarantined part of the prompt, or the quarantined request, that this call tries, empty if none.
 	trialPart string
 	tried     []traffic.EndpointID
 }
@@ -143,7 +147,7 @@
 	if err := f.authenticate(cfg); err != nil {
 		return err
 	}
-	if err := f.checkPrompt(); err != nil {
+	if err := f.checkQuarantine(); err != nil {
 		return err
 	}
 	return f.admit()
@@ -367,8 +371,15 @@
 	}
 }
 
-// Run frees queued handles until ctx ends.
+// Run frees queued handles and examines aborted sends until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { d.examineAborts(ctx) })
+	d.freeHandles(ctx)
+	wg.Wait()
+}
+
+func (d *Dispatcher) freeHandles(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -78,6 +78,8 @@
 	return nil
 }
 
+func (f *fakeBackend) Refuses(context.Context, traffic.Endpoint) bool { return false }
+
 func (f *fakeBackend) count(method string) (n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -10,6 +10,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/quarantine"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -96,7 +97,7 @@
 // attempt claims the engines, runs the prefill if the service has prefill engines, and streams the
 // response of the decode.
 func (g *generation) attempt(ctx context.Context) error {
-	if err := g.checkPrompt(); err != nil {
+	if err := g.checkQuarantine(); err != nil {
 		return &attemptError{err: err, final: true}
 	}
 	prefill, decode, err := g.placeStages(ctx)
@@ -178,6 +179,7 @@
 		return h, nil
 	}
 	g.recordFailure(stageCtx, claim, err)
+	g.examineAbort(stageCtx, claim, err)
 	return h, err
 }
 
@@ -255,7 +257,7 @@
 	if lastID := g.stream.lastID; lastID != "" {
 		req.LastEventID = lastID
 	}
-	if err := g.checkPrompt(); err != nil {
+	if err := g.checkQuarantine(); err != nil {
 		return false, &attemptError{err: &backend.SendError{Err: err}, final: true}
 	}
 	if err := g.startSend(claim); err != nil {
@@ -292,11 +294,17 @@
 		if reply.EventStream {
 			g.stream.recordStart()
 		}
+		g.recordAnswer()
 		return true, nil
 	}
 	g.recordFailure(stageCtx, claim, err)
-	if reply != nil && g.stream.beginning() && crashed(stageCtx, err) {
-		g.dispatcher.opts.Quarantine.RecordCrash(claim.Endpoint.ID, g.call.ID, g.call.PromptParts)
+	if g.stream.beginning() {
+		g.examineAbort(stageCtx, claim, err)
+		if reply != nil && crashed(stageCtx, err) {
+			g.dispatcher.opts.Quarantine.RecordCrash(quarantine.Crash{
+				Endpoint: claim.Endpoint.ID, Call: g.call.ID, Parts: g.call.PromptParts, Ran: g.dispatcher.opts.Clock.Now().Sub(g.sentAt),
+			})
+		}
 	}
 	return backend.MayHaveRun(err), err
 }
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -68,8 +68,8 @@
 	switch {
 	case ctx.Err() != nil || unsent >= maxUnsentAttempts:
 		return false
-	case fault.Is(err, fault.Overloaded) || fault.Is(err, fault.Unavailable):
-		return false // no endpoint could be claimed
+	case fault.Is(err, fault.Overloaded) || fault.Is(err, fault.Unavailable) || fault.Is(err, fault.Quarantined):
+		return false // no endpoint could be claimed, or none should be
 	case err != nil && !backend.MayHaveArrived(err):
 		return true
 	case err != nil && backend.WasRejected(err):
@@ -81,6 +81,9 @@
 
 // attemptPlain claims an endpoint, sends the call and reads the response.
 func (f *inflightCall) attemptPlain(ctx context.Context) (*response, error) {
+	if err := f.checkQuarantine(); err != nil {
+		return nil, err
+	}
 	request := &schedule.Request{Service: f.call.Service.Name, Exclude: f.tried, NotRetryable: !f.call.Route.Retryable()}
 	claim, err := f.place(ctx, request, time.Duration(capacityWaitFraction*float64(f.call.Route.LatencyTarget)))
 	if err != nil {
@@ -140,6 +143,7 @@
 
 // startSend fails if nothing may be sent to the claimed endpoint now.
 func (f *inflightCall) startSend(claim *schedule.Claim) error {
+	f.sentAt = f.dispatcher.opts.Clock.Now()
 	if claim.StartSend() {
 		return nil
 	}
@@ -174,6 +178,9 @@
 	}
 	f.failureLog(err).Info("tried", zap.String("endpoint", claim.Endpoint.ID.Name), zap.Int("status", status),
 		zap.Bool("may_have_run", err == nil || backend.MayHaveRun(err)), zap.Duration("elapsed", f.elapsed()), zap.Error(err))
+	if err == nil {
+		f.recordAnswer()
+	}
 	switch {
 	case err == nil && status >= http.StatusInternalServerError:
 		claim.RecordOutcome(schedule.Errored)
@@ -189,6 +196,7 @@
 		// The error says nothing about the endpoint.
 	default:
 		claim.RecordOutcome(schedule.Failed)
+		f.examineAbort(ctx, claim, err)
 	}
 }
 
--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -6,6 +6,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/connpool"
+	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
 // PlainClient sends calls to plain services. It implements backend.Client; the operations on prompts
@@ -34,5 +35,10 @@
 	return backend.Handle{}, &backend.SendError{Err: errNoPrefill}
 }
 
+// Refuses implements backend.Client.
+func (p *PlainClient) Refuses(ctx context.Context, e traffic.Endpoint) bool {
+	return p.Pool.Refuses(ctx, connpool.Target{Address: e.Address, Instance: e.ID.Name})
+}
+
 // Free implements backend.Client.
 func (p *PlainClient) Free(context.Context, backend.Handle) error { return errNoPrefill }
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,7 +51,8 @@
 
 // Decision is the decision about a call.
 type Decision struct {
-	// Part is the quarantined part of the call's prompt, empty if there is none.
+	// Part is the quarantined part of the call's prompt, or the call's request key if that is quarantined, empty if
+	// there is none.
 	Part string
 	// Trial is set if the call may run nevertheless, to try whether the part still crashes engines.
 	Trial bool
@@ -61,7 +63,15 @@
 // Refused reports whether the call must not be sent to an engine.
 func (d Decision) Refused() bool { return d.Part != "" && !d.Trial }
 
-// Check decides whether a call with these prompt parts may be sent to an engine.
+// SuspectsRequests reports whether endpoints have crashed under any request that no endpoint has answered since. Only
+// then request keys need to be checked, and answers to be recorded.
+func (c *Controller) SuspectsRequests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.suspectsRequests()
+}
+
+// Check decides whether a call may be sent to an endpoint. parts are the parts of its prompt and its request key.
 func (c *Controller) Check(parts []string) Decision {
 	if len(parts) == 0 {
 		return Decision{}
@@ -81,20 +91,44 @@
 	return v
 }
 
-// RecordCrash records that an engine crashed while it began to answer a call with these prompt parts.
-func (c *Controller) RecordCrash(endpoint traffic.EndpointID, call string, parts []string) {
-	if len(parts) == 0 {
+// Crash is the crash of an endpoint under a call.
+type Crash struct {
+	Endpoint traffic.EndpointID
+	// Call is the id of the call.
+	Call string
+	// Parts are the parts of the call's prompt, or only its request key.
+	Parts []string
+	// Ran is the time between the send and the crash, Age the time since the crash.
+	Ran, Age time.Duration
+}
+
+// RecordCrash records that an endpoint crashed while it began to answer a call.
+func (c *Controller) RecordCrash(crash Crash) {
+	if len(crash.Parts) == 0 {
 		return
 	}
 	c.opts.Metrics.GetOrCreateCounter(`fulmartide_crashes_at_start_total`).Inc()
-	c.record(Record{ID: rand.Uint64(), Endpoint: endpoint, Call: call[:min(len(call), maxCallID)], Parts: parts})
+	c.record(Record{
+		ID: rand.Uint64(), Endpoint: crash.Endpoint, Call: crash.Call[:min(len(crash.Call), maxCallID)], Parts: crash.Parts,
+		Ran: crash.Ran, Age: crash.Age,
+	})
+}
+
+// RecordAnswer records that an endpoint answered a request, which clears it.
+func (c *Controller) RecordAnswer(request string) {
+	c.mu.Lock()
+	suspected := c.tracker.suspectedRequests[request]
+	c.mu.Unlock()
+	if suspected {
+		c.record(Record{ID: rand.Uint64(), Parts: []string{request}})
+	}
 }
 
 // maxCallID is the maximum size of the id of a call in a record, in bytes.
 const maxCallID = 64
 
-// RecordStart records that the engine of a call with these prompt parts began to answer. trial is the
-// quarantined part that the call was to try, empty if none.
+// RecordStart records that the engine of a call with these prompt parts began to answer. trial is what the call was
+// to try, empty if nothing.
 func (c *Controller) RecordStart(parts []string, trial string) {
 	if len(parts) == 0 {
 		return
@@ -103,7 +137,7 @@
 		c.tracker.recordStart(now, parts)
 		return State{Starts: c.tracker.startsToTell(now, parts)}
 	})
-	if trial != "" {
+	if slices.Contains(parts, trial) {
 		c.record(Record{ID: rand.Uint64(), Parts: []string{trial}})
 	}
 }
@@ -165,13 +199,17 @@
 }
 
 func (c *Controller) log(ch change, from string) {
+	what, metric := "prompt part", `fulmartide_prompt_parts_quarantined_total`
+	if traffic.IsRequestKey(ch.part) {
+		what, metric = "request", `fulmartide_requests_quarantined_total`
+	}
 	fields := []zap.Field{
 		zap.String("part", ch.part), zap.Int("crashes", ch.crashes), zap.Int("starts", ch.starts), zap.String("from", from),
 	}
 	if ch.released {
-		c.opts.Log.Info("prompt part released", fields...)
+		c.opts.Log.Info(what+" released", fields...)
 		return
 	}
-	c.opts.Metrics.GetOrCreateCounter(`fulmartide_prompt_parts_quarantined_total`).Inc()
-	c.opts.Log.Warn("prompt part quarantined", fields...)
+	c.opts.Metrics.GetOrCreateCounter(metric).Inc()
+	c.opts.Log.Warn(what+" quarantined", fields...)
 }
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -103,7 +103,7 @@
 					noticedAt = f.clock.now
 				}
 				sent++
-				f.vms[i].RecordCrash(traffic.EndpointID{Name: strconv.Itoa(sent)}, strconv.Itoa(sent), parts)
+				f.vms[i].RecordCrash(Crash{Endpoint: traffic.EndpointID{Name: strconv.Itoa(sent)}, Call: strconv.Itoa(sent), Parts: parts})
 			case "cut":
 				// The others keep what they know: the store, which does so if all VMs end, is not played.
 				if f.cut == [3]bool{} {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -11,8 +11,8 @@
 const (
 	// retention is how long records are kept.
 	retention = 30 * time.Minute
-	// maxRecords is the maximum number of records.
-	maxRecords = 64
+	// maxRecords is the maximum number of records. A crash leaves one for each call that the endpoint was running.
+	maxRecords = 256
 	// enoughStarts is the number of starts of a part above which further ones are not told to other VMs.
 	enoughStarts = 16
 	// trialTimeout is the time after which a trial without an outcome is repeated.
@@ -32,10 +32,12 @@
 	changes []change
 	// trials holds the time of the last trial by this VM of a quarantined part.
 	trials map[string]clock.Instant
+	// suspectedRequests holds the requests that have left a record of a crash and were not answered since.
+	suspectedRequests map[string]bool
 }
 
 func newTracker() *tracker {
-	return &tracker{quarantined: map[string]suspect{}, trials: map[string]clock.Instant{}}
+	return &tracker{quarantined: map[string]suspect{}, trials: map[string]clock.Instant{}, suspectedRequests: map[string]bool{}}
 }
 
 // change is a part that is quarantined now, or no more.
@@ -134,6 +136,9 @@
 	return quarantined
 }
 
+// suspectsRequests reports whether there are suspected requests.
+func (t *tracker) suspectsRequests() bool { return len(t.suspectedRequests) > 0 }
+
 func (t *tracker) knows(id uint64) bool {
 	return slices.ContainsFunc(t.records, func(r entry) bool { return r.ID == id })
 }
@@ -146,7 +151,14 @@
 	t.judgedAt = now
 	t.records = slices.DeleteFunc(t.records, func(r entry) bool { return now.Sub(r.at) >= retention })
 	before := t.quarantined
-	t.quarantined = judge(t.records, func(part string) int { return t.starts(now, part) })
+	uncleared := withoutCleared(t.records)
+	t.quarantined = judge(uncleared, func(part string) int { return t.starts(now, part) })
+	clear(t.suspectedRequests)
+	for _, r := range uncleared {
+		if r.isRequest() {
+			t.suspectedRequests[r.Parts[0]] = true
+		}
+	}
 	for part, s := range t.quarantined {
 		if _, known := before[part]; !known {
 			t.changes = append(t.changes, change{suspect: s})
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	// minCrashes is the number of crashes that a part must explain to be quarantined.
-	minCrashes = 2
+	// minPartCrashes is the number of crashes that a part of a prompt must explain to be quarantined,
+	// minRequestCrashes the number for a request. A request is more likely to meet crashes that it does not cause, as
+	// it is sent again to the endpoint that the cause of the first one takes next.
+	minPartCrashes    = 2
+	minRequestCrashes = 3
 	// crashGap is the minimum time between two crashes that count for a part. What ends several engines at the
 	// same moment is not the prompt.
 	crashGap = 250 * time.Millisecond
@@ -21,7 +24,9 @@
 type suspect struct {
 	part    string
 	crashes int
-	starts  int
+	// endpoints are those whose crashes count.
+	endpoints []traffic.EndpointID
+	starts    int
 	// position is the part's place in the prompt of the latest crash.
 	position int
 	// lastCounted is the time of the last crash that counts, lastCrash that of the last one.
@@ -30,13 +35,21 @@
 	failedTrials int
 }
 
-// judge returns the parts to quarantine, given the records sorted by time and the recent starts of each part.
+// minCrashes returns the number of crashes that a part or request must explain to be quarantined.
+func minCrashes(part string) int {
+	if traffic.IsRequestKey(part) {
+		return minRequestCrashes
+	}
+	return minPartCrashes
+}
+
+// judge returns the parts and requests to quarantine, given the records of crashes sorted by time and the recent starts
+// of each part.
 // It explains the crashes by as few parts as possible: the one that explains most of them comes first, and
 // what it explains does not count for the others.
 func judge(records []entry, starts func(part string) int) map[string]suspect {
 	out := map[string]suspect{}
 	explained := map[traffic.EndpointID]bool{}
-	records = withoutCleared(records)
 	for {
 		best, found := strongest(records, explained, starts)
 		if !found {
@@ -55,7 +68,7 @@
 func strongest(records []entry, explained map[traffic.EndpointID]bool, starts func(part string) int) (best suspect, found bool) {
 	for part, s := range collect(records, explained) {
 		s.starts = starts(part)
-		if s.crashes < minCrashes || s.crashes < s.starts {
+		if s.crashes < minCrashes(part) || s.crashes < s.starts {
 			continue
 		}
 		if !found || compare(s, best) > 0 {
@@ -81,12 +94,14 @@
 	out := map[string]suspect{}
 	calls := map[string]bool{}
 	for _, r := range records {
-		if explained[r.Endpoint] || calls[r.Call] {
+		if explained[r.Endpoint] || !r.isRequest() && calls[r.Call] {
 			continue
 		}
-		calls[r.Call] = true
+		if !r.isRequest() {
+			calls[r.Call] = true
+		}
 		for i, part := range r.Parts {
-			out[part] = out[part].withCrash(part, i, r.at)
+			out[part] = out[part].withCrash(part, i, r)
 		}
 	}
 	return out
@@ -111,26 +126,41 @@
 }
 
 // withCrash returns the suspect with one more record of a crash.
-func (s suspect) withCrash(part string, position int, at clock.Instant) suspect {
-	if s.crashes == 0 || at.Sub(s.lastCounted) >= crashGap {
+func (s suspect) withCrash(part string, position int, r entry) suspect {
+	if s.crashes == 0 || r.countsAfter(s.lastCounted) && !slices.Contains(s.endpoints, r.Endpoint) {
 		s.crashes++
-		s.lastCounted = at
+		s.endpoints = append(s.endpoints, r.Endpoint)
+		s.lastCounted = r.at
 	}
-	if s.crashes > minCrashes && at.Sub(s.lastCrash) >= firstTrialDelay/2 {
+	if s.crashes > minCrashes(part) && r.at.Sub(s.lastCrash) >= firstTrialDelay/2 {
 		s.failedTrials++
 	}
-	s.part, s.position, s.lastCrash = part, position, at
+	s.part, s.position, s.lastCrash = part, position, r.at
 	return s
 }
 
+// countsAfter reports whether the crash counts besides an earlier one. A request must have been sent after that one;
+// calls with the same part of a prompt may run at once, and need a time between their crashes.
+func (r *entry) countsAfter(earlier clock.Instant) bool {
+	if r.isRequest() {
+		return r.at.Add(-r.Ran) >= earlier
+	}
+	return r.at.Sub(earlier) >= crashGap
+}
+
 const (
 	// firstTrialDelay is the time from the last crash to the first trial of a quarantined part. Each failed
 	// trial doubles it, up to maxTrialDelay.
 	firstTrialDelay = time.Minute
 	maxTrialDelay   = 15 * time.Minute
+	// maxRequestTrials is the number of failed trials after which a request is not tried before its records expire.
+	maxRequestTrials = 3
 )
 
 // trialAt returns when one call with the part may be tried.
 func (s suspect) trialAt() clock.Instant {
+	if traffic.IsRequestKey(s.part) && s.failedTrials >= maxRequestTrials {
+		return s.lastCrash.Add(retention)
+	}
 	return s.lastCrash.Add(min(maxTrialDelay, firstTrialDelay<<min(s.failedTrials, 8)))
 }
--- a/internal/quarantine/verdict_test.go
+++ b/internal/quarantine/verdict_test.go
@@ -62,7 +62,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var got []string
-			for part := range judge(tc.records, func(part string) int { return tc.starts[part] }) {
+			for part := range judge(withoutCleared(tc.records), func(part string) int { return tc.starts[part] }) {
 				got = append(got, part)
 			}
 			slices.Sort(got)
@@ -141,7 +141,7 @@
 	tr := newTracker()
 	for i := range 4 * maxRecords {
 		part := "harmless" + strconv.Itoa(i)
-		if i < minCrashes {
+		if i < minPartCrashes {
 			part = "p"
 		}
 		now := clock.Instant(i+1) * clock.Instant(time.Second)
--- a/internal/statesync/quarantine_test.go
+++ b/internal/statesync/quarantine_test.go
@@ -43,7 +43,7 @@
 		members[i].Address = ln.Addr().(*net.TCPAddr).AddrPort()
 		quarantines[i] = &mergedQuarantine{Controller: newQuarantine(), merged: make(chan string, 64)}
 	}
-	quarantines[0].RecordCrash(traffic.EndpointID{Name: "e1"}, "call", []string{"p"})
+	quarantines[0].RecordCrash(quarantine.Crash{Endpoint: traffic.EndpointID{Name: "e1"}, Call: "call", Parts: []string{"p"}})
 	for i := range nodes {
 		nodes[i] = startNodeWith(t, members[i], listeners[i], members[:i], quarantines[i])
 	}
