dispatch: the search for the end of an event is linear

Each read searched the whole unfinished event again: one event of 256 KiB of short lines in pieces of 96 bytes took 875 ms of a core, so one stream could hold a VM for a minute.

--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -51,26 +51,26 @@
 // forward reads a response to its end and delivers each event as it arrives. The header is sent with the
 // first event, so until then another endpoint can still run the call.
 func (s *eventStream) forward(reply *backend.Response, stall *stallTimer) error {
-	var pending []byte
-	defer func() { s.trailing = len(pending) }()
+	var received eventBuffer
+	defer func() { s.trailing = len(received.rest()) }()
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := reply.Body.Read(buf)
 		if n > 0 {
 			stall.reset()
-			pending = append(pending, buf[:n]...)
-			if complete := completeEvents(pending); complete > 0 {
-				if writeErr := s.write(reply, pending[:complete]); writeErr != nil {
+			unfinished := received.write(buf[:n])
+			if events := received.events(); len(events) > 0 {
+				if writeErr := s.write(reply, events); writeErr != nil {
 					return writeErr
 				}
-				pending = append(pending[:0], pending[complete:]...)
+				received.discardEvents()
 			}
-			if len(pending) > maxEventBytes {
+			if unfinished > maxEventBytes {
 				return &backend.SendError{Sent: true, Err: errEventTooLarge}
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return s.finish(reply, pending)
+			return s.finish(reply, received.rest())
 		}
 		if err != nil {
 			return &backend.SendError{Sent: true, Err: err}
@@ -78,17 +78,6 @@
 	}
 }
 
-// completeEvents returns the length of the part of p that consists of complete events. An empty line ends an
-// event; lines end with a line feed, or with a carriage return and a line feed.
-func completeEvents(p []byte) int {
-	for end := bytes.LastIndexByte(p, '\n'); end > 0; end = bytes.LastIndexByte(p[:end], '\n') {
-		if line := bytes.TrimSuffix(p[:end], []byte("\r")); bytes.HasSuffix(line, []byte("\n")) {
-			return end + 1
-		}
-	}
-	return 0
-}
-
 // finish handles the end of a response, which rest precedes since the last event.
 func (s *eventStream) finish(reply *backend.Response, rest []byte) error {
 	if reply.EventStream && len(bytes.Trim(rest, "\r\n")) > 0 {
@@ -134,12 +123,15 @@
 	f.dispatcher.opts.Quarantine.RecordStart(f.call.PromptParts, f.trialPart)
 }
 
-// record counts events and stores the last event ID.
+// record counts events and stores the last event ID. Empty lines before an event are not counted.
 func (s *eventStream) record(p []byte) {
+	inEvent := false
 	for line := range bytes.Lines(p) {
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		empty := len(bytes.TrimRight(line, "\r\n")) == 0
+		if empty && inEvent {
 			s.events++
 		}
+		inEvent = !empty
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			s.lastID = string(bytes.TrimSpace(id))
 		}
