dispatch: bodies of requests and responses share a quarter of the VM's memory

Requests were not bounded together either. Package bodybuffer: a body takes from one budget as it grows. A response over 256 KiB, or one that finds no memory, goes to the caller as it arrives, so large answers are served (they failed above 8 MiB) and cost no memory; it is not sent again once it has begun, and is aborted if it is truncated. The timeout of an attempt ends when its response begins to go out. The relay's own responses stay bounded at 8 MiB each, without the budget. The fake backend counts under its lock now, as calls run at once.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -42,6 +42,8 @@
 	Status int
 	Header map[string][]string
 	Body   io.ReadCloser
+	// Length is the length of the body, -1 if unknown.
+	Length int64
 	// Delimited is set if the endpoint marks the end of the body. Otherwise the body ends with the
 	// connection, and a truncated one may look complete.
 	Delimited bool
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/backend"
+	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/quarantine"
@@ -43,8 +44,10 @@
 	Admission     *admission.Controller
 	// Quarantine keeps calls that crash endpoints from them. If nil, the Dispatcher creates one of its own.
 	Quarantine *quarantine.Controller
-	Log        *zap.Logger
-	Metrics    *metrics.Set
+	// Bodies is the memory for response bodies. If nil, the Dispatcher creates one of its own.
+	Bodies  *bodybuffer.Budget
+	Log     *zap.Logger
+	Metrics *metrics.Set
 	// Seed seeds the random choice between the services of a route.
 	Seed uint64
 }
@@ -64,11 +67,17 @@
 // handles are not freed and expire at their endpoints.
 const maxQueuedFrees = 256
 
+// defaultBodyMemory is the memory for response bodies of a Dispatcher with its own budget, in bytes.
+const defaultBodyMemory = 32 << 20
+
 // New returns a Dispatcher. Its Run method must be running while it serves calls.
 func New(o Options) *Dispatcher {
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.NewController(quarantine.Options{Clock: o.Clock, Log: o.Log, Metrics: o.Metrics})
 	}
+	if o.Bodies == nil {
+		o.Bodies = bodybuffer.NewBudget(defaultBodyMemory, o.Metrics)
+	}
 	return &Dispatcher{
 		opts: o, freeQueue: make(chan backend.Handle, maxQueuedFrees), aborted: make(chan abortedSend, maxAbortedSends),
 		random: rand.New(rand.NewPCG(o.Seed, 1)),
@@ -328,6 +337,8 @@
 		// Reported as unknown even if no endpoint has received the call.
 		return fault.Wrap(err, fault.Timeout, "allow more time", "no response before the timeout",
 			fault.WithExecution(fault.ExecutionUnknown))
+	case fault.Is(err, fault.Cancelled):
+		return err
 	case ctx.Err() != nil:
 		return fault.Wrap(err, fault.Cancelled, "keep the connection open", "the caller cancelled the call", fault.WithExecution(execution))
 	case f.mayHaveRun:
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -39,14 +39,15 @@
 	sends    []sentRequest
 	run      func(n int, ctx context.Context, req backend.Request) (*backend.Response, error)
 	prefill  func(n int, req backend.Request) error
-	runs     int
 	prefills int
 }
 
-func (f *fakeBackend) record(s sentRequest) {
+// record records a send and returns how many of its method there were.
+func (f *fakeBackend) record(s sentRequest) int {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.sends = append(f.sends, s)
+	f.mu.Unlock()
+	return f.count(s.method)
 }
 
 func (f *fakeBackend) Run(ctx context.Context, req backend.Request) (*backend.Response, error) {
@@ -54,12 +55,11 @@
 	if req.Source != nil {
 		s.source = req.Source.Name
 	}
-	f.record(s)
-	f.runs++
+	n := f.record(s)
 	if f.run == nil {
 		return reply(http.StatusOK, events(1, 3)), nil
 	}
-	return f.run(f.runs, ctx, req)
+	return f.run(n, ctx, req)
 }
 
 func (f *fakeBackend) Prefill(_ context.Context, req backend.Request) (backend.Handle, error) {
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -188,7 +188,7 @@
 // call's timeout caused.
 func (g *generation) recordFailure(ctx context.Context, claim *schedule.Claim, err error) {
 	switch {
-	case callerCancelled(ctx) || errors.Is(context.Cause(ctx), errCallTimeout):
+	case callerGone(ctx, err) || errors.Is(context.Cause(ctx), errCallTimeout):
 		return
 	case backend.WasRejected(err):
 		claim.RecordRefusal()
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -5,18 +5,21 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/backend"
+	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 )
 
 const (
-	// maxResponseBytes is the maximum size of a response body, which is buffered before delivery.
-	maxResponseBytes = 8 << 20
+	// maxBufferedResponse is the size up to which the body of a response is buffered before delivery, so that a truncated
+	// one can be replaced by another attempt, or by an error that says so.
+	maxBufferedResponse = 256 << 10
 	// maxUnsentAttempts is the number of attempts without a connection to the endpoint after which
 	// the call fails.
 	maxUnsentAttempts = 4
@@ -30,33 +33,46 @@
 	capacityWaitFraction = 0.5
 )
 
-// response is an endpoint's response with its complete body.
+// response is an endpoint's response with as much of its body as is buffered.
 type response struct {
 	reply *backend.Response
-	body  []byte
+	// buffered is nil if the endpoint rejected the call.
+	buffered *bodybuffer.Body
+	// complete is set if the whole body is buffered.
+	complete bool
+	// delivered is set once the response has been sent to the caller.
+	delivered bool
 }
 
-// servePlain serves a call whose response is delivered once it is complete.
+// succeeded reports whether the endpoint did not respond with a server error.
+func (r *response) succeeded() bool { return r.reply.Status < http.StatusInternalServerError }
+
+// servePlain serves a call whose response is not a series of events.
 func (f *inflightCall) servePlain(ctx context.Context) error {
 	var errorResponse *response // the last response with a server error, if any
 	unsent := 0
 	for {
 		resp, err := f.attemptPlain(ctx)
-		if err == nil && (resp.reply.Status < http.StatusInternalServerError || !f.call.Route.Retryable()) {
-			return f.deliver(ctx, resp)
+		if resp != nil {
+			defer resp.buffered.Release()
 		}
-		if err == nil {
+		switch {
+		case err == nil && resp.delivered:
+			return nil
+		case err == nil && (resp.succeeded() || !f.call.Route.Retryable()):
+			return f.deliver(resp)
+		case err == nil:
 			errorResponse = resp
-		}
-		if err != nil && !backend.MayHaveArrived(err) {
+		case !backend.MayHaveArrived(err):
 			unsent++
 		}
-		if !f.shouldRetryPlain(ctx, err, unsent) {
-			if errorResponse != nil {
-				return f.deliver(ctx, errorResponse)
-			}
-			return f.callerError(ctx, err)
+		if f.shouldRetryPlain(ctx, err, unsent) {
+			continue
 		}
+		if errorResponse != nil && !f.responseStarted {
+			return f.deliver(errorResponse)
+		}
+		return f.callerError(ctx, err)
 	}
 }
 
@@ -66,7 +82,7 @@
 func (f *inflightCall) shouldRetryPlain(ctx context.Context, err error, unsent int) bool {
 	r := f.call.Route
 	switch {
-	case ctx.Err() != nil || unsent >= maxUnsentAttempts:
+	case ctx.Err() != nil || f.responseStarted || unsent >= maxUnsentAttempts:
 		return false
 	case fault.Is(err, fault.Overloaded) || fault.Is(err, fault.Unavailable) || fault.Is(err, fault.Quarantined):
 		return false // no endpoint could be claimed, or none should be
@@ -79,7 +95,8 @@
 	}
 }
 
-// attemptPlain claims an endpoint, sends the call and reads the response.
+// attemptPlain claims an endpoint, sends the call and reads the response. A response that is not buffered completely is
+// delivered at once.
 func (f *inflightCall) attemptPlain(ctx context.Context) (*response, error) {
 	if err := f.checkQuarantine(); err != nil {
 		return nil, err
@@ -94,16 +111,36 @@
 	if err := f.startSend(claim); err != nil {
 		return nil, err
 	}
-	if timeout, ok := f.attemptTimeout(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeoutCause(ctx, timeout, errEndpointTimeout)
-		defer cancel()
-	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stopTimeout := f.startAttemptTimeout(cancel)
+	defer stopTimeout()
 	resp, err := f.send(ctx, claim)
+	if resp != nil {
+		defer func() { _ = resp.reply.Body.Close() }()
+	}
+	if err == nil && !resp.complete {
+		if stopTimeout() {
+			err = f.deliverAsItArrives(resp)
+		} else {
+			err = &backend.SendError{Sent: true, Err: errEndpointTimeout}
+		}
+	}
 	f.recordOutcome(ctx, claim, resp, err)
 	return resp, err
 }
 
+// startAttemptTimeout starts the timeout of an attempt that another one may follow. The returned function stops it, and
+// reports whether it has not expired.
+func (f *inflightCall) startAttemptTimeout(cancel context.CancelCauseFunc) (stop func() bool) {
+	timeout, ok := f.attemptTimeout()
+	if !ok {
+		return func() bool { return true }
+	}
+	t := time.AfterFunc(timeout, func() { cancel(errEndpointTimeout) })
+	return sync.OnceValue(t.Stop)
+}
+
 // errEndpointTimeout is the cancellation cause when an endpoint does not respond within the timeout
 // of a request, or when its stream stalls.
 var errEndpointTimeout = errors.New("the endpoint gave no answer in the time of one try")
@@ -116,29 +153,38 @@
 	return timeout, r.Retryable() && f.runs+1 < r.MaxAttempts && timeout < f.remaining()
 }
 
-// send sends the call to the claimed endpoint and reads the complete response.
+// send sends the call to the claimed endpoint and reads the response, as far as it may be buffered. The caller must
+// close the body of the reply.
 func (f *inflightCall) send(ctx context.Context, claim *schedule.Claim) (*response, error) {
 	reply, err := f.dispatcher.opts.Backend.Run(ctx, f.newRequest(claim.Endpoint))
 	if err != nil {
 		f.countSend(err)
 		return nil, err
 	}
-	defer func() { _ = reply.Body.Close() }()
 	claim.RecordLoad(reply.Load)
+	resp := &response{reply: reply}
 	if reply.Rejected {
 		err = &backend.SendError{Sent: true, Rejected: true, Err: errRejected}
 		f.countSend(err)
-		return nil, err
+		return resp, err
 	}
 	f.countSend(nil)
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
-	}
-	if err != nil {
-		return nil, &backend.SendError{Sent: true, Err: err}
+	return resp, f.buffer(resp)
+}
+
+// buffer reads the body of a response, as far as it may be buffered.
+func (f *inflightCall) buffer(resp *response) error {
+	resp.buffered = f.dispatcher.opts.Bodies.NewBody()
+	err := resp.buffered.Read(resp.reply.Body, maxBufferedResponse)
+	switch {
+	case err == nil:
+		resp.complete = true
+	case errors.Is(err, bodybuffer.ErrTooLong) || errors.Is(err, bodybuffer.ErrBudgetUsedUp):
+		f.log.Info("response not buffered", zap.Int("bytes", len(resp.buffered.Bytes())), zap.Error(err))
+	default:
+		return &backend.SendError{Sent: true, Err: err}
 	}
-	return &response{reply: reply, body: body}, nil
+	return nil
 }
 
 // startSend fails if nothing may be sent to the claimed endpoint now.
@@ -154,10 +200,7 @@
 // errHeldBack means that a request was not sent because of what the endpoint had said in the meantime.
 var errHeldBack = errors.New("the endpoint asked for a pause, or its rate limit leaves this VM no request now")
 
-var (
-	errRejected         = errors.New("the endpoint rejected the call")
-	errResponseTooLarge = errors.New("the endpoint's response is too large")
-)
+var errRejected = errors.New("the endpoint rejected the call")
 
 // countSend updates the counters of sends and runs; err is nil if the endpoint accepted the call.
 func (f *inflightCall) countSend(err error) {
@@ -173,7 +216,7 @@
 // recordOutcome logs the outcome of an attempt and reports it to the scheduler.
 func (f *inflightCall) recordOutcome(ctx context.Context, claim *schedule.Claim, resp *response, err error) {
 	status := 0
-	if resp != nil {
+	if resp != nil && err == nil {
 		status = resp.reply.Status
 	}
 	f.failureLog(err).Info("tried", zap.String("endpoint", claim.Endpoint.ID.Name), zap.Int("status", status),
@@ -192,7 +235,7 @@
 		if ctx.Err() == nil {
 			claim.RecordOutcome(schedule.Dead)
 		}
-	case callerCancelled(ctx):
+	case callerGone(ctx, err):
 		// The error says nothing about the endpoint.
 	default:
 		claim.RecordOutcome(schedule.Failed)
@@ -200,20 +243,54 @@
 	}
 }
 
-// callerCancelled reports whether ctx ended because the caller cancelled the call.
-func callerCancelled(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), context.Canceled)
+// callerGone reports whether a send failed because the caller cancelled the call, or because writing to the caller
+// failed.
+func callerGone(ctx context.Context, err error) bool {
+	return errors.Is(context.Cause(ctx), context.Canceled) || fault.Is(err, fault.Cancelled)
+}
+
+// deliver sends a completely buffered response to the caller.
+func (f *inflightCall) deliver(resp *response) error {
+	body := resp.buffered.Bytes()
+	return f.startResponse(resp.reply, int64(len(body)), body)
 }
 
-// deliver sends a complete response to the caller.
-func (f *inflightCall) deliver(ctx context.Context, resp *response) error {
+// deliverAsItArrives sends to the caller what is buffered of a response, then the rest as it arrives.
+func (f *inflightCall) deliverAsItArrives(resp *response) error {
+	resp.delivered = true
+	if err := f.startResponse(resp.reply, resp.reply.Length, resp.buffered.Bytes()); err != nil {
+		return err
+	}
+	resp.buffered.Release()
+	buf := make([]byte, readBufferBytes)
+	for {
+		n, err := resp.reply.Body.Read(buf)
+		if n > 0 {
+			if writeErr := f.writeToCaller(buf[:n]); writeErr != nil {
+				return writeErr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return &backend.SendError{Sent: true, Err: err}
+		}
+	}
+}
+
+// startResponse sends the header of a response and the beginning of its body to the caller.
+func (f *inflightCall) startResponse(reply *backend.Response, length int64, beginning []byte) error {
 	f.responseStarted = true
-	err := f.sink.WriteHeader(resp.reply.Status, resp.reply.Header, int64(len(resp.body)))
-	if err == nil {
-		err = f.sink.WriteData(resp.body)
+	if err := f.sink.WriteHeader(reply.Status, reply.Header, length); err != nil {
+		return callerWriteError(err)
 	}
-	if err != nil {
-		return fault.Wrap(err, fault.Cancelled, "keep the connection open", "write to the caller", fault.WithExecution(fault.Executed))
+	return f.writeToCaller(beginning)
+}
+
+func (f *inflightCall) writeToCaller(p []byte) error {
+	if err := f.sink.WriteData(p); err != nil {
+		return callerWriteError(err)
 	}
 	return nil
 }
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -49,7 +49,7 @@
 // crashed reports whether an endpoint aborted a response, as one does that crashes. It does not if this side ended
 // the request, the endpoint failed it with a status, or nothing came in time.
 func crashed(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || !backend.MayHaveRun(err) {
+	if ctx.Err() != nil || callerGone(ctx, err) || !backend.MayHaveRun(err) {
 		return false
 	}
 	for _, aborted := range []error{io.ErrUnexpectedEOF, io.EOF, syscall.ECONNRESET, syscall.EPIPE, errStreamTruncated, errStreamEmpty} {
--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -25,7 +25,7 @@
 		var connErr *connpool.Error
 		return nil, &backend.SendError{Sent: !errors.As(err, &connErr) || connErr.Sent, Err: err}
 	}
-	return &backend.Response{Status: resp.Status, Header: resp.Header, Body: resp, Delimited: resp.Delimited}, nil
+	return &backend.Response{Status: resp.Status, Header: resp.Header, Body: resp, Length: resp.Length, Delimited: resp.Delimited}, nil
 }
 
 var errNoPrefill = errors.New("plain services do not support prefill")
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -26,8 +26,13 @@
 	status int
 	header http.Header
 	body   []byte
+	// tooLarge is set if the body exceeds maxServiceResponse.
+	tooLarge bool
 }
 
+// maxServiceResponse is the maximum size of the body of a plain service's response, in bytes.
+const maxServiceResponse = 8 << 20
+
 // servePlain serves a call to a plain service, an HTTP service that is not an inference engine.
 func (s *Server) servePlain(ctx context.Context, c *call) error {
 	routeName, route, err := findRoute(&c.snapshot.Document, c.r.Method, c.r.URL.Path)
--- a/internal/relay/services.go
+++ b/internal/relay/services.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -17,6 +18,7 @@
 	"github.com/fulmartide/fulmartide/internal/connpool"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
 	"github.com/fulmartide/fulmartide/internal/endpoint"
+	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -126,6 +128,9 @@
 			MaxAttempts: maxServiceAttempts,
 		},
 	}, resp)
+	if resp.tooLarge {
+		err = fault.New(fault.OutcomeUnknown, "request less at once", "the service's response is too large", fault.WithExecution(fault.Executed))
+	}
 	if err != nil {
 		c.trace("recovery", "given up", zap.Error(err))
 		return nil, err
@@ -140,8 +145,14 @@
 	return nil
 }
 
+var errServiceResponseTooLarge = errors.New("the service's response is too large")
+
 // WriteData implements dispatch.Sink.
 func (r *serviceResponse) WriteData(p []byte) error {
+	if len(r.body)+len(p) > maxServiceResponse {
+		r.tooLarge = true
+		return errServiceResponseTooLarge
+	}
 	r.body = append(r.body, p...)
 	return nil
 }
--- a/internal/vmserver/platform.go
+++ b/internal/vmserver/platform.go
@@ -7,6 +7,7 @@
 	"github.com/fulmartide/fulmartide/internal/activeconfig"
 	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/backend"
+	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
 	"github.com/fulmartide/fulmartide/internal/quarantine"
 	"github.com/fulmartide/fulmartide/internal/rebalance"
@@ -32,8 +33,8 @@
 	SweepIdleConnections func(ctx context.Context)
 	// Decode parses a configuration as operators write it.
 	Decode func([]byte) (*traffic.Configuration, error)
-	// NewHandler returns the handler of callers' HTTP requests.
-	NewHandler func(d *dispatch.Dispatcher, configuration func() *traffic.Configuration) CallerHandler
+	// NewHandler returns the handler of callers' HTTP requests, whose bodies take from the budget bodies.
+	NewHandler func(d *dispatch.Dispatcher, configuration func() *traffic.Configuration, bodies *bodybuffer.Budget) CallerHandler
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
 	// Reload reads the settings again and returns those that take effect without a restart.
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -12,6 +12,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/activeconfig"
 	"github.com/fulmartide/fulmartide/internal/admission"
+	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
 	"github.com/fulmartide/fulmartide/internal/ident"
@@ -54,6 +55,8 @@
 	// memoryFraction is the fraction of the memory limit above which the garbage collector runs
 	// more often.
 	memoryFraction = 0.6
+	// bodyMemoryFraction is the part of the memory limit that request and response bodies may take, as its inverse.
+	bodyMemoryFraction = 4
 	// gcPercent is the growth of the heap between two collections, in percent. The live heap is a few
 	// MiB, so that the default would collect every second on an idle VM.
 	gcPercent = 300
@@ -107,11 +110,12 @@
 		Self: self, Clock: p.clock, Transport: p.transport, Registry: platform.Registry,
 		Work: p.scheduler, Plans: p.admission, Documents: p.State, Quarantine: p.quarantine, Log: log.Named("exchange"),
 	})
+	bodies := bodybuffer.NewBudget(s.MemoryBytes/bodyMemoryFraction, set)
 	p.dispatch = dispatch.New(dispatch.Options{
 		Clock: p.clock, Configuration: p.State.Configuration, Scheduler: p.scheduler, Backend: platform.Backend, Admission: p.admission,
-		Quarantine: p.quarantine, Log: log.Named("dispatch"), Metrics: set, Seed: uint64(incarnation),
+		Quarantine: p.quarantine, Bodies: bodies, Log: log.Named("dispatch"), Metrics: set, Seed: uint64(incarnation),
 	})
-	p.Handler = platform.NewHandler(p.dispatch, p.State.Configuration)
+	p.Handler = platform.NewHandler(p.dispatch, p.State.Configuration, bodies)
 	p.buildBackgroundTasks()
 	return p
 }
--- a/internal/vmserver/vmserver_test.go
+++ b/internal/vmserver/vmserver_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/admission"
+	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
 	"github.com/fulmartide/fulmartide/internal/fault"
@@ -35,7 +36,7 @@
 		Decode: func([]byte) (*traffic.Configuration, error) {
 			return traffic.NewConfiguration(1, nil, nil, nil, traffic.Limits{}), nil
 		},
-		NewHandler: func(*dispatch.Dispatcher, func() *traffic.Configuration) CallerHandler {
+		NewHandler: func(*dispatch.Dispatcher, func() *traffic.Configuration, *bodybuffer.Budget) CallerHandler {
 			return fakeHandler{http.NotFoundHandler()}
 		},
 		Reload: reload,
