--- a/test/faultproxy/proxy.go
+++ b/test/faultproxy/proxy.go
@@ -38,12 +38,13 @@
 
 // Proxy forwards the connections of one listener to one target.
 type Proxy struct {
-	listener net.Listener
-	ctx      context.Context
-	stop     context.CancelFunc
-	done     sync.WaitGroup
+	addr netip.AddrPort
+	ctx  context.Context
+	stop context.CancelFunc
+	done sync.WaitGroup
 
 	mu          sync.Mutex
+	listener    net.Listener
 	target      netip.AddrPort
 	mode        Mode
 	delay       time.Duration
@@ -66,16 +67,44 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Proxy{
-		listener: ln, ctx: ctx, stop: stop, target: target,
+		addr: ln.Addr().(*net.TCPAddr).AddrPort(), listener: ln, ctx: ctx, stop: stop, target: target,
 		modeChanged: make(chan struct{}), links: make(map[*link]struct{}),
 	}
-	p.done.Add(1)
-	go p.accept()
+	p.done.Go(func() { p.accept(ln) })
 	return p, nil
 }
 
 // Addr returns the proxy's address.
-func (p *Proxy) Addr() netip.AddrPort { return p.listener.Addr().(*net.TCPAddr).AddrPort() }
+func (p *Proxy) Addr() netip.AddrPort { return p.addr }
+
+// Shut closes the listener and the existing connections, as the end of a process does. New connections are refused
+// until Reopen.
+func (p *Proxy) Shut() {
+	p.closeListener()
+	p.CloseConnections()
+}
+
+func (p *Proxy) closeListener() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener.Close()
+}
+
+// Reopen listens on the same address again.
+func (p *Proxy) Reopen() error {
+	ln, err := net.Listen("tcp", p.addr.String())
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener = ln
+	p.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return ln.Close()
+	}
+	p.done.Go(func() { p.accept(ln) })
+	return nil
+}
 
 // SetMode changes the mode of all connections.
 func (p *Proxy) SetMode(m Mode) {
@@ -132,15 +161,14 @@
 // Close stops the proxy and closes all its connections.
 func (p *Proxy) Close() {
 	p.stop()
-	p.listener.Close()
+	p.closeListener()
 	p.CloseConnections()
 	p.done.Wait()
 }
 
-func (p *Proxy) accept() {
-	defer p.done.Done()
+func (p *Proxy) accept(ln net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := ln.Accept()
 		if err != nil {
 			return
 		}
