relay: services that abort requests are examined as well

The product's own path to services queued aborted sends but nobody took them, so that each after the 256th left a warning. Its quarantine is of one VM, which may try quarantined requests itself. Tests of relay and dispatch pass.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -73,7 +73,9 @@
 // New returns a Dispatcher. Its Run method must be running while it serves calls.
 func New(o Options) *Dispatcher {
 	if o.Quarantine == nil {
-		o.Quarantine = quarantine.NewController(quarantine.Options{Clock: o.Clock, Log: o.Log, Metrics: o.Metrics})
+		o.Quarantine = quarantine.NewController(quarantine.Options{
+			Clock: o.Clock, Log: o.Log, Metrics: o.Metrics, MayTry: func() bool { return true },
+		})
 	}
 	if o.Bodies == nil {
 		o.Bodies = bodybuffer.NewBudget(defaultBodyMemory, o.Metrics)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -57,11 +57,12 @@
 	return s
 }
 
-// Run sends the cancellations of ended requests to engines and closes idle connections to
-// services, until ctx ends.
+// Run sends the cancellations of ended requests to engines, closes idle connections to services and examines
+// services that abort requests, until ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
 	tasks.Go(func() { s.services.closeExpiredConns(ctx) })
+	tasks.Go(func() { s.services.dispatcher.Run(ctx) })
 	s.canceller.run(ctx)
 	tasks.Wait()
 }
