codec: documents from other VMs and the store may claim any length

FuzzMessages ended with 'out of memory': six bytes that claim a list of 3.7 billion entries made msgpack.Unmarshal ask for 327 GB, which ends the process. Messages of peers were read through a check of the whole input; the endpoint table and the tables and pages of the product's store were not, so a damaged document could end each VM that receives it.

--- a/internal/activeconfig/transfer.go
+++ b/internal/activeconfig/transfer.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -84,7 +85,7 @@
 		return s.ApplyConfiguration(raw, era, from)
 	}
 	var e traffic.Endpoints
-	if err := msgpack.Unmarshal(raw, &e); err != nil {
+	if err := codec.Unmarshal(raw, &e); err != nil {
 		return fault.Wrap(err, fault.Malformed, "run the same release on all VMs", "decode the endpoint table")
 	}
 	s.ApplyEndpoints(e, s.opts.Clock.Now().Add(-age), from)
--- a/internal/ledger/page.go
+++ b/internal/ledger/page.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
@@ -92,7 +93,7 @@
 
 func decodePage(raw []byte) (int64, map[keyHash]record, error) {
 	var p storedPage
-	if err := msgpack.Unmarshal(raw, &p); err != nil {
+	if err := codec.Unmarshal(raw, &p); err != nil {
 		return 0, nil, corruptPage(err.Error())
 	}
 	if p.Format != pageFormat {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
 )
@@ -90,7 +91,7 @@
 
 func decodeFrame(body []byte) (*frame, error) {
 	var f frame
-	if err := unmarshal(body, &f); err != nil {
+	if err := codec.Unmarshal(body, &f); err != nil {
 		return nil, fmt.Errorf("decode frame: %w", err)
 	}
 	return &f, nil
@@ -108,19 +109,3 @@
 	}
 	return buf.Bytes(), nil
 }
-
-// unmarshal decodes body into v. It first skips through the whole body, because the codec
-// allocates memory for whatever length a list claims and a short message could otherwise
-// request gigabytes.
-func unmarshal(body []byte, v any) error {
-	dec := msgpack.GetDecoder()
-	defer msgpack.PutDecoder(dec)
-	r := bytes.NewReader(body)
-	dec.Reset(r)
-	if err := dec.Skip(); err != nil {
-		return fmt.Errorf("message is truncated or malformed: %w", err)
-	}
-	r.Reset(body)
-	dec.Reset(r)
-	return dec.Decode(v)
-}
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -10,20 +10,6 @@
 	"github.com/fulmartide/fulmartide/internal/ident"
 )
 
-type item struct{ A, B, C, D int64 }
-
-// TestUnmarshalDoesNotAllocateForClaimedLength decodes five bytes that claim four billion items.
-func TestUnmarshalDoesNotAllocateForClaimedLength(t *testing.T) {
-	hostile := []byte{0xdd, 0xff, 0xff, 0xff, 0xff}
-	var items []item
-	if err := unmarshal(hostile, &items); err == nil {
-		t.Error("message with a false length was accepted")
-	}
-	if cap(items) > 1024 {
-		t.Errorf("allocated %d items", cap(items))
-	}
-}
-
 func FuzzFrame(f *testing.F) {
 	body, err := msgpack.Marshal(&frame{Type: frameCall, Kind: KindPlace, ID: 7, From: &ident.VM{Name: "vm"}, Body: msgpack.RawMessage{nilByte}})
 	if err != nil {
--- a/internal/peer/shared.go
+++ b/internal/peer/shared.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/ident"
 )
 
@@ -41,7 +42,7 @@
 	c.remote = *f.From
 	c.mu.Unlock()
 	var h hello
-	if err := unmarshal(f.Body, &h); err != nil {
+	if err := codec.Unmarshal(f.Body, &h); err != nil {
 		c.t.opts.Log.Warn("first frame of a peer connection not decoded; the connection is not shared", zap.Stringer("vm", *f.From), zap.Error(err))
 		return
 	}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -19,6 +19,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
 )
@@ -283,7 +284,7 @@
 		return nil, err
 	}
 	var resp Resp
-	if err := unmarshal(out, &resp); err != nil {
+	if err := codec.Unmarshal(out, &resp); err != nil {
 		return nil, fault.Wrap(err, fault.Malformed, "run the same release on all VMs", "decode reply")
 	}
 	return &resp, nil
@@ -340,7 +341,7 @@
 func Handle[Req, Resp any](t *Transport, kind Kind, h func(ctx context.Context, from ident.VM, req *Req) (*Resp, error)) {
 	t.Handle(kind, func(ctx context.Context, from ident.VM, body []byte) ([]byte, error) {
 		var req Req
-		if err := unmarshal(body, &req); err != nil {
+		if err := codec.Unmarshal(body, &req); err != nil {
 			return nil, fault.Wrap(err, fault.Malformed, "run the same release on all VMs", "decode message")
 		}
 		resp, err := h(ctx, from, &req)
@@ -355,7 +356,7 @@
 func HandleOneWay[Msg any](t *Transport, kind Kind, h func(ctx context.Context, from ident.VM, msg *Msg)) {
 	t.HandleOneWay(kind, func(ctx context.Context, from ident.VM, body []byte) ([]byte, error) {
 		var msg Msg
-		if err := unmarshal(body, &msg); err != nil {
+		if err := codec.Unmarshal(body, &msg); err != nil {
 			return nil, fault.Wrap(err, fault.Malformed, "run the same release on all VMs", "decode message")
 		}
 		h(ctx, from, &msg)
--- a/internal/replication/codec.go
+++ b/internal/replication/codec.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/fault"
 )
 
@@ -24,7 +25,7 @@
 // DecodeDelta decodes and validates a delta.
 func DecodeDelta(raw []byte) (Delta, error) {
 	var d Delta
-	if err := msgpack.Unmarshal(raw, &d); err != nil {
+	if err := codec.Unmarshal(raw, &d); err != nil {
 		return Delta{}, fault.Wrap(err, fault.Malformed, remedySameRelease, "decode delta")
 	}
 	if d.Version <= d.Base {
@@ -72,7 +73,7 @@
 		return nil, fault.New(fault.TooLarge, "remove unused objects", "table exceeds the size limit")
 	}
 	var w wireTable
-	if err := msgpack.Unmarshal(plain, &w); err != nil {
+	if err := codec.Unmarshal(plain, &w); err != nil {
 		return nil, fault.Wrap(err, fault.Malformed, remedySameRelease, "decode table")
 	}
 	return NewTable(w.Version, w.Entries), nil
