ratelimit: a rate that is no number, or beyond the highest one, is bounded

A rate that another VM tells is not checked where an endpoint's is. NaN made the share's permits lie at no time, a rate of 1e308 made a permit for more requests than an int holds. TestRatesThatAreNoneAreBounded.

--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -59,7 +59,8 @@
 	Fleet *Fleet
 	// Endpoint identifies the endpoint on all VMs.
 	Endpoint string
-	// Rate is the number of requests a second for all VMs together, at most MaxRate.
+	// Rate is the number of requests a second for all VMs together. One that is no number counts as 0, one above MaxRate
+	// as MaxRate.
 	Rate float64
 	// Epoch is the reading of the clock at the Unix epoch.
 	Epoch clock.Instant
@@ -68,7 +69,10 @@
 // New returns the share of a VM that learns of the rate now. Permits issued before are not used, as this VM may have
 // used them under another rate or before a restart.
 func New(o Options, now clock.Instant) *Share {
-	rate := max(minRate, o.Rate)
+	rate := float64(minRate)
+	if o.Rate > minRate {
+		rate = min(o.Rate, MaxRate)
+	}
 	requests := int(math.Ceil(rate / maxPermits))
 	s := &Share{
 		fleet: o.Fleet, endpoint: hashOf(o.Endpoint), epoch: o.Epoch,
--- a/internal/ratelimit/share_test.go
+++ b/internal/ratelimit/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -173,3 +174,21 @@
 		t.Error("others are not sorted")
 	}
 }
+
+func TestRatesThatAreNoneAreBounded(t *testing.T) {
+	for _, rate := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, math.MaxFloat64, math.SmallestNonzeroFloat64} {
+		s := New(Options{Fleet: fleetOf(0, 2, 0), Endpoint: testEndpoint, Rate: rate, Epoch: testEpoch}, 0)
+		sent := 0
+		for now := clock.Instant(0); now < clock.Instant(10*time.Second); now = now.Add(time.Second) {
+			if s.Take(now) {
+				sent++
+			}
+			if s.NextAt(now) < now {
+				t.Errorf("rate %v: the next request is in the past", rate)
+			}
+		}
+		if rate > 1 && sent == 0 {
+			t.Errorf("rate %v: nothing was sent", rate)
+		}
+	}
+}
