--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -25,7 +25,7 @@
 
 // startServer starts a server that passes each request, numbered from 1 across all connections, to
 // respond, which writes the response. If respond returns false, the connection is closed.
-func startServer(t *testing.T, respond func(n int, r *http.Request, c net.Conn) bool) *server {
+func startServer(t testing.TB, respond func(n int, r *http.Request, c net.Conn) bool) *server {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
