--- a/internal/vmserver/vmserver_test.go
+++ b/internal/vmserver/vmserver_test.go
@@ -21,6 +21,8 @@
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
 	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/statesync"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -201,3 +203,44 @@
 		_ = caller.Close()
 	})
 }
+
+// hangingRegistry does not respond until the caller gives up.
+type hangingRegistry struct{ statesync.Registry }
+
+func (hangingRegistry) Deregister(ctx context.Context, _ statesync.Member) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// busyHandler always has an active call.
+type busyHandler struct{ fakeHandler }
+
+func (busyHandler) Active() int64 { return 1 }
+
+func TestStopEndsWithinItsGraceTimeWhileTheRegistryHangsAndACallRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const grace = 8 * time.Second
+		p := newTestProcess(nil)
+		p.settings.GraceTime = grace
+		p.Handler = busyHandler{}
+		p.stateSync = statesync.New(statesync.Options{
+			Clock: clock.NewMonotonic(), Transport: peer.New(peer.Options{}), Registry: hangingRegistry{}, Work: p.scheduler, Plans: p.admission,
+			Documents: p.State, Quarantine: p.quarantine, Log: zap.NewNop(),
+		})
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })}
+		go func() { _ = server.Serve(l) }()
+		caller, accepted := net.Pipe()
+		l.conns <- accepted
+		if _, err := caller.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		began := time.Now()
+		p.stop(server)
+		_ = caller.Close()
+		if took := time.Since(began); took > grace-stopMargin {
+			t.Errorf("the stop took %v of %v", took, grace)
+		}
+	})
+}
