--- a/internal/activeconfig/state.go
+++ b/internal/activeconfig/state.go
@@ -246,7 +246,7 @@
 		delete(previous, v.ID)
 		if !ok || old.Leaving != v.Leaving || old.Stage != v.Stage {
 			s.opts.Log.Info("endpoint known", zap.String("endpoint", v.ID.Name), zap.Int64("born", v.ID.StartedAt), zap.String("service", v.Service),
-				zap.Stringer("address", v.Address), zap.Stringer("stage", v.Stage), zap.Bool("leaving", v.Leaving),
+				zap.Stringer("address", v.Address), zap.Stringer("stage", v.Stage), zap.String("software", v.SoftwareVersion), zap.Bool("leaving", v.Leaving),
 				zap.Uint64("table_version", e.Version), zap.String("from", from))
 		}
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -205,6 +205,9 @@
 		f.log.Info("admitted", zap.Uint64("configuration", f.configVersion), zap.String("route", f.call.Route.Name),
 			zap.String("service", f.call.Service.Name), zap.String("workspace", f.workspaceName()), zap.Int64("cost", f.call.Cost()),
 			zap.Int64("used", decision.UsedBefore), zap.Float64("allowed", decision.Allowed))
+		if f.call.LastEventID != "" {
+			f.log.Info("resumes a stream", zap.String("resumes", f.call.Resumes), zap.String("after", f.call.LastEventID))
+		}
 		return nil
 	}
 	f.log.Info("over plan", zap.Uint64("configuration", f.configVersion), zap.String("workspace", f.workspaceName()),
@@ -267,7 +270,7 @@
 		claim, err := s.Place(request, entry)
 		if err == nil {
 			f.log.Info("placed", zap.Stringer("stage", request.Stage), zap.String("endpoint", claim.Endpoint.ID.Name),
-				zap.Uint64("table_version", claim.TableVersion), zap.Duration("predicted_cost", claim.Score), zap.Int("among", claim.Candidates),
+				zap.String("software", claim.Endpoint.SoftwareVersion), zap.Uint64("table_version", claim.TableVersion), zap.Duration("predicted_cost", claim.Score), zap.Int("among", claim.Candidates),
 				zap.Int("calls", claim.EndpointWork.Calls), zap.Int64("tokens", claim.EndpointWork.Tokens),
 				zap.Bool("ejected", claim.Ejected), zap.Bool("waited", waited))
 			return claim, nil
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -286,7 +286,7 @@
 	if err == nil {
 		err = g.forward(reply, stall)
 	}
-	g.failureLog(err).Info("decoded", zap.String("endpoint", claim.Endpoint.ID.Name), zap.String("after", req.LastEventID),
+	g.failureLog(err).Info("decoded", zap.String("endpoint", claim.Endpoint.ID.Name), zap.String("software", claim.Endpoint.SoftwareVersion), zap.String("after", req.LastEventID),
 		zap.Int("events", g.stream.events), zap.Bool("delimited", delimited), zap.Int("trailing", g.stream.trailing),
 		zap.Int("running", running), zap.Duration("elapsed", g.elapsed()), zap.Error(err))
 	if err == nil {
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -130,6 +130,8 @@
 	PromptParts []string
 	// LastEventID is the id of the last event that the caller has received, empty for none.
 	LastEventID string
+	// Resumes is the ID of the call that brought the first event of the stream that this call resumes, empty for none.
+	Resumes string
 	// ArrivedAt is the time at which the call arrived. Deadline is the time by which the caller expects
 	// the response.
 	ArrivedAt, Deadline clock.Instant
@@ -202,8 +204,10 @@
 	Service    string
 	Address    netip.AddrPort
 	DataCentre string
-	Slots      int
-	Stage      Stage
+	// SoftwareVersion is the version of the software that the endpoint runs, empty if it does not say.
+	SoftwareVersion string
+	Slots           int
+	Stage           Stage
 	// Leaving is set if the endpoint accepts no new calls.
 	Leaving bool
 	// Version is the store's version of this entry.
