--- a/internal/ratelimit/fleet.go
+++ b/internal/ratelimit/fleet.go
@@ -6,9 +6,10 @@
 package ratelimit
 
 import (
-	"hash/fnv"
 	"net/netip"
 	"slices"
+
+	"github.com/fulmartide/fulmartide/internal/rendezvous"
 )
 
 // Fleet is the VMs that share a rate, as one of them knows them.
@@ -20,9 +21,9 @@
 // NewFleet returns the fleet of a VM and others, by the addresses at which VMs reach each other. They are the same
 // after a restart.
 func NewFleet(self netip.AddrPort, others []netip.AddrPort) *Fleet {
-	f := &Fleet{self: hashOf(self.String())}
+	f := &Fleet{self: rendezvous.Hash(self.String())}
 	for _, addr := range others {
-		f.others = append(f.others, hashOf(addr.String()))
+		f.others = append(f.others, rendezvous.Hash(addr.String()))
 	}
 	slices.Sort(f.others)
 	return f
@@ -38,27 +39,12 @@
 
 // owns reports whether a permit of an endpoint belongs to this VM: the one with the highest weight for it.
 func (f *Fleet) owns(endpoint, number uint64) bool {
-	key := mix(endpoint ^ mix(number))
-	own := mix(key ^ f.self)
+	key := rendezvous.Mix(endpoint ^ rendezvous.Mix(number))
+	own := rendezvous.Weight(key, f.self)
 	for _, other := range f.others {
-		if mix(key^other) > own {
+		if rendezvous.Weight(key, other) > own {
 			return false
 		}
 	}
 	return true
 }
-
-func hashOf(name string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
-	return mix(h.Sum64())
-}
-
-// mix is the finalizer of SplitMix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/rendezvous"
 )
 
 const (
@@ -75,7 +76,7 @@
 	}
 	requests := int(math.Ceil(rate / maxPermits))
 	s := &Share{
-		fleet: o.Fleet, endpoint: hashOf(o.Endpoint), epoch: o.Epoch,
+		fleet: o.Fleet, endpoint: rendezvous.Hash(o.Endpoint), epoch: o.Epoch,
 		interval: float64(requests) / rate * float64(time.Second), requests: requests, validity: validity(rate, requests),
 	}
 	s.next = s.firstAfter(now)
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -217,6 +217,20 @@
 	Retained bool
 }
 
+// StreamOrigin is the service and the software version of the endpoint that began a stream. A stream may go on only
+// there: what two versions write does not fit together.
+type StreamOrigin struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Service, Version string
+}
+
+// Origin returns the origin of streams that the endpoint begins.
+func (e *Endpoint) Origin() StreamOrigin {
+	return StreamOrigin{Service: e.Service, Version: e.SoftwareVersion}
+}
+
 // DocumentVersion identifies a version of a document that is kept in the store. The store may be
 // restored from a backup: its versions then go back and are used again, and its era rises.
 type DocumentVersion struct {
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -21,6 +21,7 @@
 	"github.com/fulmartide/fulmartide/internal/rebalance"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/statesync"
+	"github.com/fulmartide/fulmartide/internal/storekeeper"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -44,7 +45,7 @@
 	refresher  *activeconfig.Refresher
 	rebalancer *rebalance.Rebalancer
 	quarantine *quarantine.Controller
-	keeper     *quarantine.Keeper
+	keeper     *storekeeper.Keeper
 	recorder   *admission.Recorder
 
 	stopping atomic.Bool
@@ -99,9 +100,7 @@
 		OnChange: func(s quarantine.State) { p.stateSync.QuarantineChanged(s) }, OnQuarantine: func() { p.keeper.Changed() },
 		MayTry: func() bool { return p.stateSync.HasLowestAddress() },
 	})
-	p.keeper = quarantine.NewKeeper(quarantine.Keeper{
-		Controller: p.quarantine, Store: platform.Quarantine, FirstStart: s.FirstStart, Log: log.Named("quarantine"),
-	})
+	p.keeper = quarantine.NewKeeper(p.quarantine, platform.Quarantine, s.FirstStart, log.Named("quarantine"))
 	p.State = activeconfig.New(activeconfig.Options{
 		Clock: p.clock, Log: log.Named("inforce"), Decode: platform.Decode, OnChange: p.applyChange,
 		EndpointTTL: missedHeartbeats * s.HeartbeatPeriod, ReregisterTime: reregisterTime, OnEra: p.enterEra,
