--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/origin"
 	"github.com/fulmartide/fulmartide/internal/quarantine"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -44,6 +45,8 @@
 	Admission     *admission.Controller
 	// Quarantine keeps calls that crash endpoints from them. If nil, the Dispatcher creates one of its own.
 	Quarantine *quarantine.Controller
+	// Origins remembers where streams began. If nil, the Dispatcher creates one of its own.
+	Origins *origin.Controller
 	// Bodies is the memory for response bodies. If nil, the Dispatcher creates one of its own.
 	Bodies  *bodybuffer.Budget
 	Log     *zap.Logger
@@ -77,6 +80,9 @@
 			Clock: o.Clock, Log: o.Log, Metrics: o.Metrics, MayTry: func() bool { return true },
 		})
 	}
+	if o.Origins == nil {
+		o.Origins = origin.NewController(origin.Options{Clock: o.Clock, Log: o.Log, Metrics: o.Metrics})
+	}
 	if o.Bodies == nil {
 		o.Bodies = bodybuffer.NewBudget(defaultBodyMemory, o.Metrics)
 	}
@@ -91,7 +97,7 @@
 // unknown.
 func (d *Dispatcher) Serve(ctx context.Context, c *traffic.Call, sink Sink) error {
 	f := &inflightCall{dispatcher: d, call: c, sink: sink, log: d.opts.Log.With(zap.String("request", c.ID))}
-	if err := f.prepare(); err != nil {
+	if err := f.prepare(ctx); err != nil {
 		f.finish(err)
 		return err
 	}
@@ -137,15 +143,18 @@
 	// mayHaveRun is set once an endpoint may have run the call.
 	mayHaveRun      bool
 	responseStarted bool
-	// sentAt is the time of the last send.
+	// sentAt is the time of the last send, sentTo its endpoint.
 	sentAt clock.Instant
+	sentTo traffic.Endpoint
+	// origin is where the stream of the call began, nil if it has not begun.
+	origin *traffic.StreamOrigin
 	// trialPart is the quarantined part of the prompt, or the quarantined request, that this call tries, empty if none.
 	trialPart string
 	tried     []traffic.EndpointID
 }
 
 // prepare matches the call to a route and service, and authenticates and admits the caller.
-func (f *inflightCall) prepare() error {
+func (f *inflightCall) prepare(ctx context.Context) error {
 	cfg := f.dispatcher.opts.Configuration()
 	if cfg == nil {
 		return fault.New(fault.Unavailable, "try again; this VM has not received its first configuration yet",
@@ -161,6 +170,9 @@
 	if err := f.checkQuarantine(); err != nil {
 		return err
 	}
+	if err := f.findOrigin(ctx, cfg); err != nil {
+		return err
+	}
 	return f.admit()
 }
 
@@ -205,9 +217,6 @@
 		f.log.Info("admitted", zap.Uint64("configuration", f.configVersion), zap.String("route", f.call.Route.Name),
 			zap.String("service", f.call.Service.Name), zap.String("workspace", f.workspaceName()), zap.Int64("cost", f.call.Cost()),
 			zap.Int64("used", decision.UsedBefore), zap.Float64("allowed", decision.Allowed))
-		if f.call.LastEventID != "" {
-			f.log.Info("resumes a stream", zap.String("resumes", f.call.Resumes), zap.String("after", f.call.LastEventID))
-		}
 		return nil
 	}
 	f.log.Info("over plan", zap.Uint64("configuration", f.configVersion), zap.String("workspace", f.workspaceName()),
@@ -364,6 +373,9 @@
 // finish logs the result of the call and updates the metrics.
 func (f *inflightCall) finish(err error) {
 	result, execution := "whole", fault.Executed
+	if err == nil && f.origin != nil {
+		f.dispatcher.opts.Origins.Ended(f.streamKey())
+	}
 	if err != nil {
 		d := fault.DetailOf(err)
 		result, execution = string(d.Kind), d.Execution
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -37,8 +37,8 @@
 	// call that is predicted to take longer stays queued in this VM, where it can use any engine
 	// that becomes free, and uses no engine if the caller cancels.
 	prefillFraction = 0.4
-	// resumeMemoryWait is how long a call whose response has started waits for engine memory to
-	// resume.
+	// resumeMemoryWait is how long a stream that has begun, in this call or in an earlier one of its
+	// caller, waits for engine memory to go on.
 	resumeMemoryWait = 3 * time.Second
 )
 
@@ -126,6 +126,9 @@
 	if g.responseStarted {
 		return g.elapsed() + resumeMemoryWait
 	}
+	if g.resumesStream() {
+		return resumeMemoryWait
+	}
 	return time.Duration(memoryWaitFraction * float64(g.call.Route.LatencyTarget))
 }
 
@@ -154,6 +157,7 @@
 	return &schedule.Request{
 		Service: g.call.Service.Name, Stage: stage, Tokens: g.call.Tokens, PreferredDataCentre: dataCentre,
 		Exclude: append(exclude, g.failedEngines...), NotRetryable: stage == traffic.Decode && !g.call.Route.Retryable(),
+		Version: g.requiredVersion(stage),
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/origin.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/origin"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// unknownOriginRetryAfter is the retry delay sent to callers whose streams cannot go on, because it is not known where
+// they began or because the route does not lead there any more.
+const unknownOriginRetryAfter = time.Second
+
+// resumesStream reports whether the caller takes up a stream that began in an earlier call.
+func (f *inflightCall) resumesStream() bool {
+	return f.call.LastEventID != "" && f.call.Route.Kind == traffic.Stream
+}
+
+// streamKey identifies the stream of the call on all VMs.
+func (f *inflightCall) streamKey() origin.Key {
+	if f.resumesStream() {
+		return origin.NewKey(f.workspaceName(), f.call.Resumes)
+	}
+	return origin.NewKey(f.workspaceName(), f.call.ID)
+}
+
+// findOrigin finds out where a stream that the caller takes up began. The call goes to that service.
+func (f *inflightCall) findOrigin(ctx context.Context, cfg *traffic.Configuration) error {
+	if !f.resumesStream() {
+		return nil
+	}
+	o, source := f.dispatcher.opts.Origins.Find(ctx, f.streamKey(), f.call.Service.Name)
+	f.log.Info("resumes a stream", zap.String("resumes", f.call.Resumes), zap.String("after", f.call.LastEventID),
+		zap.String("service", o.Service), zap.String("software", o.Version), zap.String("source", string(source)))
+	f.dispatcher.opts.Metrics.GetOrCreateCounter(`fulmartide_resumed_streams_total{origin="` + string(source) + `"}`).Inc()
+	if source == origin.Unknown {
+		return fault.New(fault.Unavailable, "begin the stream anew", "it is not known which software version began the stream",
+			fault.WithRetryAfter(unknownOriginRetryAfter))
+	}
+	service := cfg.Services[o.Service]
+	if service == nil || !slices.ContainsFunc(f.call.Route.Targets, func(t traffic.Target) bool { return t.Service == o.Service }) {
+		return fault.New(fault.Unavailable, "begin the stream anew", "the route leads no more to the service that began the stream",
+			fault.WithRetryAfter(unknownOriginRetryAfter))
+	}
+	f.call.Service, f.origin = service, &o
+	return nil
+}
+
+// requiredVersion returns the software version that an endpoint of a stage must have for the call, nil for any. Prompts
+// may be prefilled by any version, as that writes no event.
+func (f *inflightCall) requiredVersion(stage traffic.Stage) *string {
+	if f.origin == nil || stage == traffic.Prefill {
+		return nil
+	}
+	return &f.origin.Version
+}
+
+// recordOrigin records where the stream of the call began, before the first event of the call is delivered.
+func (f *inflightCall) recordOrigin() {
+	if f.responseStarted && f.origin != nil || f.call.Route.Kind != traffic.Stream || !f.call.Route.Resumable {
+		return
+	}
+	if f.origin == nil {
+		o := f.sentTo.Origin()
+		f.origin = &o
+	}
+	f.dispatcher.opts.Origins.Began(f.streamKey(), *f.origin, f.call.Deadline.Sub(f.dispatcher.opts.Clock.Now()))
+}
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -14,6 +14,7 @@
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/schedule"
+	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
 const (
@@ -101,7 +102,7 @@
 	if err := f.checkQuarantine(); err != nil {
 		return nil, err
 	}
-	request := &schedule.Request{Service: f.call.Service.Name, Exclude: f.tried, NotRetryable: !f.call.Route.Retryable()}
+	request := &schedule.Request{Service: f.call.Service.Name, Exclude: f.tried, NotRetryable: !f.call.Route.Retryable(), Version: f.requiredVersion(traffic.Aggregated)}
 	claim, err := f.place(ctx, request, time.Duration(capacityWaitFraction*float64(f.call.Route.LatencyTarget)))
 	if err != nil {
 		return nil, err
@@ -189,7 +190,7 @@
 
 // startSend fails if nothing may be sent to the claimed endpoint now.
 func (f *inflightCall) startSend(claim *schedule.Claim) error {
-	f.sentAt = f.dispatcher.opts.Clock.Now()
+	f.sentAt, f.sentTo = f.dispatcher.opts.Clock.Now(), claim.Endpoint
 	if claim.StartSend() {
 		return nil
 	}
@@ -282,6 +283,9 @@
 // startResponse sends the header of a response and the beginning of its body to the caller.
 func (f *inflightCall) startResponse(reply *backend.Response, length int64, beginning []byte) error {
 	f.responseStarted = true
+	if reply.EventStream {
+		f.recordOrigin()
+	}
 	if err := f.sink.WriteHeader(reply.Status, reply.Header, length); err != nil {
 		return callerWriteError(err)
 	}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -93,6 +93,9 @@
 }
 
 func (s *eventStream) write(reply *backend.Response, p []byte) error {
+	if reply.EventStream {
+		s.inflight.recordOrigin()
+	}
 	if !s.inflight.responseStarted {
 		s.inflight.responseStarted = true
 		s.inflight.dispatcher.opts.Metrics.GetOrCreateHistogram(`fulmartide_first_event_seconds`).Update(s.inflight.elapsed().Seconds())
--- a/internal/dispatch/version_test.go
+++ b/internal/dispatch/version_test.go
@@ -32,9 +32,13 @@
 	f := &fakeBackend{run: func(n int, _ context.Context, req backend.Request) (*backend.Response, error) {
 		versions = append(versions, req.Endpoint.SoftwareVersion)
 		if n == 1 {
-			return truncated(events(1, 2)), nil
+			r := truncated(events(1, 2))
+			r.EventStream = true
+			return r, nil
 		}
-		return reply(200, events(3, 3)), nil
+		r := reply(200, events(3, 3))
+		r.EventStream, r.Delimited = true, true
+		return r, nil
 	}}
 	synctest.Test(t, func(t *testing.T) {
 		now, cfg, out := clock.NewMonotonic(), testConfiguration(), &recordingSink{}
--- /dev/null
+++ b/internal/origin/controller.go
@@ -0,0 +1,204 @@
+package origin
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// Options configure a Controller.
+type Options struct {
+	Clock   clock.Clock
+	Log     *zap.Logger
+	Metrics *metrics.Set
+	// Share tells other VMs where streams began. It must not block. It may be nil.
+	Share func([]Record)
+	// Ask asks other VMs where a stream began. It may be nil.
+	Ask func(context.Context, Key) (traffic.StreamOrigin, bool)
+	// OnVersions is called after the versions of services have changed. It must not block. It may be nil.
+	OnVersions func()
+	// FirstStart is set if the whole fleet starts for the first time, so that no stream began before.
+	FirstStart bool
+}
+
+// Controller makes the records and versions safe for concurrent use, and tells other VMs of them.
+type Controller struct {
+	opts Options
+
+	mu       sync.Mutex
+	records  records
+	versions versions
+}
+
+// NewController returns a Controller without records.
+func NewController(o Options) *Controller {
+	if o.Share == nil {
+		o.Share = func([]Record) {}
+	}
+	if o.Ask == nil {
+		o.Ask = func(context.Context, Key) (traffic.StreamOrigin, bool) { return traffic.StreamOrigin{}, false }
+	}
+	if o.OnVersions == nil {
+		o.OnVersions = func() {}
+	}
+	return &Controller{
+		opts: o, records: records{entries: map[Key]entry{}},
+		versions: versions{
+			listed: map[traffic.StreamOrigin]bool{}, lastListed: map[traffic.StreamOrigin]clock.Instant{}, complete: o.FirstStart,
+		},
+	}
+}
+
+// SetEndpoints receives the endpoints that are listed. If a service has a version that it did not have, the other VMs
+// are told where the streams of this VM began: until now that went without saying.
+func (c *Controller) SetEndpoints(endpoints []traffic.Endpoint) {
+	c.mu.Lock()
+	now := c.opts.Clock.Now()
+	added, removed := c.versions.observe(now, endpoints)
+	var own []Record
+	if len(added) > 0 {
+		own = c.records.list(now, func(e entry) bool {
+			return e.own && slices.ContainsFunc(added, func(o traffic.StreamOrigin) bool { return o.Service == e.origin.Service })
+		})
+	}
+	c.mu.Unlock()
+	if len(own) > 0 {
+		c.opts.Share(own)
+	}
+	for _, o := range added {
+		c.opts.Log.Info("software version listed", zap.String("service", o.Service), zap.String("software", o.Version), zap.Int("own_streams", len(own)))
+	}
+	for _, o := range removed {
+		c.opts.Log.Info("software version gone", zap.String("service", o.Service), zap.String("software", o.Version))
+	}
+	if len(added)+len(removed) > 0 {
+		c.opts.OnVersions()
+	}
+}
+
+// Began records where a stream of this VM began, before its first event is delivered. left is the time until its
+// caller's deadline.
+func (c *Controller) Began(k Key, o traffic.StreamOrigin, left time.Duration) {
+	if k == 0 {
+		return
+	}
+	rec := Record{Key: k, Origin: o, Left: left + takeUpTime}
+	c.mu.Lock()
+	now := c.opts.Clock.Now()
+	stored := c.records.add(now, rec, true)
+	_, sole := c.versions.sole(now, o.Service)
+	c.mu.Unlock()
+	if !stored {
+		c.opts.Metrics.GetOrCreateCounter(`fulmartide_stream_origins_dropped_total`).Inc()
+	}
+	if !sole {
+		c.opts.Share([]Record{rec})
+	}
+}
+
+// Ended removes the record of a stream that its caller has received to the end.
+func (c *Controller) Ended(k Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.records.remove(k)
+}
+
+// Source says how an origin was found.
+type Source string
+
+// The sources.
+const (
+	// FromRecord is a record of this VM.
+	FromRecord Source = "record"
+	// FromVM is a record of another VM.
+	FromVM Source = "vm"
+	// FromVersions means that the service has only one version.
+	FromVersions Source = "only_version"
+	// Unknown means that the origin is not known.
+	Unknown Source = "unknown"
+)
+
+// Find finds the origin of a stream that a caller takes up. service is the one that its calls go to now.
+func (c *Controller) Find(ctx context.Context, k Key, service string) (traffic.StreamOrigin, Source) {
+	if o, ok := c.Lookup(k); ok {
+		return o, FromRecord
+	}
+	c.mu.Lock()
+	o, sole := c.versions.sole(c.opts.Clock.Now(), service)
+	c.mu.Unlock()
+	if sole {
+		return o, FromVersions
+	}
+	if k != 0 {
+		if o, ok := c.opts.Ask(ctx, k); ok {
+			return o, FromVM
+		}
+	}
+	return traffic.StreamOrigin{}, Unknown
+}
+
+// Lookup returns the origin of a stream of which this VM has a record.
+func (c *Controller) Lookup(k Key) (traffic.StreamOrigin, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.records.find(c.opts.Clock.Now(), k)
+}
+
+// AddRecords receives records of another VM.
+func (c *Controller) AddRecords(list []Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock.Now()
+	for _, rec := range list {
+		if !c.records.add(now, rec, false) {
+			c.opts.Metrics.GetOrCreateCounter(`fulmartide_stream_origins_dropped_total`).Inc()
+		}
+	}
+}
+
+// State is what a VM knows.
+type State struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Records   []Record
+	Sightings []Sighting
+	// Complete is set if Sightings are all versions at which streams that may be taken up now can have begun.
+	Complete bool
+}
+
+// State returns what this VM knows.
+func (c *Controller) State() State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock.Now()
+	return State{
+		Records:   c.records.list(now, func(entry) bool { return true }),
+		Sightings: c.versions.sightings(now), Complete: c.versions.knowsAll(now),
+	}
+}
+
+// Merge receives the state of another VM, or what is stored.
+func (c *Controller) Merge(s State, from string) {
+	c.AddRecords(s.Records)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.Complete && !c.versions.complete {
+		c.opts.Log.Info("versions of services known", zap.String("from", from), zap.Int("versions", len(s.Sightings)), zap.Int("streams", len(s.Records)))
+	}
+	c.versions.merge(c.opts.Clock.Now(), s.Sightings, s.Complete)
+}
+
+// NeedsState reports whether another VM should be asked for its state.
+func (c *Controller) NeedsState() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.versions.knowsAll(c.opts.Clock.Now())
+}
--- /dev/null
+++ b/internal/origin/fleet_test.go
@@ -0,0 +1,290 @@
+package origin
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+type manualClock struct{ now clock.Instant }
+
+func (c *manualClock) Now() clock.Instant { return c.now }
+
+const testService = "engines"
+
+func endpointsOf(versions []string) []traffic.Endpoint {
+	var out []traffic.Endpoint
+	for i, v := range versions {
+		out = append(out, traffic.Endpoint{ID: traffic.EndpointID{Name: fmt.Sprint(v, i)}, Service: testService, SoftwareVersion: v})
+	}
+	return out
+}
+
+// fleet is a model of several VMs, each with its own table of endpoints, and the store.
+type fleet struct {
+	clock manualClock
+	vms   []*fleetVM
+	// listed are the versions that are listed now.
+	listed []string
+	// stored is what the store has, nil before anything was stored.
+	stored []Sighting
+	// began is where streams truly began, by call.
+	began   map[string]traffic.StreamOrigin
+	storing bool
+	// lossy makes VMs tell others nothing, so that only questions are answered.
+	lossy bool
+}
+
+type fleetVM struct {
+	*Controller
+	// listed are the versions in the table of this VM.
+	listed []string
+}
+
+// start starts a VM in place i, which asks the others and the store for what they know.
+func (f *fleet) start(i int) {
+	vm := &fleetVM{}
+	vm.Controller = NewController(Options{
+		Clock: &f.clock, Log: zap.NewNop(), Metrics: metrics.NewSet(),
+		Share: func(list []Record) { f.share(vm, list) },
+		Ask:   func(_ context.Context, k Key) (traffic.StreamOrigin, bool) { return f.ask(vm, k) },
+	})
+	for _, other := range f.vms {
+		if other != nil {
+			vm.Merge(other.State(), "vm")
+		}
+	}
+	if f.stored != nil {
+		vm.Merge(State{Sightings: f.stored, Complete: true}, "store")
+	}
+	f.vms[i] = vm
+	f.refresh(vm)
+}
+
+// refresh lets a VM read the table of endpoints. If storing is set, changed versions are stored with it, as the VM that
+// stores does before calls reach the endpoints of a new version.
+func (f *fleet) refresh(vm *fleetVM) {
+	vm.listed = append([]string(nil), f.listed...)
+	vm.SetEndpoints(endpointsOf(vm.listed))
+	if s := vm.State(); f.storing && s.Complete {
+		f.stored = s.Sightings
+	}
+}
+
+func (f *fleet) share(from *fleetVM, list []Record) {
+	for _, vm := range f.vms {
+		if vm != nil && vm != from && !f.lossy {
+			vm.AddRecords(list)
+		}
+	}
+}
+
+func (f *fleet) ask(from *fleetVM, k Key) (traffic.StreamOrigin, bool) {
+	for _, vm := range f.vms {
+		if vm == nil || vm == from {
+			continue
+		}
+		if o, ok := vm.Lookup(k); ok {
+			return o, true
+		}
+	}
+	return traffic.StreamOrigin{}, false
+}
+
+// takeUp takes a stream up at a VM and reports whether it may go on. It fails the test if it would go on elsewhere than
+// where it began.
+func (f *fleet) takeUp(t interface{ Fatalf(string, ...any) }, vm *fleetVM, call string) bool {
+	o, source := vm.Find(context.Background(), NewKey("w", call), testService)
+	if source != Unknown && o != f.began[call] {
+		t.Fatalf("stream %s began at %v and goes on at %v, found by %s", call, f.began[call], o, source)
+	}
+	return source != Unknown
+}
+
+func (f *fleet) begin(vm *fleetVM, version string) (call string) {
+	call = fmt.Sprint("call", len(f.began))
+	f.began[call] = traffic.StreamOrigin{Service: testService, Version: version}
+	vm.Began(NewKey("w", call), f.began[call], 10*time.Second)
+	return call
+}
+
+func newFleet(vms int, versions ...string) *fleet {
+	f := &fleet{clock: manualClock{clock.Instant(time.Hour)}, vms: make([]*fleetVM, vms), listed: versions, began: map[string]traffic.StreamOrigin{}}
+	for i := range f.vms {
+		f.start(i)
+	}
+	f.clock.now = f.clock.now.Add(2 * takeUpTime) // VMs that start with the fleet know all versions after a while
+	return f
+}
+
+func TestStreamsNeverGoOnAtAnotherVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 6).Draw(t, "vms"), "v1")
+		f.storing = true
+		released := 1
+		var calls []string
+		var endedAt []clock.Instant
+		vmAt := func(t *rapid.T) (int, *fleetVM) {
+			i := rapid.IntRange(0, len(f.vms)-1).Draw(t, "vm")
+			return i, f.vms[i]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"release": func(*rapid.T) {
+				released++
+				f.listed = append(f.listed, fmt.Sprint("v", released))
+			},
+			"withdraw": func(t *rapid.T) {
+				if len(f.listed) > 1 {
+					i := rapid.IntRange(0, len(f.listed)-1).Draw(t, "version")
+					f.listed = append(append([]string(nil), f.listed[:i]...), f.listed[i+1:]...)
+				}
+			},
+			"refresh": func(t *rapid.T) {
+				_, vm := vmAt(t)
+				f.refresh(vm)
+			},
+			"wait": func(t *rapid.T) {
+				f.clock.now = f.clock.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
+				for _, vm := range f.vms { // tables lag by less than a few seconds
+					f.refresh(vm)
+				}
+			},
+			"begin": func(t *rapid.T) {
+				_, vm := vmAt(t)
+				calls = append(calls, f.begin(vm, rapid.SampledFrom(vm.listed).Draw(t, "version")))
+				endedAt = append(endedAt, f.clock.now)
+			},
+			"restart": func(t *rapid.T) {
+				i, _ := vmAt(t)
+				f.vms[i] = nil
+				f.start(i)
+			},
+			"take up": func(t *rapid.T) {
+				_, vm := vmAt(t)
+				f.refresh(vm)
+				call := max(0, len(calls)-1-rapid.IntRange(0, 4).Draw(t, "back"))
+				if call < len(calls) && f.clock.now.Sub(endedAt[call]) < takeUpTime {
+					f.takeUp(t, vm, calls[call])
+				}
+			},
+		})
+	})
+}
+
+func TestStreamsGoOn(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		events func(f *fleet) (call string)
+		goesOn bool
+	}{
+		{"at the only version", func(f *fleet) string { return f.begin(f.vms[0], "v1") }, true},
+		{"at the only version, after a restart of all VMs", func(f *fleet) string {
+			call := f.begin(f.vms[0], "v1")
+			f.stored = f.vms[0].State().Sightings
+			f.restartAll()
+			return call
+		}, true},
+		{"not after a restart of all VMs that nothing was stored for", func(f *fleet) string {
+			call := f.begin(f.vms[0], "v1")
+			f.restartAll()
+			return call
+		}, false},
+		{"beside another version", func(f *fleet) string {
+			f.release("v2")
+			return f.begin(f.vms[0], "v2")
+		}, true},
+		{"beside a version that came while it ran, after its VM was lost", func(f *fleet) string {
+			call := f.begin(f.vms[0], "v1")
+			f.release("v2")
+			f.vms[0] = nil
+			return call
+		}, true},
+		{"after restarts of all VMs in turn", func(f *fleet) string {
+			f.release("v2")
+			call := f.begin(f.vms[0], "v1")
+			for i := range f.vms {
+				f.vms[i] = nil
+				f.start(i)
+			}
+			return call
+		}, true},
+		{"beside another version if only its VM knows", func(f *fleet) string {
+			f.release("v2")
+			f.lossy = true
+			return f.begin(f.vms[0], "v1")
+		}, true},
+		{"not beside another version if the only VM that knew is lost", func(f *fleet) string {
+			f.release("v2")
+			f.lossy = true
+			call := f.begin(f.vms[0], "v1")
+			f.vms[0] = nil
+			return call
+		}, false},
+		{"not for lack of records if another version was listed until now", func(f *fleet) string {
+			f.release("v2")
+			f.lossy = true
+			call := f.begin(f.vms[0], "v1")
+			f.vms[0] = nil
+			f.listed = []string{"v2"}
+			f.refresh(f.vms[1])
+			return call
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(3, "v1")
+			if got := f.takeUp(t, f.vms[1], tc.events(f)); got != tc.goesOn {
+				t.Errorf("the stream goes on: %v, want %v", got, tc.goesOn)
+			}
+		})
+	}
+}
+
+func (f *fleet) release(version string) {
+	f.listed = append(f.listed, version)
+	for _, vm := range f.vms {
+		f.refresh(vm)
+	}
+}
+
+func (f *fleet) restartAll() {
+	for i := range f.vms {
+		f.vms[i] = nil
+	}
+	for i := range f.vms {
+		f.start(i)
+	}
+}
+
+// TestRecordsAreBounded checks that records end with their time, and that further ones are dropped when there are too
+// many.
+func TestRecordsAreBounded(t *testing.T) {
+	r, now := records{entries: map[Key]entry{}}, clock.Instant(time.Hour)
+	o := traffic.StreamOrigin{Service: testService, Version: "v1"}
+	for k := range Key(maxRecords) {
+		r.add(now, Record{Key: k + 1, Origin: o, Left: time.Hour}, false)
+	}
+	if r.add(now, Record{Key: maxRecords + 1, Origin: o, Left: time.Hour}, false) {
+		t.Error("a record beyond the maximum number was stored")
+	}
+	if !r.add(now, Record{Key: 1, Origin: traffic.StreamOrigin{Version: "v2"}, Left: time.Hour}, true) {
+		t.Error("a known record was refused")
+	}
+	if got, ok := r.find(now, 1); !ok || got != o {
+		t.Errorf("a second record replaced the first one: %v, %v", got, ok)
+	}
+	now = now.Add(maxLeft)
+	if _, ok := r.find(now, 1); ok {
+		t.Error("a record is used after its time")
+	}
+	if !r.add(now, Record{Key: maxRecords + 1, Origin: o, Left: time.Hour}, false) || len(r.entries) != 1 {
+		t.Errorf("%d records are left after their time", len(r.entries))
+	}
+}
--- /dev/null
+++ b/internal/origin/record.go
@@ -0,0 +1,114 @@
+// Package origin remembers which service and software version began each stream, so that a stream goes on only there,
+// at whichever VM its caller takes it up.
+//
+// While a service has, or had lately, endpoints of several versions, VMs tell each other where streams began. A stream
+// without a record began at the only version of its service, if there is only one. Otherwise its origin is unknown, and
+// it must not go on.
+package origin
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"strconv"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// Key identifies a stream on all VMs. It is 0 for a stream that is not named.
+type Key uint64
+
+// NewKey returns the key of a stream by its workspace and the ID of the call that brought its first event.
+func NewKey(workspace, call string) Key {
+	if call == "" {
+		return 0
+	}
+	h := sha256.Sum256([]byte(strconv.Itoa(len(workspace)) + ":" + workspace + call))
+	return Key(binary.BigEndian.Uint64(h[:]))
+}
+
+// Record says where a stream began.
+type Record struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Key    Key
+	Origin traffic.StreamOrigin
+	// Left is the time for which the record is needed.
+	Left time.Duration
+}
+
+const (
+	// takeUpTime is the maximum time between the end of a connection to a caller and the request that takes its stream
+	// up. Endpoints that are no longer listed end their streams within it as well.
+	takeUpTime = time.Minute
+	// maxLeft bounds the time for which a record is kept.
+	maxLeft = 15 * time.Minute
+	// maxRecords is the maximum number of records on a VM. Further ones are dropped, so that their streams do not go on
+	// while a service has several versions.
+	maxRecords = 1 << 16
+	// sweepPeriod is the time between removals of the records that are not needed any more.
+	sweepPeriod = 15 * time.Second
+)
+
+// entry is a record on this VM.
+type entry struct {
+	origin traffic.StreamOrigin
+	until  clock.Instant
+	// own is set if this VM delivers the stream, or delivered it until the caller was cut off.
+	own bool
+}
+
+// records holds the records that this VM knows. It does no I/O.
+type records struct {
+	entries map[Key]entry
+	sweepAt clock.Instant
+}
+
+// add stores a record and reports whether there was room for it. A stream has one origin, so a record of it is not
+// replaced; it only may be needed longer.
+func (r *records) add(now clock.Instant, rec Record, own bool) bool {
+	r.sweep(now)
+	e, known := r.entries[rec.Key]
+	if !known {
+		if len(r.entries) >= maxRecords {
+			return false
+		}
+		e.origin = rec.Origin
+	}
+	e.own = e.own || own
+	e.until = max(e.until, now.Add(min(rec.Left, maxLeft)))
+	r.entries[rec.Key] = e
+	return true
+}
+
+func (r *records) find(now clock.Instant, k Key) (traffic.StreamOrigin, bool) {
+	e, ok := r.entries[k]
+	return e.origin, ok && now.Before(e.until)
+}
+
+func (r *records) remove(k Key) { delete(r.entries, k) }
+
+// list returns the records that match.
+func (r *records) list(now clock.Instant, match func(entry) bool) []Record {
+	var out []Record
+	for k, e := range r.entries {
+		if now.Before(e.until) && match(e) {
+			out = append(out, Record{Key: k, Origin: e.origin, Left: e.until.Sub(now)})
+		}
+	}
+	return out
+}
+
+func (r *records) sweep(now clock.Instant) {
+	if now.Before(r.sweepAt) {
+		return
+	}
+	r.sweepAt = now.Add(sweepPeriod)
+	for k, e := range r.entries {
+		if !now.Before(e.until) {
+			delete(r.entries, k)
+		}
+	}
+}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -52,4 +52,10 @@
 	KindQuarantineState Kind = 22
 	// KindEndpointLimit reports that an endpoint names another rate limit, or none any more.
 	KindEndpointLimit Kind = 23
+	// KindStreamOrigins reports where streams began.
+	KindStreamOrigins Kind = 24
+	// KindStreamOrigin asks where a stream began.
+	KindStreamOrigin Kind = 25
+	// KindStreamOriginState requests all that a VM knows of where streams began.
+	KindStreamOriginState Kind = 26
 )
--- a/internal/schedule/limit.go
+++ b/internal/schedule/limit.go
@@ -183,9 +183,10 @@
 var errRateLimited = fmt.Errorf("the rate limits of its endpoints are used up: %w", errHeldBack)
 
 // MayWait reports whether a call that could not be placed may be placed by waiting for a time. It may not if its
-// endpoints take no calls before, or if it waits for its turn within a rate limit, as others may do.
+// endpoints take no calls before, if it waits for its turn within a rate limit, as others may do, or if there is no
+// endpoint of its version.
 func MayWait(err error, wait time.Duration) bool {
-	if errors.Is(err, errRateLimited) {
+	if errors.Is(err, errRateLimited) || errors.Is(err, errVersionGone) {
 		return false
 	}
 	return !errors.Is(err, errHeldBack) || fault.DetailOf(err).RetryAfter < wait
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -119,8 +119,9 @@
 
 // Errors of Place. The dispatcher distinguishes them by kind.
 var (
-	errNoEndpoint = fault.New(fault.Unavailable, "retry after the stated time; operators: check the service's endpoints", "no usable endpoint", fault.WithRetryAfter(noEndpointRetryAfter))
-	errAllFull    = fault.New(fault.Overloaded, "retry after the stated time", "all endpoints are full", fault.WithRetryAfter(allFullRetryAfter))
+	errNoEndpoint  = fault.New(fault.Unavailable, "retry after the stated time; operators: check the service's endpoints", "no usable endpoint", fault.WithRetryAfter(noEndpointRetryAfter))
+	errVersionGone = fault.New(fault.Unavailable, "begin the stream anew", "no endpoint of the software version that began the stream is left", fault.WithRetryAfter(noEndpointRetryAfter))
+	errAllFull     = fault.New(fault.Overloaded, "retry after the stated time", "all endpoints are full", fault.WithRetryAfter(allFullRetryAfter))
 )
 
 const (
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
@@ -212,11 +213,25 @@
 	// SkipQueue is set if the call is placed before queued ones, because its prompt has been
 	// prefilled and is kept for a short time only.
 	SkipQueue bool
+	// Version is the software version that the endpoint must have, nil for any.
+	Version *string
 	// MaxPrefillTime is the maximum predicted prefill time, including the prompts that the engine
 	// has queued; 0 means no maximum. An idle engine is accepted in any case.
 	MaxPrefillTime time.Duration
 }
 
+// accepts reports whether an endpoint of a software version can serve the request.
+func (req *Request) accepts(version string) bool {
+	return req.Version == nil || *req.Version == version
+}
+
+// hasVersion reports whether an endpoint of the version that a request needs is listed and stays.
+func (t *table) hasVersion(req *Request) bool {
+	return slices.ContainsFunc(t.byService[req.Service], func(s *endpointState) bool {
+		return s.Stage == req.Stage && s.staying() && req.accepts(s.SoftwareVersion)
+	})
+}
+
 func (req *Request) excludes(id traffic.EndpointID) bool {
 	for _, v := range req.Exclude {
 		if v == id {
@@ -323,7 +338,7 @@
 	var c candidates
 	localMean := t.localMean(req.Service, req.Stage)
 	for _, s := range t.byService[req.Service] {
-		if s.Stage != req.Stage || req.excludes(s.ID) {
+		if s.Stage != req.Stage || req.excludes(s.ID) || !req.accepts(s.SoftwareVersion) {
 			continue
 		}
 		s.unreportedTokens = t.estimateUnreported(s, localMean)
@@ -337,6 +352,9 @@
 	if len(from) == 0 && !c.full && len(c.usable) == 0 {
 		from = c.lastResort
 	}
+	if len(from) == 0 && req.Version != nil && !t.hasVersion(req) {
+		return nil, Choice{}, errVersionGone
+	}
 	if len(from) == 0 {
 		return nil, Choice{}, c.none(now)
 	}
--- a/internal/statesync/bench_test.go
+++ b/internal/statesync/bench_test.go
@@ -28,7 +28,7 @@
 	self := member(last, 1, "dc-0")
 	self.Address = fleetAddress(0, last)
 	n = newNode()
-	n.Service = New(Options{Self: self, Clock: fixedClock{}, Transport: peer.New(peer.Options{Self: self.VM}), Registry: n, Work: n, Plans: n, Documents: n, Quarantine: newQuarantine(), Log: zap.NewNop()})
+	n.Service = New(Options{Self: self, Clock: fixedClock{}, Transport: peer.New(peer.Options{Self: self.VM}), Registry: n, Work: n, Plans: n, Documents: n, Quarantine: newQuarantine(), Origins: newOrigins(), Log: zap.NewNop()})
 	for dc := range 6 {
 		for i := range 49 {
 			m := member(1, 1, fmt.Sprint("dc-", dc))
--- a/internal/statesync/digest_test.go
+++ b/internal/statesync/digest_test.go
@@ -171,7 +171,7 @@
 func startNodeWith(t *testing.T, m Member, ln net.Listener, listed []Member, q Quarantine) *node {
 	n := newNode()
 	transport := peer.New(peer.Options{Self: m.VM})
-	n.Service = New(Options{Self: m, Clock: clock.BootTime{}, Transport: transport, Registry: n, Work: n, Plans: n, Documents: n, Quarantine: q, Log: zap.NewNop()})
+	n.Service = New(Options{Self: m, Clock: clock.BootTime{}, Transport: transport, Registry: n, Work: n, Plans: n, Documents: n, Quarantine: q, Origins: newOrigins(), Log: zap.NewNop()})
 	n.members.addListed(n.opts.Clock.Now(), listed)
 	runNode(t, n, ln)
 	return n
--- a/internal/statesync/limit_test.go
+++ b/internal/statesync/limit_test.go
@@ -46,7 +46,7 @@
 		}
 		n.Service = New(Options{
 			Self: m, Clock: clock.BootTime{}, Transport: peer.New(peer.Options{Self: m.VM}), Registry: n, Work: n, Plans: n, Documents: n,
-			Quarantine: newQuarantine(), Log: zap.NewNop(),
+			Quarantine: newQuarantine(), Origins: newOrigins(), Log: zap.NewNop(),
 		})
 		if i > 0 {
 			n.members.addListed(n.opts.Clock.Now(), []Member{nodes[0].opts.Self})
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -12,6 +12,7 @@
 	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/origin"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/quarantine"
 	"github.com/fulmartide/fulmartide/internal/schedule"
@@ -119,6 +120,7 @@
 	Plans      Plans
 	Documents  Documents
 	Quarantine Quarantine
+	Origins    Origins
 	Log        *zap.Logger
 }
 
@@ -131,6 +133,8 @@
 	limits   chan addressedLimit
 	// quarantine holds news about prompts that crash engines.
 	quarantine chan quarantine.State
+	// origins holds records of where streams of this VM began.
+	origins chan []origin.Record
 	// membersAdded signals that VMs were added to the member table, storeRestored that the registry
 	// may have lost the entry of this VM.
 	membersAdded, storeRestored chan struct{}
@@ -193,6 +197,7 @@
 		opts: o, wakeup: make(chan struct{}, 1), failures: make(chan endpointFailure, failureQueueSize),
 		limits: make(chan addressedLimit, limitQueueSize), startedAt: o.Clock.Now(),
 		quarantine:   make(chan quarantine.State, quarantineQueueSize),
+		origins:      make(chan []origin.Record, originQueueSize),
 		membersAdded: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1),
 		members: newMemberTable(o.Self), changes: newChanges(), remoteRepeats: map[string]int{}, counters: map[admission.CounterKey]int64{},
 		queues: map[netip.AddrPort]*sendQueue{}, fetching: map[int]bool{},
@@ -206,6 +211,9 @@
 	peer.HandleOneWay(o.Transport, peer.KindEndpointLimit, s.onLimit)
 	peer.HandleOneWay(o.Transport, peer.KindQuarantine, s.onQuarantine)
 	peer.Handle(o.Transport, peer.KindQuarantineState, s.onQuarantineRequest)
+	peer.HandleOneWay(o.Transport, peer.KindStreamOrigins, s.onOrigins)
+	peer.Handle(o.Transport, peer.KindStreamOrigin, s.onOriginQuery)
+	peer.Handle(o.Transport, peer.KindStreamOriginState, s.onOriginStateQuery)
 	return s
 }
 
@@ -265,6 +273,7 @@
 	s.wg.Go(func() { s.sendUpdates(ctx) })
 	s.wg.Go(func() { s.digestLoop(ctx) })
 	s.wg.Go(func() { s.adoptWindow(ctx) })
+	s.wg.Go(func() { s.adoptOrigins(ctx) })
 	s.heartbeatLoop(ctx)
 	s.wg.Wait()
 }
--- a/internal/statesync/updates.go
+++ b/internal/statesync/updates.go
@@ -11,8 +11,8 @@
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
-// sendUpdates sends changes of this VM's work and counters, failures and rate limits of endpoints, and news about prompts that
-// crash engines, until ctx ends.
+// sendUpdates sends changes of this VM's work and counters, failures and rate limits of endpoints, news about prompts
+// that crash engines, and origins of streams, until ctx ends.
 func (s *Service) sendUpdates(ctx context.Context) {
 	for {
 		select {
@@ -24,6 +24,8 @@
 			broadcast(s, peer.KindEndpointLimit, &l.endpointLimit, s.members.placesAt(l.dataCentre))
 		case q := <-s.quarantine:
 			broadcast(s, peer.KindQuarantine, &q, allPeers)
+		case list := <-s.origins:
+			s.sendOrigins(list)
 		case <-s.wakeup:
 			time.Sleep(batchDelay)
 			for _, u := range s.takeUpdates() {
--- a/internal/statesync/window.go
+++ b/internal/statesync/window.go
@@ -35,7 +35,7 @@
 	pause := minWindowPause
 	for turn := 0; s.opts.Plans.NeedsWindow(); turn++ {
 		s.mu.Lock()
-		sources := s.members.windowSources(turn)
+		sources := s.members.sources(turn, windowSources)
 		s.mu.Unlock()
 		if s.requestWindow(ctx, sources) {
 			return
@@ -51,19 +51,19 @@
 	}
 }
 
-// windowSources returns the direct peers to ask for the usage in the plan window, live ones if there
-// are any. The choice rotates with turn.
-func (t *memberTable) windowSources(turn int) []netip.AddrPort {
+// sources returns up to n direct peers to ask for what this VM missed before its start, live ones if there are any. The
+// choice rotates with turn.
+func (t *memberTable) sources(turn, n int) []netip.AddrPort {
 	sources := t.addresses(func(p *peerState) bool { return t.isDirect(p) && !p.unresponsive })
 	if len(sources) == 0 {
 		sources = t.addresses(t.isDirect)
 	}
-	if len(sources) <= windowSources {
+	if len(sources) <= n {
 		return sources
 	}
 	slices.SortFunc(sources, netip.AddrPort.Compare)
-	first := turn * windowSources % len(sources)
-	return append(sources[first:], sources[:first]...)[:windowSources]
+	first := turn * n % len(sources)
+	return append(sources[first:], sources[:first]...)[:n]
 }
 
 // requestWindow asks VMs for the usage in the plan window and adopts what they know. It reports
--- a/internal/statesync/window_test.go
+++ b/internal/statesync/window_test.go
@@ -46,14 +46,14 @@
 	r := &restarting{node: newNode(), adopted: make(chan admission.WindowState, windowSources*4)}
 	r.Service = New(Options{
 		Self: members[2], Clock: clock.BootTime{}, Transport: peer.New(peer.Options{Self: members[2].VM}),
-		Registry: r, Work: r, Plans: r, Documents: r, Quarantine: newQuarantine(), Log: zap.NewNop(),
+		Registry: r, Work: r, Plans: r, Documents: r, Quarantine: newQuarantine(), Origins: newOrigins(), Log: zap.NewNop(),
 	})
 	runNode(t, r.node, listeners[2])
 	r.addMembers(members[:1])
 	i := informed{newNode()}
 	i.Service = New(Options{
 		Self: members[1], Clock: clock.BootTime{}, Transport: peer.New(peer.Options{Self: members[1].VM}),
-		Registry: i, Work: i, Plans: i, Documents: i, Quarantine: newQuarantine(), Log: zap.NewNop(),
+		Registry: i, Work: i, Plans: i, Documents: i, Quarantine: newQuarantine(), Origins: newOrigins(), Log: zap.NewNop(),
 	})
 	runNode(t, i.node, listeners[1])
 	r.addMembers(members[1:2])
--- a/internal/vmserver/platform.go
+++ b/internal/vmserver/platform.go
@@ -9,6 +9,7 @@
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
+	"github.com/fulmartide/fulmartide/internal/origin"
 	"github.com/fulmartide/fulmartide/internal/quarantine"
 	"github.com/fulmartide/fulmartide/internal/rebalance"
 	"github.com/fulmartide/fulmartide/internal/statesync"
@@ -17,11 +18,12 @@
 
 // Platform holds the platform-specific parts of an installation, adapted to the interfaces of the router.
 type Platform struct {
-	// Registry, Source, Leases, Quarantine and Usage access the store of the installation.
+	// Registry, Source, Leases, Quarantine, Versions and Usage access the store of the installation.
 	Registry   statesync.Registry
 	Source     activeconfig.Source
 	Leases     rebalance.LeaseStore
 	Quarantine quarantine.Store
+	Versions   origin.Store
 	Usage      admission.RecordStore
 	// Backend and Engines send requests to endpoints.
 	Backend backend.Client
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -3,6 +3,7 @@
 package vmserver
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
 	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/origin"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/quarantine"
 	"github.com/fulmartide/fulmartide/internal/rebalance"
@@ -45,8 +47,11 @@
 	refresher  *activeconfig.Refresher
 	rebalancer *rebalance.Rebalancer
 	quarantine *quarantine.Controller
-	keeper     *storekeeper.Keeper
-	recorder   *admission.Recorder
+	origins    *origin.Controller
+	// quarantineKeeper and versionKeeper keep records in the store.
+	quarantineKeeper, versionKeeper *storekeeper.Keeper
+
+	recorder *admission.Recorder
 
 	stopping atomic.Bool
 	wg       sync.WaitGroup
@@ -97,22 +102,32 @@
 	}
 	p.quarantine = quarantine.NewController(quarantine.Options{
 		Clock: p.clock, Log: log.Named("quarantine"), Metrics: set,
-		OnChange: func(s quarantine.State) { p.stateSync.QuarantineChanged(s) }, OnQuarantine: func() { p.keeper.Changed() },
+		OnChange: func(s quarantine.State) { p.stateSync.QuarantineChanged(s) }, OnQuarantine: func() { p.quarantineKeeper.Changed() },
 		MayTry: func() bool { return p.stateSync.HasLowestAddress() },
 	})
-	p.keeper = quarantine.NewKeeper(p.quarantine, platform.Quarantine, s.FirstStart, log.Named("quarantine"))
+	p.quarantineKeeper = quarantine.NewKeeper(p.quarantine, platform.Quarantine, s.FirstStart, log.Named("quarantine"))
+	p.origins = origin.NewController(origin.Options{
+		Clock: p.clock, Log: log.Named("origin"), Metrics: set, FirstStart: s.FirstStart,
+		Share: func(list []origin.Record) { p.stateSync.ShareOrigins(list) },
+		Ask: func(ctx context.Context, k origin.Key) (traffic.StreamOrigin, bool) {
+			return p.stateSync.AskOrigin(ctx, k)
+		},
+		OnVersions: func() { p.versionKeeper.Changed() },
+	})
+	p.versionKeeper = origin.NewKeeper(p.origins, platform.Versions, func() bool { return p.stateSync.HasLowestAddress() }, s.FirstStart, log.Named("origin"))
 	p.State = activeconfig.New(activeconfig.Options{
 		Clock: p.clock, Log: log.Named("inforce"), Decode: platform.Decode, OnChange: p.applyChange,
 		EndpointTTL: missedHeartbeats * s.HeartbeatPeriod, ReregisterTime: reregisterTime, OnEra: p.enterEra,
 	})
 	p.stateSync = statesync.New(statesync.Options{
 		Self: self, Clock: p.clock, Transport: p.transport, Registry: platform.Registry,
-		Work: p.scheduler, Plans: p.admission, Documents: p.State, Quarantine: p.quarantine, Log: log.Named("exchange"),
+		Work: p.scheduler, Plans: p.admission, Documents: p.State, Quarantine: p.quarantine, Origins: p.origins,
+		Log: log.Named("exchange"),
 	})
 	bodies := bodybuffer.NewBudget(s.MemoryBytes/bodyMemoryFraction, set)
 	p.dispatch = dispatch.New(dispatch.Options{
 		Clock: p.clock, Configuration: p.State.Configuration, Scheduler: p.scheduler, Backend: platform.Backend, Admission: p.admission,
-		Quarantine: p.quarantine, Bodies: bodies, Log: log.Named("dispatch"), Metrics: set, Seed: uint64(incarnation),
+		Quarantine: p.quarantine, Origins: p.origins, Bodies: bodies, Log: log.Named("dispatch"), Metrics: set, Seed: uint64(incarnation),
 	})
 	p.Handler = platform.NewHandler(p.dispatch, p.State.Configuration, bodies)
 	p.buildBackgroundTasks()
@@ -140,6 +155,7 @@
 	if c != nil {
 		p.admission.SetWorkspaces(c.Workspaces)
 		p.scheduler.UpdateEndpoints(e, c.Services)
+		p.origins.SetEndpoints(e.List)
 	}
 }
 
@@ -149,8 +165,9 @@
 	if restored {
 		p.stateSync.StoreRestored()
 		if p.stateSync.HasLowestAddress() {
-			p.keeper.Changed()
+			p.quarantineKeeper.Changed()
 		}
+		p.versionKeeper.Changed()
 	}
 }
 
