--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -197,7 +197,9 @@
 	case backend.WasRejected(err):
 		claim.RecordRefusal()
 		return
-	case !backend.MayHaveArrived(err) || errors.Is(context.Cause(ctx), errEndpointTimeout):
+	case !backend.MayHaveArrived(err):
+		g.recordUnreachable(claim, err)
+	case errors.Is(context.Cause(ctx), errEndpointTimeout):
 		claim.RecordOutcome(schedule.Dead)
 	default:
 		claim.RecordOutcome(schedule.Failed)
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -234,7 +234,7 @@
 		claim.RecordRefusal()
 	case !backend.MayHaveArrived(err):
 		if ctx.Err() == nil {
-			claim.RecordOutcome(schedule.Dead)
+			f.recordUnreachable(claim, err)
 		}
 	case callerGone(ctx, err):
 		// The error says nothing about the endpoint.
@@ -244,6 +244,15 @@
 	}
 }
 
+// recordUnreachable records that a request could not be sent, as there was no connection to the endpoint.
+func (f *inflightCall) recordUnreachable(claim *schedule.Claim, err error) {
+	claim.RecordOutcome(schedule.Dead)
+	usable, staying := f.dispatcher.opts.Scheduler.Usable(claim.Endpoint.Service)
+	f.log.Info("no connection to endpoint", zap.String("endpoint", claim.Endpoint.ID.Name), zap.String("service", claim.Endpoint.Service),
+		zap.Int("usable", usable), zap.Int("of", staying), zap.Error(err))
+	f.dispatcher.opts.Metrics.GetOrCreateCounter(`fulmartide_unsent_requests_total`).Inc()
+}
+
 // callerGone reports whether a send failed because the caller cancelled the call, or because writing to the caller
 // failed.
 func callerGone(ctx context.Context, err error) bool {
--- a/internal/schedule/pools.go
+++ b/internal/schedule/pools.go
@@ -39,6 +39,23 @@
 	return out
 }
 
+// Usable returns how many endpoints of a service stay and are not ejected, and how many stay.
+func (s *Scheduler) Usable(service string) (usable, staying int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.opts.Clock.Now()
+	for _, e := range s.table.byService[service] {
+		if !e.staying() {
+			continue
+		}
+		staying++
+		if !e.health.ejected(now) {
+			usable++
+		}
+	}
+	return usable, staying
+}
+
 // LeastLoaded implements rebalance.EnginePools. It returns the engine with the least work in the
 // data centre that has the most engines of the stage.
 func (s *Scheduler) LeastLoaded(service string, stage traffic.Stage, except []traffic.EndpointID) (traffic.Endpoint, bool) {
