--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -15,6 +15,8 @@
 type Request struct {
 	Call     *traffic.Call
 	Endpoint traffic.Endpoint
+	// Via is the VM through which the call is sent, nil for directly.
+	Via *traffic.Via
 	// Timeout is the time that the endpoint has to respond.
 	Timeout time.Duration
 	// Source identifies the KV cache to fetch for the prompt; nil if there is none.
@@ -29,6 +31,8 @@
 // Handle identifies the KV cache of a prompt that a prefill endpoint retains.
 type Handle struct {
 	Endpoint traffic.Endpoint
+	// Via is the VM through which the handle is freed, nil for directly.
+	Via *traffic.Via
 	// Address is where a decode endpoint fetches the KV cache.
 	Address netip.AddrPort
 	Name    string
@@ -78,9 +82,9 @@
 	Prefill(ctx context.Context, r Request) (Handle, error)
 	// Free releases a KV cache that no endpoint will fetch.
 	Free(ctx context.Context, h Handle) error
-	// Refuses connects to an endpoint and reports whether it refused the connection, as one does whose process has
-	// ended.
-	Refuses(ctx context.Context, e traffic.Endpoint) bool
+	// Connect opens a connection to an endpoint and keeps it for a later request. The error wraps
+	// syscall.ECONNREFUSED if the endpoint refused it, as one does whose process has ended.
+	Connect(ctx context.Context, e traffic.Endpoint) error
 }
 
 // SendError reports a call that failed without a usable response.
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -66,6 +65,12 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// MayHaveSent reports whether any byte of a request that failed with err may have been sent.
+func MayHaveSent(err error) bool {
+	var e *Error
+	return !errors.As(err, &e) || e.Sent
+}
+
 // Pool holds idle connections. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
@@ -102,16 +107,15 @@
 	return c.roundTrip(ctx, r)
 }
 
-// Refuses opens a connection and reports whether the endpoint refused it. A connection that it accepts is kept for a
-// later request.
-func (p *Pool) Refuses(ctx context.Context, t Target) bool {
+// Connect opens a connection, which is kept for a later request. It fails if the endpoint does not accept it.
+func (p *Pool) Connect(ctx context.Context, t Target) error {
 	c, err := p.dial(ctx, t)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	c.idleUntil = time.Now().Add(defaultIdleTimeout)
 	p.put(c)
-	return false
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/fulmartide/fulmartide/internal/connpool"
@@ -305,7 +306,7 @@
 	}
 }
 
-func TestRefuses(t *testing.T) {
+func TestConnect(t *testing.T) {
 	s := startServer(t, func(_ int, _ *http.Request, c net.Conn) bool {
 		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
@@ -314,7 +315,7 @@
 	p := connpool.New(func() { dials++ })
 	defer p.Close()
 	target := s.request("GET").Target
-	if p.Refuses(t.Context(), target) {
+	if err := p.Connect(t.Context(), target); err != nil {
 		t.Error("an endpoint that accepts connections counts as one that refuses them")
 	}
 	resp, err := p.Do(t.Context(), s.request("GET"))
@@ -326,12 +327,12 @@
 		t.Errorf("%d connections, want the one that was accepted", dials)
 	}
 	_ = s.ln.Close()
-	if !p.Refuses(t.Context(), target) {
+	if err := p.Connect(t.Context(), target); !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Error("a closed port does not count as refused")
 	}
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	if p.Refuses(ended, target) {
+	if err := p.Connect(ended, target); err == nil || errors.Is(err, syscall.ECONNREFUSED) {
 		t.Error("a cancelled attempt counts as refused")
 	}
 }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -34,11 +34,13 @@
 
 const crashedFor = 3 * time.Second
 
-func (f *crashingFleet) Refuses(_ context.Context, e traffic.Endpoint) bool {
+func (f *crashingFleet) Connect(_ context.Context, e traffic.Endpoint) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, down := f.downUntil[e.ID]
-	return down
+	if _, down := f.downUntil[e.ID]; down {
+		return syscall.ECONNREFUSED
+	}
+	return nil
 }
 
 func (f *crashingFleet) serve(_ int, _ context.Context, req backend.Request) (*backend.Response, error) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -47,6 +47,10 @@
 	Quarantine *quarantine.Controller
 	// Origins remembers where streams began. If nil, the Dispatcher creates one of its own.
 	Origins *origin.Controller
+	// ReachedElsewhere reports whether other VMs reach an endpoint. It may be nil.
+	ReachedElsewhere func(context.Context, traffic.Endpoint) bool
+	// OnSilent is called if an endpoint does not answer a request for some time. It must not block. It may be nil.
+	OnSilent func(traffic.Endpoint)
 	// Bodies is the memory for response bodies. If nil, the Dispatcher creates one of its own.
 	Bodies  *bodybuffer.Budget
 	Log     *zap.Logger
@@ -80,6 +84,12 @@
 			Clock: o.Clock, Log: o.Log, Metrics: o.Metrics, MayTry: func() bool { return true },
 		})
 	}
+	if o.ReachedElsewhere == nil {
+		o.ReachedElsewhere = func(context.Context, traffic.Endpoint) bool { return false }
+	}
+	if o.OnSilent == nil {
+		o.OnSilent = func(traffic.Endpoint) {}
+	}
 	if o.Origins == nil {
 		o.Origins = origin.NewController(origin.Options{Clock: o.Clock, Log: o.Log, Metrics: o.Metrics})
 	}
@@ -150,7 +160,8 @@
 	origin *traffic.StreamOrigin
 	// trialPart is the quarantined part of the prompt, or the quarantined request, that this call tries, empty if none.
 	trialPart string
-	tried     []traffic.EndpointID
+	// tried are the endpoints that were tried, unsent those to which this VM got no connection.
+	tried, unsent []traffic.EndpointID
 }
 
 // prepare matches the call to a route and service, and authenticates and admits the caller.
@@ -258,13 +269,21 @@
 	return f.dispatcher.opts.Clock.Now().Sub(f.call.ArrivedAt)
 }
 
+// viaName returns the name of the VM through which a call is sent, empty for directly.
+func viaName(via *traffic.Via) string {
+	if via == nil {
+		return ""
+	}
+	return via.VM
+}
+
 // newRequest returns the request that runs the call at a claimed endpoint.
-func (f *inflightCall) newRequest(e traffic.Endpoint) backend.Request {
+func (f *inflightCall) newRequest(claim *schedule.Claim) backend.Request {
 	priority := f.call.Route.Priority
 	if f.call.Workspace != nil && f.call.Workspace.Priority != nil {
 		priority = *f.call.Workspace.Priority
 	}
-	return backend.Request{Call: f.call, Endpoint: e, Timeout: f.remaining(), Priority: priority, LastEventID: f.call.LastEventID}
+	return backend.Request{Call: f.call, Endpoint: claim.Endpoint, Via: claim.Via, Timeout: f.remaining(), Priority: priority, LastEventID: f.call.LastEventID}
 }
 
 // place claims an endpoint. If all endpoints are full or none is available, it waits until maxElapsed
@@ -281,11 +300,11 @@
 			f.log.Info("placed", zap.Stringer("stage", request.Stage), zap.String("endpoint", claim.Endpoint.ID.Name),
 				zap.String("software", claim.Endpoint.SoftwareVersion), zap.Uint64("table_version", claim.TableVersion), zap.Duration("predicted_cost", claim.Score), zap.Int("among", claim.Candidates),
 				zap.Int("calls", claim.EndpointWork.Calls), zap.Int64("tokens", claim.EndpointWork.Tokens),
-				zap.Bool("ejected", claim.Ejected), zap.Bool("waited", waited))
+				zap.String("via", viaName(claim.Via)), zap.Bool("ejected", claim.Ejected), zap.Bool("waited", waited))
 			return claim, nil
 		}
 		wait := maxElapsed - f.elapsed()
-		if wait <= 0 || fault.Is(err, fault.Unavailable) && len(request.Exclude) > 0 ||
+		if wait <= 0 || fault.Is(err, fault.Unavailable) && len(request.Exclude)+len(request.Unsent) > 0 && !schedule.AwaitsVMs(err) ||
 			!fault.Is(err, fault.Overloaded) && !fault.Is(err, fault.Unavailable) ||
 			!schedule.MayWait(err, wait) {
 			f.log.Info("not placed", zap.Stringer("stage", request.Stage), zap.String("service", request.Service),
@@ -418,6 +437,7 @@
 					zap.String("endpoint", h.Endpoint.ID.Name), zap.Error(errHeldBack))
 				continue
 			}
+			h.Via = d.opts.Scheduler.ViaOf(h.Endpoint.ID)
 			freeCtx, cancel := context.WithTimeout(ctx, freeTimeout)
 			if err := d.opts.Backend.Free(freeCtx, h); err != nil {
 				d.opts.Log.Info("handle not freed, left to expire", zap.String("endpoint", h.Endpoint.ID.Name), zap.Error(err))
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -78,7 +78,7 @@
 	return nil
 }
 
-func (f *fakeBackend) Refuses(context.Context, traffic.Endpoint) bool { return false }
+func (f *fakeBackend) Connect(context.Context, traffic.Endpoint) error { return nil }
 
 func (f *fakeBackend) count(method string) (n int) {
 	f.mu.Lock()
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -85,9 +85,12 @@
 // shouldRetry reports whether to make another attempt after a failed one. If so, it deducts the
 // attempt from the retry budget.
 func (g *generation) shouldRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || isFinal(err) || g.prefills >= maxPrefills {
+	if ctx.Err() != nil || isFinal(err) || g.prefills >= maxPrefills || len(g.unsent) >= maxUnsentAttempts {
 		return false
 	}
+	if !backend.MayHaveArrived(err) {
+		return true // nothing arrived, so this is no retry
+	}
 	if g.mayHaveRun && (!g.call.Route.Retryable() || g.runs >= max(1, g.call.Route.MaxAttempts)) {
 		return false
 	}
@@ -156,7 +159,7 @@
 func (g *generation) newPlacementRequest(stage traffic.Stage, dataCentre string, exclude []traffic.EndpointID) *schedule.Request {
 	return &schedule.Request{
 		Service: g.call.Service.Name, Stage: stage, Tokens: g.call.Tokens, PreferredDataCentre: dataCentre,
-		Exclude: append(exclude, g.failedEngines...), NotRetryable: stage == traffic.Decode && !g.call.Route.Retryable(),
+		Exclude: append(exclude, g.failedEngines...), Unsent: g.unsent, NotRetryable: stage == traffic.Decode && !g.call.Route.Retryable(),
 		Version: g.requiredVersion(stage),
 	}
 }
@@ -164,16 +167,21 @@
 // prefill runs the prefill on the claimed engine.
 func (g *generation) prefill(ctx context.Context, claim *schedule.Claim) (backend.Handle, error) {
 	defer claim.Release()
-	g.prefills++
 	if err := g.startSend(claim); err != nil {
+		g.prefills++
 		return backend.Handle{}, err
 	}
 	start := g.dispatcher.opts.Clock.Now()
 	timeout := prefillFactor*claim.ExpectedPrefill + prefillSlack
 	stageCtx, cancel := context.WithTimeoutCause(ctx, timeout, errEndpointTimeout)
 	defer cancel()
-	h, err := g.dispatcher.opts.Backend.Prefill(stageCtx, g.newRequest(claim.Endpoint))
+	stopWatch := g.watchSilence(claim)
+	h, err := g.dispatcher.opts.Backend.Prefill(stageCtx, g.newRequest(claim))
+	stopWatch()
 	took := g.dispatcher.opts.Clock.Now().Sub(start)
+	if err == nil || backend.MayHaveArrived(err) {
+		g.prefills++
+	}
 	g.failureLog(err).Info("prompt read", zap.String("endpoint", claim.Endpoint.ID.Name), zap.Int64("tokens", g.call.Tokens.Prompt),
 		zap.Duration("expected", claim.ExpectedPrefill), zap.Duration("took", took), zap.Error(err))
 	g.dispatcher.opts.Metrics.GetOrCreateHistogram(`fulmartide_prefill_seconds`).Update(took.Seconds())
@@ -199,6 +207,7 @@
 		return
 	case !backend.MayHaveArrived(err):
 		g.recordUnreachable(claim, err)
+		return
 	case errors.Is(context.Cause(ctx), errEndpointTimeout):
 		claim.RecordOutcome(schedule.Dead)
 	default:
@@ -219,7 +228,9 @@
 		if err == nil || fetched || ctx.Err() != nil || isFinal(err) {
 			return fetched, err
 		}
-		rejectedBy = append(rejectedBy, claim.Endpoint.ID)
+		if backend.MayHaveArrived(err) {
+			rejectedBy = append(rejectedBy, claim.Endpoint.ID)
+		}
 		wait := g.handleTTL() - handleExpiryMargin - g.dispatcher.opts.Clock.Now().Sub(prefilledAt)
 		if n >= maxDecodes || wait <= 0 {
 			return false, err
@@ -248,8 +259,10 @@
 // the prefill.
 func (g *generation) runOnOneEngine(ctx context.Context, claim *schedule.Claim) error {
 	defer claim.Release()
-	g.prefills++
 	_, err := g.decode(ctx, claim, nil)
+	if err == nil || backend.MayHaveArrived(err) {
+		g.prefills++
+	}
 	return err
 }
 
@@ -258,7 +271,7 @@
 
 // decode sends the call to a decode engine and forwards its events to the caller.
 func (g *generation) decode(ctx context.Context, claim *schedule.Claim, h *backend.Handle) (fetched bool, err error) {
-	req := g.newRequest(claim.Endpoint)
+	req := g.newRequest(claim)
 	req.Source = h
 	if lastID := g.stream.lastID; lastID != "" {
 		req.LastEventID = lastID
@@ -273,10 +286,12 @@
 	g.stream.beginResponse()
 	stageCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := g.startStallTimer(cancel)
+	stall := g.startStallTimer(claim, cancel)
 	defer stall.Stop()
 	running, delimited := loadUnknown, false
+	stopWatch := g.watchSilence(claim)
 	reply, err := g.dispatcher.opts.Backend.Run(stageCtx, req)
+	stopWatch()
 	if err == nil {
 		defer func() { _ = reply.Body.Close() }()
 		claim.RecordLoad(reply.Load)
@@ -356,11 +371,17 @@
 
 // startStallTimer starts the stall timer of a stream that can be resumed at another engine. It
 // returns nil if no other attempt may follow.
-func (g *generation) startStallTimer(cancel context.CancelCauseFunc) *stallTimer {
+func (g *generation) startStallTimer(claim *schedule.Claim, cancel context.CancelCauseFunc) *stallTimer {
 	r := g.call.Route
 	if !r.Retryable() || g.runs+1 >= r.MaxAttempts {
 		return nil
 	}
 	timeout := max(stallMin, stallFactor*r.MaxEventGap)
-	return &stallTimer{timer: time.AfterFunc(timeout, func() { cancel(errEndpointTimeout) }), timeout: timeout}
+	stalled := func() {
+		cancel(errEndpointTimeout)
+		if claim.Via == nil {
+			g.dispatcher.opts.OnSilent(claim.Endpoint)
+		}
+	}
+	return &stallTimer{timer: time.AfterFunc(timeout, stalled), timeout: timeout}
 }
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -102,14 +102,14 @@
 	if err := f.checkQuarantine(); err != nil {
 		return nil, err
 	}
-	request := &schedule.Request{Service: f.call.Service.Name, Exclude: f.tried, NotRetryable: !f.call.Route.Retryable(), Version: f.requiredVersion(traffic.Aggregated)}
+	request := &schedule.Request{Service: f.call.Service.Name, Exclude: f.tried, Unsent: f.unsent, NotRetryable: !f.call.Route.Retryable(), Version: f.requiredVersion(traffic.Aggregated)}
 	claim, err := f.place(ctx, request, time.Duration(capacityWaitFraction*float64(f.call.Route.LatencyTarget)))
 	if err != nil {
 		return nil, err
 	}
 	defer claim.Release()
-	f.tried = append(f.tried, claim.Endpoint.ID)
 	if err := f.startSend(claim); err != nil {
+		f.tried = append(f.tried, claim.Endpoint.ID)
 		return nil, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -117,6 +117,9 @@
 	stopTimeout := f.startAttemptTimeout(cancel)
 	defer stopTimeout()
 	resp, err := f.send(ctx, claim)
+	if err == nil || backend.MayHaveArrived(err) {
+		f.tried = append(f.tried, claim.Endpoint.ID)
+	}
 	if resp != nil {
 		defer func() { _ = resp.reply.Body.Close() }()
 	}
@@ -157,7 +160,9 @@
 // send sends the call to the claimed endpoint and reads the response, as far as it may be buffered. The caller must
 // close the body of the reply.
 func (f *inflightCall) send(ctx context.Context, claim *schedule.Claim) (*response, error) {
-	reply, err := f.dispatcher.opts.Backend.Run(ctx, f.newRequest(claim.Endpoint))
+	stop := f.watchSilence(claim)
+	reply, err := f.dispatcher.opts.Backend.Run(ctx, f.newRequest(claim))
+	stop()
 	if err != nil {
 		f.countSend(err)
 		return nil, err
@@ -244,12 +249,25 @@
 	}
 }
 
+// silenceTimeout is how long an endpoint may leave a request without an answer before the path to it is examined.
+const silenceTimeout = 500 * time.Millisecond
+
+// watchSilence reports the claim's endpoint as silent unless the returned function is called in time.
+func (f *inflightCall) watchSilence(claim *schedule.Claim) (stop func()) {
+	if claim.Via != nil {
+		return func() {}
+	}
+	t := time.AfterFunc(silenceTimeout, func() { f.dispatcher.opts.OnSilent(claim.Endpoint) })
+	return func() { t.Stop() }
+}
+
 // recordUnreachable records that a request could not be sent, as there was no connection to the endpoint.
 func (f *inflightCall) recordUnreachable(claim *schedule.Claim, err error) {
-	claim.RecordOutcome(schedule.Dead)
+	f.unsent = append(f.unsent, claim.Endpoint.ID)
+	claim.RecordUnreachable()
 	usable, staying := f.dispatcher.opts.Scheduler.Usable(claim.Endpoint.Service)
 	f.log.Info("no connection to endpoint", zap.String("endpoint", claim.Endpoint.ID.Name), zap.String("service", claim.Endpoint.Service),
-		zap.Int("usable", usable), zap.Int("of", staying), zap.Error(err))
+		zap.String("via", viaName(claim.Via)), zap.Int("usable", usable), zap.Int("of", staying), zap.Error(err))
 	f.dispatcher.opts.Metrics.GetOrCreateCounter(`fulmartide_unsent_requests_total`).Inc()
 }
 
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -101,8 +101,8 @@
 	refuses  bool
 }
 
-// examineTimeout limits one connection to an endpoint that has aborted a request.
-const examineTimeout = 300 * time.Millisecond
+// examineTimeout limits the examination of an endpoint that has aborted a request.
+const examineTimeout = 600 * time.Millisecond
 
 // examineAborts records the aborted sends whose endpoints refuse connections, and so have crashed, until ctx ends.
 func (d *Dispatcher) examineAborts(ctx context.Context) {
@@ -129,6 +129,9 @@
 func (d *Dispatcher) examine(ctx context.Context, e traffic.Endpoint) examination {
 	ctx, cancel := context.WithTimeout(ctx, examineTimeout)
 	defer cancel()
-	refuses := d.opts.Backend.Refuses(ctx, e)
-	return examination{endpoint: e.ID, at: d.opts.Clock.Now(), refuses: refuses}
+	err := d.opts.Backend.Connect(ctx, e)
+	at := d.opts.Clock.Now()
+	// A connection that is refused to this VM alone says nothing about the endpoint.
+	refuses := errors.Is(err, syscall.ECONNREFUSED) && !d.opts.ReachedElsewhere(ctx, e)
+	return examination{endpoint: e.ID, at: at, refuses: refuses}
 }
--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -22,8 +22,7 @@
 		Method: r.Call.Method, URI: r.Call.RequestURI, Host: r.Call.Host, Header: r.Call.Header, Body: r.Call.Body,
 	})
 	if err != nil {
-		var connErr *connpool.Error
-		return nil, &backend.SendError{Sent: !errors.As(err, &connErr) || connErr.Sent, Err: err}
+		return nil, &backend.SendError{Sent: connpool.MayHaveSent(err), Err: err}
 	}
 	return &backend.Response{Status: resp.Status, Header: resp.Header, Body: resp, Length: resp.Length, Delimited: resp.Delimited}, nil
 }
@@ -35,9 +34,9 @@
 	return backend.Handle{}, &backend.SendError{Err: errNoPrefill}
 }
 
-// Refuses implements backend.Client.
-func (p *PlainClient) Refuses(ctx context.Context, e traffic.Endpoint) bool {
-	return p.Pool.Refuses(ctx, connpool.Target{Address: e.Address, Instance: e.ID.Name})
+// Connect implements backend.Client.
+func (p *PlainClient) Connect(ctx context.Context, e traffic.Endpoint) error {
+	return p.Pool.Connect(ctx, connpool.Target{Address: e.Address, Instance: e.ID.Name})
 }
 
 // Free implements backend.Client.
--- /dev/null
+++ b/internal/forward/client.go
@@ -0,0 +1,94 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/fulmartide/fulmartide/internal/connpool"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// Opener opens streams to other VMs.
+type Opener interface {
+	OpenStream(ctx context.Context, addr netip.AddrPort, kind peer.Kind) (net.Conn, error)
+}
+
+var _ Opener = (*peer.Transport)(nil)
+
+// Client sends requests through other VMs.
+type Client struct{ Opener Opener }
+
+// Response is the response of an endpoint, received through another VM. The body must be closed; that cancels what is
+// left of the request.
+type Response struct {
+	Status int
+	Header http.Header
+	// Length is the length of the body, -1 if unknown.
+	Length int64
+	// Delimited is set if the endpoint marked the end of the body.
+	Delimited bool
+	Body      io.ReadCloser
+}
+
+// Do sends a request to an endpoint through a VM and returns the response once its header has arrived. Errors are of
+// type *connpool.Error.
+func (c *Client) Do(ctx context.Context, via *traffic.Via, endpoint traffic.EndpointID, r *connpool.Request) (*Response, error) {
+	nc, err := c.Opener.OpenStream(ctx, via.Address, peer.KindForward)
+	if err != nil {
+		return nil, &connpool.Error{Err: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
+	in := bufio.NewReader(nc)
+	out, err := exchange(nc, in, endpoint, r)
+	if err == nil {
+		body := &responseBody{Reader: &bodyReader{r: in}, nc: nc, stop: stop}
+		return &Response{Status: out.Status, Header: out.Header, Length: out.Length, Delimited: out.Delimited, Body: body}, nil
+	}
+	stop()
+	_ = nc.Close()
+	if cause := context.Cause(ctx); cause != nil {
+		err = &connpool.Error{Sent: connpool.MayHaveSent(err), Err: cause}
+	}
+	return nil, err
+}
+
+// exchange sends a request and reads its outcome.
+func exchange(w io.Writer, in io.Reader, endpoint traffic.EndpointID, r *connpool.Request) (*outcome, error) {
+	h := requestHeader{
+		Endpoint: endpoint, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header,
+		HasBody: r.Body != nil, BodyBytes: len(r.Body),
+	}
+	if err := writeMessage(w, &h); err != nil {
+		return nil, &connpool.Error{Err: err} // the other VM sends nothing before it has the whole request
+	}
+	if n, err := w.Write(r.Body); n < len(r.Body) {
+		return nil, &connpool.Error{Err: err}
+	}
+	var out outcome
+	if err := readMessage(in, &out); err != nil {
+		return nil, &connpool.Error{Sent: true, Err: err}
+	}
+	if out.Error != "" {
+		return nil, &connpool.Error{Sent: out.Sent, Err: errors.New("through another VM: " + out.Error)}
+	}
+	return &out, nil
+}
+
+// responseBody closes the stream with the body.
+type responseBody struct {
+	io.Reader
+	nc   net.Conn
+	stop func() bool
+}
+
+// Close implements io.Closer.
+func (b *responseBody) Close() error {
+	b.stop()
+	return b.nc.Close()
+}
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,200 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/bodybuffer"
+	"github.com/fulmartide/fulmartide/internal/connpool"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+var (
+	testID   = traffic.EndpointID{Name: "e1", StartedAt: 7}
+	errEnded = errors.New("the endpoint leaves")
+)
+
+// pair is a VM that sends requests through another one.
+type pair struct {
+	client *Client
+	server *Server
+	via    *traffic.Via
+	pool   *connpool.Pool
+	start  func(traffic.EndpointID) error
+}
+
+func newPair(t *testing.T, endpoint http.Handler) *pair {
+	s := httptest.NewServer(endpoint)
+	t.Cleanup(s.Close)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	p := &pair{pool: connpool.New(nil), start: func(traffic.EndpointID) error { return nil }}
+	t.Cleanup(p.pool.Close)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	receiver := peer.New(peer.Options{Self: ident.VM{Name: "receiver", Incarnation: 1}})
+	p.server = NewServer(receiver, ServerOptions{
+		Start: func(id traffic.EndpointID) (traffic.Endpoint, error) {
+			return traffic.Endpoint{ID: id, Address: address}, p.start(id)
+		},
+		Send: func(ctx context.Context, e traffic.Endpoint, r *connpool.Request) (*connpool.Response, error) {
+			r.Target = connpool.Target{Address: e.Address, Instance: e.ID.Name}
+			return p.pool.Do(ctx, r)
+		},
+		Bodies: bodybuffer.NewBudget(1<<20, metrics.NewSet()), Log: zap.NewNop(), Metrics: metrics.NewSet(),
+	})
+	go func() { _ = receiver.Serve(ln) }()
+	sender := peer.New(peer.Options{Self: ident.VM{Name: "sender", Incarnation: 1}})
+	t.Cleanup(receiver.Close)
+	t.Cleanup(sender.Close)
+	p.client = &Client{Opener: sender}
+	p.via = &traffic.Via{VM: "receiver", Address: ln.Addr().(*net.TCPAddr).AddrPort()}
+	return p
+}
+
+func testRequest(body []byte) *connpool.Request {
+	return &connpool.Request{Method: http.MethodPost, URI: "/x//y?z=%2f", Host: "h", Header: http.Header{"X-Own": {"1", "2"}}, Body: body}
+}
+
+func TestRequestsAndResponsesAreForwardedUnchanged(t *testing.T) {
+	long := bytes.Repeat([]byte("0123456789"), 20_000)
+	for _, tc := range []struct {
+		name string
+		body []byte
+	}{{"no body", nil}, {"empty body", []byte{}}, {"long body", long}} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPair(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				if r.RequestURI != "/x//y?z=%2f" || r.Host != "h" || strings.Join(r.Header["X-Own"], ",") != "1,2" || !bytes.Equal(body, tc.body) {
+					t.Errorf("the endpoint received %s, host %s, headers %v and %d bytes", r.RequestURI, r.Host, r.Header, len(body))
+				}
+				if sized := r.Header.Get("Content-Length") != "" || r.ContentLength > 0; sized != (tc.body != nil) {
+					t.Errorf("the endpoint received a request of length %d", r.ContentLength)
+				}
+				w.Header().Set("X-Reply", "a")
+				w.WriteHeader(http.StatusTeapot)
+				_, _ = w.Write(long)
+			}))
+			resp, err := p.client.Do(t.Context(), p.via, testID, testRequest(tc.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if err != nil || resp.Status != http.StatusTeapot || resp.Header.Get("X-Reply") != "a" || !resp.Delimited || !bytes.Equal(got, long) {
+				t.Errorf("got status %d, headers %v, %d bytes, error %v", resp.Status, resp.Header, len(got), err)
+			}
+		})
+	}
+}
+
+// TestFailuresSayWhetherTheRequestWasSent checks that a request which did not reach the endpoint is reported so, and
+// only such a one.
+func TestFailuresSayWhetherTheRequestWasSent(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		setUp func(p *pair)
+		sent  bool
+	}{
+		{"the other VM is gone", func(p *pair) { p.via.Address = netip.MustParseAddrPort("127.0.0.1:1") }, false},
+		{"the other VM may not send to the endpoint", func(p *pair) { p.start = func(traffic.EndpointID) error { return errEnded } }, false},
+		{"the other VM sends too many already", func(p *pair) {
+			for range maxConcurrent {
+				p.server.slots <- struct{}{}
+			}
+		}, false},
+		{"the endpoint breaks off before its response", func(*pair) {}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPair(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+			tc.setUp(p)
+			_, err := p.client.Do(t.Context(), p.via, testID, testRequest([]byte("x")))
+			if err == nil || connpool.MayHaveSent(err) != tc.sent {
+				t.Errorf("error %v, sent: %v, want %v", err, connpool.MayHaveSent(err), tc.sent)
+			}
+		})
+	}
+}
+
+func TestBrokenOffResponseIsNotWhole(t *testing.T) {
+	p := newPair(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	resp, err := p.client.Do(t.Context(), p.via, testID, testRequest(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if got, err := io.ReadAll(resp.Body); err == nil || string(got) != "part" {
+		t.Errorf("got %q, error %v", got, err)
+	}
+}
+
+func TestCallerThatLeavesEndsTheRequestAtTheEndpoint(t *testing.T) {
+	for _, started := range []bool{false, true} {
+		ended, began := make(chan struct{}), make(chan struct{})
+		p := newPair(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if started {
+				_, _ = io.WriteString(w, "x")
+				_ = http.NewResponseController(w).Flush()
+			}
+			close(began)
+			<-r.Context().Done()
+			close(ended)
+		}))
+		ctx, leave := context.WithCancel(t.Context())
+		go func() {
+			<-began
+			leave()
+		}()
+		resp, err := p.client.Do(ctx, p.via, testID, testRequest(nil))
+		switch {
+		case err == nil:
+			_, _ = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+		case !errors.Is(err, context.Canceled):
+			t.Errorf("error %v", err)
+		}
+		<-ended
+	}
+}
+
+func TestMalformedMessagesAreRefused(t *testing.T) {
+	for name, raw := range map[string]string{
+		"header beyond the maximum size": "\xff\xff\xff\xff",
+		"header that ends early":         "\x00\x00\x00\x10abc",
+		"no message":                     "\x00\x00\x00\x03abc",
+		"list that claims a huge length": "\x00\x00\x00\x05\xdd\xff\xff\xff\xff",
+	} {
+		var h requestHeader
+		if err := readMessage(strings.NewReader(raw), &h); err == nil {
+			t.Errorf("%s: accepted as %+v", name, h)
+		}
+	}
+	for name, raw := range map[string]string{
+		"piece beyond the maximum size": "\x00\xff\xff\xff",
+		"no end":                        "\x00\x00\x00\x01a",
+		"piece that ends early":         "\x00\x00\x00\x02a",
+		"broken off":                    "\x00\x00\x00\x01a\xff\xff\xff\xff",
+	} {
+		if got, err := io.ReadAll(&bodyReader{r: strings.NewReader(raw)}); err == nil {
+			t.Errorf("%s: the body %q counts as whole", name, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/server.go
@@ -0,0 +1,152 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/bodybuffer"
+	"github.com/fulmartide/fulmartide/internal/connpool"
+	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+const (
+	// maxConcurrent is the maximum number of requests of other VMs that a VM sends at a time. Further ones are refused,
+	// so that a data centre without a path does not take others down.
+	maxConcurrent = 128
+	// requestTimeout is the maximum time in which a request must arrive.
+	requestTimeout = 2 * time.Second
+)
+
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	// Start checks right before a send whether this VM may send a request to an endpoint now, and returns its entry.
+	Start func(traffic.EndpointID) (traffic.Endpoint, error)
+	// Send sends a request over a connection of this VM.
+	Send func(context.Context, traffic.Endpoint, *connpool.Request) (*connpool.Response, error)
+	// Bodies is the memory for the bodies of requests.
+	Bodies  *bodybuffer.Budget
+	Log     *zap.Logger
+	Metrics *metrics.Set
+}
+
+// Server sends requests of other VMs to endpoints.
+type Server struct {
+	opts  ServerOptions
+	slots chan struct{}
+}
+
+// NewServer returns a Server and registers it with the transport.
+func NewServer(t *peer.Transport, o ServerOptions) *Server {
+	s := &Server{opts: o, slots: make(chan struct{}, maxConcurrent)}
+	t.HandleStream(peer.KindForward, s.serve)
+	return s
+}
+
+// Room returns the number of further requests that the server takes now.
+func (s *Server) Room() int { return maxConcurrent - len(s.slots) }
+
+var errNoRoom = errors.New("the VM sends too many requests of others already")
+
+// serve handles one request.
+func (s *Server) serve(ctx context.Context, from ident.VM, nc net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	default:
+		s.reply(nc, from, &outcome{Error: errNoRoom.Error()})
+		return
+	}
+	body := s.opts.Bodies.NewBody()
+	defer body.Release()
+	in := bufio.NewReader(nc)
+	h, err := s.readRequest(nc, in, body)
+	if err != nil {
+		s.log(from, h, nil, fmt.Errorf("read the request: %w", err))
+		s.reply(nc, from, &outcome{Error: err.Error()})
+		return
+	}
+	go func() { // the other VM sends nothing more; it closes the stream when its caller leaves
+		_, _ = in.ReadByte()
+		cancel()
+	}()
+	resp, err := s.send(ctx, h, body)
+	s.log(from, h, resp, err)
+	if err != nil {
+		s.reply(nc, from, &outcome{Error: err.Error(), Sent: connpool.MayHaveSent(err)})
+		return
+	}
+	defer func() { _ = resp.Close() }()
+	if !s.reply(nc, from, &outcome{Status: resp.Status, Header: resp.Header, Length: resp.Length, Delimited: resp.Delimited}) {
+		return
+	}
+	if err := writeBody(nc, resp); err != nil {
+		s.opts.Log.Info("response for another vm broken off", zap.Stringer("vm", from), zap.String("endpoint", h.Endpoint.Name), zap.Error(err))
+	}
+}
+
+func (s *Server) readRequest(nc net.Conn, in io.Reader, body *bodybuffer.Body) (*requestHeader, error) {
+	h := &requestHeader{}
+	if err := nc.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
+		return h, err
+	}
+	if err := readMessage(in, h); err != nil {
+		return h, err
+	}
+	if h.BodyBytes < 0 || h.BodyBytes > maxBodyBytes || !h.HasBody && h.BodyBytes > 0 {
+		return h, errTooLarge
+	}
+	if err := body.Reserve(h.BodyBytes); err != nil {
+		return h, err
+	}
+	if err := body.Read(io.LimitReader(in, int64(h.BodyBytes)), maxBodyBytes); err != nil {
+		return h, err
+	}
+	if len(body.Bytes()) < h.BodyBytes {
+		return h, io.ErrUnexpectedEOF
+	}
+	return h, nc.SetReadDeadline(time.Time{})
+}
+
+// send sends a request to its endpoint. Its errors are of type *connpool.Error.
+func (s *Server) send(ctx context.Context, h *requestHeader, body *bodybuffer.Body) (*connpool.Response, error) {
+	endpoint, err := s.opts.Start(h.Endpoint)
+	if err != nil {
+		return nil, &connpool.Error{Err: err}
+	}
+	r := &connpool.Request{Method: h.Method, URI: h.URI, Host: h.Host, Header: h.Header}
+	if h.HasBody {
+		r.Body = body.Bytes()
+	}
+	return s.opts.Send(ctx, endpoint, r)
+}
+
+// reply sends the outcome of a request and reports whether it could.
+func (s *Server) reply(nc net.Conn, from ident.VM, o *outcome) bool {
+	err := writeMessage(nc, o)
+	if err != nil {
+		s.opts.Log.Info("outcome not told to another vm", zap.Stringer("vm", from), zap.Error(err))
+	}
+	return err == nil
+}
+
+func (s *Server) log(from ident.VM, h *requestHeader, resp *connpool.Response, err error) {
+	status := 0
+	if resp != nil {
+		status = resp.Status
+	}
+	s.opts.Metrics.GetOrCreateCounter(`fulmartide_sent_for_other_vms_total`).Inc()
+	s.opts.Log.Info("sent for another vm", zap.Stringer("vm", from), zap.String("endpoint", h.Endpoint.Name), zap.String("uri", h.URI),
+		zap.Int("status", status), zap.Bool("may_have_arrived", err == nil || connpool.MayHaveSent(err)), zap.Error(err))
+}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"crypto/tls"
 	"net"
 	"net/netip"
 	"sync"
@@ -13,7 +12,6 @@
 
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
-	"github.com/fulmartide/fulmartide/internal/tcpconn"
 )
 
 // conn is a dialed or accepted connection. One goroutine reads from it and one writes to it.
@@ -73,7 +71,7 @@
 	defer c.t.wg.Done()
 	ctx, cancel := context.WithTimeout(c.t.ctx, DialTimeout)
 	defer cancel()
-	nc, err := c.open(ctx)
+	nc, err := c.t.dial(ctx, c.addr)
 	if err != nil {
 		c.close(fault.Wrap(err, fault.Unavailable, "check that the VM is running and its port is reachable", "dial "+c.addr.String()))
 		return
@@ -91,15 +89,6 @@
 	c.start()
 }
 
-func (c *conn) open(ctx context.Context) (net.Conn, error) {
-	netDialer := tcpconn.Dialer(DialTimeout)
-	if c.t.opts.TLS != nil {
-		dialer := tls.Dialer{NetDialer: &netDialer, Config: c.t.opts.TLS}
-		return dialer.DialContext(ctx, "tcp", c.addr.String())
-	}
-	return netDialer.DialContext(ctx, "tcp", c.addr.String())
-}
-
 func (c *conn) start() {
 	c.outbox <- c.t.newHello()
 	c.t.wg.Add(2)
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -28,6 +28,7 @@
 	frameCancel
 	framePing
 	framePong
+	frameStream
 )
 
 // frame is the unit of transmission: a 4-byte big-endian length followed by this struct as a
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -58,4 +58,8 @@
 	KindStreamOrigin Kind = 25
 	// KindStreamOriginState requests all that a VM knows of where streams began.
 	KindStreamOriginState Kind = 26
+	// KindReach asks whether a VM reaches endpoints.
+	KindReach Kind = 27
+	// KindForward is a stream with a request to an endpoint that another VM is to send.
+	KindForward Kind = 28
 )
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -68,6 +68,7 @@
 type Transport struct {
 	opts     Options
 	handlers map[Kind]Handler
+	streams  map[Kind]StreamHandler
 	// inOrder holds the kinds that are handled by the goroutine that reads the connection.
 	inOrder map[Kind]bool
 	inbound chan struct{}
@@ -100,6 +101,7 @@
 	return &Transport{
 		opts:     o,
 		handlers: map[Kind]Handler{},
+		streams:  map[Kind]StreamHandler{},
 		inOrder:  map[Kind]bool{},
 		inbound:  make(chan struct{}, MaxInboundCalls),
 		conns:    map[netip.AddrPort]*conn{},
@@ -148,6 +150,44 @@
 		return
 	}
 	t.accepted[nc] = struct{}{}
+	t.wg.Add(1)
+	go t.receiveFirst(nc)
+}
+
+// receiveFirst reads the first frame of an accepted connection, which says whether it carries messages or a stream.
+func (t *Transport) receiveFirst(nc net.Conn) {
+	defer t.wg.Done()
+	err := nc.SetReadDeadline(time.Now().Add(InactivityTimeout))
+	var first *frame
+	n := 0
+	if err == nil {
+		first, n, err = readFrame(nc)
+	}
+	if err == nil {
+		err = nc.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		t.opts.Log.Debug("accepted connection closed", zap.Stringer("remote", nc.RemoteAddr()), zap.Error(err))
+		t.forget(nc)
+		return
+	}
+	t.opts.CountFrame(false, first.Kind, n)
+	if first.Type == frameStream {
+		t.serveStream(nc, first)
+		return
+	}
+	t.startAccepted(nc, first)
+}
+
+// forget closes an accepted connection.
+func (t *Transport) forget(nc net.Conn) {
+	_ = nc.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.accepted, nc)
+}
+
+func (t *Transport) startAccepted(nc net.Conn, first *frame) {
 	c := newConn(t, nc)
 	c.onClose = func() {
 		t.mu.Lock()
@@ -158,8 +198,9 @@
 		}
 		t.mu.Unlock()
 	}
-	t.openedLocked(c)
+	t.opened(c)
 	c.start()
+	c.dispatch(first)
 }
 
 // openedLocked records that a connection is in use. t.mu must be held.
--- /dev/null
+++ b/internal/reach/service.go
@@ -0,0 +1,224 @@
+// Package reach finds out to which endpoints this VM has lost its network path, and which other VMs reach them.
+//
+// A path is lost when a connection fails: one that a call needed, or one that is made because an endpoint is silent.
+// Then other VMs are asked, the nearest first. One that had an answer of the endpoint since, or gets a connection,
+// sends calls there for this VM until a connection of this VM succeeds again.
+package reach
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/backend"
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/schedule"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+const (
+	// probePeriod is the time between two attempts to regain a lost path.
+	probePeriod = time.Second
+	// maxProbes is the maximum number of connections that are attempted at a time. Once one succeeds, all others follow.
+	maxProbes = 8
+	// askPeriod is the time between two questions to other VMs about paths that stay lost.
+	askPeriod = time.Second
+	// askTimeout bounds such a question.
+	askTimeout = 350 * time.Millisecond
+	// probeTimeout bounds one attempt to connect.
+	probeTimeout = 250 * time.Millisecond
+	// localSources and remoteSources are how many VMs of this data centre, and of others, are asked at once.
+	localSources  = 2
+	remoteSources = 3
+	// maxAsked is the maximum number of endpoints in one question.
+	maxAsked = 512
+	// silentPause is the minimum time between two connections to endpoints that are silent.
+	silentPause = 400 * time.Millisecond
+	// quietTime is how long an endpoint must not have answered to be examined after another one timed out. The number
+	// that is examined grows from minQuiet as long as half of them time out as well.
+	quietTime = 500 * time.Millisecond
+	minQuiet  = 4
+)
+
+// Paths is what is known of the paths of this VM.
+type Paths interface {
+	PathLost(id traffic.EndpointID)
+	PathRestored(id traffic.EndpointID)
+	SetVia(id traffic.EndpointID, via []traffic.Via)
+	LostPaths() []schedule.LostPath
+	Quiet(n int, since time.Duration) []traffic.Endpoint
+	PathEvidence(id traffic.EndpointID) schedule.Evidence
+}
+
+var _ Paths = (*schedule.Scheduler)(nil)
+
+// Options configure a Service.
+type Options struct {
+	Paths   Paths
+	Backend backend.Client
+	// DataCentre is that of this VM.
+	DataCentre string
+	// Others returns up to the given numbers of live VMs of this data centre and of others, chosen at random.
+	Others    func(local, remote int) []traffic.Via
+	Transport *peer.Transport
+	// Room returns the number of requests that this VM can send for others now.
+	Room func() int
+	Log  *zap.Logger
+}
+
+// Service examines paths.
+type Service struct {
+	opts Options
+	// changed signals that a path was lost.
+	changed chan struct{}
+	// silent holds an endpoint that is silent.
+	silent chan traffic.Endpoint
+}
+
+// NewService returns a Service and registers it with the transport.
+func NewService(o Options) *Service {
+	s := &Service{opts: o, changed: make(chan struct{}, 1), silent: make(chan traffic.Endpoint, 1)}
+	peer.Handle(o.Transport, peer.KindReach, s.onQuestion)
+	return s
+}
+
+// PathChanged logs that a path was lost or regained. It does not block.
+func (s *Service) PathChanged(id traffic.EndpointID, regained bool) {
+	if regained {
+		s.opts.Log.Info("path to endpoint regained", zap.String("endpoint", id.Name))
+		return
+	}
+	s.opts.Log.Info("path to endpoint lost", zap.String("endpoint", id.Name))
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Silent records that an endpoint does not answer. It does not block; while another one is examined it does nothing.
+func (s *Service) Silent(e traffic.Endpoint) {
+	select {
+	case s.silent <- e:
+	default:
+	}
+}
+
+// Run examines paths until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.examineSilent(ctx) })
+	wg.Go(func() { s.probeLost(ctx) })
+	s.askForLost(ctx)
+	wg.Wait()
+}
+
+// examineSilent connects to endpoints that are silent.
+func (s *Service) examineSilent(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-s.silent:
+			if s.timesOut(ctx, e) {
+				s.examineQuiet(ctx)
+			}
+		}
+		clock.Sleep(ctx, silentPause)
+	}
+}
+
+// timesOut connects to an endpoint, records whether that succeeds, and reports whether nothing came back.
+func (s *Service) timesOut(ctx context.Context, e traffic.Endpoint) bool {
+	err := s.connect(ctx, e)
+	if err != nil && ctx.Err() == nil {
+		s.opts.Paths.PathLost(e.ID)
+	}
+	return err != nil && !errors.Is(err, syscall.ECONNREFUSED)
+}
+
+func (s *Service) connect(ctx context.Context, e traffic.Endpoint) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return s.opts.Backend.Connect(ctx, e)
+}
+
+// examineQuiet connects to endpoints that have not answered lately, after one has timed out: the VM may have lost all
+// its paths.
+func (s *Service) examineQuiet(ctx context.Context) {
+	for n := minQuiet; ctx.Err() == nil; n *= 4 {
+		quiet := s.opts.Paths.Quiet(n, quietTime)
+		lost := s.countTrue(quiet, func(e traffic.Endpoint) bool { return s.timesOut(ctx, e) })
+		if lost == 0 || 2*lost < len(quiet) {
+			return
+		}
+	}
+}
+
+// countTrue calls f for all endpoints at once and returns how often it returned true.
+func (s *Service) countTrue(list []traffic.Endpoint, f func(traffic.Endpoint) bool) int {
+	var wg sync.WaitGroup
+	results := make([]bool, len(list))
+	for i, e := range list {
+		wg.Go(func() { results[i] = f(e) })
+	}
+	wg.Wait()
+	n := 0
+	for _, ok := range results {
+		if ok {
+			n++
+		}
+	}
+	return n
+}
+
+// probeLost connects to endpoints to which the path is lost, until it succeeds.
+func (s *Service) probeLost(ctx context.Context) {
+	for clock.Sleep(ctx, probePeriod) {
+		lost := s.opts.Paths.LostPaths()
+		rand.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
+		n := min(len(lost), maxProbes)
+		if s.probe(ctx, lost[:n]) == 0 {
+			continue
+		}
+		for rest := lost[n:]; len(rest) > 0; rest = rest[min(len(rest), maxProbes):] {
+			s.probe(ctx, rest[:min(len(rest), maxProbes)])
+		}
+	}
+}
+
+// probe connects to endpoints and returns how many paths were regained.
+func (s *Service) probe(ctx context.Context, lost []schedule.LostPath) int {
+	var list []traffic.Endpoint
+	for _, l := range lost {
+		list = append(list, l.Endpoint)
+	}
+	return s.countTrue(list, func(e traffic.Endpoint) bool {
+		err := s.connect(ctx, e)
+		if err == nil {
+			s.opts.Paths.PathRestored(e.ID)
+		}
+		return err == nil
+	})
+}
+
+// askForLost asks other VMs whether they reach the endpoints to which this VM has lost its path: at once, and from time
+// to time while it stays lost.
+func (s *Service) askForLost(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.changed:
+		case <-time.After(askPeriod):
+		}
+		if lost := s.opts.Paths.LostPaths(); len(lost) > 0 {
+			s.ask(ctx, lost)
+		}
+	}
+}
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -87,6 +87,9 @@
 	h.ejections++
 }
 
+// endEjection lets the endpoint be used again, because it was shown to be up.
+func (h *health) endEjection() { h.ejections, h.ejectedUntil = 0, 0 }
+
 // ejected reports whether the endpoint is currently ejected.
 func (h *health) ejected(now clock.Instant) bool {
 	return h.ejections > 0 && now.Before(h.ejectedUntil)
--- a/internal/schedule/limit.go
+++ b/internal/schedule/limit.go
@@ -182,6 +182,10 @@
 // errRateLimited is the cause of errors of Place if the limits of endpoints leave this VM nothing now.
 var errRateLimited = fmt.Errorf("the rate limits of its endpoints are used up: %w", errHeldBack)
 
+// AwaitsVMs reports whether a call could not be placed because other VMs have been asked whether they reach its
+// endpoints.
+func AwaitsVMs(err error) bool { return errors.Is(err, errAwaitingVMs) }
+
 // MayWait reports whether a call that could not be placed may be placed by waiting for a time. It may not if its
 // endpoints take no calls before, if it waits for its turn within a rate limit, as others may do, or if there is no
 // endpoint of its version.
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -32,6 +32,8 @@
 	// OnLimit is called if a response to this VM changed what is known of the rate limit of an endpoint of a data
 	// centre. It must not block. It may be nil.
 	OnLimit func(id traffic.EndpointID, dataCentre string, l Limit)
+	// OnPath is called when this VM has lost its path to an endpoint, or regained it. It must not block. It may be nil.
+	OnPath func(id traffic.EndpointID, regained bool)
 	// WallTime reads the wall clock, by which VMs divide rate limits; time.Now if nil.
 	WallTime func() time.Time
 	// DrainTime is how long endpoints that leave take calls.
@@ -69,6 +71,9 @@
 	if o.OnLimit == nil {
 		o.OnLimit = func(traffic.EndpointID, string, Limit) {}
 	}
+	if o.OnPath == nil {
+		o.OnPath = func(traffic.EndpointID, bool) {}
+	}
 	if o.WallTime == nil {
 		o.WallTime = time.Now
 	}
@@ -191,7 +196,7 @@
 // RecordOutcome records the outcome of an attempt at the claim's endpoint.
 func (c *Claim) RecordOutcome(o Outcome) {
 	s := c.scheduler
-	known, pauseEnded := s.recordOutcome(c.Endpoint.ID, o)
+	known, pauseEnded := s.recordOutcome(c.Endpoint.ID, o, c.Via == nil)
 	if pauseEnded {
 		s.opts.OnHold(Hold{Endpoint: c.Endpoint.ID})
 	}
@@ -200,9 +205,9 @@
 	}
 }
 
-// recordOutcome records an outcome of this VM's. It reports whether the endpoint is known, and whether the outcome
+// recordOutcome records an outcome of this VM's; direct is set if the request went over a connection of its own. It reports whether the endpoint is known, and whether the outcome
 // ended a pause of it.
-func (s *Scheduler) recordOutcome(id traffic.EndpointID, o Outcome) (known, pauseEnded bool) {
+func (s *Scheduler) recordOutcome(id traffic.EndpointID, o Outcome, direct bool) (known, pauseEnded bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.table.states[id]
@@ -211,6 +216,9 @@
 	}
 	now := s.opts.Clock.Now()
 	e.health.record(now, o)
+	if direct && o <= Errored {
+		e.path.answeredAt = now
+	}
 	return true, o <= Errored && e.endPause(now)
 }
 
@@ -246,6 +254,9 @@
 	defer s.mu.Unlock()
 	if e := s.table.states[c.Endpoint.ID]; e != nil {
 		e.reportedCalls, e.reportedAt = l.Running+l.Waiting, s.opts.Clock.Now()
+		if c.Via == nil {
+			e.path.answeredAt = e.reportedAt
+		}
 	}
 }
 
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -81,7 +81,7 @@
 
 // score predicts the cost of an endpoint for a request, expressed as time.
 func (t *table) score(now clock.Instant, s *endpointState, req *Request) time.Duration {
-	cost := failureScore(now, s, req)
+	cost := failureScore(now, s, req) + s.path.cost(t.dataCentre)
 	switch req.Stage {
 	case traffic.Prefill:
 		return cost + t.expectedPrefill(now, s, req.work().Tokens) + t.distanceScore(s, req, remotePrefillCost)
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -34,6 +34,7 @@
 	own    Work
 	peers  peerWork
 	health health
+	path   path
 	// notice is what the endpoint said about itself; nil if nothing.
 	notice *notice
 	// prefillRate is the measured prefill speed, in tokens per second.
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -206,6 +206,9 @@
 	// PreferredDataCentre is the preferred data centre. If it is empty, this VM's data centre is
 	// preferred.
 	PreferredDataCentre string
+	// Unsent lists endpoints to which this VM got no connection for the call. They are chosen again only if another VM
+	// reaches them.
+	Unsent []traffic.EndpointID
 	// Exclude lists endpoints that must not be chosen, because they were tried before.
 	Exclude []traffic.EndpointID
 	// NotRetryable is set if the call cannot be retried after a failure of the endpoint.
@@ -220,6 +223,13 @@
 	MaxPrefillTime time.Duration
 }
 
+// awaitsVMs reports whether other VMs may say soon that they reach endpoints for a request.
+func (t *table) awaitsVMs(now clock.Instant, req *Request) bool {
+	return slices.ContainsFunc(t.byService[req.Service], func(s *endpointState) bool {
+		return s.Stage == req.Stage && s.staying() && req.accepts(s.SoftwareVersion) && !req.excludes(s.ID) && s.path.awaiting(now)
+	})
+}
+
 // accepts reports whether an endpoint of a software version can serve the request.
 func (req *Request) accepts(version string) bool {
 	return req.Version == nil || *req.Version == version
@@ -232,14 +242,7 @@
 	})
 }
 
-func (req *Request) excludes(id traffic.EndpointID) bool {
-	for _, v := range req.Exclude {
-		if v == id {
-			return true
-		}
-	}
-	return false
-}
+func (req *Request) excludes(id traffic.EndpointID) bool { return slices.Contains(req.Exclude, id) }
 
 // work returns the work that the call will add to the endpoint.
 func (req *Request) work() Work {
@@ -259,6 +262,8 @@
 // Choice is a chosen endpoint with the values that led to the choice.
 type Choice struct {
 	Endpoint traffic.Endpoint
+	// Via is the VM through which the call is to be sent, nil for directly.
+	Via *traffic.Via
 	// ExpectedPrefill is the predicted time until the prompt is prefilled, 0 in other stages.
 	ExpectedPrefill time.Duration
 	// Score is the predicted cost of the choice. Candidates is the number of endpoints compared.
@@ -338,13 +343,16 @@
 	var c candidates
 	localMean := t.localMean(req.Service, req.Stage)
 	for _, s := range t.byService[req.Service] {
-		if s.Stage != req.Stage || req.excludes(s.ID) || !req.accepts(s.SoftwareVersion) {
+		if s.Stage != req.Stage || req.excludes(s.ID) || slices.Contains(req.Unsent, s.ID) && !s.path.forwards() || !req.accepts(s.SoftwareVersion) {
 			continue
 		}
 		s.unreportedTokens = t.estimateUnreported(s, localMean)
 		c.add(now, t, s, req)
 	}
 	from, ejected := c.healthy, false
+	if len(from) == 0 && t.awaitsVMs(now, req) {
+		return nil, Choice{}, errAwaitingVMs
+	}
 	if len(from) == 0 && !c.full {
 		from = probeable(c.usable)
 		ejected = len(from) > 0
@@ -360,7 +368,7 @@
 	}
 	best, score := t.pick(now, from, req)
 	choice := Choice{
-		Endpoint: best.Endpoint, Score: score, Candidates: len(from), TableVersion: t.version, EndpointWork: best.totalWork(), Ejected: ejected,
+		Via: best.path.pick(t.random), Endpoint: best.Endpoint, Score: score, Candidates: len(from), TableVersion: t.version, EndpointWork: best.totalWork(), Ejected: ejected,
 	}
 	if req.Stage == traffic.Prefill && req.Tokens != nil {
 		choice.ExpectedPrefill = t.expectedPrefill(now, best, req.Tokens.Prompt)
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -360,6 +360,25 @@
 	return s.members.hasLowestAddress()
 }
 
+// Others returns up to local live VMs of this data centre and up to remote ones of others, chosen at random.
+func (s *Service) Others(local, remote int) []traffic.Via {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []traffic.Via
+	for _, p := range s.members.peers { // in random order
+		n := &remote
+		if p.member.DataCentre == s.opts.Self.DataCentre {
+			n = &local
+		}
+		if p.unresponsive || *n == 0 {
+			continue
+		}
+		*n--
+		out = append(out, traffic.Via{VM: p.member.VM.Name, Address: p.member.Address, DataCentre: p.member.DataCentre})
+	}
+	return out
+}
+
 // Rank returns the number of live direct peers with a lower address than this VM.
 func (s *Service) Rank() int {
 	s.mu.Lock()
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -231,6 +231,14 @@
 	return StreamOrigin{Service: e.Service, Version: e.SoftwareVersion}
 }
 
+// Via is another VM that sends requests to endpoints for this one.
+type Via struct {
+	// VM is the name of the VM, Address where it accepts connections of other VMs.
+	VM         string
+	Address    netip.AddrPort
+	DataCentre string
+}
+
 // DocumentVersion identifies a version of a document that is kept in the store. The store may be
 // restored from a backup: its versions then go back and are used again, and its era rises.
 type DocumentVersion struct {
--- a/internal/vmserver/platform.go
+++ b/internal/vmserver/platform.go
@@ -8,7 +8,9 @@
 	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
+	"github.com/fulmartide/fulmartide/internal/connpool"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
+	"github.com/fulmartide/fulmartide/internal/forward"
 	"github.com/fulmartide/fulmartide/internal/origin"
 	"github.com/fulmartide/fulmartide/internal/quarantine"
 	"github.com/fulmartide/fulmartide/internal/rebalance"
@@ -31,6 +33,10 @@
 	// ObserveNotices sets the function that receives what endpoints say about themselves. It is called before
 	// the first request.
 	ObserveNotices func(observe func(traffic.EndpointID, backend.Notice))
+	// SetForwarder sets the client that sends requests through other VMs. It is called before the first request.
+	SetForwarder func(*forward.Client)
+	// SendForwarded sends a request of another VM to an endpoint over a connection of this one.
+	SendForwarded func(context.Context, traffic.Endpoint, *connpool.Request) (*connpool.Response, error)
 	// SweepIdleConnections closes idle connections to endpoints until ctx ends.
 	SweepIdleConnections func(ctx context.Context)
 	// Decode parses a configuration as operators write it.
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -16,10 +16,12 @@
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
+	"github.com/fulmartide/fulmartide/internal/forward"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/origin"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/quarantine"
+	"github.com/fulmartide/fulmartide/internal/reach"
 	"github.com/fulmartide/fulmartide/internal/rebalance"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/statesync"
@@ -48,6 +50,7 @@
 	rebalancer *rebalance.Rebalancer
 	quarantine *quarantine.Controller
 	origins    *origin.Controller
+	reach      *reach.Service
 	// quarantineKeeper and versionKeeper keep records in the store.
 	quarantineKeeper, versionKeeper *storekeeper.Keeper
 
@@ -95,6 +98,7 @@
 		OnLimit: func(id traffic.EndpointID, dataCentre string, l schedule.Limit) {
 			p.stateSync.LimitChanged(id, dataCentre, l)
 		},
+		OnPath: func(id traffic.EndpointID, regained bool) { p.reach.PathChanged(id, regained) },
 		OnHold: p.logHold, DrainTime: s.DrainTime,
 	})
 	if platform.ObserveNotices != nil {
@@ -125,15 +129,31 @@
 		Log: log.Named("exchange"),
 	})
 	bodies := bodybuffer.NewBudget(s.MemoryBytes/bodyMemoryFraction, set)
+	p.buildForwarding(bodies)
 	p.dispatch = dispatch.New(dispatch.Options{
 		Clock: p.clock, Configuration: p.State.Configuration, Scheduler: p.scheduler, Backend: platform.Backend, Admission: p.admission,
-		Quarantine: p.quarantine, Origins: p.origins, Bodies: bodies, Log: log.Named("dispatch"), Metrics: set, Seed: uint64(incarnation),
+		Quarantine: p.quarantine, Origins: p.origins, Bodies: bodies,
+		ReachedElsewhere: p.reach.ReachedElsewhere, OnSilent: p.reach.Silent, Log: log.Named("dispatch"), Metrics: set, Seed: uint64(incarnation),
 	})
 	p.Handler = platform.NewHandler(p.dispatch, p.State.Configuration, bodies)
 	p.buildBackgroundTasks()
 	return p
 }
 
+// buildForwarding creates the components by which VMs send requests for each other.
+func (p *Process) buildForwarding(bodies *bodybuffer.Budget) {
+	server := forward.NewServer(p.transport, forward.ServerOptions{
+		Start: p.scheduler.StartForwarded, Send: p.platform.SendForwarded, Bodies: bodies, Log: p.log.Named("forward"), Metrics: p.set,
+	})
+	if p.platform.SetForwarder != nil {
+		p.platform.SetForwarder(&forward.Client{Opener: p.transport})
+	}
+	p.reach = reach.NewService(reach.Options{
+		Paths: p.scheduler, Backend: p.platform.Backend, DataCentre: p.settings.DataCentre, Others: p.stateSync.Others,
+		Transport: p.transport, Room: server.Room, Log: p.log.Named("reach"),
+	})
+}
+
 // logHold logs that this VM begins or ends to hold back calls from an endpoint.
 func (p *Process) logHold(h schedule.Hold) {
 	message, reason := "endpoint taken back", "answered"
