A stop waits for requests that the VM sends for others

Nothing waited for them, so a planned stop broke their responses off. A VM that is stopped refuses further ones and waits for those in progress (TestStopWaitsForRequestsOfOtherVMs).

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -117,6 +117,7 @@
 				p.server.slots <- struct{}{}
 			}
 		}, false},
+		{"the other VM is being stopped", func(p *pair) { p.server.Shutdown(context.Background()) }, false},
 		{"the endpoint breaks off before its response", func(*pair) {}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -130,6 +131,41 @@
 	}
 }
 
+// TestStopWaitsForRequestsOfOtherVMs checks that a response which has begun arrives whole when the VM that sends the
+// request is stopped meanwhile.
+func TestStopWaitsForRequestsOfOtherVMs(t *testing.T) {
+	goOn := make(chan struct{})
+	p := newPair(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "first, ")
+		_ = http.NewResponseController(w).Flush()
+		<-goOn
+		_, _ = io.WriteString(w, "last")
+	}))
+	resp, err := p.client.Do(t.Context(), p.via, testID, testRequest(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		p.server.Shutdown(t.Context())
+		close(stopped)
+	}()
+	for p.server.Room() > 0 {
+		continue
+	}
+	select {
+	case <-stopped:
+		t.Error("the VM stopped during a request of another VM")
+	default:
+	}
+	close(goOn)
+	if got, err := io.ReadAll(resp.Body); err != nil || string(got) != "first, last" {
+		t.Errorf("got %q, error %v", got, err)
+	}
+	_ = resp.Body.Close()
+	<-stopped
+}
+
 func TestBrokenOffResponseIsNotWhole(t *testing.T) {
 	p := newPair(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "part")
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/connpool"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
@@ -43,6 +45,8 @@
 type Server struct {
 	opts  ServerOptions
 	slots chan struct{}
+	// stopping is set once no further requests are taken.
+	stopping atomic.Bool
 }
 
 // NewServer returns a Server and registers it with the transport.
@@ -53,9 +57,28 @@
 }
 
 // Room returns the number of further requests that the server takes now.
-func (s *Server) Room() int { return maxConcurrent - len(s.slots) }
+func (s *Server) Room() int {
+	if s.stopping.Load() {
+		return 0
+	}
+	return maxConcurrent - len(s.slots)
+}
+
+// Shutdown refuses further requests and waits until those in progress have ended, or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.stopping.Store(true)
+	for len(s.slots) > 0 && clock.Sleep(ctx, shutdownCheckPeriod) {
+		continue
+	}
+}
 
-var errNoRoom = errors.New("the VM sends too many requests of others already")
+// shutdownCheckPeriod is the time between two checks whether requests are in progress.
+const shutdownCheckPeriod = 20 * time.Millisecond
+
+var (
+	errNoRoom   = errors.New("the VM sends too many requests of others already")
+	errStopping = errors.New("the VM is being stopped")
+)
 
 // serve handles one request.
 func (s *Server) serve(ctx context.Context, from ident.VM, nc net.Conn) {
@@ -68,6 +91,10 @@
 		s.reply(nc, from, &outcome{Error: errNoRoom.Error()})
 		return
 	}
+	if s.stopping.Load() {
+		s.reply(nc, from, &outcome{Error: errStopping.Error()})
+		return
+	}
 	body := s.opts.Bodies.NewBody()
 	defer body.Release()
 	in := bufio.NewReader(nc)
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -51,6 +51,7 @@
 	quarantine *quarantine.Controller
 	origins    *origin.Controller
 	reach      *reach.Service
+	forwarded  *forward.Server
 	// quarantineKeeper and versionKeeper keep records in the store.
 	quarantineKeeper, versionKeeper *storekeeper.Keeper
 
@@ -142,7 +143,7 @@
 
 // buildForwarding creates the components by which VMs send requests for each other.
 func (p *Process) buildForwarding(bodies *bodybuffer.Budget) {
-	server := forward.NewServer(p.transport, forward.ServerOptions{
+	p.forwarded = forward.NewServer(p.transport, forward.ServerOptions{
 		Start: p.scheduler.StartForwarded, Send: p.platform.SendForwarded, Bodies: bodies, Log: p.log.Named("forward"), Metrics: p.set,
 	})
 	if p.platform.SetForwarder != nil {
@@ -150,7 +151,7 @@
 	}
 	p.reach = reach.NewService(reach.Options{
 		Paths: p.scheduler, Backend: p.platform.Backend, DataCentre: p.settings.DataCentre, Others: p.stateSync.Others,
-		Transport: p.transport, Room: server.Room, Log: p.log.Named("reach"),
+		Transport: p.transport, Room: p.forwarded.Room, Log: p.log.Named("reach"),
 	})
 }
 
--- a/internal/vmserver/serve.go
+++ b/internal/vmserver/serve.go
@@ -143,6 +143,7 @@
 	if err := drain(stopCtx, callers, p.Handler.Active); err != nil {
 		p.log.Warn("connections cut by the stop", zap.Int64("calls", p.Handler.Active()), zap.Error(err))
 	}
+	p.forwarded.Shutdown(stopCtx)
 }
 
 // drain closes idle connections, refuses new ones and waits for the calls in progress until ctx ends. Shutdown also
