Paths: several that are lost tell of all; questions name 24 endpoints at most

At 295 VMs and 246 endpoints a VM that loses all its paths found them out one by one, four for each call that it then refused, and asked others for all of them, who had to connect to most. Two paths lost within a second now make it examine others, more as long as half of them fail (TestTwoRefusedConnectionsTellOfAllLostPaths); an endpoint whose path is lost and that no other VM reaches is tried only if there is no other one.

--- a/internal/reach/ask.go
+++ b/internal/reach/ask.go
@@ -50,6 +50,7 @@
 
 // ask asks other VMs whether they reach endpoints, and records those that do.
 func (s *Service) ask(ctx context.Context, lost []schedule.LostPath) {
+	slices.SortFunc(lost, func(a, b schedule.LostPath) int { return cmp.Compare(a.Via, b.Via) })
 	lost = lost[:min(len(lost), maxAsked)]
 	reached := make([][]traffic.Via, len(lost))
 	others := s.opts.Others(localSources, remoteSources)
@@ -140,7 +141,7 @@
 			wg.Go(func() {
 				slots <- struct{}{}
 				defer func() { <-slots }()
-				reached[i] = s.reaches(ctx, e.Endpoint)
+				reached[i] = s.connect(ctx, e.Endpoint) == nil
 			})
 		}
 	}
@@ -154,12 +155,3 @@
 	s.opts.Log.Info("asked about lost paths", zap.Stringer("vm", from), zap.Int("lost", len(q.Endpoints)), zap.Int("reached", len(a.Reached)), zap.Int("room", a.Room))
 	return a, nil
 }
-
-// reaches connects to an endpoint, records a failure, and reports whether it succeeded.
-func (s *Service) reaches(ctx context.Context, e traffic.Endpoint) bool {
-	err := s.connect(ctx, e)
-	if err != nil && ctx.Err() == nil {
-		s.opts.Paths.PathLost(e.ID)
-	}
-	return err == nil
-}
--- a/internal/reach/service.go
+++ b/internal/reach/service.go
@@ -36,12 +36,16 @@
 	// localSources and remoteSources are how many VMs of this data centre, and of others, are asked at once.
 	localSources  = 2
 	remoteSources = 3
-	// maxAsked is the maximum number of endpoints in one question.
-	maxAsked = 512
+	// maxAsked is the maximum number of endpoints in one question. In a large fleet that is enough to serve calls at.
+	maxAsked = 24
+	// severalLost is the number of paths lost within severalTime from which on other endpoints are examined as well: the
+	// VM may have lost all its paths.
+	severalLost = 2
+	severalTime = time.Second
 	// silentPause is the minimum time between two connections to endpoints that are silent.
 	silentPause = 400 * time.Millisecond
-	// quietTime is how long an endpoint must not have answered to be examined after another one timed out. The number
-	// that is examined grows from minQuiet as long as half of them time out as well.
+	// quietTime is how long an endpoint must not have answered to be examined when the VM may have lost all its paths.
+	// The number that is examined grows from minQuiet as long as half of them fail.
 	quietTime = 500 * time.Millisecond
 	minQuiet  = 4
 )
@@ -77,13 +81,14 @@
 	opts Options
 	// changed signals that a path was lost.
 	changed chan struct{}
-	// silent holds an endpoint that is silent.
-	silent chan traffic.Endpoint
+	// silent holds an endpoint that is silent, several signals that several paths were lost.
+	silent  chan traffic.Endpoint
+	several chan struct{}
 }
 
 // NewService returns a Service and registers it with the transport.
 func NewService(o Options) *Service {
-	s := &Service{opts: o, changed: make(chan struct{}, 1), silent: make(chan traffic.Endpoint, 1)}
+	s := &Service{opts: o, changed: make(chan struct{}, 1), silent: make(chan traffic.Endpoint, 1), several: make(chan struct{}, 1)}
 	peer.Handle(o.Transport, peer.KindReach, s.onQuestion)
 	return s
 }
@@ -95,8 +100,22 @@
 		return
 	}
 	s.opts.Log.Info("path to endpoint lost", zap.String("endpoint", id.Name))
+	signal(s.changed)
+	lately := 0
+	for _, l := range s.opts.Paths.LostPaths() {
+		if l.For < severalTime {
+			lately++
+		}
+	}
+	if lately >= severalLost {
+		signal(s.several)
+	}
+}
+
+// signal wakes the receiver of a channel of capacity 1, unless a signal is pending already.
+func signal(c chan struct{}) {
 	select {
-	case s.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -112,48 +131,51 @@
 // Run examines paths until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { s.examineSilent(ctx) })
+	wg.Go(func() { s.examine(ctx) })
 	wg.Go(func() { s.probeLost(ctx) })
 	s.askForLost(ctx)
 	wg.Wait()
 }
 
-// examineSilent connects to endpoints that are silent.
-func (s *Service) examineSilent(ctx context.Context) {
+// examine connects to endpoints that are silent, and to others when several paths were lost.
+func (s *Service) examine(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-s.silent:
-			if s.timesOut(ctx, e) {
+			if err := s.connect(ctx, e); timedOut(err) {
 				s.examineQuiet(ctx)
 			}
+		case <-s.several:
+			s.examineQuiet(ctx)
 		}
 		clock.Sleep(ctx, silentPause)
 	}
 }
 
-// timesOut connects to an endpoint, records whether that succeeds, and reports whether nothing came back.
-func (s *Service) timesOut(ctx context.Context, e traffic.Endpoint) bool {
-	err := s.connect(ctx, e)
-	if err != nil && ctx.Err() == nil {
-		s.opts.Paths.PathLost(e.ID)
-	}
-	return err != nil && !errors.Is(err, syscall.ECONNREFUSED)
-}
+// timedOut reports whether nothing came back from an endpoint. One whose process has ended refuses connections.
+func timedOut(err error) bool { return err != nil && !errors.Is(err, syscall.ECONNREFUSED) }
 
+// connect connects to an endpoint and records whether that succeeds.
 func (s *Service) connect(ctx context.Context, e traffic.Endpoint) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return s.opts.Backend.Connect(ctx, e)
+	err := s.opts.Backend.Connect(probeCtx, e)
+	switch {
+	case err == nil:
+		s.opts.Paths.PathRestored(e.ID)
+	case ctx.Err() == nil:
+		s.opts.Paths.PathLost(e.ID)
+	}
+	return err
 }
 
-// examineQuiet connects to endpoints that have not answered lately, after one has timed out: the VM may have lost all
-// its paths.
+// examineQuiet connects to endpoints that have not answered lately, to more of them as long as half of them fail.
 func (s *Service) examineQuiet(ctx context.Context) {
 	for n := minQuiet; ctx.Err() == nil; n *= 4 {
 		quiet := s.opts.Paths.Quiet(n, quietTime)
-		lost := s.countTrue(quiet, func(e traffic.Endpoint) bool { return s.timesOut(ctx, e) })
+		lost := countTrue(quiet, func(e traffic.Endpoint) bool { return s.connect(ctx, e) != nil })
 		if lost == 0 || 2*lost < len(quiet) {
 			return
 		}
@@ -161,7 +183,7 @@
 }
 
 // countTrue calls f for all endpoints at once and returns how often it returned true.
-func (s *Service) countTrue(list []traffic.Endpoint, f func(traffic.Endpoint) bool) int {
+func countTrue(list []traffic.Endpoint, f func(traffic.Endpoint) bool) int {
 	var wg sync.WaitGroup
 	results := make([]bool, len(list))
 	for i, e := range list {
@@ -198,13 +220,7 @@
 	for _, l := range lost {
 		list = append(list, l.Endpoint)
 	}
-	return s.countTrue(list, func(e traffic.Endpoint) bool {
-		err := s.connect(ctx, e)
-		if err == nil {
-			s.opts.Paths.PathRestored(e.ID)
-		}
-		return err == nil
-	})
+	return countTrue(list, func(e traffic.Endpoint) bool { return s.connect(ctx, e) == nil })
 }
 
 // askForLost asks other VMs whether they reach the endpoints to which this VM has lost its path: at once, and from time
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -315,7 +315,7 @@
 		}
 	default:
 		c.usable = append(c.usable, s)
-		if !s.health.ejected(now) {
+		if !s.health.ejected(now) && (!s.path.lost || s.path.forwards()) {
 			c.healthy = append(c.healthy, s)
 		}
 	}
