--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -234,3 +234,23 @@
 		}
 	}
 }
+
+// FuzzMessages decodes arbitrary bytes as what another VM sends: a request, its outcome and the body of a response.
+func FuzzMessages(f *testing.F) {
+	var whole bytes.Buffer
+	if err := errors.Join(writeMessage(&whole, &requestHeader{Endpoint: testID, Method: "GET"}), writeBody(&whole, strings.NewReader("x"))); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole.Bytes())
+	f.Add([]byte("\x00\x00\x00\x05\xdd\xff\xff\xff\xff"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r := bytes.NewReader(raw)
+		if err := readMessage(r, &requestHeader{}); err != nil {
+			_ = readMessage(bytes.NewReader(raw), &outcome{})
+			return
+		}
+		if got, err := io.ReadAll(&bodyReader{r: r}); err == nil && len(got) > len(raw) {
+			t.Errorf("a body of %d bytes came out of %d", len(got), len(raw))
+		}
+	})
+}
