Origins of other VMs: ages and numbers of versions are bounded

An age below zero, as another VM may claim, kept a version for as long as it said, so that streams without a record were refused meanwhile.

--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -59,16 +59,20 @@
 	return added, removed
 }
 
+// maxVersions is the maximum number of versions that are tracked besides those that are listed.
+const maxVersions = 1024
+
 // merge receives what another VM, or the store, knows. It completes what this VM knows if complete is set.
 func (v *versions) merge(now clock.Instant, sightings []Sighting, complete bool) {
 	for _, s := range sightings {
-		at := now.Add(-s.Age)
+		age := max(0, s.Age)
 		if s.Listed {
-			at = now
+			age = 0
 		}
-		if !v.listed[s.Origin] && now.Sub(at) <= takeUpTime {
-			v.lastListed[s.Origin] = max(v.lastListed[s.Origin], at)
+		if v.listed[s.Origin] || age > takeUpTime || len(v.lastListed) >= maxVersions {
+			continue
 		}
+		v.lastListed[s.Origin] = max(v.lastListed[s.Origin], now.Add(-age))
 	}
 	v.complete = v.complete || complete
 }
--- a/internal/statesync/fuzz_test.go
+++ b/internal/statesync/fuzz_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/codec"
+	"github.com/fulmartide/fulmartide/internal/origin"
 	"github.com/fulmartide/fulmartide/internal/quarantine"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -19,6 +20,10 @@
 	state := quarantine.State{Records: []quarantine.Record{{ID: 1, Endpoint: traffic.EndpointID{Name: "x"}, Parts: []string{"p"}, Call: "c"}}}
 	for _, message := range []any{
 		&heartbeat{From: member(2, 1, "a"), Full: true, Limits: []endpointLimit{limit}}, &limit, &state,
+		&origin.State{
+			Records: []origin.Record{{Key: 1, Origin: traffic.StreamOrigin{Service: "s", Version: "v"}, Left: time.Minute}}, Complete: true,
+			Sightings: []origin.Sighting{{Origin: traffic.StreamOrigin{Service: "s", Version: "v"}, Age: time.Second}},
+		},
 		&update{Seq: 1, Work: []endpointWork{{Name: "x", Work: schedule.Work{Calls: 1}}}},
 	} {
 		raw, err := msgpack.Marshal(message)
@@ -50,5 +55,12 @@
 			q.Merge(s, true, "test")
 			q.Check([]string{"p"})
 		}
+		var o origin.State
+		if codec.Unmarshal(raw, &o) == nil {
+			origins := newOrigins()
+			origins.Merge(o, "test")
+			origins.Find(t.Context(), 1, "s")
+			origins.State()
+		}
 	})
 }
