Questions about origins become rare while nobody can answer them

Each VM without complete versions asked three others five times a second for all records, for a minute if the store was away after all VMs had ended. Records are sent only by VMs that are complete now, and the pause doubles up to 5 s.

--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -174,15 +174,17 @@
 	Complete bool
 }
 
-// State returns what this VM knows.
+// State returns what this VM knows. It has no records unless it is complete: VMs that start together ask each other
+// often.
 func (c *Controller) State() State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.opts.Clock.Now()
-	return State{
-		Records:   c.records.list(now, func(entry) bool { return true }),
-		Sightings: c.versions.sightings(now), Complete: c.versions.knowsAll(now),
+	s := State{Sightings: c.versions.sightings(now), Complete: c.versions.knowsAll(now)}
+	if s.Complete {
+		s.Records = c.records.list(now, func(entry) bool { return true })
 	}
+	return s
 }
 
 // Merge receives the state of another VM, or what is stored.
--- a/internal/statesync/origins.go
+++ b/internal/statesync/origins.go
@@ -29,8 +29,9 @@
 	// originTimeout bounds the question where a stream began, originStateTimeout that for all that a VM knows.
 	originTimeout      = 250 * time.Millisecond
 	originStateTimeout = 500 * time.Millisecond
-	// originStatePause is the pause between two such questions.
-	originStatePause = 200 * time.Millisecond
+	// The pause between two such questions doubles from minOriginStatePause to maxOriginStatePause.
+	minOriginStatePause = 200 * time.Millisecond
+	maxOriginStatePause = 5 * time.Second
 	// originStateSources is the number of VMs that are asked at once.
 	originStateSources = 3
 )
@@ -168,14 +169,16 @@
 
 // adoptOrigins asks direct peers where streams began until one has told this VM all versions of services.
 func (s *Service) adoptOrigins(ctx context.Context) {
+	pause := minOriginStatePause
 	for turn := 0; s.opts.Origins.NeedsState(); turn++ {
 		s.mu.Lock()
 		sources := s.members.sources(turn, originStateSources)
 		s.mu.Unlock()
 		s.requestOrigins(ctx, sources)
-		if !clock.Sleep(ctx, originStatePause) {
+		if !clock.Sleep(ctx, pause) {
 			return
 		}
+		pause = min(2*pause, maxOriginStatePause)
 	}
 }
 
