Questions about lost paths become rare while nobody can answer them

Now a question names 24 endpoints at most and is repeated after 1, 2, 4 and 8 s. TestQuestionsBecomeRare fails without the pauses.

--- a/internal/reach/ask.go
+++ b/internal/reach/ask.go
@@ -50,8 +50,6 @@
 
 // ask asks other VMs whether they reach endpoints, and records those that do.
 func (s *Service) ask(ctx context.Context, lost []schedule.LostPath) {
-	slices.SortFunc(lost, func(a, b schedule.LostPath) int { return cmp.Compare(a.Via, b.Via) })
-	lost = lost[:min(len(lost), maxAsked)]
 	reached := make([][]traffic.Via, len(lost))
 	others := s.opts.Others(localSources, remoteSources)
 	for _, reply := range s.askAll(ctx, others, lost) {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -71,7 +71,7 @@
 		transport := peer.New(peer.Options{Self: ident.VM{Name: vm.via.VM, Incarnation: 1}})
 		vm.scheduler = schedule.New(schedule.Options{
 			Clock: clock.BootTime{}, DataCentre: dataCentre,
-			OnPath: func(id traffic.EndpointID, regained bool) { vm.PathChanged(id, regained) },
+			OnPath: func(c schedule.PathChange) { vm.PathChanged(c) },
 		})
 		vm.Service = NewService(Options{
 			Paths: vm.scheduler, Backend: vm.fakeConnections, DataCentre: dataCentre, Transport: transport,
@@ -173,6 +173,45 @@
 	}
 }
 
+// TestQuestionsBecomeRare plays a fleet whose VMs lose many paths for long, and checks how much they ask.
+func TestQuestionsBecomeRare(t *testing.T) {
+	const n = 100
+	vm := newTestVMs(t, n, "a")[0]
+	var lost []schedule.LostPath
+	for _, e := range testEndpoints(n).List {
+		lost = append(lost, schedule.LostPath{Endpoint: e, For: time.Millisecond})
+	}
+	now, times := time.Now(), map[string]int{}
+	for range 30 {
+		due := vm.due(now, lost)
+		if len(due) > maxAsked {
+			t.Fatalf("%d endpoints in one question", len(due))
+		}
+		for _, l := range due {
+			times[l.Endpoint.ID.Name]++
+		}
+		now = now.Add(minAskPause)
+		for i := range lost {
+			lost[i].For += minAskPause
+		}
+	}
+	lost[0].For = 0
+	if due := vm.due(now, lost[:1]); len(due) != 1 {
+		t.Error("a path that was lost again is not asked about at once")
+	}
+	for name, asked := range times {
+		if asked < 3 || asked > 6 {
+			t.Errorf("%s was asked for %d times in 30 s", name, asked)
+		}
+	}
+	if len(times) != n {
+		t.Errorf("%d of %d endpoints were asked for", len(times), n)
+	}
+	if due := vm.due(now, nil); len(due) > 0 || len(vm.asked) > 0 {
+		t.Errorf("%d endpoints are remembered after their paths were regained", len(vm.asked))
+	}
+}
+
 func TestTwoRefusedConnectionsTellOfAllLostPaths(t *testing.T) {
 	const n = 60
 	vm := newTestVMs(t, n, "a")[0]
--- a/internal/reach/service.go
+++ b/internal/reach/service.go
@@ -6,9 +6,11 @@
 package reach
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,8 +29,9 @@
 	probePeriod = time.Second
 	// maxProbes is the maximum number of connections that are attempted at a time. Once one succeeds, all others follow.
 	maxProbes = 8
-	// askPeriod is the time between two questions to other VMs about paths that stay lost.
-	askPeriod = time.Second
+	// The time between two questions to other VMs about a path that stays lost doubles from minAskPause to maxAskPause.
+	minAskPause = time.Second
+	maxAskPause = 8 * time.Second
 	// askTimeout bounds such a question.
 	askTimeout = 350 * time.Millisecond
 	// probeTimeout bounds one attempt to connect.
@@ -38,10 +41,6 @@
 	remoteSources = 3
 	// maxAsked is the maximum number of endpoints in one question. In a large fleet that is enough to serve calls at.
 	maxAsked = 24
-	// severalLost is the number of paths lost within severalTime from which on other endpoints are examined as well: the
-	// VM may have lost all its paths.
-	severalLost = 2
-	severalTime = time.Second
 	// silentPause is the minimum time between two connections to endpoints that are silent.
 	silentPause = 400 * time.Millisecond
 	// quietTime is how long an endpoint must not have answered to be examined when the VM may have lost all its paths.
@@ -84,30 +83,32 @@
 	// silent holds an endpoint that is silent, several signals that several paths were lost.
 	silent  chan traffic.Endpoint
 	several chan struct{}
+	// asked says when to ask again about lost paths. Only the goroutine that asks uses it.
+	asked map[traffic.EndpointID]askTime
+}
+
+// askTime is when to ask about a lost path again, and the pause before that.
+type askTime struct {
+	next  time.Time
+	pause time.Duration
 }
 
 // NewService returns a Service and registers it with the transport.
 func NewService(o Options) *Service {
-	s := &Service{opts: o, changed: make(chan struct{}, 1), silent: make(chan traffic.Endpoint, 1), several: make(chan struct{}, 1)}
+	s := &Service{opts: o, changed: make(chan struct{}, 1), silent: make(chan traffic.Endpoint, 1), several: make(chan struct{}, 1), asked: map[traffic.EndpointID]askTime{}}
 	peer.Handle(o.Transport, peer.KindReach, s.onQuestion)
 	return s
 }
 
 // PathChanged logs that a path was lost or regained. It does not block.
-func (s *Service) PathChanged(id traffic.EndpointID, regained bool) {
-	if regained {
-		s.opts.Log.Info("path to endpoint regained", zap.String("endpoint", id.Name))
+func (s *Service) PathChanged(c schedule.PathChange) {
+	if c.Regained {
+		s.opts.Log.Info("path to endpoint regained", zap.String("endpoint", c.Endpoint.Name))
 		return
 	}
-	s.opts.Log.Info("path to endpoint lost", zap.String("endpoint", id.Name))
+	s.opts.Log.Info("path to endpoint lost", zap.String("endpoint", c.Endpoint.Name), zap.Bool("several", c.Several))
 	signal(s.changed)
-	lately := 0
-	for _, l := range s.opts.Paths.LostPaths() {
-		if l.For < severalTime {
-			lately++
-		}
-	}
-	if lately >= severalLost {
+	if c.Several { // this VM may have lost all its paths
 		signal(s.several)
 	}
 }
@@ -231,10 +232,34 @@
 		case <-ctx.Done():
 			return
 		case <-s.changed:
-		case <-time.After(askPeriod):
+		case <-time.After(minAskPause):
+		}
+		if due := s.due(time.Now(), s.opts.Paths.LostPaths()); len(due) > 0 {
+			s.ask(ctx, due)
+		}
+	}
+}
+
+// due returns the lost paths to ask about now, at most maxAsked, those first that nobody is known to reach.
+func (s *Service) due(now time.Time, lost []schedule.LostPath) []schedule.LostPath {
+	slices.SortFunc(lost, func(a, b schedule.LostPath) int { return cmp.Compare(a.Via, b.Via) })
+	asked := map[traffic.EndpointID]askTime{}
+	var due []schedule.LostPath
+	for _, l := range lost {
+		id := l.Endpoint.ID
+		at := s.asked[id]
+		if now.Sub(at.next.Add(-at.pause)) > l.For { // it was regained since, and lost again
+			at = askTime{}
+		}
+		if len(due) < maxAsked && !now.Before(at.next) {
+			at.pause = min(max(2*at.pause, minAskPause), maxAskPause)
+			at.next = now.Add(at.pause)
+			due = append(due, l)
 		}
-		if lost := s.opts.Paths.LostPaths(); len(lost) > 0 {
-			s.ask(ctx, lost)
+		if at.pause > 0 {
+			asked[id] = at
 		}
 	}
+	s.asked = asked // paths that were regained are forgotten
+	return due
 }
--- a/internal/schedule/path.go
+++ b/internal/schedule/path.go
@@ -106,6 +106,14 @@
 	}
 }
 
+// PathChange says that this VM has lost its path to an endpoint, or regained it.
+type PathChange struct {
+	Endpoint traffic.EndpointID
+	Regained bool
+	// Several is set if a path to another endpoint was lost shortly before.
+	Several bool
+}
+
 // PathLost records that this VM got no connection to an endpoint. The other VMs are told that it is dead, unless other
 // paths of this VM were lost shortly before.
 func (s *Scheduler) PathLost(id traffic.EndpointID) {
@@ -118,12 +126,12 @@
 	}
 	first := e.path.lose(now)
 	e.health.record(now, Dead)
-	tell, dataCentre := first && !s.table.lostOthers(now, id), e.DataCentre
+	several, dataCentre := s.table.lostOthers(now, id), e.DataCentre
 	s.mu.Unlock()
 	if first {
-		s.opts.OnPath(id, false)
+		s.opts.OnPath(PathChange{Endpoint: id, Several: several})
 	}
-	if tell {
+	if first && !several {
 		s.opts.OnFailure(id, dataCentre, Dead)
 	}
 }
@@ -152,7 +160,7 @@
 	}
 	s.mu.Unlock()
 	if restored {
-		s.opts.OnPath(id, true)
+		s.opts.OnPath(PathChange{Endpoint: id, Regained: true})
 	}
 }
 
--- a/internal/schedule/path_test.go
+++ b/internal/schedule/path_test.go
@@ -20,11 +20,11 @@
 				out.dead = append(out.dead, id.Name)
 			}
 		},
-		OnPath: func(id traffic.EndpointID, regained bool) {
-			if regained {
-				out.regained = append(out.regained, id.Name)
+		OnPath: func(c PathChange) {
+			if c.Regained {
+				out.regained = append(out.regained, c.Endpoint.Name)
 			} else {
-				out.lost = append(out.lost, id.Name)
+				out.lost = append(out.lost, c.Endpoint.Name)
 			}
 		},
 	})
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -33,7 +33,7 @@
 	// centre. It must not block. It may be nil.
 	OnLimit func(id traffic.EndpointID, dataCentre string, l Limit)
 	// OnPath is called when this VM has lost its path to an endpoint, or regained it. It must not block. It may be nil.
-	OnPath func(id traffic.EndpointID, regained bool)
+	OnPath func(PathChange)
 	// WallTime reads the wall clock, by which VMs divide rate limits; time.Now if nil.
 	WallTime func() time.Time
 	// DrainTime is how long endpoints that leave take calls.
@@ -72,7 +72,7 @@
 		o.OnLimit = func(traffic.EndpointID, string, Limit) {}
 	}
 	if o.OnPath == nil {
-		o.OnPath = func(traffic.EndpointID, bool) {}
+		o.OnPath = func(PathChange) {}
 	}
 	if o.WallTime == nil {
 		o.WallTime = time.Now
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -99,7 +99,7 @@
 		OnLimit: func(id traffic.EndpointID, dataCentre string, l schedule.Limit) {
 			p.stateSync.LimitChanged(id, dataCentre, l)
 		},
-		OnPath: func(id traffic.EndpointID, regained bool) { p.reach.PathChanged(id, regained) },
+		OnPath: func(c schedule.PathChange) { p.reach.PathChanged(c) },
 		OnHold: p.logHold, DrainTime: s.DrainTime,
 	})
 	if platform.ObserveNotices != nil {
