A generation that is held back from an engine is not repeated without end

A send that a pause or a rate limit holds back counts as a try again; only failed connections do not.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -88,7 +88,7 @@
 	if ctx.Err() != nil || isFinal(err) || g.prefills >= maxPrefills || len(g.unsent) >= maxUnsentAttempts {
 		return false
 	}
-	if !backend.MayHaveArrived(err) {
+	if !connected(err) {
 		return true // nothing arrived, so this is no retry
 	}
 	if g.mayHaveRun && (!g.call.Route.Retryable() || g.runs >= max(1, g.call.Route.MaxAttempts)) {
@@ -97,6 +97,12 @@
 	return g.consumeRetryBudget(err.Error())
 }
 
+// connected reports whether a send with the given result got as far as a connection to its engine, or was held back
+// from an engine that has one.
+func connected(err error) bool {
+	return err == nil || backend.MayHaveArrived(err) || errors.Is(err, errHeldBack)
+}
+
 // attempt claims the engines, runs the prefill if the service has prefill engines, and streams the
 // response of the decode.
 func (g *generation) attempt(ctx context.Context) error {
@@ -179,7 +185,7 @@
 	h, err := g.dispatcher.opts.Backend.Prefill(stageCtx, g.newRequest(claim))
 	stopWatch()
 	took := g.dispatcher.opts.Clock.Now().Sub(start)
-	if err == nil || backend.MayHaveArrived(err) {
+	if connected(err) {
 		g.prefills++
 	}
 	g.failureLog(err).Info("prompt read", zap.String("endpoint", claim.Endpoint.ID.Name), zap.Int64("tokens", g.call.Tokens.Prompt),
@@ -228,7 +234,7 @@
 		if err == nil || fetched || ctx.Err() != nil || isFinal(err) {
 			return fetched, err
 		}
-		if backend.MayHaveArrived(err) {
+		if connected(err) {
 			rejectedBy = append(rejectedBy, claim.Endpoint.ID)
 		}
 		wait := g.handleTTL() - handleExpiryMargin - g.dispatcher.opts.Clock.Now().Sub(prefilledAt)
@@ -260,7 +266,7 @@
 func (g *generation) runOnOneEngine(ctx context.Context, claim *schedule.Claim) error {
 	defer claim.Release()
 	_, err := g.decode(ctx, claim, nil)
-	if err == nil || backend.MayHaveArrived(err) {
+	if connected(err) {
 		g.prefills++
 	}
 	return err
