--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -36,7 +36,7 @@
 	start  func(traffic.EndpointID) error
 }
 
-func newPair(t *testing.T, endpoint http.Handler) *pair {
+func newPair(t testing.TB, endpoint http.Handler) *pair {
 	s := httptest.NewServer(endpoint)
 	t.Cleanup(s.Close)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
@@ -254,3 +254,36 @@
 		}
 	})
 }
+
+// BenchmarkRequest compares a request over a connection of this VM with one through another VM.
+func BenchmarkRequest(b *testing.B) {
+	p := newPair(b, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "answer")
+	}))
+	body := make([]byte, 5<<10)
+	for name, do := range map[string]func() (io.ReadCloser, error){
+		"direct": func() (io.ReadCloser, error) {
+			endpoint, _ := p.server.opts.Start(testID)
+			return p.server.opts.Send(b.Context(), endpoint, testRequest(body))
+		},
+		"forwarded": func() (io.ReadCloser, error) {
+			resp, err := p.client.Do(b.Context(), p.via, testID, testRequest(body))
+			if err != nil {
+				return nil, err
+			}
+			return resp.Body, nil
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				resp, err := do()
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, resp)
+				_ = resp.Close()
+			}
+		})
+	}
+}
