--- a/internal/statesync/digest_test.go
+++ b/internal/statesync/digest_test.go
@@ -168,6 +168,19 @@
 	return startNodeWith(t, m, ln, listed, newQuarantine())
 }
 
+// listenAsTwo returns two VMs of one data centre and the listeners at their addresses.
+func listenAsTwo(t *testing.T) (members [2]Member, listeners [2]net.Listener) {
+	for i := range members {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		members[i], listeners[i] = member(i+1, 1, "a"), ln
+		members[i].Address = ln.Addr().(*net.TCPAddr).AddrPort()
+	}
+	return members, listeners
+}
+
 func startNodeWith(t *testing.T, m Member, ln net.Listener, listed []Member, q Quarantine) *node {
 	n := newNode()
 	transport := peer.New(peer.Options{Self: m.VM})
--- a/internal/statesync/origins_test.go
+++ b/internal/statesync/origins_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/netip"
 	"slices"
 	"testing"
@@ -25,16 +24,7 @@
 // afterwards.
 func TestOriginsReachVMsThatStartLater(t *testing.T) {
 	var nodes [2]*node
-	var members [2]Member
-	var listeners [2]net.Listener
-	for i := range nodes {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		members[i], listeners[i] = member(i+1, 1, "a"), ln
-		members[i].Address = ln.Addr().(*net.TCPAddr).AddrPort()
-	}
+	members, listeners := listenAsTwo(t)
 	o := traffic.StreamOrigin{Service: "s", Version: "v1"}
 	nodes[0] = startNodeWith(t, members[0], listeners[0], nil, newQuarantine())
 	first := nodes[0].opts.Origins.(*origin.Controller)
--- a/internal/statesync/quarantine_test.go
+++ b/internal/statesync/quarantine_test.go
@@ -1,7 +1,6 @@
 package statesync
 
 import (
-	"net"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,15 +31,8 @@
 func TestVMsShareQuarantinedPrompts(t *testing.T) {
 	var nodes [2]*node
 	var quarantines [2]*mergedQuarantine
-	var members [2]Member
-	var listeners [2]net.Listener
+	members, listeners := listenAsTwo(t)
 	for i := range nodes {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		members[i], listeners[i] = member(i+1, 1, "a"), ln
-		members[i].Address = ln.Addr().(*net.TCPAddr).AddrPort()
 		quarantines[i] = &mergedQuarantine{Controller: newQuarantine(), merged: make(chan string, 64)}
 	}
 	quarantines[0].RecordCrash(quarantine.Crash{Endpoint: traffic.EndpointID{Name: "e1"}, Call: "call", Parts: []string{"p"}})
