--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -38,7 +38,7 @@
 	// that becomes free, and uses no engine if the caller cancels.
 	prefillFraction = 0.4
 	// resumeMemoryWait is how long a stream that has begun, in this call or in an earlier one of its
-	// caller, waits for engine memory to go on.
+	// caller, waits for engine memory to continue.
 	resumeMemoryWait = 3 * time.Second
 )
 
--- a/internal/dispatch/origin.go
+++ b/internal/dispatch/origin.go
@@ -12,11 +12,11 @@
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
-// unknownOriginRetryAfter is the retry delay sent to callers whose streams cannot go on, because it is not known where
-// they began or because the route does not lead there any more.
+// unknownOriginRetryAfter is the retry delay sent to callers whose streams cannot continue, because it is not known where
+// they began or because the route no longer leads there.
 const unknownOriginRetryAfter = time.Second
 
-// resumesStream reports whether the caller takes up a stream that began in an earlier call.
+// resumesStream reports whether the caller resumes a stream that began in an earlier call.
 func (f *inflightCall) resumesStream() bool {
 	return f.call.LastEventID != "" && f.call.Route.Kind == traffic.Stream
 }
@@ -29,7 +29,7 @@
 	return origin.NewKey(f.workspaceName(), f.call.ID)
 }
 
-// findOrigin finds out where a stream that the caller takes up began. The call goes to that service.
+// findOrigin finds out where a stream that the caller resumes began. The call goes to that service.
 func (f *inflightCall) findOrigin(ctx context.Context, cfg *traffic.Configuration) error {
 	if !f.resumesStream() {
 		return nil
@@ -44,7 +44,7 @@
 	}
 	service := cfg.Services[o.Service]
 	if service == nil || !slices.ContainsFunc(f.call.Route.Targets, func(t traffic.Target) bool { return t.Service == o.Service }) {
-		return fault.New(fault.Unavailable, "begin the stream anew", "the route leads no more to the service that began the stream",
+		return fault.New(fault.Unavailable, "begin the stream anew", "the route no longer leads to the service that began the stream",
 			fault.WithRetryAfter(unknownOriginRetryAfter))
 	}
 	f.call.Service, f.origin = service, &o
--- a/internal/dispatch/version_test.go
+++ b/internal/dispatch/version_test.go
@@ -56,11 +56,11 @@
 	return versions, body, err
 }
 
-func TestStreamGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
+func TestStreamContinuesOnlyAtItsVersion(t *testing.T) {
 	for seed := range uint64(20) {
 		versions, body, err := serveMixed(t, seed, mixedEndpoints("v1", "v2", "v1"))
 		if len(versions) > 1 && versions[0] != versions[1] {
-			t.Errorf("seed %d: the stream began at %s and went on at %s", seed, versions[0], versions[1])
+			t.Errorf("seed %d: the stream began at %s and continued at %s", seed, versions[0], versions[1])
 		}
 		if versions[0] == "v1" && (err != nil || body != events(1, 3)) {
 			t.Errorf("seed %d: body %q, error %v, although another engine of its version is up", seed, body, err)
--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -89,7 +89,7 @@
 	if k == 0 {
 		return
 	}
-	rec := Record{Key: k, Origin: o, Left: left + takeUpTime}
+	rec := Record{Key: k, Origin: o, Left: left + resumeWindow}
 	c.mu.Lock()
 	now := c.opts.Clock.Now()
 	stored := c.records.add(now, rec, true)
@@ -125,7 +125,7 @@
 	Unknown Source = "unknown"
 )
 
-// Find finds the origin of a stream that a caller takes up. service is the one that its calls go to now.
+// Find finds the origin of a stream that a caller resumes. service is the one that its calls go to now.
 func (c *Controller) Find(ctx context.Context, k Key, service string) (traffic.StreamOrigin, Source) {
 	if o, ok := c.Lookup(k); ok {
 		return o, FromRecord
@@ -170,7 +170,7 @@
 
 	Records   []Record
 	Sightings []Sighting
-	// Complete is set if Sightings are all versions at which streams that may be taken up now can have begun.
+	// Complete is set if Sightings are all versions at which streams that may be resumed now can have begun.
 	Complete bool
 }
 
--- a/internal/origin/fleet_test.go
+++ b/internal/origin/fleet_test.go
@@ -99,12 +99,12 @@
 	return traffic.StreamOrigin{}, false
 }
 
-// takeUp takes a stream up at a VM and reports whether it may go on. It fails the test if it would go on elsewhere than
+// resume resumes a stream at a VM and reports whether it may continue. It fails the test if it would continue elsewhere than
 // where it began.
-func (f *fleet) takeUp(t interface{ Fatalf(string, ...any) }, vm *fleetVM, call string) bool {
+func (f *fleet) resume(t interface{ Fatalf(string, ...any) }, vm *fleetVM, call string) bool {
 	o, source := vm.Find(context.Background(), NewKey("w", call), testService)
 	if source != Unknown && o != f.began[call] {
-		t.Fatalf("stream %s began at %v and goes on at %v, found by %s", call, f.began[call], o, source)
+		t.Fatalf("stream %s began at %v and continues at %v, found by %s", call, f.began[call], o, source)
 	}
 	return source != Unknown
 }
@@ -121,11 +121,11 @@
 	for i := range f.vms {
 		f.start(i)
 	}
-	f.clock.now = f.clock.now.Add(2 * takeUpTime) // VMs that start with the fleet know all versions after a while
+	f.clock.now = f.clock.now.Add(2 * resumeWindow) // VMs that start with the fleet know all versions after a while
 	return f
 }
 
-func TestStreamsNeverGoOnAtAnotherVersion(t *testing.T) {
+func TestStreamsNeverContinueAtAnotherVersion(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(rapid.IntRange(1, 6).Draw(t, "vms"), "v1")
 		f.storing = true
@@ -167,23 +167,23 @@
 				f.vms[i] = nil
 				f.start(i)
 			},
-			"take up": func(t *rapid.T) {
+			"resume": func(t *rapid.T) {
 				_, vm := vmAt(t)
 				f.refresh(vm)
 				call := max(0, len(calls)-1-rapid.IntRange(0, 4).Draw(t, "back"))
-				if call < len(calls) && f.clock.now.Sub(endedAt[call]) < takeUpTime {
-					f.takeUp(t, vm, calls[call])
+				if call < len(calls) && f.clock.now.Sub(endedAt[call]) < resumeWindow {
+					f.resume(t, vm, calls[call])
 				}
 			},
 		})
 	})
 }
 
-func TestStreamsGoOn(t *testing.T) {
+func TestStreamsContinue(t *testing.T) {
 	for _, tc := range []struct {
-		name   string
-		events func(f *fleet) (call string)
-		goesOn bool
+		name      string
+		events    func(f *fleet) (call string)
+		continues bool
 	}{
 		{"at the only version", func(f *fleet) string { return f.begin(f.vms[0], "v1") }, true},
 		{"at the only version, after a restart of all VMs", func(f *fleet) string {
@@ -240,8 +240,8 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFleet(3, "v1")
-			if got := f.takeUp(t, f.vms[1], tc.events(f)); got != tc.goesOn {
-				t.Errorf("the stream goes on: %v, want %v", got, tc.goesOn)
+			if got := f.resume(t, f.vms[1], tc.events(f)); got != tc.continues {
+				t.Errorf("the stream continues: %v, want %v", got, tc.continues)
 			}
 		})
 	}
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -1,9 +1,9 @@
-// Package origin remembers which service and software version began each stream, so that a stream goes on only there,
-// at whichever VM its caller takes it up.
+// Package origin remembers which service and software version began each stream, so that a stream continues only there,
+// at whichever VM its caller resumes it.
 //
 // While a service has, or had lately, endpoints of several versions, VMs tell each other where streams began. A stream
 // without a record began at the only version of its service, if there is only one. Otherwise its origin is unknown, and
-// it must not go on.
+// it must not continue.
 package origin
 
 import (
@@ -40,12 +40,12 @@
 }
 
 const (
-	// takeUpTime is the maximum time between the end of a connection to a caller and the request that takes its stream
-	// up. Endpoints that are no longer listed end their streams within it as well.
-	takeUpTime = time.Minute
+	// resumeWindow is the maximum time between the end of a connection to a caller and the request that resumes its
+	// stream. Endpoints that are no longer listed end their streams within it as well.
+	resumeWindow = time.Minute
 	// maxLeft bounds the time for which a record is kept.
 	maxLeft = 15 * time.Minute
-	// maxRecords is the maximum number of records on a VM. Further ones are dropped, so that their streams do not go on
+	// maxRecords is the maximum number of records on a VM. Further ones are dropped, so that their streams do not continue
 	// while a service has several versions.
 	maxRecords = 1 << 16
 	// sweepPeriod is the time between removals of the records that are not needed any more.
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -52,7 +52,7 @@
 	}
 	v.listed = listed
 	for o, at := range v.lastListed {
-		if now.Sub(at) > takeUpTime {
+		if now.Sub(at) > resumeWindow {
 			delete(v.lastListed, o)
 		}
 	}
@@ -69,7 +69,7 @@
 		if s.Listed {
 			age = 0
 		}
-		if v.listed[s.Origin] || age > takeUpTime || len(v.lastListed) >= maxVersions {
+		if v.listed[s.Origin] || age > resumeWindow || len(v.lastListed) >= maxVersions {
 			continue
 		}
 		v.lastListed[s.Origin] = max(v.lastListed[s.Origin], now.Add(-age))
@@ -84,16 +84,16 @@
 		out = append(out, Sighting{Origin: o, Listed: true})
 	}
 	for o, at := range v.lastListed {
-		if age := now.Sub(at); age <= takeUpTime {
+		if age := now.Sub(at); age <= resumeWindow {
 			out = append(out, Sighting{Origin: o, Age: age})
 		}
 	}
 	return out
 }
 
-// knowsAll reports whether this VM knows all versions that streams which may be taken up now can have begun at.
+// knowsAll reports whether this VM knows all versions that streams which may be resumed now can have begun at.
 func (v *versions) knowsAll(now clock.Instant) bool {
-	return v.complete || v.since != 0 && now.Sub(v.since) > takeUpTime
+	return v.complete || v.since != 0 && now.Sub(v.since) > resumeWindow
 }
 
 // sole returns the only version of a service at which streams can have begun. ok is false if there are several, or if
--- a/internal/statesync/origins.go
+++ b/internal/statesync/origins.go
@@ -20,7 +20,7 @@
 
 const (
 	// originQueueSize is the maximum number of lists of records waiting to be sent. Further ones are dropped: their
-	// streams do not go on at another VM once this one has ended.
+	// streams do not continue at another VM once this one has ended.
 	originQueueSize = 256
 	// localHolders is the number of VMs of its own data centre that are told where a stream of a large fleet began,
 	// remoteHolders that of each other data centre. In a small fleet all VMs are told.
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -217,7 +217,7 @@
 	Retained bool
 }
 
-// StreamOrigin is the service and the software version of the endpoint that began a stream. A stream may go on only
+// StreamOrigin is the service and the software version of the endpoint that began a stream. A stream may continue only
 // there: what two versions write does not fit together.
 type StreamOrigin struct {
 	//lint:ignore U1000 the codec reads this field's tag
