Fewer examinations of silent endpoints

Engines that take more than half a second for a prompt under load were examined by connections. A prefill counts as silent once it has taken longer than its own timeout now, one endpoint is examined a second, and a connection that this VM itself noticed too late does not count as lost.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -181,9 +181,10 @@
 	timeout := prefillFactor*claim.ExpectedPrefill + prefillSlack
 	stageCtx, cancel := context.WithTimeoutCause(ctx, timeout, errEndpointTimeout)
 	defer cancel()
-	stopWatch := g.watchSilence(claim)
 	h, err := g.dispatcher.opts.Backend.Prefill(stageCtx, g.newRequest(claim))
-	stopWatch()
+	if claim.Via == nil && errors.Is(context.Cause(stageCtx), errEndpointTimeout) {
+		g.dispatcher.opts.OnSilent(claim.Endpoint)
+	}
 	took := g.dispatcher.opts.Clock.Now().Sub(start)
 	if connected(err) {
 		g.prefills++
--- a/internal/reach/service.go
+++ b/internal/reach/service.go
@@ -42,7 +42,10 @@
 	// maxAsked is the maximum number of endpoints in one question. In a large fleet that is enough to serve calls at.
 	maxAsked = 24
 	// silentPause is the minimum time between two connections to endpoints that are silent.
-	silentPause = 400 * time.Millisecond
+	silentPause = time.Second
+	// maxLateness is how much later than its timeout a connection may fail and still count. A VM that is slower does not
+	// know whether an answer came in time.
+	maxLateness = 100 * time.Millisecond
 	// quietTime is how long an endpoint must not have answered to be examined when the VM may have lost all its paths.
 	// The number that is examined grows from minQuiet as long as half of them fail.
 	quietTime = 500 * time.Millisecond
@@ -162,11 +165,13 @@
 func (s *Service) connect(ctx context.Context, e traffic.Endpoint) error {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	began := time.Now()
 	err := s.opts.Backend.Connect(probeCtx, e)
+	late := time.Since(began) - probeTimeout
 	switch {
 	case err == nil:
 		s.opts.Paths.PathRestored(e.ID)
-	case ctx.Err() == nil:
+	case ctx.Err() == nil && late < maxLateness:
 		s.opts.Paths.PathLost(e.ID)
 	}
 	return err
