--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -10,6 +10,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/quarantine"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -141,8 +142,8 @@
 	return time.Duration(memoryWaitFraction * float64(g.call.Route.LatencyTarget))
 }
 
-// placeStages claims the decode engine and then the prefill engine. The prefill claim is nil if the
-// service has no prefill engines.
+// placeStages claims the decode engine and then a prefill engine of its software version. The prefill claim is nil if
+// there is none: then the decode engine computes the prefill.
 func (g *generation) placeStages(ctx context.Context) (prefill, decode *schedule.Claim, err error) {
 	if !g.dispatcher.opts.Scheduler.HasStage(g.call.Service.Name, traffic.Prefill) {
 		decode, err = g.place(ctx, g.newPlacementRequest(traffic.Decode, "", nil), g.memoryWaitLimit())
@@ -153,8 +154,12 @@
 		return nil, nil, err
 	}
 	request := g.newPlacementRequest(traffic.Prefill, decode.Endpoint.DataCentre, nil)
+	request.Version = &decode.Endpoint.SoftwareVersion
 	request.MaxPrefillTime = time.Duration(prefillFraction * float64(g.call.Route.LatencyTarget))
 	prefill, err = g.place(ctx, request, g.memoryWaitLimit())
+	if fault.Is(err, fault.Unavailable) && g.dispatcher.opts.Scheduler.MixedVersions(g.call.Service.Name, traffic.Prefill, *request.Version) {
+		return nil, decode, nil
+	}
 	if err != nil {
 		decode.Release()
 		return nil, nil, err
@@ -166,7 +171,7 @@
 	return &schedule.Request{
 		Service: g.call.Service.Name, Stage: stage, Tokens: g.call.Tokens, PreferredDataCentre: dataCentre,
 		Exclude: append(exclude, g.failedEngines...), Unsent: g.unsent, NotRetryable: stage == traffic.Decode && !g.call.Route.Retryable(),
-		Version: g.requiredVersion(stage),
+		Version: g.requiredVersion(),
 	}
 }
 
@@ -246,6 +251,7 @@
 			return false, &attemptError{err: err, final: true}
 		}
 		request := g.newPlacementRequest(traffic.Decode, h.Endpoint.DataCentre, rejectedBy)
+		request.Version = &h.Endpoint.SoftwareVersion
 		request.SkipQueue = true
 		next, placeErr := g.place(ctx, request, g.elapsed()+wait)
 		if placeErr != nil {
--- a/internal/dispatch/origin.go
+++ b/internal/dispatch/origin.go
@@ -51,10 +51,9 @@
 	return nil
 }
 
-// requiredVersion returns the software version that an endpoint of a stage must have for the call, nil for any. Prompts
-// may be prefilled by any version, as that writes no event.
-func (f *inflightCall) requiredVersion(stage traffic.Stage) *string {
-	if f.origin == nil || stage == traffic.Prefill {
+// requiredVersion returns the software version that an endpoint must have to run the call, nil for any.
+func (f *inflightCall) requiredVersion() *string {
+	if f.origin == nil {
 		return nil
 	}
 	return &f.origin.Version
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -14,7 +14,6 @@
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/schedule"
-	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
 const (
@@ -102,7 +101,7 @@
 	if err := f.checkQuarantine(); err != nil {
 		return nil, err
 	}
-	request := &schedule.Request{Service: f.call.Service.Name, Exclude: f.tried, Unsent: f.unsent, NotRetryable: !f.call.Route.Retryable(), Version: f.requiredVersion(traffic.Aggregated)}
+	request := &schedule.Request{Service: f.call.Service.Name, Exclude: f.tried, Unsent: f.unsent, NotRetryable: !f.call.Route.Retryable(), Version: f.requiredVersion()}
 	claim, err := f.place(ctx, request, time.Duration(capacityWaitFraction*float64(f.call.Route.LatencyTarget)))
 	if err != nil {
 		return nil, err
