A forwarded request uses one permit of an endpoint's rate limit

What callers could see: calls refused though the limit had room: the VM that had the call used a permit, and the one that sent the request another. Found by reading. A request says now whether a permit was used for it; the sending VM uses one of its own only for a VM that does not know the limit. TestForwardedRequestUsesOnePermit guards it. The errors of forwarding name their remedies; TestRequestIsUnsentOnlyWithoutItsEnd shows for each byte of a request that it counts as not sent only if the other VM ended before it had all of it.

--- a/internal/dispatch/handles.go
+++ b/internal/dispatch/handles.go
@@ -32,12 +32,13 @@
 		case <-ctx.Done():
 			return
 		case h := <-d.freeQueue:
-			if !d.opts.Scheduler.StartSend(h.Endpoint.ID) {
+			via, ok := d.opts.Scheduler.StartSend(h.Endpoint.ID)
+			if !ok {
 				d.opts.Log.Info("handle not freed, left to expire",
 					zap.String("endpoint", h.Endpoint.ID.Name), zap.Error(errHeldBack))
 				continue
 			}
-			h.Via = d.opts.Scheduler.ViaOf(h.Endpoint.ID)
+			h.Via = via
 			freeCtx, cancel := context.WithTimeout(ctx, freeTimeout)
 			if err := d.opts.Backend.Free(freeCtx, h); err != nil {
 				d.opts.Log.Info("handle not freed, left to expire", zap.String("endpoint", h.Endpoint.ID.Name), zap.Error(err))
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -45,7 +45,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
 	in := bufio.NewReader(nc)
-	out, err := exchange(nc, in, endpoint, r)
+	out, err := exchange(nc, in, via, endpoint, r)
 	if err == nil {
 		body := &responseBody{Reader: &bodyReader{r: in}, nc: nc, stop: stop}
 		return &Response{Status: out.Status, Header: out.Header, Length: out.Length, Delimited: out.Delimited, Body: body}, nil
@@ -59,10 +59,10 @@
 }
 
 // exchange sends a request and reads its outcome.
-func exchange(w io.Writer, in io.Reader, endpoint traffic.EndpointID, r *connpool.Request) (*outcome, error) {
+func exchange(w io.Writer, in io.Reader, via *traffic.Via, endpoint traffic.EndpointID, r *connpool.Request) (*outcome, error) {
 	h := requestHeader{
 		Endpoint: endpoint, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header,
-		HasBody: r.Body != nil, BodyBytes: len(r.Body),
+		Permit: via.Permit, HasBody: r.Body != nil, BodyBytes: len(r.Body),
 	}
 	if err := writeMessage(w, &h); err != nil {
 		return nil, &connpool.Error{Err: err} // the other VM sends nothing before it has the whole request
@@ -75,7 +75,7 @@
 		return nil, &connpool.Error{Sent: true, Err: err}
 	}
 	if out.Error != "" {
-		return nil, &connpool.Error{Sent: out.Sent, Err: errors.New("through another VM: " + out.Error)}
+		return nil, &connpool.Error{Sent: out.Sent, Err: errors.New("through " + via.VM + ": " + out.Error)}
 	}
 	return &out, nil
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -48,7 +48,7 @@
 	}
 	receiver := peer.New(peer.Options{Self: ident.VM{Name: "receiver", Incarnation: 1}})
 	p.server = NewServer(receiver, ServerOptions{
-		Start: func(id traffic.EndpointID) (traffic.Endpoint, error) {
+		Start: func(id traffic.EndpointID, _ bool) (traffic.Endpoint, error) {
 			return traffic.Endpoint{ID: id, Address: address}, p.start(id)
 		},
 		Send: func(ctx context.Context, e traffic.Endpoint, r *connpool.Request) (*connpool.Response, error) {
@@ -166,6 +166,33 @@
 	<-stopped
 }
 
+// endingVM is a VM that ends at some time after it has accepted a stream: it reads up to reads bytes of the request.
+type endingVM struct{ reads int }
+
+func (v endingVM) OpenStream(context.Context, netip.AddrPort, peer.Kind) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		_, _ = io.CopyN(io.Discard, far, int64(v.reads))
+		_ = far.Close()
+	}()
+	return near, nil
+}
+
+// TestRequestIsUnsentOnlyWithoutItsEnd checks that a request counts as not sent if the other VM ended before it had all of
+// it, and as possibly sent afterwards: it may have sent it on.
+func TestRequestIsUnsentOnlyWithoutItsEnd(t *testing.T) {
+	r := testRequest([]byte("body"))
+	var whole bytes.Buffer
+	_, _ = exchange(&whole, strings.NewReader(""), &traffic.Via{}, testID, r)
+	for reads := range whole.Len() + 1 {
+		c := Client{Opener: endingVM{reads}}
+		_, err := c.Do(t.Context(), &traffic.Via{}, testID, r)
+		if sent := reads == whole.Len(); err == nil || connpool.MayHaveSent(err) != sent {
+			t.Errorf("after %d of %d bytes: error %v, may have been sent: %v", reads, whole.Len(), err, connpool.MayHaveSent(err))
+		}
+	}
+}
+
 func TestBrokenOffResponseIsNotWhole(t *testing.T) {
 	p := newPair(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "part")
@@ -264,7 +291,7 @@
 	body := make([]byte, 5<<10)
 	for name, do := range map[string]func() (io.ReadCloser, error){
 		"direct": func() (io.ReadCloser, error) {
-			endpoint, _ := p.server.opts.Start(testID)
+			endpoint, _ := p.server.opts.Start(testID, false)
 			return p.server.opts.Send(b.Context(), endpoint, testRequest(body))
 		},
 		"forwarded": func() (io.ReadCloser, error) {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +15,7 @@
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/connpool"
+	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -32,7 +32,8 @@
 // ServerOptions configure a Server.
 type ServerOptions struct {
 	// Start checks right before a send whether this VM may send a request to an endpoint now, and returns its entry.
-	Start func(traffic.EndpointID) (traffic.Endpoint, error)
+	// permit is set if the other VM has used a permit of the endpoint's rate limit for it.
+	Start func(id traffic.EndpointID, permit bool) (traffic.Endpoint, error)
 	// Send sends a request over a connection of this VM.
 	Send func(context.Context, traffic.Endpoint, *connpool.Request) (*connpool.Response, error)
 	// Bodies is the memory for the bodies of requests.
@@ -76,8 +77,8 @@
 const shutdownCheckPeriod = 20 * time.Millisecond
 
 var (
-	errNoRoom   = errors.New("the VM sends too many requests of others already")
-	errStopping = errors.New("the VM is being stopped")
+	errNoRoom   = fault.New(fault.Overloaded, "send the request through another VM", "the VM sends too many requests of others already")
+	errStopping = fault.New(fault.Stopping, "send the request through another VM", "the VM is being stopped")
 )
 
 // serve handles one request.
@@ -148,7 +149,7 @@
 
 // send sends a request to its endpoint. Its errors are of type *connpool.Error.
 func (s *Server) send(ctx context.Context, h *requestHeader, body *bodybuffer.Body) (*connpool.Response, error) {
-	endpoint, err := s.opts.Start(h.Endpoint)
+	endpoint, err := s.opts.Start(h.Endpoint, h.Permit)
 	if err != nil {
 		return nil, &connpool.Error{Err: err}
 	}
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -15,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/fulmartide/fulmartide/internal/codec"
+	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -40,6 +41,8 @@
 	Endpoint          traffic.EndpointID
 	Method, URI, Host string
 	Header            map[string][]string
+	// Permit is set if the sending VM has used a permit of the endpoint's rate limit for the request.
+	Permit bool
 	// HasBody distinguishes an empty body from none. BodyBytes is its size.
 	HasBody   bool
 	BodyBytes int
@@ -61,7 +64,7 @@
 }
 
 var (
-	errTooLarge = errors.New("a message from another VM exceeds the maximum size")
+	errTooLarge = fault.New(fault.TooLarge, "run the same release on all VMs", "a message from another VM exceeds the maximum size")
 	errBroken   = fmt.Errorf("the endpoint broke off its response to another VM: %w", io.ErrUnexpectedEOF)
 )
 
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -116,6 +116,12 @@
 	})
 }
 
+// viaOf returns the VM through which requests to an endpoint are sent.
+func (vm *testVM) viaOf(id traffic.EndpointID) *traffic.Via {
+	via, _ := vm.scheduler.StartSend(id)
+	return via
+}
+
 // await waits until a condition holds; the test's own timeout ends it.
 func await(condition func() bool) {
 	for !condition() {
@@ -132,11 +138,11 @@
 	e0, e1 := traffic.EndpointID{Name: "e0"}, traffic.EndpointID{Name: "e1"}
 	asking.scheduler.PathLost(e0)
 	asking.scheduler.PathLost(e1)
-	await(func() bool { return asking.scheduler.ViaOf(e0) != nil && asking.scheduler.ViaOf(e1) != nil })
-	if via := asking.scheduler.ViaOf(e0); via.DataCentre != "b" {
+	await(func() bool { return asking.viaOf(e0) != nil && asking.viaOf(e1) != nil })
+	if via := asking.viaOf(e0); via.DataCentre != "b" {
 		t.Errorf("e0 is reached through %s, which has no path", via.VM)
 	}
-	if via := asking.scheduler.ViaOf(e1); *via != lostToo.via {
+	if via := asking.viaOf(e1); *via != lostToo.via {
 		t.Errorf("e1 is reached through %s, want the VM of the same data centre", via.VM)
 	}
 	if far.attempts("e0") == 0 || !lostToo.scheduler.PathEvidence(e0).Lost {
@@ -158,7 +164,7 @@
 		_, err := vms[0].scheduler.Place(&schedule.Request{Service: "s", Unsent: []traffic.EndpointID{e0}}, nil)
 		return !schedule.AwaitsVMs(err)
 	})
-	if via := vms[0].scheduler.ViaOf(e0); via != nil {
+	if via := vms[0].viaOf(e0); via != nil {
 		t.Errorf("a VM that itself sends through others is used: %s", via.VM)
 	}
 }
--- a/internal/schedule/limit.go
+++ b/internal/schedule/limit.go
@@ -144,31 +144,46 @@
 	return !n.rateLimited() || n.share.Available(now) > n.placed
 }
 
-// startSend reports whether a request may be sent to an endpoint now. If so, it uses up one request of the
-// endpoint's limit.
-func (t *table) startSend(now clock.Instant, id traffic.EndpointID) bool {
+// startSend reports whether a request may be sent to an endpoint now, and whether a permit of the endpoint's rate limit
+// was used up for it.
+func (t *table) startSend(now clock.Instant, id traffic.EndpointID) (permit, ok bool) {
 	n := t.notices[id]
 	if n.paused(now) {
-		return false
+		return false, false
+	}
+	if !n.rateLimited() {
+		return false, true
 	}
-	return !n.rateLimited() || n.share.Take(now)
+	permit = n.share.Take(now)
+	return permit, permit
 }
 
-// StartSend reports whether a request without a claim may be sent to an endpoint now. It is to be called for each
-// send, right before it. It returns false during a pause that the endpoint asked for, and if its rate limit leaves
-// this VM nothing now.
-func (s *Scheduler) StartSend(id traffic.EndpointID) bool {
+// StartSend reports whether a request without a claim may be sent to an endpoint now, and through which VM; via is nil
+// for directly. It is to be called for each send, right before it. ok is false during a pause that the endpoint asked
+// for, and if its rate limit leaves this VM nothing now.
+func (s *Scheduler) StartSend(id traffic.EndpointID) (via *traffic.Via, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.startSend(s.opts.Clock.Now(), id)
+	permit, ok := s.table.startSend(s.opts.Clock.Now(), id)
+	if e := s.table.states[id]; ok && e != nil {
+		via = e.path.pick(s.table.random)
+	}
+	if via != nil {
+		via.Permit = permit
+	}
+	return via, ok
 }
 
-// StartSend is Scheduler.StartSend for the call of the claim.
+// StartSend is Scheduler.StartSend for the call of the claim, which names the VM.
 func (c *Claim) StartSend() bool {
 	c.scheduler.mu.Lock()
 	defer c.scheduler.mu.Unlock()
 	c.returnPermit()
-	return c.scheduler.table.startSend(c.scheduler.opts.Clock.Now(), c.Endpoint.ID)
+	permit, ok := c.scheduler.table.startSend(c.scheduler.opts.Clock.Now(), c.Endpoint.ID)
+	if c.Via != nil {
+		c.Via.Permit = permit
+	}
+	return ok
 }
 
 // returnPermit makes the permit that was set aside for the call available again.
--- a/internal/schedule/limit_test.go
+++ b/internal/schedule/limit_test.go
@@ -29,7 +29,7 @@
 	var sent []clock.Instant
 	for i := 0; c.now < clock.Instant(time.Hour+length); i++ {
 		c.now = c.now.Add(step)
-		if i%7 == 0 && s.StartSend(id("x")) {
+		if i%7 == 0 && startSend(s, "x") {
 			sent = append(sent, c.now)
 			continue
 		}
--- a/internal/schedule/notice_test.go
+++ b/internal/schedule/notice_test.go
@@ -46,12 +46,12 @@
 	if MayWait(err, time.Millisecond) || fault.DetailOf(err).RetryAfter != time.Millisecond || !fault.Is(err, fault.Overloaded) {
 		t.Errorf("before its time: error %v, retry after %v", err, fault.DetailOf(err).RetryAfter)
 	}
-	if s.StartSend(id("x")) {
+	if startSend(s, "x") {
 		t.Error("may be reached before its time")
 	}
 	c.now = c.now.Add(time.Millisecond)
 	first, _, err := placeAt(s)
-	if err != nil || !s.StartSend(id("x")) {
+	if err != nil || !startSend(s, "x") {
 		t.Fatalf("at its time: %v", err)
 	}
 	if _, _, err := placeAt(s); !errors.Is(err, errAllFull) {
--- a/internal/schedule/path.go
+++ b/internal/schedule/path.go
@@ -248,26 +248,32 @@
 	return Evidence{Known: true, Endpoint: e.Endpoint, Lost: e.path.lost, AnsweredAgo: s.opts.Clock.Now().Sub(e.path.answeredAt)}
 }
 
-// errNotAvailable is returned by StartForwarded.
-var errNotAvailable = fault.New(fault.Unavailable, "send the request directly or through another VM", "the endpoint is gone, leaves, or takes no request of this VM now")
+// Errors of StartForwarded.
+var (
+	errNotListed       = fault.New(fault.Unavailable, "send the request directly or through another VM", "the endpoint is not listed here, or leaves")
+	errNoPath          = fault.New(fault.Unavailable, "send the request through another VM", "this VM has no path to the endpoint either")
+	errForwardHeldBack = fault.New(fault.Overloaded, "send the request through another VM, or later", "the endpoint takes no request of this VM now")
+)
 
-// StartForwarded is StartSend for a request of another VM. It returns the endpoint, or an error if it takes no calls.
-func (s *Scheduler) StartForwarded(id traffic.EndpointID) (traffic.Endpoint, error) {
+// StartForwarded checks right before it whether a request of another VM may be sent to an endpoint, and returns the
+// endpoint. permit is set if the other VM has used a permit of the endpoint's rate limit for it.
+func (s *Scheduler) StartForwarded(id traffic.EndpointID, permit bool) (traffic.Endpoint, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.opts.Clock.Now()
 	e := s.table.states[id]
-	if e == nil || !e.staying() || e.path.lost || !s.table.startSend(s.opts.Clock.Now(), id) {
-		return traffic.Endpoint{}, errNotAvailable
+	switch {
+	case e == nil || !e.staying():
+		return traffic.Endpoint{}, errNotListed
+	case e.path.lost:
+		return traffic.Endpoint{}, errNoPath
+	case e.notice.paused(now):
+		return traffic.Endpoint{}, errForwardHeldBack
+	case permit:
+		return e.Endpoint, nil
 	}
-	return e.Endpoint, nil
-}
-
-// ViaOf returns the VM through which requests without a claim reach an endpoint, nil if this VM has a path.
-func (s *Scheduler) ViaOf(id traffic.EndpointID) *traffic.Via {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if e := s.table.states[id]; e != nil {
-		return e.path.pick(s.table.random)
+	if _, ok := s.table.startSend(now, id); !ok {
+		return traffic.Endpoint{}, errForwardHeldBack
 	}
-	return nil
+	return e.Endpoint, nil
 }
--- a/internal/schedule/path_test.go
+++ b/internal/schedule/path_test.go
@@ -1,9 +1,11 @@
 package schedule
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -137,7 +139,7 @@
 		claim.RecordUnreachable()
 		claim.Release()
 	}
-	if via := s.ViaOf(idE1); via != nil {
+	if via, _ := s.StartSend(idE1); via != nil {
 		t.Errorf("%s is still used", via.VM)
 	}
 }
@@ -175,8 +177,46 @@
 	s, _, _ := newPathScheduler(newPlainEndpoint("e1", "a"), newPlainEndpoint("e2", "a"), leaving)
 	s.PathLost(idE2)
 	for name, want := range map[string]bool{"e1": true, "e2": false, "leaving": false, "unknown": false} {
-		if _, err := s.StartForwarded(traffic.EndpointID{Name: name}); (err == nil) != want {
+		if _, err := s.StartForwarded(traffic.EndpointID{Name: name}, false); (err == nil) != want {
 			t.Errorf("a request of another VM to %s: error %v", name, err)
 		}
 	}
 }
+
+// startSend reports whether a request without a claim may be sent.
+func startSend(s *Scheduler, endpoint string) bool {
+	_, ok := s.StartSend(traffic.EndpointID{Name: endpoint})
+	return ok
+}
+
+// TestForwardedRequestUsesOnePermit checks that a request to an endpoint with a rate limit uses a permit of one of the
+// two VMs only: of the one that has the call, if it knows the limit.
+func TestForwardedRequestUsesOnePermit(t *testing.T) {
+	limited := func() *Scheduler {
+		s, c, _ := newPathScheduler(newPlainEndpoint("e1", "a"))
+		s.SetFleet(netip.MustParseAddrPort("10.0.0.1:1"), nil)
+		s.RecordNotice(idE1, backend.Notice{Limited: true, RateLimit: 2})
+		c.now = c.now.Add(2 * time.Second)
+		return s
+	}
+	sender, receiver := limited(), limited()
+	sender.PathLost(idE1)
+	sender.SetVia(idE1, []traffic.Via{viaNear})
+	claim, err := sender.Place(plainRequest(), nil)
+	if err != nil || !claim.StartSend() || !claim.Via.Permit {
+		t.Fatalf("claim %+v, error %v", claim, err)
+	}
+	before := receiver.table.notices[idE1].share.Available(receiver.opts.Clock.Now())
+	if _, err := receiver.StartForwarded(idE1, claim.Via.Permit); err != nil {
+		t.Error(err)
+	}
+	if after := receiver.table.notices[idE1].share.Available(receiver.opts.Clock.Now()); after != before || before == 0 {
+		t.Errorf("%d permits before, %d after a request that had one", before, after)
+	}
+	if _, err := receiver.StartForwarded(idE1, false); err != nil {
+		t.Error(err)
+	}
+	if after := receiver.table.notices[idE1].share.Available(receiver.opts.Clock.Now()); after != before-1 {
+		t.Errorf("%d permits before, %d after a request of a VM that does not know the limit", before, after)
+	}
+}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -237,6 +237,9 @@
 	VM         string
 	Address    netip.AddrPort
 	DataCentre string
+	// Permit is set for a request for which this VM has used a permit of the endpoint's rate limit. The other VM then
+	// uses none.
+	Permit bool
 }
 
 // DocumentVersion identifies a version of a document that is kept in the store. The store may be
