A VM that was paused sends no request that the other VM has given up

A VM that goes on after a pause found the request of another VM in its buffers and sent it, although the stream had been closed in the meantime. It looks first now (TestRequestThatWasGivenUpIsNotSent).

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -68,7 +68,7 @@
 // reusable reports whether an idle connection can be used for a request: its idle timeout has not
 // expired, and the peer has neither closed it nor sent unsolicited data.
 func (c *conn) reusable() bool {
-	return time.Now().Before(c.idleUntil) && c.br.Buffered() == 0 && !readable(c.nc)
+	return time.Now().Before(c.idleUntil) && c.br.Buffered() == 0 && !Readable(c.nc)
 }
 
 // roundTrip writes the request and reads the response header. Large bodies are written
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -209,9 +209,9 @@
 
 var errUnmatchedResponses = errors.New("no response on the connection matched the request")
 
-// readable reports whether a byte, EOF or an error is pending on the connection, without consuming
+// Readable reports whether a byte, EOF or an error is pending on the connection, without consuming
 // it.
-func readable(nc net.Conn) (pending bool) {
+func Readable(nc net.Conn) (pending bool) {
 	sc, ok := nc.(*net.TCPConn)
 	if !ok {
 		return false
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -193,6 +193,29 @@
 	}
 }
 
+func TestRequestThatWasGivenUpIsNotSent(t *testing.T) {
+	p := newPair(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request was sent") }))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	in, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = exchange(out, strings.NewReader(""), &traffic.Via{}, testID, testRequest(nil))
+	_ = out.Close()
+	for !connpool.Readable(in) {
+		continue
+	}
+	p.server.serve(t.Context(), ident.VM{}, in)
+	_ = errors.Join(in.Close(), ln.Close())
+}
+
 func TestBrokenOffResponseIsNotWhole(t *testing.T) {
 	p := newPair(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "part")
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -79,6 +79,7 @@
 var (
 	errNoRoom   = fault.New(fault.Overloaded, "send the request through another VM", "the VM sends too many requests of others already")
 	errStopping = fault.New(fault.Stopping, "send the request through another VM", "the VM is being stopped")
+	errGone     = fault.New(fault.Cancelled, "keep the stream open until the outcome", "the other VM has given the request up")
 )
 
 // serve handles one request.
@@ -105,6 +106,10 @@
 		s.reply(nc, from, &outcome{Error: err.Error()})
 		return
 	}
+	if connpool.Readable(nc) { // the other VM may have given up while this one was not running
+		s.log(from, h, nil, errGone)
+		return
+	}
 	go func() { // the other VM sends nothing more; it closes the stream when its caller leaves
 		_, _ = in.ReadByte()
 		cancel()
