Test of a request that was given up: checked before the send

The test passed without the change, as the closed stream cancelled the send soon enough most times. It looks now at whether the VM set out to send at all, and fails without the change.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -194,7 +194,11 @@
 }
 
 func TestRequestThatWasGivenUpIsNotSent(t *testing.T) {
-	p := newPair(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request was sent") }))
+	p := newPair(t, http.NotFoundHandler())
+	p.start = func(traffic.EndpointID) error {
+		t.Error("the request was about to be sent")
+		return errEnded
+	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
