Failing draws of plans and rate limits are named cases

Three draws that failed while their code was written lay beside the tests as files of rapid. The same plays are cases of their tests now; all three pass. The draws of both tests are as before.

--- a/internal/admission/plan_test.go
+++ b/internal/admission/plan_test.go
@@ -23,24 +23,103 @@
 // TestNoWindowExceedsThePlan checks the bound, rate times window plus burst, for every window that
 // ends with an admission.
 func TestNoWindowExceedsThePlan(t *testing.T) {
+	t.Run("a large call leaves the window just before a small one", func(t *testing.T) {
+		checkPlan(t, Limit{Rate: 100, Burst: 2853}, largeCallLeavesWindow)
+	})
 	rapid.Check(t, func(t *rapid.T) {
-		p := NewPlans(oldStart(), testWindow, testLoweringDelay, Slack{})
 		limit := Limit{Rate: float64(rapid.IntRange(100, 5000).Draw(t, "rate")), Burst: float64(rapid.IntRange(0, 20000).Draw(t, "burst"))}
-		var used usageLog
-		now := at(0)
+		var calls []pausedCall
 		for range rapid.IntRange(1, 200).Draw(t, "calls") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "pause")) * time.Millisecond)
-			cost := int64(rapid.IntRange(1, 9000).Draw(t, "cost"))
-			if p.Admit(now, "w", limit, cost).Admitted {
-				used.add(now, cost)
-			}
-			if sum, bound := used.inWindow(now), limit.Rate*testWindow.Seconds()+limit.Burst; float64(sum) > bound {
-				t.Fatalf("%d tokens admitted in a window, the plan allows %.0f", sum, bound)
-			}
+			pause := rapid.IntRange(0, 700).Draw(t, "pause")
+			calls = append(calls, pausedCall{pause, rapid.IntRange(1, 9000).Draw(t, "cost")})
 		}
+		checkPlan(t, limit, calls)
 	})
 }
 
+// pausedCall is a call of so many tokens, some milliseconds after the one before.
+type pausedCall struct{ pauseMillis, cost int }
+
+var largeCallLeavesWindow = []pausedCall{
+	{0, 1},
+	{0, 1},
+	{0, 1},
+	{3, 1},
+	{43, 3581},
+	{21, 1},
+	{328, 1},
+	{3, 1},
+	{6, 1},
+	{0, 1},
+	{113, 1},
+	{14, 1},
+	{1, 1},
+	{1, 1},
+	{306, 1},
+	{0, 1},
+	{8, 1},
+	{208, 1},
+	{487, 1},
+	{4, 1},
+	{9, 1},
+	{90, 1},
+	{25, 1},
+	{1, 1},
+	{9, 1},
+	{7, 1},
+	{8, 1},
+	{1, 1},
+	{7, 1},
+	{129, 1},
+	{127, 1},
+	{99, 1},
+	{15, 1},
+	{8, 1},
+	{700, 1},
+	{281, 1},
+	{514, 1},
+	{86, 1},
+	{436, 1},
+	{129, 1},
+	{453, 1},
+	{2, 1},
+	{0, 1},
+	{59, 1},
+	{284, 1},
+	{12, 1},
+	{1, 1},
+	{3, 1},
+	{6, 1},
+	{374, 1},
+	{107, 1},
+	{189, 1},
+	{121, 1},
+	{201, 1},
+	{1, 1},
+	{692, 1},
+	{29, 1},
+	{1, 1},
+	{1, 1},
+	{700, 1},
+	{537, 17},
+}
+
+// checkPlan admits calls and checks that no window ends beyond what the limit allows.
+func checkPlan(t interface{ Fatalf(string, ...any) }, limit Limit, calls []pausedCall) {
+	p := NewPlans(oldStart(), testWindow, testLoweringDelay, Slack{})
+	var used usageLog
+	now := at(0)
+	for _, c := range calls {
+		now = now.Add(time.Duration(c.pauseMillis) * time.Millisecond)
+		if p.Admit(now, "w", limit, int64(c.cost)).Admitted {
+			used.add(now, int64(c.cost))
+		}
+		if sum, bound := used.inWindow(now), limit.Rate*testWindow.Seconds()+limit.Burst; float64(sum) > bound {
+			t.Fatalf("%d tokens admitted in a window, the plan allows %.0f", sum, bound)
+		}
+	}
+}
+
 // usageLog holds what was admitted, by time.
 type usageLog []struct {
 	at   clock.Instant
--- a/internal/ratelimit/share_test.go
+++ b/internal/ratelimit/share_test.go
@@ -111,34 +111,49 @@
 // TestFleetStaysWithinRateThroughRestartsAndCuts also has VMs that know of others that are gone, and learn it at
 // different times, as VMs on the sides of a partition do.
 func TestFleetStaysWithinRateThroughRestartsAndCuts(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		vms  int
+		rate float64
+		seed uint64
+	}{
+		{"three VMs share one request a second", 3, 1, 0},
+		{"ten VMs share five requests a second", 10, 5, 7},
+	} {
+		t.Run(tc.name, func(t *testing.T) { playRestartsAndCuts(t, tc.vms, tc.rate, tc.seed) })
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 12).Draw(t, "VMs")
 		rate := rapid.SampledFrom([]float64{0.2, 1, 1.3, 5, 30}).Draw(t, "rate")
-		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
-		shares := newFleet(random, n, rate, func() int { return random.IntN(4) })
-		epochs := make([]clock.Instant, n)
-		for i, s := range shares {
-			epochs[i] = s.epoch
+		playRestartsAndCuts(t, n, rate, rapid.Uint64().Draw(t, "seed"))
+	})
+}
+
+func playRestartsAndCuts(t interface{ Fatalf(string, ...any) }, n int, rate float64, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	shares := newFleet(random, n, rate, func() int { return random.IntN(4) })
+	epochs := make([]clock.Instant, n)
+	for i, s := range shares {
+		epochs[i] = s.epoch
+	}
+	var sent []clock.Instant
+	for at := clock.Instant(0); at < clock.Instant(20*time.Second); at = at.Add(5 * testStep) {
+		i := random.IntN(n)
+		switch random.IntN(20) {
+		case 0: // restarts; the permits of the process that ended stay used
+			shares[i] = New(Options{Fleet: fleetOf(i, n, random.IntN(4)), Endpoint: testEndpoint, Rate: rate, Epoch: epochs[i]}, at)
+		case 1:
+			shares[i].SetFleet(fleetOf(i, n, random.IntN(4)), at)
 		}
-		var sent []clock.Instant
-		for at := clock.Instant(0); at < clock.Instant(20*time.Second); at = at.Add(5 * testStep) {
-			i := random.IntN(n)
-			switch random.IntN(20) {
-			case 0: // restarts; the permits of the process that ended stay used
-				shares[i] = New(Options{Fleet: fleetOf(i, n, random.IntN(4)), Endpoint: testEndpoint, Rate: rate, Epoch: epochs[i]}, at)
-			case 1:
-				shares[i].SetFleet(fleetOf(i, n, random.IntN(4)), at)
+		for _, s := range shares {
+			if time.Duration(at)%(3*window) >= window && random.IntN(3) == 0 && s.Take(at) {
+				sent = append(sent, at)
 			}
-			for _, s := range shares {
-				if time.Duration(at)%(3*window) >= window && random.IntN(3) == 0 && s.Take(at) {
-					sent = append(sent, at)
-				}
-			}
-		}
-		if most := mostInWindow(sent); float64(most) > allowed(rate) {
-			t.Fatalf("%d requests in %v, allowed %.1f", most, window, allowed(rate))
 		}
-	})
+	}
+	if most := mostInWindow(sent); float64(most) > allowed(rate) {
+		t.Fatalf("%d requests in %v, allowed %.1f", most, window, allowed(rate))
+	}
 }
 
 func TestNextAtIsWhenARequestIsAvailable(t *testing.T) {
