--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -4,6 +4,8 @@
 	"io"
 	"sync"
 	"sync/atomic"
+
+	"github.com/fulmartide/fulmartide/internal/notify"
 )
 
 // Async is a buffered writer whose Write never blocks: a goroutine passes the lines to the underlying
@@ -41,12 +43,7 @@
 	return len(p), nil
 }
 
-func (a *Async) signal() {
-	select {
-	case a.wake <- struct{}{}:
-	default:
-	}
-}
+func (a *Async) signal() { notify.Signal(a.wake) }
 
 // Dropped returns the number of dropped lines. A failed write of the buffer counts as one.
 func (a *Async) Dropped() uint64 { return a.dropped.Load() }
--- a/internal/placement/poll.go
+++ b/internal/placement/poll.go
@@ -10,6 +10,7 @@
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/endpoint"
+	"github.com/fulmartide/fulmartide/internal/notify"
 )
 
 const (
@@ -70,10 +71,7 @@
 			p.remove(name)
 		}
 	}
-	select {
-	case p.changed <- struct{}{}:
-	default:
-	}
+	notify.Signal(p.changed)
 }
 
 func (p *poller) remove(name string) {
--- a/internal/placement/updates.go
+++ b/internal/placement/updates.go
@@ -8,6 +8,7 @@
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/notify"
 	"github.com/fulmartide/fulmartide/internal/peer"
 )
 
@@ -98,10 +99,7 @@
 	b.owner = owner
 	change(&b.message)
 	b.trim()
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
+	notify.Signal(q.wake)
 }
 
 // trim drops the oldest updates in excess of maxUpdates.
--- a/internal/reach/service.go
+++ b/internal/reach/service.go
@@ -19,6 +19,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/notify"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -110,17 +111,9 @@
 		return
 	}
 	s.opts.Log.Info("path to endpoint lost", zap.String("endpoint", c.Endpoint.Name), zap.Bool("several", c.Several))
-	signal(s.changed)
+	notify.Signal(s.changed)
 	if c.Several { // this VM may have lost all its paths
-		signal(s.several)
-	}
-}
-
-// signal wakes the receiver of a channel of capacity 1, unless a signal is pending already.
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
+		notify.Signal(s.several)
 	}
 }
 
--- a/internal/statesync/handlers.go
+++ b/internal/statesync/handlers.go
@@ -9,6 +9,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/notify"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -66,7 +67,7 @@
 		zap.Bool("leaving", hb.Leaving), zap.Stringer("replaces", c.replaced), zap.Int("known", known), zap.Int("heard", live))
 	s.opts.Plans.SetFleetShares(shares)
 	if c.joined {
-		signal(s.membersAdded)
+		notify.Signal(s.membersAdded)
 	}
 	if !c.replaced.IsZero() {
 		s.opts.Work.ForgetVM(c.replaced)
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/notify"
 	"github.com/fulmartide/fulmartide/internal/origin"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/quarantine"
@@ -147,15 +148,7 @@
 	}
 }
 
-func (s *Service) wake() { signal(s.wakeup) }
-
-// signal wakes the receiver of a channel of capacity 1, unless a signal is pending already.
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
+func (s *Service) wake() { notify.Signal(s.wakeup) }
 
 // endpointFailure is a failure to report, with the data centre of the endpoint.
 type endpointFailure struct {
@@ -229,7 +222,7 @@
 }
 
 // StoreRestored makes this VM register again, because the registry was restored from a backup.
-func (s *Service) StoreRestored() { signal(s.storeRestored) }
+func (s *Service) StoreRestored() { notify.Signal(s.storeRestored) }
 
 func (s *Service) addMembers(members []Member) {
 	s.mu.Lock()
@@ -243,7 +236,7 @@
 		s.opts.Log.Info("vm found in the registry", zap.String("vm", m.VM.Name), zap.Stringer("address", m.Address), zap.String("data_centre", m.DataCentre))
 	}
 	if len(added) > 0 {
-		signal(s.membersAdded)
+		notify.Signal(s.membersAdded)
 		s.sendHeartbeat()
 	}
 	if len(lost) > 0 { // after a long partition each side has removed the other one
--- a/internal/storekeeper/keeper.go
+++ b/internal/storekeeper/keeper.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/notify"
 )
 
 // Options configure a Keeper.
@@ -35,12 +36,7 @@
 func New(o Options) *Keeper { return &Keeper{opts: o, changed: make(chan struct{}, 1)} }
 
 // Changed makes the Keeper store. It does not block; changes that follow each other are stored together.
-func (k *Keeper) Changed() {
-	select {
-	case k.changed <- struct{}{}:
-	default:
-	}
-}
+func (k *Keeper) Changed() { notify.Signal(k.changed) }
 
 const (
 	// minRetryPause is the pause after a failed call to the store. It doubles with each failure, up to
