--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -103,9 +103,15 @@
 		return o, false
 	}
 	n := 0
-	for _, s := range v.sightings(now) {
-		if s.Origin.Service == service {
-			o = s.Origin
+	for known := range v.listed {
+		if known.Service == service {
+			o = known
+			n++
+		}
+	}
+	for known, at := range v.lastListed {
+		if known.Service == service && now.Sub(at) <= resumeWindow {
+			o = known
 			n++
 		}
 	}
