--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -12,10 +12,12 @@
 
 const (
 	// ackTimeout is how long sent data may remain unacknowledged before the connection is closed
-	// (TCP_USER_TIMEOUT).
+	// (TCP_USER_TIMEOUT). Linux also gives up keep-alive probes by it instead of by their count: an idle
+	// connection is closed once nothing has come for that long and a probe is unanswered. It must exceed the
+	// time for which a sound endpoint may fall silent.
 	ackTimeout = 2 * time.Second
-	// An idle connection is probed after keepAliveIdle and then every keepAliveInterval. It is closed
-	// after keepAliveCount consecutive probes without a reply.
+	// An idle connection is probed after keepAliveIdle and then every keepAliveInterval. Where ackTimeout does
+	// not apply, it is closed after keepAliveCount consecutive probes without a reply.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
