--- a/internal/admission/recorder.go
+++ b/internal/admission/recorder.go
@@ -87,6 +87,9 @@
 			r.Log.Warn("could not load the recorded usage of plans", zap.Error(err))
 			continue
 		}
+		for i := range records {
+			records[i].Age = max(0, records[i].Age-clock.Tolerance) // so that a record never leaves the window too early
+		}
 		r.Controller.AdoptRecords(r.Group(), records)
 		r.Log.Info("recorded usage of plans adopted", zap.Int("records", len(records)), zap.String("group", r.Group()))
 		return
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -9,6 +9,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// Tolerance is how much the wall clocks of two VMs may differ. What is stored with a time may be that much newer than
+// its age says.
+const Tolerance = 2 * time.Second
+
 // Instant is a reading of a Clock in nanoseconds. Readings are comparable only within one process.
 type Instant int64
 
--- a/internal/origin/fleet_test.go
+++ b/internal/origin/fleet_test.go
@@ -288,3 +288,28 @@
 		t.Errorf("%d records are left after their time", len(r.entries))
 	}
 }
+
+// storedVersions is a Store with one version that was listed some time ago.
+type storedVersions struct{ age time.Duration }
+
+func (s storedVersions) LoadVersions(context.Context, bool) ([]Sighting, uint64, error) {
+	return []Sighting{{Origin: traffic.StreamOrigin{Service: testService, Version: "v1"}, Age: s.age}}, 1, nil
+}
+
+func (storedVersions) SaveVersions(context.Context, []Sighting, uint64) error { return nil }
+
+// TestVersionsStoredByOtherClocksCount checks that a version which seems to be long gone counts: the clock of the VM that
+// stored it may have been behind.
+func TestVersionsStoredByOtherClocksCount(t *testing.T) {
+	for age, counts := range map[time.Duration]bool{resumeWindow + clock.Tolerance/2: true, resumeWindow + 2*clock.Tolerance: false} {
+		c := NewController(Options{Clock: &manualClock{clock.Instant(time.Hour)}, Log: zap.NewNop(), Metrics: metrics.NewSet()})
+		k := &keeper{controller: c, store: storedVersions{age}, log: zap.NewNop()}
+		if err := k.load(t.Context(), false); err != nil {
+			t.Fatal(err)
+		}
+		c.SetEndpoints(endpointsOf([]string{"v2"}))
+		if _, source := c.Find(t.Context(), NewKey("w", "call"), testService); (source == Unknown) != counts {
+			t.Errorf("a version listed %v ago counts: origin found by %s", age, source)
+		}
+	}
+}
--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -51,6 +51,9 @@
 		k.log.Warn("stored versions of services ignored", zap.Error(err))
 		return nil
 	}
+	for i := range sightings {
+		sightings[i].Age = max(0, sightings[i].Age-clock.Tolerance) // so that a version is never forgotten too early
+	}
 	if err == nil && version != 0 {
 		k.controller.Merge(State{Sightings: sightings, Complete: true}, "store")
 	}
