--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -42,6 +42,8 @@
 // Request is a request as written to the connection.
 type Request struct {
 	Target Target
+	// ID names the request in logs.
+	ID     string
 	Method string
 	// URI is written to the request line unchanged.
 	URI    string
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -61,7 +61,7 @@
 // exchange sends a request and reads its outcome.
 func exchange(w io.Writer, in io.Reader, via *traffic.Via, endpoint traffic.EndpointID, r *connpool.Request) (*outcome, error) {
 	h := requestHeader{
-		Endpoint: endpoint, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header,
+		ID: r.ID, Endpoint: endpoint, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header,
 		Permit: via.Permit, HasBody: r.Body != nil, BodyBytes: len(r.Body),
 	}
 	if err := writeMessage(w, &h); err != nil {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -125,7 +125,7 @@
 		return
 	}
 	if err := writeBody(nc, resp); err != nil {
-		s.opts.Log.Info("response for another vm broken off", zap.Stringer("vm", from), zap.String("endpoint", h.Endpoint.Name), zap.Error(err))
+		s.opts.Log.Info("response for another vm broken off", zap.String("request", h.ID), zap.Stringer("vm", from), zap.String("endpoint", h.Endpoint.Name), zap.Error(err))
 	}
 }
 
@@ -180,6 +180,6 @@
 		status = resp.Status
 	}
 	s.opts.Metrics.GetOrCreateCounter(`fulmartide_sent_for_other_vms_total`).Inc()
-	s.opts.Log.Info("sent for another vm", zap.Stringer("vm", from), zap.String("endpoint", h.Endpoint.Name), zap.String("uri", h.URI),
+	s.opts.Log.Info("sent for another vm", zap.String("request", h.ID), zap.Stringer("vm", from), zap.String("endpoint", h.Endpoint.Name),
 		zap.Int("status", status), zap.Bool("may_have_arrived", err == nil || connpool.MayHaveSent(err)), zap.Error(err))
 }
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -38,6 +38,8 @@
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
+	// ID names the request in the logs of both VMs.
+	ID                string
 	Endpoint          traffic.EndpointID
 	Method, URI, Host string
 	Header            map[string][]string
