quarantine: failing test of several engines that crash at once and one of them again

Cause: crashes within 250 ms count as one, for the engine whose record sorts first. A later crash of just this engine does not count, one of the others of that moment would.

--- a/internal/quarantine/verdict_test.go
+++ b/internal/quarantine/verdict_test.go
@@ -37,6 +37,9 @@
 	for i := range again {
 		again[i].Call = "c"
 	}
+	firstAgain := crashes([]string{"p"}, []string{"p"}, []string{"p"}, []string{"p"})
+	firstAgain[1].at, firstAgain[2].at = firstAgain[0].at, firstAgain[0].at
+	firstAgain[3].Endpoint = firstAgain[0].Endpoint
 	clearing := append(crashes([]string{"f", "p"}, []string{"f", "p"}), entry{Record: Record{ID: 9, Parts: []string{"p"}}, at: clock.Instant(time.Hour)})
 	for _, tc := range []struct {
 		name    string
@@ -57,6 +60,8 @@
 		{"one call that is sent again", again, nil, nil},
 		{"a crash every moment", steady, nil, []string{"p"}},
 		{"two calls at an engine that crashes", sameEngine, map[string]int{"q": 1}, []string{"p"}},
+		{"engines that end at the same moment, and one of them again", firstAgain, nil, []string{"p"}},
+		{"an engine that crashes again and again", []entry{firstAgain[0], firstAgain[3]}, nil, nil},
 		{"cleared by a call that was answered", clearing, nil, nil},
 		{"no common part", crashes([]string{"a"}, []string{"b"}, nil), nil, nil},
 	} {
