quarantine: a crash counts for another endpoint of its moment if its own crashes again

What callers saw: calls with a part that crashes engines went on to two more engines, although three had crashed under it at one moment and one of them again seconds later. Cause: of crashes within 250 ms the first one in the order of records counts, and one endpoint counts once; so the later crash of this very endpoint was ignored, while that of any other of that moment would have counted. Fix: the crash that counts passes to another endpoint of the same moment. Two moments and two endpoints are what the rule asks for, in any order of records.

--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -24,9 +24,9 @@
 type suspect struct {
 	part    string
 	crashes int
-	// endpoints are those whose crashes count.
-	endpoints []traffic.EndpointID
-	starts    int
+	// counted are the crashes that count, one for each endpoint.
+	counted []countedCrash
+	starts  int
 	// position is the part's place in the prompt of the latest crash.
 	position int
 	// lastCounted is the time of the last crash that counts, lastCrash that of the last one.
@@ -35,6 +35,13 @@
 	failedTrials int
 }
 
+// countedCrash is a crash that counts for a part.
+type countedCrash struct {
+	endpoint traffic.EndpointID
+	// others are the endpoints that crashed too soon after it to count.
+	others []traffic.EndpointID
+}
+
 // minCrashes returns the number of crashes that a part or request must explain to be quarantined.
 func minCrashes(part string) int {
 	if traffic.IsRequestKey(part) {
@@ -127,9 +134,13 @@
 
 // withCrash returns the suspect with one more record of a crash.
 func (s suspect) withCrash(part string, position int, r entry) suspect {
-	if s.crashes == 0 || r.countsAfter(s.lastCounted) && !slices.Contains(s.endpoints, r.Endpoint) {
+	switch {
+	case s.crashes > 0 && !r.countsAfter(s.lastCounted):
+		last := &s.counted[len(s.counted)-1]
+		last.others = append(last.others, r.Endpoint)
+	case s.makeCountable(r.Endpoint):
 		s.crashes++
-		s.endpoints = append(s.endpoints, r.Endpoint)
+		s.counted = append(s.counted, countedCrash{endpoint: r.Endpoint})
 		s.lastCounted = r.at
 	}
 	if s.crashes > minCrashes(part) && r.at.Sub(s.lastCrash) >= firstTrialDelay/2 {
@@ -139,6 +150,27 @@
 	return s
 }
 
+// makeCountable reports whether one more crash of the endpoint counts. If one of its crashes counts already, that one
+// must pass to an endpoint that crashed with it.
+func (s *suspect) makeCountable(endpoint traffic.EndpointID) bool {
+	i := s.find(endpoint)
+	if i < 0 {
+		return true
+	}
+	for _, other := range s.counted[i].others {
+		if s.find(other) < 0 {
+			s.counted[i].endpoint = other
+			return true
+		}
+	}
+	return false
+}
+
+// find returns the index of the endpoint's crash that counts, negative if there is none.
+func (s *suspect) find(endpoint traffic.EndpointID) int {
+	return slices.IndexFunc(s.counted, func(c countedCrash) bool { return c.endpoint == endpoint })
+}
+
 // countsAfter reports whether the crash counts besides an earlier one. A request must have been sent after that one;
 // calls with the same part of a prompt may run at once, and need a time between their crashes.
 func (r *entry) countsAfter(earlier clock.Instant) bool {
