dispatch: a prefill that is left to the decode engine is logged, and placed in a function of its own

Callers see nothing of it. Whoever looks for the cause of a slow first token found no line that says why a request had no prefill engine although the service has some. placeStages named the placement of the decode engine twice.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -145,26 +145,30 @@
 // placeStages claims the decode engine and then a prefill engine of its software version. The prefill claim is nil if
 // there is none: then the decode engine computes the prefill.
 func (g *generation) placeStages(ctx context.Context) (prefill, decode *schedule.Claim, err error) {
-	if !g.dispatcher.opts.Scheduler.HasStage(g.call.Service.Name, traffic.Prefill) {
-		decode, err = g.place(ctx, g.newPlacementRequest(traffic.Decode, "", nil), g.memoryWaitLimit())
+	decode, err = g.place(ctx, g.newPlacementRequest(traffic.Decode, "", nil), g.memoryWaitLimit())
+	if err != nil || !g.dispatcher.opts.Scheduler.HasStage(g.call.Service.Name, traffic.Prefill) {
 		return nil, decode, err
 	}
-	decode, err = g.place(ctx, g.newPlacementRequest(traffic.Decode, "", nil), g.memoryWaitLimit())
+	prefill, err = g.placePrefill(ctx, decode.Endpoint)
 	if err != nil {
+		decode.Release()
 		return nil, nil, err
 	}
-	request := g.newPlacementRequest(traffic.Prefill, decode.Endpoint.DataCentre, nil)
-	request.Version = &decode.Endpoint.SoftwareVersion
+	return prefill, decode, nil
+}
+
+// placePrefill claims a prefill engine of the decode engine's software version. The claim is nil if only other versions
+// can prefill.
+func (g *generation) placePrefill(ctx context.Context, decode traffic.Endpoint) (*schedule.Claim, error) {
+	request := g.newPlacementRequest(traffic.Prefill, decode.DataCentre, nil)
+	request.Version = &decode.SoftwareVersion
 	request.MaxPrefillTime = time.Duration(prefillFraction * float64(g.call.Route.LatencyTarget))
-	prefill, err = g.place(ctx, request, g.memoryWaitLimit())
+	claim, err := g.place(ctx, request, g.memoryWaitLimit())
 	if fault.Is(err, fault.Unavailable) && g.dispatcher.opts.Scheduler.MixedVersions(g.call.Service.Name, traffic.Prefill, *request.Version) {
-		return nil, decode, nil
+		g.log.Info("prefill left to the decode engine", zap.String("endpoint", decode.ID.Name), zap.String("software", *request.Version), zap.Error(err))
+		return nil, nil
 	}
-	if err != nil {
-		decode.Release()
-		return nil, nil, err
-	}
-	return prefill, decode, nil
+	return claim, err
 }
 
 func (g *generation) newPlacementRequest(stage traffic.Stage, dataCentre string, exclude []traffic.EndpointID) *schedule.Request {
