schedule: HasOtherVersion says what it reports

MixedVersions read as if it looked at all versions of a service; it tells whether a stage has another one than that given. Only names change.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -164,7 +164,7 @@
 	request.Version = &decode.SoftwareVersion
 	request.MaxPrefillTime = time.Duration(prefillFraction * float64(g.call.Route.LatencyTarget))
 	claim, err := g.place(ctx, request, g.memoryWaitLimit())
-	if fault.Is(err, fault.Unavailable) && g.dispatcher.opts.Scheduler.MixedVersions(g.call.Service.Name, traffic.Prefill, *request.Version) {
+	if fault.Is(err, fault.Unavailable) && g.dispatcher.opts.Scheduler.HasOtherVersion(g.call.Service.Name, traffic.Prefill, *request.Version) {
 		g.log.Info("prefill left to the decode engine", zap.String("endpoint", decode.ID.Name), zap.String("software", *request.Version), zap.Error(err))
 		return nil, nil
 	}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -102,9 +102,9 @@
 	return slices.ContainsFunc(s.table.byService[service], func(e *endpointState) bool { return e.Stage == stage && e.staying() })
 }
 
-// MixedVersions reports whether a service has endpoints in a stage that are not leaving and run another software version
+// HasOtherVersion reports whether a service has endpoints in a stage that are not leaving and run another software version
 // than the given one.
-func (s *Scheduler) MixedVersions(service string, stage traffic.Stage, version string) bool {
+func (s *Scheduler) HasOtherVersion(service string, stage traffic.Stage, version string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.ContainsFunc(s.table.byService[service], func(e *endpointState) bool {
