--- a/internal/vmserver/platform.go
+++ b/internal/vmserver/platform.go
@@ -44,6 +44,8 @@
 	Decode func([]byte) (*traffic.Configuration, error)
 	// NewHandler returns the handler of callers' HTTP requests, whose bodies take from the budget bodies.
 	NewHandler func(d *dispatch.Dispatcher, configuration func() *traffic.Configuration, bodies *bodybuffer.Budget) CallerHandler
+	// RequestID returns the id of a request for logs. It may be nil.
+	RequestID func(http.Header) string
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
 	// Reload reads the settings again and returns those that take effect without a restart.
--- a/internal/vmserver/serve.go
+++ b/internal/vmserver/serve.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/callerconn"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/explain"
 	"github.com/fulmartide/fulmartide/internal/fault"
@@ -49,22 +50,23 @@
 		p.wg.Go(func() { task(tasksCtx) })
 	}
 	closer := newIdleCloser(p.idleTimeout)
-	callers := &http.Server{
+	callers := callerconn.New(&http.Server{
 		Handler: p.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(p.log.Named("http")), ConnState: closer.connState,
-	}
+	}, p.platform.RequestID, p.log.Named("callers"), p.set)
 	ready := &http.Server{Handler: p.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	metricsServer := &http.Server{Handler: p.metricsHandler(), ReadHeaderTimeout: headerTimeout}
 	var accepting net.Listener
 	for _, l := range []struct {
 		server *http.Server
 		addr   netip.AddrPort
-	}{{callers, p.settings.Callers}, {ready, p.settings.Ready}, {metricsServer, p.settings.Metrics}} {
+	}{{callers.Server, p.settings.Callers}, {ready, p.settings.Ready}, {metricsServer, p.settings.Metrics}} {
 		ln, err := listen(ctx, l.addr)
 		if err != nil {
 			return err
 		}
-		if l.server == callers {
+		if l.server == callers.Server {
+			ln = callers.Listener(ln)
 			accepting = ln
 		}
 		p.wg.Go(func() { p.serve(l.server, ln) })
@@ -140,7 +142,7 @@
 
 // callerServer serves callers.
 type callerServer struct {
-	*http.Server
+	*callerconn.Server
 	listener net.Listener
 	// busy returns the number of connections whose request is on its way or being served.
 	busy func() int
@@ -170,8 +172,11 @@
 // closed once no call has been in progress for idleBeforeClose.
 func drain(ctx context.Context, s callerServer, active func() int64) error {
 	_ = s.listener.Close()
+	s.SetStep("close idle")
 	s.SetKeepAlivesEnabled(false) // closes idle connections
+	s.SetStep("await arrivals")
 	s.awaitArrivals(ctx)
+	s.SetStep("shut down")
 	done := make(chan error, 1)
 	go func() { done <- s.Shutdown(ctx) }()
 	check := time.NewTicker(idleBeforeClose / 10)
@@ -185,6 +190,7 @@
 			if active() > 0 {
 				idleSince = now
 			} else if now.Sub(idleSince) >= idleBeforeClose {
+				s.SetStep("close all")
 				return errors.Join(s.Close(), <-done)
 			}
 		}
--- a/internal/vmserver/vmserver_test.go
+++ b/internal/vmserver/vmserver_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
+	"github.com/fulmartide/fulmartide/internal/callerconn"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
 	"github.com/fulmartide/fulmartide/internal/fault"
@@ -138,8 +139,9 @@
 func serveCallers(server *http.Server, l net.Listener) callerServer {
 	closer := newIdleCloser(func() time.Duration { return 0 })
 	server.ConnState = closer.connState
-	go func() { _ = server.Serve(l) }()
-	return callerServer{server, l, closer.busyConnections}
+	callers := callerconn.New(server, nil, zap.NewNop(), metrics.NewSet())
+	go func() { _ = server.Serve(callers.Listener(l)) }()
+	return callerServer{callers, l, closer.busyConnections}
 }
 
 func (l *pipeListener) Accept() (net.Conn, error) {
