--- a/internal/vmserver/vmserver_test.go
+++ b/internal/vmserver/vmserver_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -258,6 +259,83 @@
 	}
 }
 
+// lateConn returns from Read some time after data has arrived, as in a process that gets little processor time.
+type lateConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		time.Sleep(c.delay)
+	}
+	return n, err
+}
+
+// TestStopAnswersRequestsReadFromReusedConnections guards against connections that are closed as idle although their next
+// request has been read.
+func TestStopAnswersRequestsReadFromReusedConnections(t *testing.T) {
+	const (
+		request   = "GET /%s HTTP/1.1\r\nHost: h\r\n\r\n"
+		readDelay = 30 * time.Millisecond
+	)
+	for name, otherCall := range map[string]time.Duration{"no other call": 0, "another call in progress": 2 * readDelay} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+				var active, runs atomic.Int64
+				server := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					active.Add(1)
+					defer active.Add(-1)
+					runs.Add(1)
+					if r.URL.Path == "/other" {
+						time.Sleep(otherCall)
+					}
+				})}
+				callers := serveCallers(server, l)
+				connect := func() func(path string) error {
+					caller, accepted := net.Pipe()
+					t.Cleanup(func() { _ = caller.Close() })
+					l.conns <- &lateConn{Conn: accepted, delay: readDelay}
+					in := bufio.NewReader(caller)
+					return func(path string) error {
+						if _, err := fmt.Fprintf(caller, request, path); err != nil {
+							return err
+						}
+						_, err := http.ReadResponse(in, nil)
+						return err
+					}
+				}
+				call, other := connect(), connect()
+				if err := call("first"); err != nil {
+					t.Fatal(err)
+				}
+				answered := make(chan error, 2)
+				if otherCall > 0 {
+					go func() { answered <- other("other") }()
+					time.Sleep(readDelay)
+				} else {
+					answered <- nil
+				}
+				synctest.Wait() // the first connection is idle
+				go func() { answered <- call("second") }()
+				synctest.Wait() // its next request has been read, and its server does not know it yet
+				if err := drain(t.Context(), callers, active.Load); err != nil {
+					t.Error(err)
+				}
+				for range 2 {
+					if err := <-answered; err != nil {
+						t.Errorf("a request got no answer: %v (%d requests were run)", err, runs.Load())
+					}
+				}
+				_ = callers.Close()
+				time.Sleep(readDelay)
+			})
+		})
+	}
+}
+
 // hangingRegistry does not respond until the caller gives up.
 type hangingRegistry struct{ statesync.Registry }
 
