--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -67,6 +67,9 @@
 	aborted chan abortedSend
 	// slowCallers is the memory for what slow callers have not read, a part of that for bodies.
 	slowCallers *bodybuffer.Budget
+	// stopping ends when Stop is called, with errStopping as its cause.
+	stopping context.Context
+	stop     context.CancelCauseFunc
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -97,7 +100,9 @@
 	if o.Bodies == nil {
 		o.Bodies = bodybuffer.NewBudget(defaultBodyMemory, o.Metrics)
 	}
+	stopping, stop := context.WithCancelCause(context.Background())
 	return &Dispatcher{
+		stopping: stopping, stop: stop,
 		opts: o, freeQueue: make(chan backend.Handle, maxQueuedFrees), aborted: make(chan abortedSend, maxAbortedSends),
 		random:      rand.New(rand.NewPCG(o.Seed, 1)),
 		slowCallers: o.Bodies.Part(o.Bodies.Limit()/slowCallerFraction, o.Metrics, "slow_caller"),
@@ -109,6 +114,8 @@
 // unknown.
 func (d *Dispatcher) Serve(ctx context.Context, c *traffic.Call, sink Sink) error {
 	f := &inflightCall{dispatcher: d, call: c, sink: sink, log: d.opts.Log.With(zap.String("request", c.ID))}
+	ctx, done := d.untilStopped(ctx)
+	defer done()
 	if err := f.prepare(ctx); err != nil {
 		f.finish(err)
 		return err
@@ -125,6 +132,8 @@
 // route and service set. The error has the same meaning as that of Serve.
 func (d *Dispatcher) Forward(ctx context.Context, c *traffic.Call, sink Sink) error {
 	f := &inflightCall{dispatcher: d, call: c, sink: sink, log: d.opts.Log.With(zap.String("request", c.ID))}
+	ctx, done := d.untilStopped(ctx)
+	defer done()
 	d.opts.Admission.CountCall(c.Service.Name)
 	err := f.runWithTimeout(ctx)
 	f.finish(err)
@@ -240,6 +249,8 @@
 			fault.WithExecution(fault.ExecutionUnknown))
 	case fault.Is(err, fault.Cancelled):
 		return err
+	case stopped(ctx):
+		return f.stoppedError(err)
 	case ctx.Err() != nil:
 		return fault.Wrap(err, fault.Cancelled, "keep the connection open", "the caller cancelled the call", fault.WithExecution(execution))
 	case f.mayHaveRun:
--- a/internal/dispatch/origin.go
+++ b/internal/dispatch/origin.go
@@ -40,6 +40,9 @@
 		zap.String("service", o.Service), zap.String("software", o.Version), zap.String("source", string(source)),
 		zap.Duration("waited", f.dispatcher.opts.Clock.Now().Sub(began)))
 	f.dispatcher.opts.Metrics.GetOrCreateCounter(`fulmartide_resumed_streams_total{origin="` + string(source) + `"}`).Inc()
+	if source == origin.Unknown && stopped(ctx) {
+		return f.stoppedError(context.Cause(ctx))
+	}
 	if source == origin.Unknown {
 		return fault.New(fault.Unavailable, "begin the stream anew", "it is not known which software version began the stream",
 			fault.WithRetryAfter(unknownOriginRetryAfter))
--- a/internal/dispatch/prepare.go
+++ b/internal/dispatch/prepare.go
@@ -13,6 +13,9 @@
 
 // prepare matches the call to a route and service, and authenticates and admits the caller.
 func (f *inflightCall) prepare(ctx context.Context) error {
+	if stopped(ctx) {
+		return f.stoppedError(context.Cause(ctx))
+	}
 	cfg := f.dispatcher.opts.Configuration()
 	if cfg == nil {
 		return fault.New(fault.Unavailable, "try again; this VM has not received its first configuration yet",
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -63,8 +63,8 @@
 	f.dispatcher.opts.Metrics.GetOrCreateCounter(`fulmartide_unsent_requests_total`).Inc()
 }
 
-// callerGone reports whether a send failed because the caller cancelled the call, or because writing to the caller
-// failed.
+// callerGone reports whether a send failed because the caller cancelled the call, because writing to the caller failed,
+// or because this process is stopping.
 func callerGone(ctx context.Context, err error) bool {
-	return errors.Is(context.Cause(ctx), context.Canceled) || fault.Is(err, fault.Cancelled)
+	return errors.Is(context.Cause(ctx), context.Canceled) || fault.Is(err, fault.Cancelled) || stopped(ctx)
 }
--- a/internal/dispatch/stop_test.go
+++ b/internal/dispatch/stop_test.go
@@ -89,3 +89,32 @@
 		t.Errorf("retry delay %v with execution %s", d.RetryAfter, execution)
 	}
 }
+
+// TestStopAnswersCallsInProgress guards against calls that a stop leaves without an answer or a refusal.
+func TestStopAnswersCallsInProgress(t *testing.T) {
+	for _, tc := range stopCases {
+		t.Run(tc.name, func(t *testing.T) {
+			err := serveUntilStopped(t, tc, func(d *dispatch.Dispatcher, _ context.CancelCauseFunc) { d.Stop() })
+			checkStopped(t, err, tc.execution)
+		})
+	}
+}
+
+// TestCallThatArrivesAfterStopIsNotSent guards against calls that begin at endpoints when no time is left for their answers.
+func TestCallThatArrivesAfterStopIsNotSent(t *testing.T) {
+	f := &fakeBackend{}
+	synctest.Test(t, func(t *testing.T) {
+		now, cfg := clock.NewMonotonic(), testConfiguration()
+		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 1})
+		s.UpdateEndpoints(testEndpoints(), cfg.Services)
+		d := newTestDispatcher(now, cfg, s, f, nil)
+		d.Stop()
+		call := newCall(oncePath)
+		call.ArrivedAt = now.Now()
+		call.Deadline = call.ArrivedAt.Add(time.Second)
+		checkStopped(t, d.Serve(t.Context(), call, &recordingSink{}), fault.NotExecuted)
+	})
+	if len(f.sends) != 0 {
+		t.Errorf("backend received %v", f.sends)
+	}
+}
