--- /dev/null
+++ b/internal/connpool/idleclose_test.go
@@ -0,0 +1,154 @@
+package connpool
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// idleCloser is an endpoint that answers requests. It closes its first connection when told to.
+type idleCloser struct {
+	ln    net.Listener
+	close chan struct{}
+	// closed is closed once the first connection is.
+	closed chan struct{}
+	// requests receives the path of each request that was read.
+	requests chan string
+	// keepAlive is the value of the Keep-Alive header of the answers.
+	keepAlive string
+}
+
+func startIdleCloser(t *testing.T, keepAlive string) *idleCloser {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &idleCloser{ln: ln, close: make(chan struct{}), closed: make(chan struct{}), requests: make(chan string, 8), keepAlive: keepAlive}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		first, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			<-e.close
+			_ = first.Close()
+			close(e.closed)
+		}()
+		go e.answer(first)
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go e.answer(c)
+		}
+	}()
+	return e
+}
+
+func (e *idleCloser) answer(c net.Conn) {
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		e.requests <- r.URL.Path
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nKeep-Alive: "+e.keepAlive+"\r\nContent-Length: 1\r\n\r\nx")
+	}
+}
+
+func (e *idleCloser) request(path string, body []byte) *Request {
+	return &Request{Target: e.target(), Method: http.MethodPost, URI: path, Host: "h", Header: http.Header{}, Body: body}
+}
+
+func (e *idleCloser) target() Target {
+	return Target{Address: netip.MustParseAddrPort(e.ln.Addr().String()), Instance: "i"}
+}
+
+func send(t *testing.T, p *Pool, r *Request) error {
+	t.Helper()
+	resp, err := p.Do(t.Context(), r)
+	if err != nil {
+		return err
+	}
+	_, err = io.ReadAll(resp)
+	return errors.Join(err, resp.Close())
+}
+
+// pausedConn is a connection of a process that is paused before it writes.
+type pausedConn struct {
+	*net.TCPConn
+	pause func()
+}
+
+func (c *pausedConn) Write(p []byte) (int, error) {
+	c.pause()
+	return c.TCPConn.Write(p)
+}
+
+// TestRequestThatCrossesAnIdleCloseIsSentAgain guards against requests that fail because the endpoint closed their
+// connection as idle before they arrived.
+func TestRequestThatCrossesAnIdleCloseIsSentAgain(t *testing.T) {
+	for name, body := range map[string][]byte{"no body": nil, "small body": []byte("x"), "large body": make([]byte, 200<<10)} {
+		t.Run(name, func(t *testing.T) {
+			e := startIdleCloser(t, "timeout=60")
+			p := New(nil)
+			defer p.Close()
+			pause := func() {}
+			nc, err := net.Dial("tcp", e.ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := newConn(p, e.target(), &pausedConn{nc.(*net.TCPConn), func() { pause() }})
+			c.idleUntil = time.Now().Add(time.Hour)
+			p.put(c)
+			if err := send(t, p, e.request("/first", nil)); err != nil {
+				t.Fatal(err)
+			}
+			pause = func() {
+				close(e.close)
+				<-e.closed
+			}
+			if err := send(t, p, e.request("/second", body)); err != nil {
+				t.Fatalf("the second request failed: %v, sent %v", err, MayHaveSent(err))
+			}
+			if first, second := <-e.requests, <-e.requests; first != "/first" || second != "/second" {
+				t.Errorf("the endpoint read %s and %s", first, second)
+			}
+		})
+	}
+}
+
+// TestSlowCallerDoesNotExtendIdleTime guards against connections that are used after the endpoint's Keep-Alive timeout
+// because the answer before was read late.
+func TestSlowCallerDoesNotExtendIdleTime(t *testing.T) {
+	e := startIdleCloser(t, "timeout=1")
+	dials := 0
+	p := New(func() { dials++ })
+	defer p.Close()
+	resp, err := p.Do(t.Context(), e.request("/first", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(resp); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second - idleMargin)
+	_ = resp.Close()
+	if err := send(t, p, e.request("/second", nil)); err != nil {
+		t.Fatal(err)
+	}
+	if dials != 2 {
+		t.Errorf("%d connections for two requests", dials)
+	}
+	close(e.close)
+}
