--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -27,11 +27,14 @@
 
 // conn is a connection that serves one request at a time.
 type conn struct {
-	pool      *Pool
-	target    Target
-	nc        net.Conn
-	in        *limitedReader
-	br        *bufio.Reader
+	pool   *Pool
+	target Target
+	nc     net.Conn
+	in     *limitedReader
+	br     *bufio.Reader
+	// idleTimeout is how long the connection may stay idle, counted from the last data that the kernel received on it.
+	idleTimeout time.Duration
+	// idleUntil is when the connection is closed at the latest if it is not used.
 	idleUntil time.Time
 }
 
@@ -65,10 +68,21 @@
 
 func (c *conn) close() { _ = c.nc.Close() }
 
+// keepFor allows the connection to be reused until it has been idle for timeout.
+func (c *conn) keepFor(timeout time.Duration) {
+	c.idleTimeout, c.idleUntil = timeout, time.Now().Add(timeout)
+}
+
 // reusable reports whether an idle connection can be used for a request: its idle timeout has not
-// expired, and the peer has neither closed it nor sent unsolicited data.
+// expired, and the peer has neither closed it nor sent unsolicited data. The idle time is counted from the last data that
+// the kernel received, as this process may read and deliver a response long after its endpoint has sent it.
 func (c *conn) reusable() bool {
-	return time.Now().Before(c.idleUntil) && c.br.Buffered() == 0 && !Readable(c.nc)
+	info, err := tcpInfo(c.nc)
+	if err != nil {
+		return false
+	}
+	idle := time.Duration(info.Last_data_recv) * time.Millisecond
+	return idle < c.idleTimeout && c.br.Buffered() == 0 && !Readable(c.nc)
 }
 
 // roundTrip writes the request and reads the response header. Large bodies are written
@@ -207,7 +221,7 @@
 		r.conn.close()
 		return nil
 	}
-	r.conn.idleUntil = time.Now().Add(r.idleTimeout)
+	r.conn.keepFor(r.idleTimeout)
 	r.conn.pool.put(r.conn)
 	return nil
 }
--- a/internal/connpool/idleclose_test.go
+++ b/internal/connpool/idleclose_test.go
@@ -109,7 +109,7 @@
 				t.Fatal(err)
 			}
 			c := newConn(p, e.target(), &pausedConn{nc.(*net.TCPConn), func() { pause() }})
-			c.idleUntil = time.Now().Add(time.Hour)
+			c.keepFor(time.Hour)
 			p.put(c)
 			if err := send(t, p, e.request("/first", nil)); err != nil {
 				t.Fatal(err)
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -13,8 +13,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/fulmartide/fulmartide/internal/tcpconn"
 )
 
@@ -117,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	c.idleUntil = time.Now().Add(defaultIdleTimeout)
+	c.keepFor(defaultIdleTimeout)
 	p.put(c)
 	return nil
 }
@@ -212,22 +210,3 @@
 }
 
 var errUnmatchedResponses = errors.New("no response on the connection matched the request")
-
-// Readable reports whether a byte, EOF or an error is pending on the connection, without consuming
-// it.
-func Readable(nc net.Conn) (pending bool) {
-	sc, ok := nc.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		pending = err != unix.EAGAIN
-	})
-	return pending || err != nil
-}
