--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -86,8 +86,14 @@
 }
 
 // roundTrip writes the request and reads the response header. Large bodies are written
-// concurrently, because an endpoint may respond before it has read the whole body.
+// concurrently, because an endpoint may respond before it has read the whole body. It returns errNotRead if the endpoint
+// had closed the connection before the request arrived.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*Response, error) {
+	if cause := context.Cause(ctx); cause != nil {
+		c.close()
+		return nil, &Error{Err: cause}
+	}
+	ackedBefore := ackedBytes(c.nc)
 	stopCancel := context.AfterFunc(ctx, c.close)
 	written := make(chan error, 1)
 	if len(r.Body) <= maxSyncBody {
@@ -97,8 +103,13 @@
 	}
 	resp, err := c.readHeader(r)
 	if err != nil {
+		notRead := closedBefore(c.nc, err, ackedBefore)
 		stopCancel()
 		c.close()
+		if notRead {
+			<-written
+			return nil, errNotRead
+		}
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
@@ -171,6 +182,9 @@
 	// Delimited is set if a length or chunks mark the end of the body. Otherwise it ends with the
 	// connection.
 	Delimited bool
+	// Resent is set if the request was sent once more because the endpoint had closed the first connection before the
+	// request arrived.
+	Resent bool
 
 	conn        *conn
 	body        io.ReadCloser
--- a/internal/connpool/idleclose_test.go
+++ b/internal/connpool/idleclose_test.go
@@ -2,21 +2,25 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 )
 
-// idleCloser is an endpoint that answers requests. It closes its first connection when told to.
+// idleCloser is an endpoint that answers requests. It closes its first connection when told to, or only its own stream.
 type idleCloser struct {
 	ln    net.Listener
 	close chan struct{}
 	// closed is closed once the first connection is.
 	closed chan struct{}
+	// half is set if the endpoint reads on.
+	half atomic.Bool
 	// requests receives the path of each request that was read.
 	requests chan string
 	// keepAlive is the value of the Keep-Alive header of the answers.
@@ -38,7 +42,11 @@
 		}
 		go func() {
 			<-e.close
-			_ = first.Close()
+			if e.half.Load() {
+				_ = first.(*net.TCPConn).CloseWrite()
+			} else {
+				_ = first.Close()
+			}
 			close(e.closed)
 		}()
 		go e.answer(first)
@@ -95,29 +103,37 @@
 	return c.TCPConn.Write(p)
 }
 
+// pausedPool returns a pool whose only connection has served a request. The endpoint closes it while the process pauses
+// before the write of the next one.
+func (e *idleCloser) pausedPool(t *testing.T) *Pool {
+	t.Helper()
+	p := New(nil)
+	t.Cleanup(p.Close)
+	pause := func() {}
+	nc, err := net.Dial("tcp", e.ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newConn(p, e.target(), &pausedConn{nc.(*net.TCPConn), func() { pause() }})
+	c.keepFor(time.Hour)
+	p.put(c)
+	if err := send(t, p, e.request("/first", nil)); err != nil {
+		t.Fatal(err)
+	}
+	pause = func() {
+		close(e.close)
+		<-e.closed
+	}
+	return p
+}
+
 // TestRequestThatCrossesAnIdleCloseIsSentAgain guards against requests that fail because the endpoint closed their
 // connection as idle before they arrived.
 func TestRequestThatCrossesAnIdleCloseIsSentAgain(t *testing.T) {
 	for name, body := range map[string][]byte{"no body": nil, "small body": []byte("x"), "large body": make([]byte, 200<<10)} {
 		t.Run(name, func(t *testing.T) {
 			e := startIdleCloser(t, "timeout=60")
-			p := New(nil)
-			defer p.Close()
-			pause := func() {}
-			nc, err := net.Dial("tcp", e.ln.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			c := newConn(p, e.target(), &pausedConn{nc.(*net.TCPConn), func() { pause() }})
-			c.keepFor(time.Hour)
-			p.put(c)
-			if err := send(t, p, e.request("/first", nil)); err != nil {
-				t.Fatal(err)
-			}
-			pause = func() {
-				close(e.close)
-				<-e.closed
-			}
+			p := e.pausedPool(t)
 			if err := send(t, p, e.request("/second", body)); err != nil {
 				t.Fatalf("the second request failed: %v, sent %v", err, MayHaveSent(err))
 			}
@@ -128,6 +144,35 @@
 	}
 }
 
+// TestRequestReadByAHalfClosedEndpointIsNotSentAgain guards against requests that run twice because an endpoint that ends
+// its stream is taken for one that reads nothing more.
+func TestRequestReadByAHalfClosedEndpointIsNotSentAgain(t *testing.T) {
+	e := startIdleCloser(t, "timeout=60")
+	e.half.Store(true)
+	p := e.pausedPool(t)
+	if err := send(t, p, e.request("/second", nil)); err == nil || !MayHaveSent(err) {
+		t.Errorf("error %v, want one of a request that may have run", err)
+	}
+	if first, second := <-e.requests, <-e.requests; first != "/first" || second != "/second" {
+		t.Errorf("the endpoint read %s and %s", first, second)
+	}
+	if len(e.requests) > 0 {
+		t.Errorf("the endpoint read %s, too", <-e.requests)
+	}
+}
+
+// TestCancelledRequestIsNotWritten guards against requests that run although they were cancelled before they were sent.
+func TestCancelledRequestIsNotWritten(t *testing.T) {
+	e := startIdleCloser(t, "timeout=60")
+	p := e.pausedPool(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := p.Do(ctx, e.request("/second", nil)); !errors.Is(err, context.Canceled) || MayHaveSent(err) {
+		t.Errorf("error %v, sent %v", err, MayHaveSent(err))
+	}
+	close(e.close)
+}
+
 // TestSlowCallerDoesNotExtendIdleTime guards against connections that are used after the endpoint's Keep-Alive timeout
 // because the answer before was read late.
 func TestSlowCallerDoesNotExtendIdleTime(t *testing.T) {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -1,7 +1,7 @@
 // Package connpool implements a pool of HTTP/1.1 client connections to endpoints, each of which
-// serves one request at a time. Unlike net/http's Transport it never retries a request, reports
-// whether any byte of a failed request may have been sent, and checks that a response belongs to
-// its request.
+// serves one request at a time. Unlike net/http's Transport it sends a request again only if the endpoint cannot have
+// read it, reports whether any byte of a failed request may have been sent, and checks that a response belongs to its
+// request.
 package connpool
 
 import (
@@ -96,17 +96,33 @@
 	}
 }
 
-// Do sends a request and returns the response once its header has been read. Errors are of type
-// *Error.
+// errNotRead means that the endpoint had closed the connection before the request arrived on it.
+var errNotRead = errors.New("the endpoint had closed the connection before the request arrived")
+
+// Do sends a request and returns the response once its header has been read. If the endpoint closes a reused connection
+// as idle before the request has arrived, the request is sent once more, on a new one. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c := p.get(r.Target)
-	if c == nil {
-		var err error
-		if c, err = p.dial(ctx, r.Target); err != nil {
-			return nil, &Error{Err: err}
+	resent := false
+	if c := p.get(r.Target); c != nil {
+		resp, err := c.roundTrip(ctx, r)
+		if !errors.Is(err, errNotRead) {
+			return resp, err
 		}
+		resent = true
+	}
+	c, err := p.dial(ctx, r.Target)
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	resp, err := c.roundTrip(ctx, r)
+	if errors.Is(err, errNotRead) {
+		return nil, &Error{Err: err}
+	}
+	if err != nil {
+		return nil, err
 	}
-	return c.roundTrip(ctx, r)
+	resp.Resent = resent
+	return resp, nil
 }
 
 // Connect opens a connection, which is kept for a later request. It fails if the endpoint does not accept it.
