--- a/internal/endpoint/http_conns.go
+++ b/internal/endpoint/http_conns.go
@@ -31,7 +31,7 @@
 		return nil, err
 	}
 	c := &trackedConn{Conn: nc, tracker: t, addr: addr}
-	c.lastRead.Store(time.Now().UnixNano())
+	c.lastActive.Store(time.Now().UnixNano())
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.byAddr[addr] == nil {
@@ -41,14 +41,14 @@
 	return c, nil
 }
 
-// closeInactive closes the inactive connections to addr: those on which nothing has been received
-// for at least minInactivity.
+// closeInactive closes the inactive connections to addr: those on which nothing has been received, and no request
+// begun, for at least minInactivity.
 func (t *connTracker) closeInactive(addr string, minInactivity time.Duration) {
 	cutoff := time.Now().Add(-minInactivity).UnixNano()
 	var inactive []*trackedConn
 	t.mu.Lock()
 	for c := range t.byAddr[addr] {
-		if c.lastRead.Load() <= cutoff {
+		if c.lastActive.Load() <= cutoff {
 			inactive = append(inactive, c)
 		}
 	}
@@ -67,23 +67,29 @@
 	}
 }
 
-// trackedConn records when data was last received.
+// trackedConn records when data was last received or sent.
 type trackedConn struct {
 	net.Conn
-	tracker  *connTracker
-	addr     string
-	lastRead atomic.Int64
+	tracker    *connTracker
+	addr       string
+	lastActive atomic.Int64
 }
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.lastRead.Store(time.Now().UnixNano())
+		c.lastActive.Store(time.Now().UnixNano())
 	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.lastActive.Store(time.Now().UnixNano())
+	return c.Conn.Write(p)
+}
+
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	c.tracker.remove(c)
--- a/internal/endpoint/http_conns_test.go
+++ b/internal/endpoint/http_conns_test.go
@@ -25,7 +25,7 @@
 	inUse, idle := dial(), dial()
 	defer inUse.Close()
 	for _, c := range []*trackedConn{inUse, idle} {
-		c.lastRead.Store(time.Now().Add(-time.Hour).UnixNano())
+		c.lastActive.Store(time.Now().Add(-time.Hour).UnixNano())
 	}
 	if _, err := inUse.Write([]byte("request")); err != nil {
 		t.Fatal(err)
