--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -1,10 +1,17 @@
 package callerconn
 
 import (
+	"crypto/tls"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // state is what a connection is doing.
@@ -22,15 +29,24 @@
 // String implements fmt.Stringer.
 func (s state) String() string { return [...]string{"awaiting", "receiving", "serving"}[s] }
 
-// conn is a caller's connection.
+// conn is a caller's connection. To end it, the server interrupts its Read by a deadline in the past; Read then takes what
+// has arrived, and reports the end of the connection only if nothing has.
 type conn struct {
 	net.Conn
 	server *Server
 
-	mu       sync.Mutex
-	state    state
-	lastRead time.Time
-	closed   *closure
+	mu    sync.Mutex
+	state state
+	// fresh is set until the first request has been parsed.
+	fresh bool
+	// multiplexed is set if the connection carries several requests at a time (HTTP/2), which its protocol ends.
+	multiplexed bool
+	// deadline is the read deadline that net/http has set. It is not in force while interrupted is set.
+	deadline    time.Time
+	interrupted bool
+	idleSince   time.Time
+	lastRead    time.Time
+	closed      *closure
 }
 
 // closure is what was known of a connection when this process closed it.
@@ -38,16 +54,80 @@
 	at       time.Time
 	lastRead time.Time
 	state    state
-	step     string
+	phase    phase
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.received()
+	for {
+		n, err := c.Conn.Read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.readsRequest() {
+			n, err = c.readArrived(p, err)
+		}
+		if n > 0 {
+			c.received()
+		}
+		if n > 0 || !errors.Is(err, errWaitOn) {
+			return n, err
+		}
+	}
+}
+
+// errWaitOn makes Read wait again, with a later deadline.
+var errWaitOn = errors.New("the idle timeout has been extended")
+
+// readsRequest reports whether the connection reads a request, and not the body of one that is being served.
+func (c *conn) readsRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state != serving && !c.multiplexed
+}
+
+// readArrived reads what has arrived although the deadline has passed. If nothing has, it returns the error that ends the
+// connection, or errWaitOn.
+func (c *conn) readArrived(p []byte, timeout error) (int, error) {
+	n, err := receive(c.Conn, p)
+	if n > 0 || err != nil {
+		return n, err
 	}
-	return n, err
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != awaiting || c.fresh && !c.interrupted {
+		return 0, timeout
+	}
+	if limit := c.server.idleLimit(); c.interrupted || limit > 0 && time.Since(c.idleSince) >= limit {
+		return 0, io.EOF
+	}
+	// A configuration has made the idle timeout longer since the connection became idle.
+	if err := c.applyDeadline(); err != nil {
+		return 0, err
+	}
+	return 0, errWaitOn
+}
+
+// receive reads what has arrived at a connection without waiting. It returns 0 and no error if nothing has.
+func receive(nc net.Conn, p []byte) (n int, err error) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var recvErr error
+	err = raw.Control(func(fd uintptr) { n, _, recvErr = unix.Recvfrom(int(fd), p, unix.MSG_DONTWAIT) })
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(recvErr, unix.EAGAIN) || errors.Is(recvErr, unix.EINTR):
+		return 0, nil
+	case recvErr != nil:
+		return 0, os.NewSyscallError("recvfrom", recvErr)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
 }
 
 func (c *conn) received() {
@@ -57,19 +137,82 @@
 	if c.state == awaiting {
 		c.state = receiving
 	}
+	if c.interrupted && !c.due() {
+		_ = c.applyDeadline() // a connection without deadlines fails in the next Read
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.applyDeadline()
+}
+
+// applyDeadline sets the read deadline for the state of the connection and the phase of the server. c.mu must be held.
+func (c *conn) applyDeadline() error {
+	c.interrupted = c.due()
+	t := c.deadline
+	switch {
+	case c.interrupted:
+		t = past
+	case c.state == awaiting && !c.fresh && !c.multiplexed:
+		t = time.Time{}
+		if limit := c.server.idleLimit(); limit > 0 {
+			t = c.idleSince.Add(limit)
+		}
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// past is a read deadline that interrupts Read.
+var past = time.Unix(1, 0)
+
+// due reports whether the phase of the server ends the connection in its state. c.mu must be held.
+func (c *conn) due() bool {
+	if c.multiplexed || c.state == serving {
+		return false
+	}
+	p := c.server.phaseNow()
+	switch {
+	case p >= phaseGivingUp:
+		return true
+	case p >= phaseEndingNew:
+		return c.state == awaiting
+	default:
+		return p >= phaseEndingIdle && c.state == awaiting && !c.fresh
+	}
+}
+
+// interruptIfDue makes Read return if the phase of the server ends the connection.
+func (c *conn) interruptIfDue() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.interrupted && c.due() {
+		_ = c.applyDeadline() // fails if the connection has ended meanwhile
+	}
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	step := c.server.currentStep()
 	c.mu.Lock()
 	if c.closed == nil {
-		c.closed = &closure{at: time.Now(), lastRead: c.lastRead, state: c.state, step: step}
+		c.closed = &closure{at: time.Now(), lastRead: c.lastRead, state: c.state, phase: c.server.phaseNow()}
 	}
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// CloseWrite closes the sending side. net/http uses it so that a response to a request that was not read to its end is not
+// lost by a reset.
+func (c *conn) CloseWrite() error {
+	if cw, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return cw.CloseWrite()
+	}
+	return nil
+}
+
 // closure returns what was known when this process closed the connection, nil if it has not.
 func (c *conn) closure() *closure {
 	c.mu.Lock()
@@ -77,20 +220,28 @@
 	return c.closed
 }
 
-// changeState follows the state changes that net/http reports.
-func (c *conn) changeState(s http.ConnState) {
+// changeState follows the state changes that net/http reports for nc, which is the connection or TLS on it.
+func (c *conn) changeState(nc net.Conn, s http.ConnState) {
 	switch s {
 	case http.StateActive:
-		c.setState(serving)
+		c.setState(serving, nc)
 	case http.StateIdle:
-		c.setState(awaiting)
+		c.setState(awaiting, nc)
 	case http.StateClosed, http.StateHijacked:
 		c.server.forget(c)
 	}
 }
 
-func (c *conn) setState(s state) {
+func (c *conn) setState(s state, nc net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state = s
+	t, ok := nc.(*tls.Conn)
+	c.multiplexed = ok && t.ConnectionState().NegotiatedProtocol == "h2"
+	c.state, c.fresh = s, false
+	if s == awaiting {
+		c.idleSince = time.Now()
+	}
+	if c.interrupted || c.due() {
+		_ = c.applyDeadline() // a connection without deadlines fails in the next Read
+	}
 }
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -1,5 +1,6 @@
-// Package callerconn serves the HTTP connections of callers. It records which requests have been read from a connection
-// when the server closes it.
+// Package callerconn serves the HTTP connections of callers. A connection that waits for a request is ended only by the
+// goroutine that reads it, and only once no byte of a request is left to read: net/http itself closes a connection as idle
+// although its next request has arrived, or has been read and not yet been parsed.
 package callerconn
 
 import (
@@ -8,73 +9,115 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 )
 
-// Server is an HTTP server that knows the state of each connection.
+// Options configures a Server.
+type Options struct {
+	// IdleTimeout returns the idle timeout of connections in force, 0 for none. It may be nil.
+	IdleTimeout func() time.Duration
+	// MaxIdleTime is the idle timeout where IdleTimeout gives none.
+	MaxIdleTime time.Duration
+	// RequestID returns the id of a request for logs. It may be nil.
+	RequestID func(http.Header) string
+	Log       *zap.Logger
+	Metrics   *metrics.Set
+}
+
+// Server is an HTTP server that loses no request when connections are ended. Its connections must be served with Serve,
+// and it must be stopped with Drain.
 type Server struct {
-	*http.Server
-	log *zap.Logger
-	// requestID returns the id of a request for logs.
-	requestID func(http.Header) string
+	http *http.Server
+	opts Options
 	// cut counts the requests whose connection was closed by the server before they were answered.
-	cut *metrics.Counter
+	cut   *metrics.Counter
+	phase atomic.Int32
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
-	// step names the step of the stop in progress, empty while the server is not being stopped.
-	step string
+	mu       sync.Mutex
+	listener *listener
+	conns    map[*conn]struct{}
+	// empty is signalled when the last connection of HTTP/1 has ended.
+	empty chan struct{}
 }
 
-// New returns a Server that serves with the settings of base, which it takes over. requestID may be nil.
-func New(base *http.Server, requestID func(http.Header) string, log *zap.Logger, set *metrics.Set) *Server {
-	if requestID == nil {
-		requestID = func(http.Header) string { return "" }
+// New returns a Server with the handler and the limits of base, which it takes over. Its IdleTimeout is replaced by that of o:
+// net/http ends a connection at that deadline although a request has arrived.
+func New(base *http.Server, o Options) *Server {
+	if o.RequestID == nil {
+		o.RequestID = func(http.Header) string { return "" }
+	}
+	if o.IdleTimeout == nil {
+		o.IdleTimeout = func() time.Duration { return 0 }
 	}
 	s := &Server{
-		Server: base, log: log, requestID: requestID, conns: map[*conn]struct{}{},
-		cut: set.GetOrCreateCounter(`fulmartide_requests_cut_by_this_vm_total`),
+		http: base, opts: o, conns: map[*conn]struct{}{}, empty: make(chan struct{}, 1),
+		cut: o.Metrics.GetOrCreateCounter(`fulmartide_requests_cut_by_this_vm_total`),
 	}
-	next, onState := base.Handler, base.ConnState
+	next := base.Handler
 	base.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serveRequest(next, w, r) })
 	base.ConnState = func(nc net.Conn, state http.ConnState) {
 		if c := unwrap(nc); c != nil {
-			c.changeState(state)
-		}
-		if onState != nil {
-			onState(nc, state)
+			c.changeState(nc, state)
 		}
 	}
 	base.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, unwrap(nc))
 	}
+	base.IdleTimeout = 0
 	return s
 }
 
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// Listener returns a listener whose connections are known to the server. The server must serve no others.
-func (s *Server) Listener(ln net.Listener) net.Listener { return &listener{Listener: ln, server: s} }
-
-// SetStep names the step of the stop that is in progress, for logs.
-func (s *Server) SetStep(step string) {
+// Serve accepts connections until Drain or Close is called, with TLS if it is configured.
+func (s *Server) Serve(ln net.Listener) error {
+	l := newListener(ln, s)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.step = step
+	s.listener = l
+	s.mu.Unlock()
+	var err error
+	if s.http.TLSConfig != nil {
+		err = s.http.ServeTLS(l, "", "")
+	} else {
+		err = s.http.Serve(l)
+	}
+	if l.closing.Load() || s.phaseNow() != phaseServing {
+		return nil
+	}
+	return err
 }
 
-func (s *Server) currentStep() string {
+// serving returns the listener of the server, nil before Serve is called.
+func (s *Server) serving() *listener {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.step
+	return s.listener
+}
+
+// Close closes the listener and all connections.
+func (s *Server) Close() error {
+	s.setPhase(phaseClosing)
+	return s.http.Close()
 }
 
-// serveRequest serves a request and reports whether its connection was closed meanwhile by this process.
+// idleLimit returns how long a connection may wait for its next request.
+func (s *Server) idleLimit() time.Duration {
+	if d := s.opts.IdleTimeout(); d > 0 {
+		return d
+	}
+	return s.opts.MaxIdleTime
+}
+
+// serveRequest serves a request, and logs if the server closed its connection meanwhile.
 func (s *Server) serveRequest(next http.Handler, w http.ResponseWriter, r *http.Request) {
+	if s.phaseNow() != phaseServing {
+		w.Header().Set("Connection", "close")
+	}
 	c, _ := r.Context().Value(connKey{}).(*conn)
 	if c == nil {
 		next.ServeHTTP(w, r)
@@ -84,30 +127,17 @@
 	defer func() {
 		if closed := c.closure(); closed != nil {
 			s.cut.Inc()
-			s.log.Warn("connection of a request closed by this vm", zap.String("request", s.requestID(r.Header)), zap.Stringer("caller", c.RemoteAddr()),
-				zap.String("step", closed.step), zap.Stringer("state", closed.state), zap.Duration("closed_after_last_byte", closed.at.Sub(closed.lastRead)),
+			s.opts.Log.Warn("connection of a request closed by this vm", zap.String("request", s.opts.RequestID(r.Header)),
+				zap.Stringer("caller", c.RemoteAddr()), zap.Stringer("phase", closed.phase), zap.Stringer("state", closed.state),
+				zap.Duration("closed_after_last_byte", closed.at.Sub(closed.lastRead)),
 				zap.Duration("handler_started_after_close", began.Sub(closed.at)), zap.Duration("handler_ran", time.Since(began)))
 		}
 	}()
 	next.ServeHTTP(w, r)
 }
 
-type listener struct {
-	net.Listener
-	server *Server
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return l.server.track(nc), nil
-}
-
 func (s *Server) track(nc net.Conn) *conn {
-	c := &conn{Conn: nc, server: s}
+	c := &conn{Conn: nc, server: s, fresh: true}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
@@ -118,6 +148,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	select {
+	case s.empty <- struct{}{}:
+	default:
+	}
 }
 
 // unwrap returns the tracked connection below nc, nil if there is none.
--- a/internal/vmserver/platform.go
+++ b/internal/vmserver/platform.go
@@ -8,6 +8,7 @@
 	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
+	"github.com/fulmartide/fulmartide/internal/callerconn"
 	"github.com/fulmartide/fulmartide/internal/connpool"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
 	"github.com/fulmartide/fulmartide/internal/forward"
@@ -57,6 +58,5 @@
 	http.Handler
 	// DisableKeepAlives makes each further response close its connection.
 	DisableKeepAlives()
-	// Active returns the number of calls in progress.
-	Active() int64
+	callerconn.Calls
 }
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -15,6 +15,7 @@
 	"github.com/fulmartide/fulmartide/internal/activeconfig"
 	"github.com/fulmartide/fulmartide/internal/admission"
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
+	"github.com/fulmartide/fulmartide/internal/callerconn"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
 	"github.com/fulmartide/fulmartide/internal/forward"
@@ -53,6 +54,7 @@
 	origins    *origin.Controller
 	reach      *reach.Service
 	forwarded  *forward.Server
+	callers    *callerconn.Server
 	// quarantineKeeper, versionKeeper and streamKeeper keep records in the store.
 	quarantineKeeper, versionKeeper *storekeeper.Keeper
 	streamKeeper                    *origin.StreamKeeper
--- a/internal/vmserver/serve.go
+++ b/internal/vmserver/serve.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/callerconn"
-	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/explain"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/tcpconn"
@@ -23,9 +22,8 @@
 const (
 	// headerTimeout bounds the reading of request headers.
 	headerTimeout = 10 * time.Second
-	// maxIdleTimeout bounds the idle time of callers' connections. The configuration may set a
-	// shorter timeout.
-	maxIdleTimeout = 90 * time.Second
+	// maxIdleTime bounds the idle time of callers' connections where the configuration sets no timeout.
+	maxIdleTime = 90 * time.Second
 	// maxHeaderBytes bounds the size of headers that are read before the limit of the
 	// configuration is checked.
 	maxHeaderBytes = 256 << 10
@@ -49,32 +47,27 @@
 	for _, task := range []func(context.Context){p.stateSync.Run, p.reach.Run, p.refresher.Run, p.rebalancer.Run, p.platform.SweepIdleConnections, p.dispatch.Run, p.quarantineKeeper.Run, p.versionKeeper.Run, p.streamKeeper.Run, p.recorder.Run} {
 		p.wg.Go(func() { task(tasksCtx) })
 	}
-	closer := newIdleCloser(p.idleTimeout)
-	callers := callerconn.New(&http.Server{
-		Handler: p.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(p.log.Named("http")), ConnState: closer.connState,
-	}, p.platform.RequestID, p.log.Named("callers"), p.set)
+	p.callers = callerconn.New(&http.Server{
+		Handler: p.Handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(p.log.Named("http")),
+	}, callerconn.Options{
+		IdleTimeout: p.idleTimeout, MaxIdleTime: maxIdleTime, RequestID: p.platform.RequestID, Log: p.log.Named("callers"), Metrics: p.set,
+	})
 	ready := &http.Server{Handler: p.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	metricsServer := &http.Server{Handler: p.metricsHandler(), ReadHeaderTimeout: headerTimeout}
-	var accepting net.Listener
 	for _, l := range []struct {
-		server *http.Server
+		server interface{ Serve(net.Listener) error }
 		addr   netip.AddrPort
-	}{{callers.Server, p.settings.Callers}, {ready, p.settings.Ready}, {metricsServer, p.settings.Metrics}} {
+	}{{p.callers, p.settings.Callers}, {ready, p.settings.Ready}, {metricsServer, p.settings.Metrics}} {
 		ln, err := listen(ctx, l.addr)
 		if err != nil {
 			return err
 		}
-		if l.server == callers.Server {
-			ln = callers.Listener(ln)
-			accepting = ln
-		}
 		p.wg.Go(func() { p.serve(l.server, ln) })
 	}
 	p.log.Info("started", zap.String("vm", p.settings.VMName), zap.String("data_centre", p.settings.DataCentre),
 		zap.Stringer("callers", p.settings.Callers), zap.Stringer("peers", p.settings.Peers), zap.Strings("odd_settings", p.settings.Invalid))
 	p.await(ctx, reload)
-	p.stop(callerServer{callers, accepting, closer.busyConnections})
+	p.stop()
 	stopTasks()
 	_ = ready.Close()
 	_ = metricsServer.Close()
@@ -118,8 +111,8 @@
 	return ln, fault.Wrap(err, fault.Unavailable, "stop the process that uses the address, or change the address in the settings", "listen on "+addr.String())
 }
 
-func (p *Process) serve(s *http.Server, ln net.Listener) {
-	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) && !(p.stopping.Load() && errors.Is(err, net.ErrClosed)) {
+func (p *Process) serve(s interface{ Serve(net.Listener) error }, ln net.Listener) {
+	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		p.log.Error("could not serve", zap.Stringer("address", ln.Addr()), zap.Error(err))
 	}
 }
@@ -131,26 +124,13 @@
 	// disableKeepAlivesAfter is the delay between the start of the shutdown and the time from which
 	// responses close their connections.
 	disableKeepAlivesAfter = 700 * time.Millisecond
-	// arrivalTime is how long requests on accepted connections may take to arrive once new connections are refused. A
-	// request that is taken later may not end within the grace time.
-	arrivalTime = 600 * time.Millisecond
-	// idleBeforeClose is how long no call must be in progress before the remaining connections are closed.
-	idleBeforeClose = time.Second
 	// stopMargin is the part of the platform's grace time that is left unused.
 	stopMargin = 600 * time.Millisecond
 )
 
-// callerServer serves callers.
-type callerServer struct {
-	*callerconn.Server
-	listener net.Listener
-	// busy returns the number of connections whose request is on its way or being served.
-	busy func() int
-}
-
 // stop reports the VM as not ready, keeps serving while callers may still connect, and waits for
 // the calls in progress.
-func (p *Process) stop(callers callerServer) {
+func (p *Process) stop() {
 	began := time.Now()
 	p.stopping.Store(true)
 	p.log.Info("stopping", zap.Duration("grace", p.settings.GraceTime), zap.Int64("active", p.Handler.Active()))
@@ -160,52 +140,12 @@
 	stopCtx, cancel := context.WithDeadline(context.Background(), began.Add(p.settings.GraceTime-stopMargin))
 	defer cancel()
 	p.stateSync.Leave(stopCtx)
-	if err := drain(stopCtx, callers, p.Handler.Active); err != nil {
+	if err := p.callers.Drain(stopCtx, p.Handler); err != nil {
 		p.log.Warn("connections cut by the stop", zap.Int64("calls", p.Handler.Active()), zap.Error(err))
 	}
 	p.forwarded.Shutdown(stopCtx)
 }
 
-// drain refuses new connections, closes idle ones and waits for the calls in progress until ctx ends. Requests that are
-// on their way have arrivalTime to arrive before Shutdown is called: from then on the server closes connections whose
-// request arrives, without an answer. Shutdown also waits for requests that arrive only in part; these connections are
-// closed once no call has been in progress for idleBeforeClose.
-func drain(ctx context.Context, s callerServer, active func() int64) error {
-	_ = s.listener.Close()
-	s.SetStep("close idle")
-	s.SetKeepAlivesEnabled(false) // closes idle connections
-	s.SetStep("await arrivals")
-	s.awaitArrivals(ctx)
-	s.SetStep("shut down")
-	done := make(chan error, 1)
-	go func() { done <- s.Shutdown(ctx) }()
-	check := time.NewTicker(idleBeforeClose / 10)
-	defer check.Stop()
-	idleSince := time.Now()
-	for {
-		select {
-		case err := <-done:
-			return err
-		case now := <-check.C:
-			if active() > 0 {
-				idleSince = now
-			} else if now.Sub(idleSince) >= idleBeforeClose {
-				s.SetStep("close all")
-				return errors.Join(s.Close(), <-done)
-			}
-		}
-	}
-}
-
-// awaitArrivals waits until no connection is busy, for at most arrivalTime.
-func (s callerServer) awaitArrivals(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, arrivalTime)
-	defer cancel()
-	for s.busy() > 0 && clock.Sleep(ctx, arrivalTime/20) {
-		continue
-	}
-}
-
 func (p *Process) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+p.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
