--- a/internal/callerconn/drain.go
+++ b/internal/callerconn/drain.go
@@ -52,6 +52,8 @@
 	Active() int64
 	// RefuseNew makes the handler refuse further calls.
 	RefuseNew()
+	// End makes the handler answer the calls in progress now, as far as their answers have not begun.
+	End()
 }
 
 const (
@@ -60,6 +62,8 @@
 	arrivalTime = 600 * time.Millisecond
 	// idleBeforeGivingUp is how long no call must be in progress before requests that have arrived in part are given up.
 	idleBeforeGivingUp = time.Second
+	// answerTime is how long the answers of calls that are ended may take to be written.
+	answerTime = 200 * time.Millisecond
 	// drainCheckPeriod is the time between two checks of the connections that remain.
 	drainCheckPeriod = 100 * time.Millisecond
 )
@@ -69,7 +73,8 @@
 
 // Drain accepts the connections that are established and no others, ends each connection once it waits for a request, and
 // waits for the calls in progress. Requests on new connections have arrivalTime to arrive; those that arrive later are refused.
-// When ctx ends, the connections that remain are closed.
+// The calls that are still in progress answerTime before ctx ends are ended with an answer, and the connections that remain when
+// it ends are closed.
 func (s *Server) Drain(ctx context.Context, calls Calls) error {
 	began := time.Now()
 	if l := s.serving(); l != nil {
@@ -81,7 +86,9 @@
 	s.awaitArrivals(ctx)
 	calls.RefuseNew()
 	s.setPhase(phaseEndingNew)
-	s.awaitEnd(ctx, calls)
+	if !s.awaitEnd(ctx, calls) {
+		s.endCalls(ctx, calls)
+	}
 	err := s.shutDown(ctx)
 	s.opts.Log.Info("callers drained", zap.Duration("took", time.Since(began)), zap.Error(err))
 	return err
@@ -96,16 +103,20 @@
 	}
 }
 
-// awaitEnd waits until no connection of HTTP/1 is left or ctx ends.
-func (s *Server) awaitEnd(ctx context.Context, calls Calls) {
+// awaitEnd waits until no connection of HTTP/1 is left. It returns false if answerTime before the end of ctx some are.
+func (s *Server) awaitEnd(ctx context.Context, calls Calls) bool {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerTime))
+		defer cancel()
+	}
 	check := time.NewTicker(drainCheckPeriod)
 	defer check.Stop()
 	idleSince := time.Now()
 	for s.count(func(c *conn) bool { return !c.multiplexed }) > 0 {
 		select {
 		case <-ctx.Done():
-			s.setPhase(phaseGivingUp)
-			return
+			return false
 		case <-s.empty:
 		case now := <-check.C:
 			if calls.Active() > 0 {
@@ -115,6 +126,17 @@
 			}
 		}
 	}
+	return true
+}
+
+// endCalls ends the calls in progress with an answer, and waits until their connections have ended or ctx ends.
+func (s *Server) endCalls(ctx context.Context, calls Calls) {
+	s.opts.Log.Warn("calls ended by the stop", zap.Int64("calls", calls.Active()))
+	s.setPhase(phaseGivingUp)
+	calls.End()
+	for s.count(func(*conn) bool { return true }) > 0 && clock.Sleep(ctx, answerTime/20) {
+		continue
+	}
 }
 
 // shutDown ends the connections of HTTP/2 in order, and closes all that remain when ctx ends.
--- a/internal/callerconn/drain_test.go
+++ b/internal/callerconn/drain_test.go
@@ -24,11 +24,19 @@
 type calls struct {
 	n        atomic.Int64
 	refusing atomic.Bool
+	// ended is closed when the calls are to be ended, nil if they cannot be.
+	ended chan struct{}
 }
 
 func (c *calls) Active() int64 { return c.n.Load() }
 func (c *calls) RefuseNew()    { c.refusing.Store(true) }
 
+func (c *calls) End() {
+	if c.ended != nil {
+		close(c.ended)
+	}
+}
+
 // pipeListener accepts in-memory connections.
 type pipeListener struct {
 	conns  chan net.Conn
@@ -287,3 +295,30 @@
 		}
 	})
 }
+
+// TestDrainAnswersCallsThatDoNotEndInTime guards against calls whose connections are closed without an answer when the time of
+// the stop is over.
+func TestDrainAnswersCallsThatDoNotEndInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		active := calls{ended: make(chan struct{})}
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			active.n.Add(1)
+			defer active.n.Add(-1)
+			<-active.ended
+			w.WriteHeader(http.StatusBadGateway)
+		})}
+		callers := serve(server, l)
+		c := connect(t, l)
+		send(t, c)
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		drained := make(chan error, 1)
+		go func() { drained <- callers.Drain(ctx, &active) }()
+		checkAnswer(t, c, "a call that does not end in time")
+		if err := <-drained; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/vmserver/vmserver_test.go
+++ b/internal/vmserver/vmserver_test.go
@@ -32,6 +32,7 @@
 func (fakeHandler) DisableKeepAlives() {}
 func (fakeHandler) Active() int64      { return 0 }
 func (fakeHandler) RefuseNew()         {}
+func (fakeHandler) End()               {}
 
 func newTestProcess(reload func() (admission.RetryBudget, error)) *Process {
 	return New(Settings{VMName: "vm-1", DataCentre: "a", RetryBudget: admission.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 10}}, Platform{
