--- a/internal/dispatch/stop_test.go
+++ b/internal/dispatch/stop_test.go
@@ -42,7 +42,7 @@
 		s.UpdateEndpoints(testEndpoints(), cfg.Services)
 		if tc.full {
 			for _, e := range testEndpoints().List {
-				s.UpdateWork(ident.VM{Name: "other"}, 1, e.ID, schedule.Work{Calls: 8, Tokens: 50_000})
+				s.UpdateWork(ident.VM{Name: "other"}, 1, e.ID, schedule.Work{Calls: 100, Tokens: 50_000})
 			}
 		}
 		f := &fakeBackend{run: func(_ int, ctx context.Context, _ backend.Request) (*backend.Response, error) {
@@ -63,6 +63,9 @@
 			t.Fatalf("the call ended before the stop: %v", err)
 		default:
 		}
+		if sent := f.count("run") > 0; sent == tc.full {
+			t.Fatalf("the call was sent before the stop: %v", sent)
+		}
 		stop(d, cancel)
 		err = <-ended
 	})
