--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -86,8 +87,8 @@
 }
 
 // roundTrip writes the request and reads the response header. Large bodies are written
-// concurrently, because an endpoint may respond before it has read the whole body. It returns errNotRead if the endpoint
-// had closed the connection before the request arrived.
+// concurrently, because an endpoint may respond before it has read the whole body. It returns errNotRead if nothing was
+// sent, or if the endpoint had closed the connection before the request arrived.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*Response, error) {
 	if cause := context.Cause(ctx); cause != nil {
 		c.close()
@@ -95,7 +96,7 @@
 	}
 	ackedBefore := ackedBytes(c.nc)
 	stopCancel := context.AfterFunc(ctx, c.close)
-	written := make(chan error, 1)
+	written := make(chan writeResult, 1)
 	if len(r.Body) <= maxSyncBody {
 		written <- c.write(r)
 	} else {
@@ -103,11 +104,10 @@
 	}
 	resp, err := c.readHeader(r)
 	if err != nil {
-		notRead := closedBefore(c.nc, err, ackedBefore)
+		crossed := closedBefore(c.nc, err, ackedBefore)
 		stopCancel()
 		c.close()
-		if notRead {
-			<-written
+		if w := <-written; w.nothing() || crossed && !w.wasReset() {
 			return nil, errNotRead
 		}
 		if cause := context.Cause(ctx); cause != nil {
@@ -127,19 +127,32 @@
 // endpoint to read.
 const maxSyncBody = 2 << 10
 
-func (c *conn) write(r *Request) error {
+// writeResult is the result of writing a request; n is the number of bytes that the kernel has taken.
+type writeResult struct {
+	n   int
+	err error
+}
+
+// nothing reports whether no byte of the request was sent.
+func (w writeResult) nothing() bool { return w.err != nil && w.n == 0 }
+
+// wasReset reports whether the write found that the endpoint had reset the connection. Reads then report the end of the
+// stream although the endpoint did not end it.
+func (w writeResult) wasReset() bool { return errors.Is(w.err, syscall.ECONNRESET) }
+
+func (c *conn) write(r *Request) writeResult {
 	var b bytes.Buffer
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(&b); err != nil {
-		return err
+		return writeResult{err: err}
 	}
 	if r.Body != nil {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	b.Write(r.Body)
-	_, err := c.nc.Write(b.Bytes())
-	return err
+	n, err := c.nc.Write(b.Bytes())
+	return writeResult{n, err}
 }
 
 // readHeader reads up to maxResponseReads response headers until one matches the request. Responses
@@ -188,13 +201,13 @@
 
 	conn        *conn
 	body        io.ReadCloser
-	written     chan error
+	written     chan writeResult
 	stopCancel  func() bool
 	bodyRead    bool
 	idleTimeout time.Duration
 }
 
-func newResponse(c *conn, resp *http.Response, written chan error, stopCancel func() bool) *Response {
+func newResponse(c *conn, resp *http.Response, written chan writeResult, stopCancel func() bool) *Response {
 	r := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
@@ -243,8 +256,8 @@
 // writeSucceeded reports whether the request was written completely.
 func (r *Response) writeSucceeded() bool {
 	select {
-	case err := <-r.written:
-		return err == nil
+	case w := <-r.written:
+		return w.err == nil
 	default:
 		return false
 	}
--- a/internal/connpool/idleclose_test.go
+++ b/internal/connpool/idleclose_test.go
@@ -19,8 +19,8 @@
 	close chan struct{}
 	// closed is closed once the first connection is.
 	closed chan struct{}
-	// half is set if the endpoint reads on.
-	half atomic.Bool
+	// half is set if the endpoint reads on, reset if it closes the connection by a reset.
+	half, reset atomic.Bool
 	// requests receives the path of each request that was read.
 	requests chan string
 	// keepAlive is the value of the Keep-Alive header of the answers.
@@ -45,6 +45,9 @@
 			if e.half.Load() {
 				_ = first.(*net.TCPConn).CloseWrite()
 			} else {
+				if e.reset.Load() {
+					_ = first.(*net.TCPConn).SetLinger(0)
+				}
 				_ = first.Close()
 			}
 			close(e.closed)
@@ -114,7 +117,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newConn(p, e.target(), &pausedConn{nc.(*net.TCPConn), func() { pause() }})
+	paused := &pausedConn{nc.(*net.TCPConn), func() { pause() }}
+	c := newConn(p, e.target(), paused)
 	c.keepFor(time.Hour)
 	p.put(c)
 	if err := send(t, p, e.request("/first", nil)); err != nil {
@@ -123,6 +127,9 @@
 	pause = func() {
 		close(e.close)
 		<-e.closed
+		if e.reset.Load() {
+			awaitReset(paused)
+		}
 	}
 	return p
 }
@@ -130,11 +137,22 @@
 // TestRequestThatCrossesAnIdleCloseIsSentAgain guards against requests that fail because the endpoint closed their
 // connection as idle before they arrived.
 func TestRequestThatCrossesAnIdleCloseIsSentAgain(t *testing.T) {
-	for name, body := range map[string][]byte{"no body": nil, "small body": []byte("x"), "large body": make([]byte, 200<<10)} {
-		t.Run(name, func(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		body  []byte
+		reset bool
+	}{
+		{"no body", nil, false},
+		{"small body", []byte("x"), false},
+		{"large body", make([]byte, 200<<10), false},
+		{"reset before the write", nil, true},
+		{"reset before the write of a large body", make([]byte, 200<<10), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
 			e := startIdleCloser(t, "timeout=60")
+			e.reset.Store(tc.reset)
 			p := e.pausedPool(t)
-			if err := send(t, p, e.request("/second", body)); err != nil {
+			if err := send(t, p, e.request("/second", tc.body)); err != nil {
 				t.Fatalf("the second request failed: %v, sent %v", err, MayHaveSent(err))
 			}
 			if first, second := <-e.requests, <-e.requests; first != "/first" || second != "/second" {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -108,6 +108,9 @@
 		if !errors.Is(err, errNotRead) {
 			return resp, err
 		}
+		if cause := context.Cause(ctx); cause != nil {
+			return nil, &Error{Err: cause}
+		}
 		resent = true
 	}
 	c, err := p.dial(ctx, r.Target)
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -198,6 +198,36 @@
 	}
 }
 
+// TestNoRetryAfterReset guards against requests that run twice because an endpoint resets a reused connection after it has
+// read them.
+func TestNoRetryAfterReset(t *testing.T) {
+	for name, size := range map[string]int{"small body": 1, "large body": 1 << 20} {
+		t.Run(name, func(t *testing.T) {
+			s := startServer(t, func(n int, _ *http.Request, c net.Conn) bool {
+				if n == 1 {
+					_, err := io.WriteString(c, response("1", "x"))
+					return err == nil
+				}
+				_ = c.(*net.TCPConn).SetLinger(0)
+				return false
+			})
+			p := connpool.New(nil)
+			defer p.Close()
+			if _, err := get(t, p, s.request("GET")); err != nil {
+				t.Fatal(err)
+			}
+			r := s.request("POST")
+			r.Body = make([]byte, size)
+			if _, err := get(t, p, r); err == nil || !connpool.MayHaveSent(err) {
+				t.Errorf("error %v, want one of a request that may have run", err)
+			}
+			if n := s.requests.Load(); n != 2 {
+				t.Errorf("server received %d requests, want 2", n)
+			}
+		})
+	}
+}
+
 func TestDialFailureReportsNothingSent(t *testing.T) {
 	s := startServer(t, nil)
 	_ = s.ln.Close()
