--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -27,11 +28,14 @@
 
 // conn is a connection that serves one request at a time.
 type conn struct {
-	pool      *Pool
-	target    Target
-	nc        net.Conn
-	in        *limitedReader
-	br        *bufio.Reader
+	pool   *Pool
+	target Target
+	nc     net.Conn
+	in     *limitedReader
+	br     *bufio.Reader
+	// idleTimeout is how long the connection may stay idle, counted from the last data that the kernel received on it.
+	idleTimeout time.Duration
+	// idleUntil is when the connection is closed at the latest if it is not used.
 	idleUntil time.Time
 }
 
@@ -65,17 +69,34 @@
 
 func (c *conn) close() { _ = c.nc.Close() }
 
+// keepFor allows the connection to be reused until it has been idle for timeout.
+func (c *conn) keepFor(timeout time.Duration) {
+	c.idleTimeout, c.idleUntil = timeout, time.Now().Add(timeout)
+}
+
 // reusable reports whether an idle connection can be used for a request: its idle timeout has not
-// expired, and the peer has neither closed it nor sent unsolicited data.
+// expired, and the peer has neither closed it nor sent unsolicited data. The idle time is counted from the last data that
+// the kernel received, as this process may read and deliver a response long after its endpoint has sent it.
 func (c *conn) reusable() bool {
-	return time.Now().Before(c.idleUntil) && c.br.Buffered() == 0 && !Readable(c.nc)
+	info, err := tcpInfo(c.nc)
+	if err != nil {
+		return false
+	}
+	idle := time.Duration(info.Last_data_recv) * time.Millisecond
+	return idle < c.idleTimeout && c.br.Buffered() == 0 && !Readable(c.nc)
 }
 
 // roundTrip writes the request and reads the response header. Large bodies are written
-// concurrently, because an endpoint may respond before it has read the whole body.
+// concurrently, because an endpoint may respond before it has read the whole body. It returns errNotRead if nothing was
+// sent, or if the endpoint had closed the connection before the request arrived.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*Response, error) {
+	if cause := context.Cause(ctx); cause != nil {
+		c.close()
+		return nil, &Error{Err: cause}
+	}
+	ackedBefore := ackedBytes(c.nc)
 	stopCancel := context.AfterFunc(ctx, c.close)
-	written := make(chan error, 1)
+	written := make(chan writeResult, 1)
 	if len(r.Body) <= maxSyncBody {
 		written <- c.write(r)
 	} else {
@@ -83,8 +104,12 @@
 	}
 	resp, err := c.readHeader(r)
 	if err != nil {
+		crossed := closedBefore(c.nc, err, ackedBefore)
 		stopCancel()
 		c.close()
+		if w := <-written; w.nothing() || crossed && !w.wasReset() {
+			return nil, errNotRead
+		}
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
@@ -102,19 +127,32 @@
 // endpoint to read.
 const maxSyncBody = 2 << 10
 
-func (c *conn) write(r *Request) error {
+// writeResult is the result of writing a request; n is the number of bytes that the kernel has taken.
+type writeResult struct {
+	n   int
+	err error
+}
+
+// nothing reports whether no byte of the request was sent.
+func (w writeResult) nothing() bool { return w.err != nil && w.n == 0 }
+
+// wasReset reports whether the write found that the endpoint had reset the connection. Reads then report the end of the
+// stream although the endpoint did not end it.
+func (w writeResult) wasReset() bool { return errors.Is(w.err, syscall.ECONNRESET) }
+
+func (c *conn) write(r *Request) writeResult {
 	var b bytes.Buffer
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(&b); err != nil {
-		return err
+		return writeResult{err: err}
 	}
 	if r.Body != nil {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	b.Write(r.Body)
-	_, err := c.nc.Write(b.Bytes())
-	return err
+	n, err := c.nc.Write(b.Bytes())
+	return writeResult{n, err}
 }
 
 // readHeader reads up to maxResponseReads response headers until one matches the request. Responses
@@ -157,16 +195,19 @@
 	// Delimited is set if a length or chunks mark the end of the body. Otherwise it ends with the
 	// connection.
 	Delimited bool
+	// Resent is set if the request was sent once more because the endpoint had closed the first connection before the
+	// request arrived.
+	Resent bool
 
 	conn        *conn
 	body        io.ReadCloser
-	written     chan error
+	written     chan writeResult
 	stopCancel  func() bool
 	bodyRead    bool
 	idleTimeout time.Duration
 }
 
-func newResponse(c *conn, resp *http.Response, written chan error, stopCancel func() bool) *Response {
+func newResponse(c *conn, resp *http.Response, written chan writeResult, stopCancel func() bool) *Response {
 	r := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
@@ -207,7 +248,7 @@
 		r.conn.close()
 		return nil
 	}
-	r.conn.idleUntil = time.Now().Add(r.idleTimeout)
+	r.conn.keepFor(r.idleTimeout)
 	r.conn.pool.put(r.conn)
 	return nil
 }
@@ -215,8 +256,8 @@
 // writeSucceeded reports whether the request was written completely.
 func (r *Response) writeSucceeded() bool {
 	select {
-	case err := <-r.written:
-		return err == nil
+	case w := <-r.written:
+		return w.err == nil
 	default:
 		return false
 	}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -1,7 +1,7 @@
 // Package connpool implements a pool of HTTP/1.1 client connections to endpoints, each of which
-// serves one request at a time. Unlike net/http's Transport it never retries a request, reports
-// whether any byte of a failed request may have been sent, and checks that a response belongs to
-// its request.
+// serves one request at a time. Unlike net/http's Transport it sends a request again only if the endpoint cannot have
+// read it, reports whether any byte of a failed request may have been sent, and checks that a response belongs to its
+// request.
 package connpool
 
 import (
@@ -13,8 +13,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/fulmartide/fulmartide/internal/tcpconn"
 )
 
@@ -98,17 +96,36 @@
 	}
 }
 
-// Do sends a request and returns the response once its header has been read. Errors are of type
-// *Error.
+// errNotRead means that the endpoint had closed the connection before the request arrived on it.
+var errNotRead = errors.New("the endpoint had closed the connection before the request arrived")
+
+// Do sends a request and returns the response once its header has been read. If the endpoint closes a reused connection
+// as idle before the request has arrived, the request is sent once more, on a new one. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c := p.get(r.Target)
-	if c == nil {
-		var err error
-		if c, err = p.dial(ctx, r.Target); err != nil {
-			return nil, &Error{Err: err}
+	resent := false
+	if c := p.get(r.Target); c != nil {
+		resp, err := c.roundTrip(ctx, r)
+		if !errors.Is(err, errNotRead) {
+			return resp, err
 		}
+		if cause := context.Cause(ctx); cause != nil {
+			return nil, &Error{Err: cause}
+		}
+		resent = true
+	}
+	c, err := p.dial(ctx, r.Target)
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	resp, err := c.roundTrip(ctx, r)
+	if errors.Is(err, errNotRead) {
+		return nil, &Error{Err: err}
+	}
+	if err != nil {
+		return nil, err
 	}
-	return c.roundTrip(ctx, r)
+	resp.Resent = resent
+	return resp, nil
 }
 
 // Connect opens a connection, which is kept for a later request. It fails if the endpoint does not accept it.
@@ -117,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	c.idleUntil = time.Now().Add(defaultIdleTimeout)
+	c.keepFor(defaultIdleTimeout)
 	p.put(c)
 	return nil
 }
@@ -212,22 +229,3 @@
 }
 
 var errUnmatchedResponses = errors.New("no response on the connection matched the request")
-
-// Readable reports whether a byte, EOF or an error is pending on the connection, without consuming
-// it.
-func Readable(nc net.Conn) (pending bool) {
-	sc, ok := nc.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		pending = err != unix.EAGAIN
-	})
-	return pending || err != nil
-}
