--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -28,14 +27,11 @@
 
 // conn is a connection that serves one request at a time.
 type conn struct {
-	pool   *Pool
-	target Target
-	nc     net.Conn
-	in     *limitedReader
-	br     *bufio.Reader
-	// idleTimeout is how long the connection may stay idle, counted from the last data that the kernel received on it.
-	idleTimeout time.Duration
-	// idleUntil is when the connection is closed at the latest if it is not used.
+	pool      *Pool
+	target    Target
+	nc        net.Conn
+	in        *limitedReader
+	br        *bufio.Reader
 	idleUntil time.Time
 }
 
@@ -53,6 +49,17 @@
 type limitedReader struct {
 	r         io.Reader
 	remaining int64
+	// idleFrom is a time before which the last data cannot have arrived: the one at which nothing was left to read before
+	// it. This process may read data long after it has arrived.
+	idleFrom time.Time
+	// emptyAt is the last time at which nothing was left to read.
+	emptyAt time.Time
+}
+
+// begin notes that a request is about to be sent, so that no data of its response has arrived yet.
+func (l *limitedReader) begin() {
+	l.emptyAt = time.Now()
+	l.idleFrom = l.emptyAt
 }
 
 // Read implements io.Reader.
@@ -60,7 +67,14 @@
 	if l.remaining <= 0 {
 		return 0, errHeaderTooLarge
 	}
-	n, err := l.r.Read(p[:min(int64(len(p)), l.remaining)])
+	p = p[:min(int64(len(p)), l.remaining)]
+	n, err := l.r.Read(p)
+	if n > 0 {
+		l.idleFrom = l.emptyAt
+	}
+	if n < len(p) {
+		l.emptyAt = time.Now()
+	}
 	if l.remaining != noLimit {
 		l.remaining -= int64(n)
 	}
@@ -69,32 +83,21 @@
 
 func (c *conn) close() { _ = c.nc.Close() }
 
-// keepFor allows the connection to be reused until it has been idle for timeout.
-func (c *conn) keepFor(timeout time.Duration) {
-	c.idleTimeout, c.idleUntil = timeout, time.Now().Add(timeout)
-}
-
 // reusable reports whether an idle connection can be used for a request: its idle timeout has not
-// expired, and the peer has neither closed it nor sent unsolicited data. The idle time is counted from the last data that
-// the kernel received, as this process may read and deliver a response long after its endpoint has sent it.
+// expired, and the peer has neither closed it nor sent unsolicited data.
 func (c *conn) reusable() bool {
-	info, err := tcpInfo(c.nc)
-	if err != nil {
-		return false
-	}
-	idle := time.Duration(info.Last_data_recv) * time.Millisecond
-	return idle < c.idleTimeout && c.br.Buffered() == 0 && !Readable(c.nc)
+	return time.Now().Before(c.idleUntil) && c.br.Buffered() == 0 && !Readable(c.nc)
 }
 
 // roundTrip writes the request and reads the response header. Large bodies are written
-// concurrently, because an endpoint may respond before it has read the whole body. It returns errNotRead if nothing was
-// sent, or if the endpoint had closed the connection before the request arrived.
+// concurrently, because an endpoint may respond before it has read the whole body. It returns errNotSent if the kernel took
+// no byte of the request.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*Response, error) {
 	if cause := context.Cause(ctx); cause != nil {
 		c.close()
 		return nil, &Error{Err: cause}
 	}
-	ackedBefore := ackedBytes(c.nc)
+	c.in.begin()
 	stopCancel := context.AfterFunc(ctx, c.close)
 	written := make(chan writeResult, 1)
 	if len(r.Body) <= maxSyncBody {
@@ -104,11 +107,10 @@
 	}
 	resp, err := c.readHeader(r)
 	if err != nil {
-		crossed := closedBefore(c.nc, err, ackedBefore)
 		stopCancel()
 		c.close()
-		if w := <-written; w.nothing() || crossed && !w.wasReset() {
-			return nil, errNotRead
+		if w := <-written; w.nothing() {
+			return nil, errNotSent
 		}
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
@@ -136,10 +138,6 @@
 // nothing reports whether no byte of the request was sent.
 func (w writeResult) nothing() bool { return w.err != nil && w.n == 0 }
 
-// wasReset reports whether the write found that the endpoint had reset the connection. Reads then report the end of the
-// stream although the endpoint did not end it.
-func (w writeResult) wasReset() bool { return errors.Is(w.err, syscall.ECONNRESET) }
-
 func (c *conn) write(r *Request) writeResult {
 	var b bytes.Buffer
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
@@ -195,9 +193,6 @@
 	// Delimited is set if a length or chunks mark the end of the body. Otherwise it ends with the
 	// connection.
 	Delimited bool
-	// Resent is set if the request was sent once more because the endpoint had closed the first connection before the
-	// request arrived.
-	Resent bool
 
 	conn        *conn
 	body        io.ReadCloser
@@ -248,7 +243,7 @@
 		r.conn.close()
 		return nil
 	}
-	r.conn.keepFor(r.idleTimeout)
+	r.conn.idleUntil = r.conn.in.idleFrom.Add(r.idleTimeout)
 	r.conn.pool.put(r.conn)
 	return nil
 }
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -1,6 +1,6 @@
 // Package connpool implements a pool of HTTP/1.1 client connections to endpoints, each of which
-// serves one request at a time. Unlike net/http's Transport it sends a request again only if the endpoint cannot have
-// read it, reports whether any byte of a failed request may have been sent, and checks that a response belongs to its
+// serves one request at a time. Unlike net/http's Transport it sends a request again only if the kernel took no byte of
+// it, reports whether any byte of a failed request may have been sent, and checks that a response belongs to its
 // request.
 package connpool
 
@@ -96,36 +96,30 @@
 	}
 }
 
-// errNotRead means that the endpoint had closed the connection before the request arrived on it.
-var errNotRead = errors.New("the endpoint had closed the connection before the request arrived")
+// errNotSent means that the kernel took no byte of a request.
+var errNotSent = errors.New("the connection was closed before the request was sent")
 
-// Do sends a request and returns the response once its header has been read. If the endpoint closes a reused connection
-// as idle before the request has arrived, the request is sent once more, on a new one. Errors are of type *Error.
+// Do sends a request and returns the response once its header has been read. If a reused connection takes no byte of the
+// request, it is sent on a new one. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	resent := false
 	if c := p.get(r.Target); c != nil {
 		resp, err := c.roundTrip(ctx, r)
-		if !errors.Is(err, errNotRead) {
+		if !errors.Is(err, errNotSent) {
 			return resp, err
 		}
-		if cause := context.Cause(ctx); cause != nil {
-			return nil, &Error{Err: cause}
-		}
-		resent = true
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return nil, &Error{Err: cause}
 	}
 	c, err := p.dial(ctx, r.Target)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
 	resp, err := c.roundTrip(ctx, r)
-	if errors.Is(err, errNotRead) {
-		return nil, &Error{Err: err}
-	}
-	if err != nil {
-		return nil, err
+	if errors.Is(err, errNotSent) {
+		err = &Error{Err: err}
 	}
-	resp.Resent = resent
-	return resp, nil
+	return resp, err
 }
 
 // Connect opens a connection, which is kept for a later request. It fails if the endpoint does not accept it.
@@ -134,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	c.keepFor(defaultIdleTimeout)
+	c.idleUntil = time.Now().Add(defaultIdleTimeout)
 	p.put(c)
 	return nil
 }
