--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -176,17 +176,6 @@
 	p.idle[c.target] = append(list, c)
 }
 
-// CloseIdle closes the idle connections to a target, after a failure that may affect all of them.
-func (p *Pool) CloseIdle(t Target) {
-	p.mu.Lock()
-	list := p.idle[t]
-	delete(p.idle, t)
-	p.mu.Unlock()
-	for _, c := range list {
-		c.close()
-	}
-}
-
 // CloseExpired closes connections whose idle timeout has expired.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
