--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -20,6 +20,7 @@
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/traffic"
+	"github.com/fulmartide/fulmartide/test/heldlistener"
 )
 
 var (
@@ -31,18 +32,28 @@
 type pair struct {
 	client *Client
 	server *Server
-	via    *traffic.Via
-	pool   *connpool.Pool
-	start  func(traffic.EndpointID) error
+	// receiver is the transport of the server, listener its listener.
+	receiver *peer.Transport
+	listener *heldlistener.Listener
+	via      *traffic.Via
+	pool     *connpool.Pool
+	start    func(traffic.EndpointID) error
 }
 
 func newPair(t testing.TB, endpoint http.Handler) *pair {
+	p := newHeldPair(t, endpoint)
+	p.listener.Release()
+	return p
+}
+
+// newHeldPair returns a pair whose second VM accepts no connections before its listener is released.
+func newHeldPair(t testing.TB, endpoint http.Handler) *pair {
 	s := httptest.NewServer(endpoint)
 	t.Cleanup(s.Close)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
 	p := &pair{pool: connpool.New(nil), start: func(traffic.EndpointID) error { return nil }}
 	t.Cleanup(p.pool.Close)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := heldlistener.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,9 +71,10 @@
 	go func() { _ = receiver.Serve(ln) }()
 	sender := peer.New(peer.Options{Self: ident.VM{Name: "sender", Incarnation: 1}})
 	t.Cleanup(receiver.Close)
+	t.Cleanup(ln.Release)
 	t.Cleanup(sender.Close)
-	p.client = &Client{Opener: sender}
-	p.via = &traffic.Via{VM: "receiver", Address: ln.Addr().(*net.TCPAddr).AddrPort()}
+	p.client, p.receiver, p.listener = &Client{Opener: sender}, receiver, ln
+	p.via = &traffic.Via{VM: "receiver", Address: ln.AddrPort()}
 	return p
 }
 
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -218,6 +218,24 @@
 	}
 }
 
+// TestPathIsAskedAboutOnceNoVMReachesItAnyMore guards against calls that are refused for seconds after the VM that sent them
+// has left: questions about a path that stays lost are rare.
+func TestPathIsAskedAboutOnceNoVMReachesItAnyMore(t *testing.T) {
+	vm := newTestVMs(t, 1, "a")[0]
+	lost := schedule.LostPath{Endpoint: testEndpoints(1).List[0], For: time.Minute, Via: 1}
+	now := time.Now()
+	for range 5 {
+		vm.due(now, []schedule.LostPath{lost})
+		now = now.Add(minAskPause)
+	}
+	lost.Via = 0
+	for i, want := range []int{1, 0} {
+		if due := vm.due(now, []schedule.LostPath{lost}); len(due) != want {
+			t.Errorf("check %d after its VM had left: asked about %d paths, want %d", i+1, len(due), want)
+		}
+	}
+}
+
 func TestTwoRefusedConnectionsTellOfAllLostPaths(t *testing.T) {
 	const n = 60
 	vm := newTestVMs(t, n, "a")[0]
--- a/internal/schedule/path_test.go
+++ b/internal/schedule/path_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -144,6 +145,22 @@
 	}
 }
 
+// TestCallsGoThroughAnotherVMOnceOneLeaves guards against calls that are refused because each of their attempts goes through
+// a VM that has left.
+func TestCallsGoThroughAnotherVMOnceOneLeaves(t *testing.T) {
+	s, _, _ := newPathScheduler(newPlainEndpoint("e1", "a"), newPlainEndpoint("e2", "a"))
+	for _, id := range []traffic.EndpointID{idE1, idE2} {
+		s.PathLost(id)
+		s.SetVia(id, []traffic.Via{viaNear, viaFar})
+	}
+	s.ForgetVM(ident.VM{Name: viaNear.VM, Incarnation: 1})
+	for _, id := range []traffic.EndpointID{idE1, idE2} {
+		if via, _ := s.StartSend(id, nil); via == nil || via.VM != viaFar.VM {
+			t.Errorf("calls to %s go through %v", id.Name, via)
+		}
+	}
+}
+
 // TestLostPathsDoNotEjectEndpointsAtOtherVMs plays a VM that loses its paths to all endpoints: only the first one may be
 // reported as dead, until other VMs confirm it.
 func TestLostPathsDoNotEjectEndpointsAtOtherVMs(t *testing.T) {
