--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -173,8 +173,8 @@
 	return nil
 }
 
-// shutdownTimeout limits the shutdown of the callers' server, the ledger and the limiter together,
-// after the drain.
+// shutdownTimeout limits the shutdown of the callers' server, the ledger, the limiter and the transport
+// together, after the drain.
 const shutdownTimeout = 2 * time.Second
 
 // stop announces that this VM is leaving, drains requests, hands over the state that this VM owns, and
@@ -194,7 +194,7 @@
 	d.services.Wait() // before the transport closes, as membership reports the end of this VM when it stops
 	_ = operator.Close()
 	_ = callers.Close()
-	d.transport.Close()
+	d.transport.Shutdown(stopCtx)
 	d.background.Wait()
 	d.log.Info("stopped", zap.Int("cut", interrupted))
 	return interrupted
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -50,7 +50,7 @@
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
-		p.receiver.Close()
+		p.receiver.Shutdown(context.WithoutCancel(t.Context()))
 	}()
 	t.Cleanup(func() { <-closed })
 	<-p.listener.Stopped()
@@ -149,7 +149,7 @@
 	go func() {
 		defer close(stopped)
 		p.server.Shutdown(t.Context())
-		p.receiver.Close()
+		p.receiver.Shutdown(t.Context())
 	}()
 	for p.server.Room() > 0 {
 		continue
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,9 +22,11 @@
 	// accepted connection that is not shared. It is guarded by the mutex of t.
 	addr netip.AddrPort
 	// dialed is set if this side opened the connection.
-	dialed  bool
-	nc      net.Conn
-	outbox  chan *frame
+	dialed bool
+	nc     net.Conn
+	outbox chan *frame
+	// unsent is the number of frames that have been queued and not written.
+	unsent  atomic.Int64
 	ready   chan struct{}
 	done    chan struct{}
 	onClose func()
@@ -90,7 +93,7 @@
 }
 
 func (c *conn) start() {
-	c.outbox <- c.t.newHello()
+	_ = c.enqueue(c.t.newHello()) // the first frame finds room
 	c.t.wg.Add(2)
 	go c.readLoop()
 	go c.writeLoop()
@@ -222,10 +225,12 @@
 }
 
 func (c *conn) enqueue(f *frame) error {
+	c.unsent.Add(1)
 	select {
 	case c.outbox <- f:
 		return nil
 	default:
+		c.unsent.Add(-1)
 		return fault.New(fault.Overloaded, "retry later or use another VM", "send queue of the peer connection is full")
 	}
 }
@@ -233,12 +238,18 @@
 func (c *conn) writeLoop() {
 	defer c.t.wg.Done()
 	w := bufio.NewWriter(c.nc)
+	var buffered int64
 	for {
 		select {
 		case <-c.done:
 			return
 		case f := <-c.outbox:
 			err := c.write(w, f)
+			buffered++
+			if w.Buffered() == 0 {
+				c.unsent.Add(-buffered)
+				buffered = 0
+			}
 			if err == nil {
 				continue
 			}
@@ -360,6 +371,10 @@
 		}
 		return
 	}
+	if f.Type == frameCall && c.t.draining.Err() != nil {
+		c.reply(f, nil, errStopping)
+		return
+	}
 	select {
 	case c.t.inbound <- struct{}{}:
 	default:
@@ -373,9 +388,11 @@
 		c.serving[f.ID] = cancel
 	}
 	c.mu.Unlock()
+	c.t.addActive(1)
 	c.t.wg.Add(1)
 	go func() {
 		defer c.t.wg.Done()
+		defer c.t.addActive(-1)
 		defer func() { <-c.t.inbound }()
 		out, err := c.t.handle(ctx, h, f, remote)
 		c.mu.Lock()
--- a/internal/peer/shutdown_test.go
+++ b/internal/peer/shutdown_test.go
@@ -37,7 +37,7 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		tr.Close()
+		tr.Shutdown(context.WithoutCancel(t.Context()))
 	}()
 	t.Cleanup(func() { <-stopped })
 	<-l.Stopped()
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -22,6 +22,7 @@
 	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/tcpconn"
 )
 
 // Timeouts and limits of connections.
@@ -84,9 +85,15 @@
 	open      map[*conn]struct{}
 	keepAlive bool
 	closed    bool
-	wg        sync.WaitGroup
-	ctx       context.Context
-	cancel    context.CancelFunc
+	// active is the number of listeners, streams and messages that are being served, and of accepted connections whose
+	// first frame has not come.
+	active int
+	wg     sync.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+	// draining ends when Shutdown is called.
+	draining context.Context
+	drain    context.CancelFunc
 }
 
 // New returns a Transport. Handlers must be registered before Serve.
@@ -98,6 +105,7 @@
 		o.CountFrame = func(bool, Kind, int) {}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	draining, drain := context.WithCancel(ctx)
 	return &Transport{
 		opts:     o,
 		handlers: map[Kind]Handler{},
@@ -109,6 +117,8 @@
 		open:     map[*conn]struct{}{},
 		ctx:      ctx,
 		cancel:   cancel,
+		draining: draining,
+		drain:    drain,
 	}
 }
 
@@ -123,17 +133,21 @@
 	t.inOrder[kind] = true
 }
 
-// Serve accepts connections on ln until Close is called.
+// Serve accepts connections on ln until Shutdown or Close is called.
 func (t *Transport) Serve(ln net.Listener) error {
+	t.addActive(1)
+	defer t.addActive(-1)
+	draining := tcpconn.NewDrainingListener(ln)
+	ln = draining
 	if t.opts.TLS != nil {
-		ln = tls.NewListener(ln, t.opts.TLS)
+		ln = tls.NewListener(draining, t.opts.TLS)
 	}
-	stop := context.AfterFunc(t.ctx, func() { _ = ln.Close() })
-	defer stop()
+	defer context.AfterFunc(t.draining, draining.Drain)()
+	defer context.AfterFunc(t.ctx, func() { _ = draining.Close() })()
 	for {
 		nc, err := ln.Accept()
 		if err != nil {
-			if t.ctx.Err() != nil {
+			if t.draining.Err() != nil {
 				return nil
 			}
 			return err
@@ -142,6 +156,12 @@
 	}
 }
 
+func (t *Transport) addActive(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.active += n
+}
+
 func (t *Transport) accept(nc net.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -150,6 +170,7 @@
 		return
 	}
 	t.accepted[nc] = struct{}{}
+	t.active++
 	t.wg.Add(1)
 	go t.receiveFirst(nc)
 }
@@ -157,6 +178,7 @@
 // receiveFirst reads the first frame of an accepted connection, which says whether it carries messages or a stream.
 func (t *Transport) receiveFirst(nc net.Conn) {
 	defer t.wg.Done()
+	defer t.addActive(-1)
 	err := nc.SetReadDeadline(time.Now().Add(InactivityTimeout))
 	var first *frame
 	n := 0
@@ -243,25 +265,6 @@
 	}
 }
 
-// Close closes all connections and waits for their goroutines.
-func (t *Transport) Close() {
-	t.mu.Lock()
-	t.closed = true
-	t.cancel()
-	accepted := slices.Collect(maps.Keys(t.accepted))
-	dialed := slices.Collect(maps.Values(t.conns))
-	t.mu.Unlock()
-	for _, nc := range accepted {
-		_ = nc.Close()
-	}
-	for _, c := range dialed {
-		c.close(errClosed)
-	}
-	t.wg.Wait()
-}
-
-var errClosed = fault.New(fault.Stopping, "use another VM", "transport is closed")
-
 // Connect opens a connection to addr, if there is none, and waits until it is usable.
 func (t *Transport) Connect(ctx context.Context, addr netip.AddrPort) error {
 	_, err := t.connTo(ctx, addr)
--- a/internal/vmserver/serve.go
+++ b/internal/vmserver/serve.go
@@ -78,7 +78,6 @@
 	stopTasks()
 	_ = ready.Close()
 	_ = metricsServer.Close()
-	p.transport.Close()
 	p.wg.Wait()
 	p.log.Info("stopped")
 	return nil
@@ -149,7 +148,7 @@
 }
 
 // stop reports the VM as not ready, keeps serving while callers may still connect, and waits for
-// the calls in progress.
+// the calls in progress, its own and those of other VMs.
 func (p *Process) stop(callers callerServer) {
 	began := time.Now()
 	p.stopping.Store(true)
@@ -164,6 +163,7 @@
 		p.log.Warn("connections cut by the stop", zap.Int64("calls", p.Handler.Active()), zap.Error(err))
 	}
 	p.forwarded.Shutdown(stopCtx)
+	p.transport.Shutdown(stopCtx)
 }
 
 // drain refuses new connections, closes idle ones and waits for the calls in progress until ctx ends. Requests that are
