--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -82,28 +82,39 @@
 	errGone     = fault.New(fault.Cancelled, "keep the stream open until the outcome", "the other VM has given the request up")
 )
 
-// serve handles one request.
-func (s *Server) serve(ctx context.Context, from ident.VM, nc net.Conn) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+// takeSlot takes one of the slots, unless none is free or no further requests are taken.
+func (s *Server) takeSlot() error {
 	select {
 	case s.slots <- struct{}{}:
-		defer func() { <-s.slots }()
 	default:
-		s.reply(nc, from, &outcome{Error: errNoRoom.Error()})
-		return
+		return errNoRoom
 	}
-	if s.stopping.Load() {
-		s.reply(nc, from, &outcome{Error: errStopping.Error()})
+	if s.stopping.Load() { // Shutdown may have counted the slots before this one was taken
+		s.freeSlot()
+		return errStopping
+	}
+	return nil
+}
+
+func (s *Server) freeSlot() { <-s.slots }
+
+// serve handles one request.
+func (s *Server) serve(ctx context.Context, from ident.VM, nc net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := s.takeSlot(); err != nil {
+		s.refuse(nc, from, err)
 		return
 	}
+	defer s.freeSlot()
 	body := s.opts.Bodies.NewBody()
 	defer body.Release()
 	in := bufio.NewReader(nc)
 	h, err := s.readRequest(nc, in, body)
 	if err != nil {
 		s.log(from, h, nil, fmt.Errorf("read the request: %w", err))
-		s.reply(nc, from, &outcome{Error: err.Error()})
+		body.Release()
+		s.refuse(nc, from, err)
 		return
 	}
 	if connpool.Readable(nc) { // the other VM may have given up while this one was not running
@@ -165,6 +176,14 @@
 	return s.opts.Send(ctx, endpoint, r)
 }
 
+// refuse replies that a request was not sent. It reads what is left of it until the other VM closes the stream: closing a
+// stream with unread bytes resets it, which may discard the reply.
+func (s *Server) refuse(nc net.Conn, from ident.VM, cause error) {
+	if nc.SetReadDeadline(time.Now().Add(requestTimeout)) == nil && s.reply(nc, from, &outcome{Error: cause.Error()}) {
+		_, _ = io.Copy(io.Discard, nc)
+	}
+}
+
 // reply sends the outcome of a request and reports whether it could.
 func (s *Server) reply(nc net.Conn, from ident.VM, o *outcome) bool {
 	err := writeMessage(nc, o)
