--- a/internal/vmserver/serve.go
+++ b/internal/vmserver/serve.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -158,11 +159,13 @@
 	time.Sleep(unreadyTime - disableKeepAlivesAfter)
 	stopCtx, cancel := context.WithDeadline(context.Background(), began.Add(p.settings.GraceTime-stopMargin))
 	defer cancel()
-	p.stateSync.Leave(stopCtx)
+	var leaving sync.WaitGroup
+	leaving.Go(func() { p.stateSync.Leave(stopCtx) }) // beside the drain, as the store may not respond
 	if err := drain(stopCtx, callers, p.Handler.Active); err != nil {
 		p.log.Warn("connections cut by the stop", zap.Int64("calls", p.Handler.Active()), zap.Error(err))
 	}
 	p.forwarded.Shutdown(stopCtx)
+	leaving.Wait()
 	p.transport.Shutdown(stopCtx)
 }
 
