--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -46,8 +46,8 @@
 type Server struct {
 	opts  ServerOptions
 	slots chan struct{}
-	// stopping is set once no further requests are taken.
-	stopping atomic.Bool
+	// withdrawn is set once no room is offered, stopping once no further requests are taken.
+	withdrawn, stopping atomic.Bool
 }
 
 // NewServer returns a Server and registers it with the transport.
@@ -57,14 +57,17 @@
 	return s
 }
 
-// Room returns the number of further requests that the server takes now.
+// Room returns the number of further requests that the server offers to take now.
 func (s *Server) Room() int {
-	if s.stopping.Load() {
+	if s.withdrawn.Load() || s.stopping.Load() {
 		return 0
 	}
 	return maxConcurrent - len(s.slots)
 }
 
+// Withdraw ends the offer of room. Requests of VMs that have chosen this one before are taken until Shutdown is called.
+func (s *Server) Withdraw() { s.withdrawn.Store(true) }
+
 // Shutdown refuses further requests and waits until those in progress have ended, or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) {
 	s.stopping.Store(true)
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -122,6 +122,24 @@
 	}
 }
 
+// TestVMThatOffersNoRoomTakesRequests guards against requests that are refused, of VMs that do not know yet that this one
+// leaves.
+func TestVMThatOffersNoRoomTakesRequests(t *testing.T) {
+	p := newPair(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }))
+	p.server.Withdraw()
+	if room := p.server.Room(); room > 0 {
+		t.Errorf("room for %d requests", room)
+	}
+	resp, err := p.client.Do(t.Context(), p.via, testID, testRequest(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if got, err := io.ReadAll(resp.Body); err != nil || string(got) != "answer" {
+		t.Errorf("got %q, error %v", got, err)
+	}
+}
+
 // TestStoppedVMSendsWhatItHasTaken guards against a stop that offers room for further requests of other VMs, or ends those
 // that it has taken.
 func TestStoppedVMSendsWhatItHasTaken(t *testing.T) {
--- a/internal/vmserver/serve.go
+++ b/internal/vmserver/serve.go
@@ -153,22 +153,30 @@
 func (p *Process) stop(callers callerServer) {
 	began := time.Now()
 	p.stopping.Store(true)
+	p.forwarded.Withdraw()
 	p.log.Info("stopping", zap.Duration("grace", p.settings.GraceTime), zap.Int64("active", p.Handler.Active()))
 	time.Sleep(disableKeepAlivesAfter)
 	p.Handler.DisableKeepAlives()
 	time.Sleep(unreadyTime - disableKeepAlivesAfter)
 	stopCtx, cancel := context.WithDeadline(context.Background(), began.Add(p.settings.GraceTime-stopMargin))
 	defer cancel()
-	var leaving sync.WaitGroup
-	leaving.Go(func() { p.stateSync.Leave(stopCtx) }) // beside the drain, as the store may not respond
+	leaving := p.leave(stopCtx)
 	if err := drain(stopCtx, callers, p.Handler.Active); err != nil {
 		p.log.Warn("connections cut by the stop", zap.Int64("calls", p.Handler.Active()), zap.Error(err))
 	}
-	p.forwarded.Shutdown(stopCtx)
 	leaving.Wait()
 	p.transport.Shutdown(stopCtx)
 }
 
+// leave tells the other VMs that this one leaves, refuses their further requests, as those may not end within the grace
+// time, and waits for the ones in progress. It runs beside the drain of the callers, as the store may not respond.
+func (p *Process) leave(ctx context.Context) *sync.WaitGroup {
+	var leaving sync.WaitGroup
+	leaving.Go(func() { p.stateSync.Leave(ctx) })
+	leaving.Go(func() { p.forwarded.Shutdown(ctx) })
+	return &leaving
+}
+
 // drain refuses new connections, closes idle ones and waits for the calls in progress until ctx ends. Requests that are
 // on their way have arrivalTime to arrive before Shutdown is called: from then on the server closes connections whose
 // request arrives, without an answer. Shutdown also waits for requests that arrive only in part; these connections are
