--- a/internal/reach/service.go
+++ b/internal/reach/service.go
@@ -92,10 +92,12 @@
 	asked map[traffic.EndpointID]askTime
 }
 
-// askTime is when to ask about a lost path again, and the pause before that.
+// askTime is when to ask about a lost path again, and the pause before that. reached is set while other VMs are known to
+// reach the endpoint.
 type askTime struct {
-	next  time.Time
-	pause time.Duration
+	next    time.Time
+	pause   time.Duration
+	reached bool
 }
 
 // NewService returns a Service and registers it with the transport.
@@ -253,6 +255,10 @@
 		if now.Sub(at.next.Add(-at.pause)) > l.For { // it was regained since, and lost again
 			at = askTime{}
 		}
+		if at.reached && l.Via == 0 { // the VMs that reached it have left, or failed to send
+			at = askTime{}
+		}
+		at.reached = l.Via > 0
 		if len(due) < maxAsked && !now.Before(at.next) {
 			at.pause = min(max(2*at.pause, minAskPause), maxAskPause)
 			at.next = now.Add(at.pause)
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -380,7 +380,7 @@
 	s.table.remoteReportsDelayed = delayed
 }
 
-// ForgetVM removes the work of a VM that is gone.
+// ForgetVM removes the work of a VM that is gone, and sends no more calls through it.
 func (s *Scheduler) ForgetVM(vm ident.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/schedule/table.go
+++ b/internal/schedule/table.go
@@ -210,10 +210,11 @@
 	return out
 }
 
-// removeVM removes the work of a VM that is gone.
+// removeVM removes the work of a VM that is gone, and the paths through it.
 func (t *table) removeVM(vm ident.VM) {
 	for _, s := range t.states {
 		s.peers.remove(vm)
+		s.path.remove(vm.Name)
 	}
 	for id, w := range t.unknown {
 		if w.remove(vm); len(w.byVM) == 0 {
