--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -41,7 +42,7 @@
 func (c *Client) Do(ctx context.Context, via *traffic.Via, endpoint traffic.EndpointID, r *connpool.Request) (*Response, error) {
 	nc, err := c.Opener.OpenStream(ctx, via.Address, peer.KindForward)
 	if err != nil {
-		return nil, &connpool.Error{Err: err}
+		return nil, failure(via, "open a stream", false, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
 	in := bufio.NewReader(nc)
@@ -65,21 +66,26 @@
 		Permit: via.Permit, HasBody: r.Body != nil, BodyBytes: len(r.Body),
 	}
 	if err := writeMessage(w, &h); err != nil {
-		return nil, &connpool.Error{Err: err} // the other VM sends nothing before it has the whole request
+		return nil, failure(via, "write the request", false, err) // the other VM sends nothing before it has the whole request
 	}
 	if n, err := w.Write(r.Body); n < len(r.Body) {
-		return nil, &connpool.Error{Err: err}
+		return nil, failure(via, "write the request", false, err)
 	}
 	var out outcome
 	if err := readMessage(in, &out); err != nil {
-		return nil, &connpool.Error{Sent: true, Err: err}
+		return nil, failure(via, "await the outcome", true, err)
 	}
 	if out.Error != "" {
-		return nil, &connpool.Error{Sent: out.Sent, Err: errors.New("through " + via.VM + ": " + out.Error)}
+		return nil, failure(via, "outcome", out.Sent, errors.New(out.Error))
 	}
 	return &out, nil
 }
 
+// failure returns the error of a request that failed in a step; sent is set if it may have been sent to the endpoint.
+func failure(via *traffic.Via, step string, sent bool, err error) error {
+	return &connpool.Error{Sent: sent, Err: fmt.Errorf("through %s: %s: %w", via.VM, step, err)}
+}
+
 // responseBody closes the stream with the body.
 type responseBody struct {
 	io.Reader
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -106,6 +106,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if err := s.takeSlot(); err != nil {
+		s.opts.Metrics.GetOrCreateCounter(`fulmartide_refused_for_other_vms_total{reason="` + string(fault.KindOf(err)) + `"}`).Inc()
+		s.opts.Log.Info("request of another vm refused", zap.Stringer("vm", from), zap.Int("in_progress", len(s.slots)), zap.Error(err))
 		s.refuse(nc, from, err)
 		return
 	}
