--- a/internal/vmserver/serve.go
+++ b/internal/vmserver/serve.go
@@ -75,10 +75,13 @@
 	p.log.Info("started", zap.String("vm", p.settings.VMName), zap.String("data_centre", p.settings.DataCentre),
 		zap.Stringer("callers", p.settings.Callers), zap.Stringer("peers", p.settings.Peers), zap.Strings("odd_settings", p.settings.Invalid))
 	p.await(ctx, reload)
-	p.stop(callerServer{callers, accepting, closer.busyConnections})
+	deadline := p.stop(callerServer{callers, accepting, closer.busyConnections})
 	stopTasks()
 	_ = ready.Close()
 	_ = metricsServer.Close()
+	closeCtx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	p.transport.Shutdown(closeCtx)
 	p.wg.Wait()
 	p.log.Info("stopped")
 	return nil
@@ -149,32 +152,36 @@
 }
 
 // stop reports the VM as not ready, keeps serving while callers may still connect, and waits for
-// the calls in progress, its own and those of other VMs.
-func (p *Process) stop(callers callerServer) {
-	began := time.Now()
+// the calls in progress, its own and those of other VMs. From the time on at which it leaves, it refuses further requests of
+// other VMs, as they may not end within the grace time. It returns when the process must have ended.
+func (p *Process) stop(callers callerServer) (deadline time.Time) {
+	deadline = time.Now().Add(p.settings.GraceTime - stopMargin)
 	p.stopping.Store(true)
 	p.forwarded.Withdraw()
 	p.log.Info("stopping", zap.Duration("grace", p.settings.GraceTime), zap.Int64("active", p.Handler.Active()))
 	time.Sleep(disableKeepAlivesAfter)
 	p.Handler.DisableKeepAlives()
 	time.Sleep(unreadyTime - disableKeepAlivesAfter)
-	stopCtx, cancel := context.WithDeadline(context.Background(), began.Add(p.settings.GraceTime-stopMargin))
+	stopCtx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	leaving := p.leave(stopCtx)
+	p.leave(deadline)
+	var forwarded sync.WaitGroup
+	forwarded.Go(func() { p.forwarded.Shutdown(stopCtx) })
 	if err := drain(stopCtx, callers, p.Handler.Active); err != nil {
 		p.log.Warn("connections cut by the stop", zap.Int64("calls", p.Handler.Active()), zap.Error(err))
 	}
-	leaving.Wait()
-	p.transport.Shutdown(stopCtx)
+	forwarded.Wait()
+	return deadline
 }
 
-// leave tells the other VMs that this one leaves, refuses their further requests, as those may not end within the grace
-// time, and waits for the ones in progress. It runs beside the drain of the callers, as the store may not respond.
-func (p *Process) leave(ctx context.Context) *sync.WaitGroup {
-	var leaving sync.WaitGroup
-	leaving.Go(func() { p.stateSync.Leave(ctx) })
-	leaving.Go(func() { p.forwarded.Shutdown(ctx) })
-	return &leaving
+// leave tells the other VMs that this one leaves and withdraws its registry entry, beside the rest of the stop: the store
+// may not respond before the deadline.
+func (p *Process) leave(deadline time.Time) {
+	p.wg.Go(func() {
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		defer cancel()
+		p.stateSync.Leave(ctx)
+	})
 }
 
 // drain refuses new connections, closes idle ones and waits for the calls in progress until ctx ends. Requests that are
--- a/internal/vmserver/stop_test.go
+++ b/internal/vmserver/stop_test.go
@@ -38,7 +38,7 @@
 }
 
 // TestStopCutsNoCallWhileTheRegistryHangs guards against a stop that takes calls until its grace time is over, because the
-// registry does not respond, and then cuts them.
+// registry does not respond, and then cuts them, or has no time left for its connections to other VMs.
 func TestStopCutsNoCallWhileTheRegistryHangs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const (
@@ -77,11 +77,14 @@
 				time.Sleep(callPeriod)
 			}
 		})
-		p.stop(callers)
+		if deadline := p.stop(callers); !time.Now().Before(deadline) {
+			t.Error("the stop has used up its time")
+		}
 		if n := active.Load(); n > 0 {
 			t.Errorf("%d calls in progress are cut as the process ends", n)
 		}
 		calls.Wait()
+		p.wg.Wait()
 	})
 }
 
@@ -104,5 +107,6 @@
 			t.Errorf("room for %d requests of other VMs after SIGTERM", room)
 		}
 		<-stopped
+		p.wg.Wait()
 	})
 }
