--- a/internal/reach/ask.go
+++ b/internal/reach/ask.go
@@ -48,26 +48,36 @@
 	Room int
 }
 
-// ask asks other VMs whether they reach endpoints, and records those that do.
+// ask asks other VMs whether they reach endpoints, and records those that do and have room. Nothing is recorded of an
+// endpoint that only VMs without room reach: it is not dead.
 func (s *Service) ask(ctx context.Context, lost []schedule.LostPath) {
 	reached := make([][]traffic.Via, len(lost))
+	withoutRoom := make([]bool, len(lost))
 	others := s.opts.Others(localSources, remoteSources)
 	for _, reply := range s.askAll(ctx, others, lost) {
 		for _, i := range reply.Reached {
-			if i >= 0 && i < len(lost) && reply.Room > 0 {
+			switch {
+			case i < 0 || i >= len(lost):
+			case reply.Room > 0:
 				reached[i] = append(reached[i], reply.via)
+			default:
+				withoutRoom[i] = true
 			}
 		}
 	}
-	n := 0
+	n, full := 0, 0
 	for i, l := range lost {
 		s.sortNearest(reached[i])
-		if len(reached[i]) > 0 {
+		switch {
+		case len(reached[i]) > 0:
 			n++
+		case withoutRoom[i]:
+			full++
+			continue
 		}
 		s.opts.Paths.SetVia(l.Endpoint.ID, reached[i])
 	}
-	s.opts.Log.Info("other vms asked for lost paths", zap.Int("lost", len(lost)), zap.Int("reached_by_others", n), zap.Int("asked", len(others)))
+	s.opts.Log.Info("other vms asked for lost paths", zap.Int("lost", len(lost)), zap.Int("reached_by_others", n), zap.Int("reached_without_room", full), zap.Int("asked", len(others)))
 }
 
 // sortNearest puts the VMs of this data centre first, and those of each other one together.
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -56,6 +57,9 @@
 	*fakeConnections
 	scheduler *schedule.Scheduler
 	via       traffic.Via
+	// room is the number of requests that the VM offers to send for others. dead counts the endpoints that it has reported
+	// as dead.
+	room, dead atomic.Int64
 }
 
 // newTestVMs returns VMs in the given data centres that know each other and n endpoints.
@@ -67,15 +71,17 @@
 			t.Fatal(err)
 		}
 		vm := &testVM{fakeConnections: &fakeConnections{failures: map[string]error{}, tried: map[string]int{}}}
+		vm.room.Store(1)
 		vm.via = traffic.Via{VM: fmt.Sprint("vm-", i), Address: ln.Addr().(*net.TCPAddr).AddrPort(), DataCentre: dataCentre}
 		transport := peer.New(peer.Options{Self: ident.VM{Name: vm.via.VM, Incarnation: 1}})
 		vm.scheduler = schedule.New(schedule.Options{
 			Clock: clock.BootTime{}, DataCentre: dataCentre,
-			OnPath: func(c schedule.PathChange) { vm.PathChanged(c) },
+			OnPath:    func(c schedule.PathChange) { vm.PathChanged(c) },
+			OnFailure: func(traffic.EndpointID, string, schedule.Outcome) { vm.dead.Add(1) },
 		})
 		vm.Service = NewService(Options{
 			Paths: vm.scheduler, Backend: vm.fakeConnections, DataCentre: dataCentre, Transport: transport,
-			Others: func(int, int) []traffic.Via { return otherVMs(vms, vm) }, Room: func() int { return 1 }, Log: zap.NewNop(),
+			Others: func(int, int) []traffic.Via { return otherVMs(vms, vm) }, Room: func() int { return int(vm.room.Load()) }, Log: zap.NewNop(),
 		})
 		vm.scheduler.UpdateEndpoints(testEndpoints(n), map[string]*traffic.Service{"s": {Name: "s"}})
 		go func() { _ = transport.Serve(ln) }()
@@ -169,6 +175,30 @@
 	}
 }
 
+// TestEndpointReachedByVMsWithoutRoomIsNotDead guards against a sound endpoint that no VM uses any more because the VMs that
+// one without a path has asked are being stopped, or send too many requests already.
+func TestEndpointReachedByVMsWithoutRoomIsNotDead(t *testing.T) {
+	vms := newTestVMs(t, 2, "a", "a")
+	asking, other := vms[0], vms[1]
+	e0 := traffic.EndpointID{Name: "e0"}
+	other.room.Store(0)
+	asking.scheduler.PathLost(traffic.EndpointID{Name: "e1"}) // one of several lost paths is not reported at once
+	asking.scheduler.PathLost(e0)
+	reported := asking.dead.Load()
+	asking.ask(t.Context(), []schedule.LostPath{{Endpoint: testEndpoints(1).List[0], For: time.Millisecond}})
+	if n := asking.dead.Load() - reported; n > 0 {
+		t.Error("an endpoint that another VM reaches was reported as dead")
+	}
+	if via := asking.viaOf(e0); via != nil {
+		t.Errorf("calls go through %s, which has no room", via.VM)
+	}
+	other.room.Store(1)
+	asking.ask(t.Context(), []schedule.LostPath{{Endpoint: testEndpoints(1).List[0], For: time.Millisecond}})
+	if via := asking.viaOf(e0); via == nil {
+		t.Error("calls do not go through the other VM although it has room")
+	}
+}
+
 func TestEndpointReachedElsewhereHasNotCrashed(t *testing.T) {
 	vms := newTestVMs(t, 2, "a", "b")
 	vms[1].set(syscall.ECONNREFUSED, "e1")
