--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -86,7 +86,7 @@
 	} else {
 		err = s.http.Serve(l)
 	}
-	if l.closing.Load() || s.phaseNow() != phaseServing {
+	if l.Draining() || s.phaseNow() != phaseServing {
 		return nil
 	}
 	return err
--- a/internal/vmserver/serve.go
+++ b/internal/vmserver/serve.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -67,11 +68,13 @@
 	p.log.Info("started", zap.String("vm", p.settings.VMName), zap.String("data_centre", p.settings.DataCentre),
 		zap.Stringer("callers", p.settings.Callers), zap.Stringer("peers", p.settings.Peers), zap.Strings("odd_settings", p.settings.Invalid))
 	p.await(ctx, reload)
-	p.stop()
+	deadline := p.stop()
 	stopTasks()
 	_ = ready.Close()
 	_ = metricsServer.Close()
-	p.transport.Close()
+	closeCtx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	p.transport.Shutdown(closeCtx)
 	p.wg.Wait()
 	p.log.Info("stopped")
 	return nil
@@ -129,21 +132,36 @@
 )
 
 // stop reports the VM as not ready, keeps serving while callers may still connect, and waits for
-// the calls in progress.
-func (p *Process) stop() {
-	began := time.Now()
+// the calls in progress, its own and those of other VMs. From the time on at which it leaves, it refuses further requests of
+// other VMs, as they may not end within the grace time. It returns when the process must have ended.
+func (p *Process) stop() (deadline time.Time) {
+	deadline = time.Now().Add(p.settings.GraceTime - stopMargin)
 	p.stopping.Store(true)
+	p.forwarded.Withdraw()
 	p.log.Info("stopping", zap.Duration("grace", p.settings.GraceTime), zap.Int64("active", p.Handler.Active()))
 	time.Sleep(disableKeepAlivesAfter)
 	p.Handler.DisableKeepAlives()
 	time.Sleep(unreadyTime - disableKeepAlivesAfter)
-	stopCtx, cancel := context.WithDeadline(context.Background(), began.Add(p.settings.GraceTime-stopMargin))
+	stopCtx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	p.stateSync.Leave(stopCtx)
+	p.leave(deadline)
+	var forwarded sync.WaitGroup
+	forwarded.Go(func() { p.forwarded.Shutdown(stopCtx) })
 	if err := p.callers.Drain(stopCtx, p.Handler); err != nil {
 		p.log.Warn("connections cut by the stop", zap.Int64("calls", p.Handler.Active()), zap.Error(err))
 	}
-	p.forwarded.Shutdown(stopCtx)
+	forwarded.Wait()
+	return deadline
+}
+
+// leave tells the other VMs that this one leaves and withdraws its registry entry, beside the rest of the stop: the store
+// may not respond before the deadline.
+func (p *Process) leave(deadline time.Time) {
+	p.wg.Go(func() {
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		defer cancel()
+		p.stateSync.Leave(ctx)
+	})
 }
 
 func (p *Process) readyHandler() http.Handler {
