--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -8,10 +8,9 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/fulmartide/fulmartide/internal/tcpconn"
 )
 
 // state is what a connection is doing.
@@ -39,18 +38,25 @@
 	state state
 	// fresh is set until the first request has been parsed.
 	fresh bool
+	// early is set if the first byte of the next request has been read while a request was being served.
+	early bool
+	// peerEnded is set once the caller has ended the connection.
+	peerEnded bool
+	// tls is set if TLS is used on the connection.
+	tls bool
 	// multiplexed is set if the connection carries several requests at a time (HTTP/2), which its protocol ends.
 	multiplexed bool
 	// deadline is the read deadline that net/http has set. It is not in force while interrupted is set.
-	deadline    time.Time
-	interrupted bool
-	idleSince   time.Time
-	lastRead    time.Time
-	closed      *closure
+	deadline       time.Time
+	interrupted    bool
+	idleSince      time.Time
+	receivingSince time.Time
+	lastRead       time.Time
+	closed         *closeRecord
 }
 
-// closure is what was known of a connection when this process closed it.
-type closure struct {
+// closeRecord is what was known of a connection when this process closed it.
+type closeRecord struct {
 	at       time.Time
 	lastRead time.Time
 	state    state
@@ -61,11 +67,14 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.readsRequest() {
+		timedOut := n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
+		if timedOut && c.readsRequest() {
 			n, err = c.readArrived(p, err)
+		} else if n == 0 && !timedOut {
+			c.setPeerEnded()
 		}
 		if n > 0 {
-			c.received()
+			c.received(len(p))
 		}
 		if n > 0 || !errors.Is(err, errWaitOn) {
 			return n, err
@@ -86,7 +95,7 @@
 // readArrived reads what has arrived although the deadline has passed. If nothing has, it returns the error that ends the
 // connection, or errWaitOn.
 func (c *conn) readArrived(p []byte, timeout error) (int, error) {
-	n, err := receive(c.Conn, p)
+	n, err := tcpconn.ReadArrived(c.Conn, p)
 	if n > 0 || err != nil {
 		return n, err
 	}
@@ -96,6 +105,9 @@
 		return 0, timeout
 	}
 	if limit := c.server.idleLimit(); c.interrupted || limit > 0 && time.Since(c.idleSince) >= limit {
+		if !c.tls {
+			_ = c.Conn.Close() // at once, as a request that arrives before net/http closes the connection would be lost
+		}
 		return 0, io.EOF
 	}
 	// A configuration has made the idle timeout longer since the connection became idle.
@@ -105,41 +117,37 @@
 	return 0, errWaitOn
 }
 
-// receive reads what has arrived at a connection without waiting. It returns 0 and no error if nothing has.
-func receive(nc net.Conn, p []byte) (n int, err error) {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return 0, nil
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var recvErr error
-	err = raw.Control(func(fd uintptr) { n, _, recvErr = unix.Recvfrom(int(fd), p, unix.MSG_DONTWAIT) })
-	switch {
-	case err != nil:
-		return 0, err
-	case errors.Is(recvErr, unix.EAGAIN) || errors.Is(recvErr, unix.EINTR):
-		return 0, nil
-	case recvErr != nil:
-		return 0, os.NewSyscallError("recvfrom", recvErr)
-	case n == 0:
-		return 0, io.EOF
+// received follows a Read with a buffer of size bytes that returned data.
+func (c *conn) received(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastRead = time.Now()
+	switch c.state {
+	case serving:
+		c.early = c.early || size == backgroundReadSize
+	case awaiting:
+		c.startReceiving()
+	case receiving:
+		if c.interrupted && !c.due() {
+			_ = c.applyDeadline() // a connection without deadlines fails in the next Read
+		}
 	}
-	return n, nil
 }
 
-func (c *conn) received() {
+// backgroundReadSize is the size of the buffer with which net/http reads beside a handler, once the handler has read the body.
+const backgroundReadSize = 1
+
+// startReceiving notes that the next request has begun to arrive. c.mu must be held.
+func (c *conn) startReceiving() {
+	c.state, c.receivingSince = receiving, time.Now()
+	_ = c.applyDeadline() // a connection without deadlines fails in the next Read
+}
+
+// setPeerEnded notes that the caller has ended the connection.
+func (c *conn) setPeerEnded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lastRead = time.Now()
-	if c.state == awaiting {
-		c.state = receiving
-	}
-	if c.interrupted && !c.due() {
-		_ = c.applyDeadline() // a connection without deadlines fails in the next Read
-	}
+	c.peerEnded = true
 }
 
 // SetReadDeadline implements net.Conn.
@@ -162,6 +170,11 @@
 		if limit := c.server.idleLimit(); limit > 0 {
 			t = c.idleSince.Add(limit)
 		}
+	case c.state == receiving && t.IsZero():
+		// net/http sets the deadline of the header only once it has read the first four bytes.
+		if limit := c.server.http.ReadHeaderTimeout; limit > 0 {
+			t = c.receivingSince.Add(limit)
+		}
 	}
 	return c.Conn.SetReadDeadline(t)
 }
@@ -197,8 +210,8 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	if c.closed == nil {
-		c.closed = &closure{at: time.Now(), lastRead: c.lastRead, state: c.state, phase: c.server.phaseNow()}
+	if c.closed == nil && !c.peerEnded {
+		c.closed = &closeRecord{at: time.Now(), lastRead: c.lastRead, state: c.state, phase: c.server.phaseNow()}
 	}
 	c.mu.Unlock()
 	return c.Conn.Close()
@@ -213,8 +226,8 @@
 	return nil
 }
 
-// closure returns what was known when this process closed the connection, nil if it has not.
-func (c *conn) closure() *closure {
+// closeRecord returns what was known when this process closed the connection, nil if it has not or if the caller has left before.
+func (c *conn) closeRecord() *closeRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.closed
@@ -236,12 +249,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t, ok := nc.(*tls.Conn)
+	c.tls = ok
 	c.multiplexed = ok && t.ConnectionState().NegotiatedProtocol == "h2"
 	c.state, c.fresh = s, false
 	if s == awaiting {
 		c.idleSince = time.Now()
+		if c.early {
+			c.early = false
+			c.startReceiving()
+			return
+		}
 	}
-	if c.interrupted || c.due() {
-		_ = c.applyDeadline() // a connection without deadlines fails in the next Read
-	}
+	_ = c.applyDeadline() // a connection without deadlines fails in the next Read
 }
--- a/internal/callerconn/drain.go
+++ b/internal/callerconn/drain.go
@@ -77,7 +77,7 @@
 // it ends are closed.
 func (s *Server) Drain(ctx context.Context, calls Calls) error {
 	began := time.Now()
-	if l := s.serving(); l != nil {
+	if l := s.activeListener(); l != nil {
 		if err := l.stop(ctx); err != nil {
 			s.opts.Log.Warn("listener not closed in order", zap.Error(err))
 		}
@@ -86,10 +86,10 @@
 	s.awaitArrivals(ctx)
 	calls.RefuseNew()
 	s.setPhase(phaseEndingNew)
-	if !s.awaitEnd(ctx, calls) {
+	if err := s.endInTime(ctx, calls); err != nil {
 		s.endCalls(ctx, calls)
 	}
-	err := s.shutDown(ctx)
+	err := s.close()
 	s.opts.Log.Info("callers drained", zap.Duration("took", time.Since(began)), zap.Error(err))
 	return err
 }
@@ -103,21 +103,30 @@
 	}
 }
 
-// awaitEnd waits until no connection of HTTP/1 is left. It returns false if answerTime before the end of ctx some are.
-func (s *Server) awaitEnd(ctx context.Context, calls Calls) bool {
+// endInTime waits until no connection is left. It fails if answerTime before the end of ctx some are. Connections of HTTP/2 are
+// ended by net/http, once no others are left: it drops requests of HTTP/1 that arrive from then on.
+func (s *Server) endInTime(ctx context.Context, calls Calls) error {
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerTime))
 		defer cancel()
 	}
+	if err := s.awaitEnd(ctx, calls); err != nil {
+		return err
+	}
+	return s.http.Shutdown(ctx)
+}
+
+// awaitEnd waits until no connection of HTTP/1 is left or ctx ends.
+func (s *Server) awaitEnd(ctx context.Context, calls Calls) error {
 	check := time.NewTicker(drainCheckPeriod)
 	defer check.Stop()
 	idleSince := time.Now()
 	for s.count(func(c *conn) bool { return !c.multiplexed }) > 0 {
 		select {
 		case <-ctx.Done():
-			return false
-		case <-s.empty:
+			return ctx.Err()
+		case <-s.ended:
 		case now := <-check.C:
 			if calls.Active() > 0 {
 				idleSince = now
@@ -126,7 +135,7 @@
 			}
 		}
 	}
-	return true
+	return nil
 }
 
 // endCalls ends the calls in progress with an answer, and waits until their connections have ended or ctx ends.
@@ -139,13 +148,8 @@
 	}
 }
 
-// shutDown ends the connections of HTTP/2 in order, and closes all that remain when ctx ends.
-func (s *Server) shutDown(ctx context.Context) error {
-	if ctx.Err() == nil {
-		if err := s.http.Shutdown(ctx); err == nil {
-			return nil
-		}
-	}
+// close closes the connections that remain.
+func (s *Server) close() error {
 	cut := s.count(func(c *conn) bool { return c.state == serving })
 	if err := s.Close(); err != nil || cut == 0 {
 		return err
--- a/internal/callerconn/drain_test.go
+++ b/internal/callerconn/drain_test.go
@@ -66,7 +66,7 @@
 func serveWith(server *http.Server, l net.Listener, o Options) *Server {
 	s := New(server, testOptions(o.IdleTimeout))
 	go func() { _ = s.Serve(l) }()
-	for s.serving() == nil {
+	for s.activeListener() == nil {
 		runtime.Gosched()
 	}
 	return s
--- a/internal/callerconn/limits_test.go
+++ b/internal/callerconn/limits_test.go
@@ -106,7 +106,7 @@
 	l := listenTCP(t)
 	s := New(&http.Server{Handler: h, ReadHeaderTimeout: testHeaderTimeout, TLSConfig: &tls.Config{Certificates: []tls.Certificate{cert}}}, testOptions(idle))
 	go func() { _ = s.Serve(l) }()
-	for s.serving() == nil {
+	for s.activeListener() == nil {
 		runtime.Gosched()
 	}
 	tr := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, ServerName: "example.com"}, ForceAttemptHTTP2: true}
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -40,12 +40,12 @@
 	mu       sync.Mutex
 	listener *listener
 	conns    map[*conn]struct{}
-	// empty is signalled when the last connection of HTTP/1 has ended.
-	empty chan struct{}
+	// ended is signalled when a connection has ended.
+	ended chan struct{}
 }
 
-// New returns a Server with the handler and the limits of base, which it takes over. Its IdleTimeout is replaced by that of o:
-// net/http ends a connection at that deadline although a request has arrived.
+// New returns a Server with the handler and the limits of base, which it takes over. Its IdleTimeout is replaced by that of o,
+// which is looked up when a connection becomes idle; for connections of HTTP/2 the one at the start holds.
 func New(base *http.Server, o Options) *Server {
 	if o.RequestID == nil {
 		o.RequestID = func(http.Header) string { return "" }
@@ -54,7 +54,7 @@
 		o.IdleTimeout = func() time.Duration { return 0 }
 	}
 	s := &Server{
-		http: base, opts: o, conns: map[*conn]struct{}{}, empty: make(chan struct{}, 1),
+		http: base, opts: o, conns: map[*conn]struct{}{}, ended: make(chan struct{}, 1),
 		cut: o.Metrics.GetOrCreateCounter(`fulmartide_requests_cut_by_this_vm_total`),
 	}
 	next := base.Handler
@@ -67,7 +67,7 @@
 	base.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, unwrap(nc))
 	}
-	base.IdleTimeout = 0
+	base.IdleTimeout = s.idleLimit() // in force on connections of HTTP/2 only; see conn.applyDeadline
 	return s
 }
 
@@ -92,8 +92,8 @@
 	return err
 }
 
-// serving returns the listener of the server, nil before Serve is called.
-func (s *Server) serving() *listener {
+// activeListener returns the listener of the server, nil before Serve is called.
+func (s *Server) activeListener() *listener {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.listener
@@ -125,7 +125,7 @@
 	}
 	began := time.Now()
 	defer func() {
-		if closed := c.closure(); closed != nil {
+		if closed := c.closeRecord(); closed != nil {
 			s.cut.Inc()
 			s.opts.Log.Warn("connection of a request closed by this vm", zap.String("request", s.opts.RequestID(r.Header)),
 				zap.Stringer("caller", c.RemoteAddr()), zap.Stringer("phase", closed.phase), zap.Stringer("state", closed.state),
@@ -149,7 +149,7 @@
 	defer s.mu.Unlock()
 	delete(s.conns, c)
 	select {
-	case s.empty <- struct{}{}:
+	case s.ended <- struct{}{}:
 	default:
 	}
 }
--- a/internal/callerconn/tcp_test.go
+++ b/internal/callerconn/tcp_test.go
@@ -110,7 +110,7 @@
 		send(t, c)
 		callers = append(callers, c)
 	}
-	for s.serving() == nil {
+	for s.activeListener() == nil {
 		runtime.Gosched()
 	}
 	drained := make(chan error, 1)
--- /dev/null
+++ b/internal/tcpconn/arrived.go
@@ -0,0 +1,87 @@
+package tcpconn
+
+import (
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// ReadArrived reads what has arrived on a connection without waiting, whatever its read deadline. It returns 0 and no error if
+// nothing has, or if the connection has no socket.
+func ReadArrived(nc net.Conn, p []byte) (n int, err error) {
+	raw, err := rawConn(nc)
+	if raw == nil || err != nil {
+		return 0, err
+	}
+	var recvErr error
+	err = raw.Control(func(fd uintptr) { n, _, recvErr = unix.Recvfrom(int(fd), p, unix.MSG_DONTWAIT) })
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(recvErr, unix.EAGAIN) || errors.Is(recvErr, unix.EINTR):
+		return 0, nil
+	case recvErr != nil:
+		return 0, os.NewSyscallError("recvfrom", recvErr)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// Readable reports whether a byte, EOF or an error is pending on the connection, or below TLS on it, without consuming it.
+func Readable(nc net.Conn) (pending bool) {
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+	}
+	raw, err := rawConn(nc)
+	if raw == nil || err != nil {
+		return err != nil
+	}
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		pending = !errors.Is(err, unix.EAGAIN)
+	})
+	return pending || err != nil
+}
+
+// rawConn returns the socket of a connection, nil if it has none.
+func rawConn(nc net.Conn) (syscall.RawConn, error) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil, nil
+	}
+	return sc.SyscallConn()
+}
+
+// LateReader is a connection whose Read returns what has arrived although its deadline has passed, as in a process that was
+// paused.
+type LateReader struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c LateReader) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if n, arrivedErr := ReadArrived(c.Conn, p); n > 0 || arrivedErr != nil {
+		return n, arrivedErr
+	}
+	return 0, err
+}
+
+// SyscallConn implements syscall.Conn.
+func (c LateReader) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errNoSocket
+	}
+	return sc.SyscallConn()
+}
+
+var errNoSocket = errors.New("the connection has no socket")
--- a/internal/tcpconn/draining.go
+++ b/internal/tcpconn/draining.go
@@ -5,7 +5,10 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // DrainingListener is a listener that can be closed without a reset of the connections that the kernel has accepted and
@@ -15,13 +18,19 @@
 	// deadliner is the listener if Accept can be interrupted, nil otherwise.
 	deadliner deadliner
 	draining  atomic.Bool
+	// taken is the number of connections accepted since Drain was called.
+	taken int
 }
 
 // deadliner is implemented by *net.TCPListener.
 type deadliner interface{ SetDeadline(t time.Time) error }
 
-// acceptQueueWait is how long Accept waits for a connection that the kernel has accepted, once the listener is draining.
-const acceptQueueWait = time.Millisecond
+const (
+	// acceptTimeout limits the wait for a connection that the kernel has reported and that has gone meanwhile.
+	acceptTimeout = time.Second
+	// maxQueue is the largest accept queue of the kernel (net.core.somaxconn). Connections beyond it were opened after Drain.
+	maxQueue = 4096
+)
 
 // NewDrainingListener returns a DrainingListener that accepts the connections of ln.
 func NewDrainingListener(ln net.Listener) *DrainingListener {
@@ -33,27 +42,51 @@
 // net.ErrClosed. It does not wait for that.
 func (l *DrainingListener) Drain() {
 	l.draining.Store(true)
-	if l.deadliner == nil || l.deadliner.SetDeadline(time.Unix(1, 0)) != nil {
+	if l.deadliner == nil || l.deadliner.SetDeadline(past) != nil {
 		_ = l.Close()
 	}
 }
 
+// past is a deadline that interrupts Accept.
+var past = time.Unix(1, 0)
+
 // Draining reports whether Drain has been called.
 func (l *DrainingListener) Draining() bool { return l.draining.Load() }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It must not be called concurrently.
 func (l *DrainingListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
-		return nc, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err == nil && l.draining.Load() {
+			l.taken++
+			err = l.deadliner.SetDeadline(past)
+		}
+		if !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nc, err
+		}
+		if l.taken >= maxQueue || !l.queued() {
+			return nil, errors.Join(net.ErrClosed, l.Close())
+		}
+		// Accept looks at the deadline before it looks at the queue.
+		if err := l.deadliner.SetDeadline(time.Now().Add(acceptTimeout)); err != nil {
+			return nil, err
+		}
 	}
-	// Accept looks at the deadline before it looks at the queue, so the queue is only tried with a later one.
-	if err := l.deadliner.SetDeadline(time.Now().Add(acceptQueueWait)); err != nil {
-		return nil, err
+}
+
+// queued reports whether the kernel may have accepted a connection that the process has not.
+func (l *DrainingListener) queued() bool {
+	sc, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return true
 	}
-	if nc, err = l.Listener.Accept(); err == nil {
-		_ = l.deadliner.SetDeadline(time.Unix(1, 0)) // fails only if the listener is closed, which the next call returns
-		return nc, nil
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
 	}
-	return nil, errors.Join(net.ErrClosed, l.Close())
+	ready := 0
+	err = raw.Control(func(fd uintptr) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) // an error means that nothing is ready
+	})
+	return err == nil && ready > 0
 }
