--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/fulmartide/fulmartide/internal/tcpconn"
 )
 
 const (
@@ -49,17 +51,8 @@
 type limitedReader struct {
 	r         io.Reader
 	remaining int64
-	// idleFrom is a time before which the last data cannot have arrived: the one at which nothing was left to read before
-	// it. This process may read data long after it has arrived.
-	idleFrom time.Time
-	// emptyAt is the last time at which nothing was left to read.
-	emptyAt time.Time
-}
-
-// begin notes that a request is about to be sent, so that no data of its response has arrived yet.
-func (l *limitedReader) begin() {
-	l.emptyAt = time.Now()
-	l.idleFrom = l.emptyAt
+	// lastRead is when data was read last. A response may be delivered to a slow caller long after it has been read.
+	lastRead time.Time
 }
 
 // Read implements io.Reader.
@@ -70,10 +63,7 @@
 	p = p[:min(int64(len(p)), l.remaining)]
 	n, err := l.r.Read(p)
 	if n > 0 {
-		l.idleFrom = l.emptyAt
-	}
-	if n < len(p) {
-		l.emptyAt = time.Now()
+		l.lastRead = time.Now()
 	}
 	if l.remaining != noLimit {
 		l.remaining -= int64(n)
@@ -86,7 +76,7 @@
 // reusable reports whether an idle connection can be used for a request: its idle timeout has not
 // expired, and the peer has neither closed it nor sent unsolicited data.
 func (c *conn) reusable() bool {
-	return time.Now().Before(c.idleUntil) && c.br.Buffered() == 0 && !Readable(c.nc)
+	return time.Now().Before(c.idleUntil) && c.br.Buffered() == 0 && !tcpconn.Readable(c.nc)
 }
 
 // roundTrip writes the request and reads the response header. Large bodies are written
@@ -97,7 +87,6 @@
 		c.close()
 		return nil, &Error{Err: cause}
 	}
-	c.in.begin()
 	stopCancel := context.AfterFunc(ctx, c.close)
 	written := make(chan writeResult, 1)
 	if len(r.Body) <= maxSyncBody {
@@ -243,7 +232,7 @@
 		r.conn.close()
 		return nil
 	}
-	r.conn.idleUntil = r.conn.in.idleFrom.Add(r.idleTimeout)
+	r.conn.idleUntil = r.conn.in.lastRead.Add(r.idleTimeout)
 	r.conn.pool.put(r.conn)
 	return nil
 }
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -18,6 +18,7 @@
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/tcpconn"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -122,7 +123,7 @@
 		s.refuse(nc, from, err)
 		return
 	}
-	if connpool.Readable(nc) { // the other VM may have given up while this one was not running
+	if tcpconn.Readable(nc) { // the other VM may have given up while this one was not running
 		s.log(from, h, nil, errGone)
 		return
 	}
