--- a/internal/endpoint/http_conns.go
+++ b/internal/endpoint/http_conns.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/fulmartide/fulmartide/internal/tcpconn"
 )
 
 // connTracker tracks open connections by address. When one connection to an address stops
@@ -54,7 +56,9 @@
 	}
 	t.mu.Unlock()
 	for _, c := range inactive {
-		c.Close()
+		if !tcpconn.Readable(c.Conn) { // otherwise data has arrived that this process has had no time to read
+			c.Close()
+		}
 	}
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
+	"github.com/fulmartide/fulmartide/internal/tcpconn"
 )
 
 // conn is a dialed or accepted connection. One goroutine reads from it and one writes to it.
@@ -290,13 +291,14 @@
 	awaiting, awaitingFor := !c.awaitingSince.IsZero(), time.Since(c.awaitingSince)
 	idle := time.Since(c.lastUsed)
 	c.mu.Unlock()
-	if !awaiting {
-		if c.dialed && idle > IdleTimeout {
-			return errIdle
-		}
+	switch {
+	case !awaiting && !(c.dialed && idle > IdleTimeout):
 		return nil
-	}
-	if awaitingFor > InactivityTimeout {
+	case (!awaiting || awaitingFor > InactivityTimeout) && tcpconn.Readable(c.nc):
+		return nil // a frame has arrived that this process has had no time to read
+	case !awaiting:
+		return errIdle
+	case awaitingFor > InactivityTimeout:
 		return errUnresponsive
 	}
 	_ = c.enqueue(&frame{Type: framePing}) // if the queue is full, the connection is awaiting already
--- a/internal/peer/paused_test.go
+++ b/internal/peer/paused_test.go
@@ -11,7 +11,7 @@
 
 // pausedConn is a connection of a process that gets no processor time between setting a read deadline and reading.
 type pausedConn struct {
-	net.Conn
+	*net.TCPConn
 	pause time.Duration
 }
 
@@ -21,7 +21,7 @@
 			time.Sleep(c.pause)
 		}
 	}()
-	return c.Conn.SetReadDeadline(t)
+	return c.TCPConn.SetReadDeadline(t)
 }
 
 type pausedListener struct {
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pausedConn{nc, l.pause}, nil
+	return &pausedConn{nc.(*net.TCPConn), l.pause}, nil
 }
 
 // TestStreamWhoseFirstFrameHasArrivedIsServed guards against streams that are reset, so that the other VM cannot know whether its
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -138,9 +138,9 @@
 	t.addActive(1)
 	defer t.addActive(-1)
 	draining := tcpconn.NewDrainingListener(ln)
-	ln = draining
+	ln = lateListener{draining}
 	if t.opts.TLS != nil {
-		ln = tls.NewListener(draining, t.opts.TLS)
+		ln = tls.NewListener(ln, t.opts.TLS)
 	}
 	defer context.AfterFunc(t.draining, draining.Drain)()
 	defer context.AfterFunc(t.ctx, func() { _ = draining.Close() })()
@@ -156,6 +156,18 @@
 	}
 }
 
+// lateListener accepts connections on which a first frame that has arrived is read although its deadline has passed.
+type lateListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l lateListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return tcpconn.LateReader{Conn: nc}, nil
+}
+
 func (t *Transport) addActive(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
