--- a/test/fleet/daemon.go
+++ b/test/fleet/daemon.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -33,10 +34,11 @@
 	// Callers, Peers and Operator are the addresses on which the process listens.
 	Callers, Peers, Operator netip.AddrPort
 
-	cmd    *exec.Cmd
-	exited chan struct{}
-	err    error
-	log    *os.File
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	err      error
+	log      *os.File
+	settings string
 }
 
 // PID returns the process ID.
@@ -45,6 +47,9 @@
 // LogPath returns the path of the process's log file.
 func (d *Daemon) LogPath() string { return d.log.Name() }
 
+// SettingsPath returns the path of the process's settings file.
+func (d *Daemon) SettingsPath() string { return d.settings }
+
 // launch starts a process and waits until it listens.
 func launch(ctx context.Context, binary, dir string, s settings.Settings) (*Daemon, error) {
 	raw, err := toml.Marshal(s)
@@ -69,7 +74,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	d := &Daemon{VM: s.VM.Name, DataCentre: s.VM.DataCentre, cmd: cmd, exited: make(chan struct{}), log: log}
+	d := &Daemon{VM: s.VM.Name, DataCentre: s.VM.DataCentre, cmd: cmd, exited: make(chan struct{}), log: log, settings: path}
 	listening := make(chan string, 1)
 	go d.copyLog(stderr, listening)
 	return d, d.awaitListening(ctx, listening)
@@ -135,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for {
-		if d.ready(ctx) {
+		if d.Ready(ctx) {
 			return nil
 		}
 		select {
@@ -150,7 +155,8 @@
 	}
 }
 
-func (d *Daemon) ready(ctx context.Context) bool {
+// Ready reports whether the process reports that it is ready.
+func (d *Daemon) Ready(ctx context.Context) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Operator.String()+"/readyz", nil)
 	if err != nil {
 		return false
@@ -173,6 +179,23 @@
 	}
 }
 
+// SignalPending reports whether a signal was sent to the process that it has not received, as it is paused.
+func (d *Daemon) SignalPending(sig syscall.Signal) bool {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.PID()))
+	if err != nil {
+		return false
+	}
+	for line := range strings.Lines(string(raw)) {
+		value, ok := strings.CutPrefix(line, "ShdPnd:")
+		if !ok {
+			continue
+		}
+		pending, err := strconv.ParseUint(strings.TrimSpace(value), 16, 64)
+		return err == nil && pending&(1<<(sig-1)) != 0
+	}
+	return false
+}
+
 func (d *Daemon) sendSignal(sig syscall.Signal) error {
 	err := d.cmd.Process.Signal(sig)
 	if errors.Is(err, os.ErrProcessDone) {
--- a/test/fleet/faults.go
+++ b/test/fleet/faults.go
@@ -74,12 +74,13 @@
 }
 
 // Pause suspends a VM's process with SIGSTOP.
-func (f *Fleet) Pause(vm string) error { return f.signalVM(vm, syscall.SIGSTOP) }
+func (f *Fleet) Pause(vm string) error { return f.Signal(vm, syscall.SIGSTOP) }
 
 // Resume resumes a paused process.
-func (f *Fleet) Resume(vm string) error { return f.signalVM(vm, syscall.SIGCONT) }
+func (f *Fleet) Resume(vm string) error { return f.Signal(vm, syscall.SIGCONT) }
 
-func (f *Fleet) signalVM(vm string, sig syscall.Signal) error {
+// Signal sends a signal to a VM's process.
+func (f *Fleet) Signal(vm string, sig syscall.Signal) error {
 	d, err := f.findVM(vm)
 	if err != nil {
 		return err
