--- a/cmd/fulmartided/main.go
+++ b/cmd/fulmartided/main.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return reportError(err, exitSettings)
 	}
-	log, err := logging.New(os.Stderr, s.Log.Level)
+	level, err := logging.ParseLevel(s.Log.Level)
 	if err != nil {
 		return reportError(err, exitSettings)
 	}
@@ -67,7 +67,10 @@
 	setMemoryPolicy()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := daemon.Run(ctx, s, log); err != nil {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	reload := daemon.Reload{Signals: hangups, Path: args.Settings, LogLevel: level}
+	if err := daemon.Run(ctx, s, reload, logging.New(os.Stderr, level)); err != nil {
 		return reportError(err, exitError)
 	}
 	return 0
@@ -83,10 +86,11 @@
 	}
 	out := logging.NewAsync(os.Stdout, logBufferBytes)
 	defer out.Close()
-	log, err := logging.New(out, args.Level)
+	level, err := logging.ParseLevel(args.Level)
 	if err != nil {
 		return reportError(err, exitSettings)
 	}
+	log := logging.New(out, level)
 	set := metrics.NewSet()
 	set.NewGauge("fulmartide_log_lines_dropped_total", func() float64 { return float64(out.Dropped()) })
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,6 +34,7 @@
 // daemon contains the services and listeners of one process.
 type daemon struct {
 	settings settings.Settings
+	reload   Reload
 	log      *zap.Logger
 	clock    clock.Clock
 	self     membership.Member
@@ -60,15 +61,15 @@
 
 // Run serves until ctx ends, then stops gracefully. It returns an error if the daemon cannot start or
 // if the shutdown interrupts requests.
-func Run(ctx context.Context, s settings.Settings, log *zap.Logger) error {
-	d, err := newDaemon(s, log)
+func Run(ctx context.Context, s settings.Settings, reload Reload, log *zap.Logger) error {
+	d, err := newDaemon(s, reload, log)
 	if err != nil {
 		return err
 	}
 	return d.run(ctx)
 }
 
-func newDaemon(s settings.Settings, log *zap.Logger) (*daemon, error) {
+func newDaemon(s settings.Settings, reload Reload, log *zap.Logger) (*daemon, error) {
 	ls, err := openListeners(s)
 	if err != nil {
 		return nil, err
@@ -77,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{settings: s, log: log, clock: clock.BootTime{}, listeners: ls, counter: newFrameCounter()}
+	d := &daemon{settings: s, reload: reload, log: log, clock: clock.BootTime{}, listeners: ls, counter: newFrameCounter()}
 	d.self = membership.Member{
 		VM:          ident.VM{Name: s.VM.Name, Incarnation: ident.Incarnation(time.Now().UnixNano())},
 		DataCentre:  s.VM.DataCentre,
@@ -140,6 +141,7 @@
 func (d *daemon) serviceLoops() []func(context.Context) {
 	return []func(context.Context){
 		d.membership.Run, d.config.Run, d.keys.Run, d.limiter.Run, d.placer.Run, d.ledger.Run, d.sweep.Run, d.relay.Run,
+		d.reloadOnSignals,
 	}
 }
 
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -11,18 +11,19 @@
 	"github.com/fulmartide/fulmartide/internal/fault"
 )
 
-// New returns a logger that writes events at or above level to w. The levels are debug, info, warn and
-// error.
-func New(w io.Writer, level string) (*zap.Logger, error) {
-	lvl, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Malformed, "set log.level to debug, info, warn or error", "log level")
-	}
+// ParseLevel returns the level debug, info, warn or error. It can be changed while a logger uses it.
+func ParseLevel(level string) (zap.AtomicLevel, error) {
+	parsed, err := zap.ParseAtomicLevel(level)
+	return parsed, fault.Wrap(err, fault.Malformed, "set log.level to debug, info, warn or error", "log level")
+}
+
+// New returns a logger that writes events at or above level to w.
+func New(w io.Writer, level zap.AtomicLevel) *zap.Logger {
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	cfg.EncodeDuration = zapcore.StringDurationEncoder
-	core := errorTextCore{zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), lvl)}
-	return zap.New(core), nil
+	core := errorTextCore{zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), level)}
+	return zap.New(core)
 }
 
 // errorTextCore writes only the message of an error, without the stack trace that package fault adds.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,6 @@
 // Package settings reads a daemon's static settings, such as its addresses, data centre, platform
-// and TLS files, from a TOML file. The file is read once at startup; everything that operators can
-// change at run time is in package configuration.
+// and TLS files, from a TOML file. The file is read at startup, and at SIGHUP for the log level; everything else that
+// operators can change at run time is in package configuration.
 package settings
 
 import (
@@ -109,7 +109,7 @@
 
 // Log configures the process log.
 type Log struct {
-	// Level is debug, info, warn or error. Default info.
+	// Level is debug, info, warn or error. Default info. It is reloaded at SIGHUP.
 	Level string `toml:"level"`
 }
 
