--- a/cmd/fulmartided/main.go
+++ b/cmd/fulmartided/main.go
@@ -44,15 +44,25 @@
 )
 
 func main() {
+	// Signals are registered before anything else: until then they end the process at once.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	code := run(ctx, hangups)
+	stop()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, hangups <-chan os.Signal) int {
 	var args arguments
 	parsed := kong.Parse(&args, kong.Name("fulmartided"), kong.Description("Router for language-model fleets."), kong.Vars{"version": version})
 	if parsed.Command() == "platform" {
-		os.Exit(args.Platform.run())
+		return args.Platform.run(ctx, hangups)
 	}
-	os.Exit(args.Serve.run())
+	return args.Serve.run(ctx, hangups)
 }
 
-func (args serveCommand) run() int {
+func (args serveCommand) run(ctx context.Context, hangups <-chan os.Signal) int {
 	s, err := settings.Load(args.Settings)
 	if err != nil {
 		return reportError(err, exitSettings)
@@ -65,10 +75,6 @@
 		return 0
 	}
 	setMemoryPolicy()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	reload := daemon.Reload{Signals: hangups, Path: args.Settings, LogLevel: level}
 	if err := daemon.Run(ctx, s, reload, logging.New(os.Stderr, level)); err != nil {
 		return reportError(err, exitError)
@@ -76,7 +82,7 @@
 	return 0
 }
 
-func (args platformCommand) run() int {
+func (args platformCommand) run(ctx context.Context, hangups <-chan os.Signal) int {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return reportError(err, exitSettings)
@@ -93,11 +99,7 @@
 	log := logging.New(out, level)
 	set := metrics.NewSet()
 	set.NewGauge("fulmartide_log_lines_dropped_total", func() float64 { return float64(out.Dropped()) })
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	if err := platform.Run(ctx, s, reload, log, set); err != nil {
+	if err := platform.Run(ctx, s, hangups, log, set); err != nil {
 		return reportError(err, exitError)
 	}
 	return 0
--- a/test/integration/reload_test.go
+++ b/test/integration/reload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -99,6 +100,10 @@
 						t.Error(err)
 					}
 				}
+				regular := filepath.Join(t.TempDir(), "settings") // for the reload at SIGHUP
+				if err := errors.Join(os.WriteFile(regular, []byte(tc.contents), 0o600), os.Rename(regular, settings)); err != nil {
+					t.Fatal(err)
+				}
 				_, _ = out.WriteString(tc.contents)
 				_ = out.Close()
 				if err := cmd.Wait(); err != nil || !strings.Contains(log.String(), "msg=stopped") {
