--- /dev/null
+++ b/internal/relay/drain.go
@@ -0,0 +1,33 @@
+package relay
+
+import "net/http"
+
+// drainWriter makes responses that begin during a shutdown end their connections, so that callers send their next call to
+// another VM.
+type drainWriter struct {
+	http.ResponseWriter
+	stopping func() bool
+	began    bool
+}
+
+// Unwrap returns the wrapped writer for http.ResponseController.
+func (w *drainWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *drainWriter) WriteHeader(status int) {
+	w.begin()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *drainWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p)
+}
+
+func (w *drainWriter) begin() {
+	if !w.began && w.stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	w.began = true
+}
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -31,7 +31,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.stopping {
-		return fault.New(fault.Stopping, "retry the call; another VM will serve it", "this VM is shutting down")
+		return fault.New(fault.Stopping, "retry the call; another VM will serve it", "this VM is shutting down",
+			fault.WithRetryAfter(defaultRetryAfter))
 	}
 	if len(r.requests) >= r.limit {
 		return fault.New(fault.Overloaded, "retry the call after the Retry-After delay", "this VM is at its request limit",
@@ -120,7 +121,7 @@
 	for _, l := range r.requests {
 		l.cancel(fault.New(fault.Stopping, "retry the call; another VM will serve it",
 			"this VM stopped before the response was complete",
-			fault.WithExecution(fault.ExecutionUnknown)))
+			fault.WithExecution(fault.ExecutionUnknown), fault.WithRetryAfter(defaultRetryAfter)))
 	}
 	return len(r.requests)
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -34,7 +34,7 @@
 }
 
 // defaultRetryAfter is the Retry-After delay of calls that are rejected because the process is at
-// its request limit or has no configuration yet.
+// its request limit, has no configuration yet or is shutting down.
 const defaultRetryAfter = time.Second
 
 // New returns a Server. Run must be running while it serves.
@@ -112,7 +112,7 @@
 		c := &call{
 			id:        requestID.String(),
 			requestID: requestID,
-			w:         w,
+			w:         &drainWriter{ResponseWriter: w, stopping: s.registry.isStopping},
 			r:         r,
 			arrivedAt: s.opts.Clock.Now(),
 			server:    s,
