--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -1,6 +1,9 @@
 package relay
 
-import "net/http"
+import (
+	"io"
+	"net/http"
+)
 
 // drainWriter makes responses that begin during a shutdown end their connections, so that callers send their next call to
 // another VM.
@@ -31,3 +34,10 @@
 	}
 	w.began = true
 }
+
+// discardBody sends the response and reads the rest of the body, up to the limit of bodies. A connection that is closed before
+// its request has been read is reset, which callers that are still sending see instead of the response.
+func (c *call) discardBody() {
+	_ = http.NewResponseController(c.w).Flush() // fails if the caller has gone, as the read does then
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.r.Body, c.server.opts.Limits.BodyBytes))
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -121,6 +121,9 @@
 		w.Header().Set("X-Request-Id", c.id)
 		err := s.serve(h, c)
 		c.finish(err)
+		if err != nil && s.registry.isStopping() {
+			c.discardBody()
+		}
 	}
 }
 
