--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -1,8 +1,12 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/fault"
 )
 
 // drainWriter makes responses that begin during a shutdown end their connections, so that callers send their next call to
@@ -41,3 +45,19 @@
 	_ = http.NewResponseController(c.w).Flush() // fails if the caller has gone, as the read does then
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.r.Body, c.server.opts.Limits.BodyBytes))
 }
+
+// expired is a read deadline that makes a read in progress fail.
+var expired = time.Unix(1, 0)
+
+// readBody reads the body of the request. It fails when ctx ends, so that a shutdown can answer calls whose body is late.
+func (c *call) readBody(ctx context.Context) ([]byte, error) {
+	stop := context.AfterFunc(ctx, func() {
+		_ = http.NewResponseController(c.w).SetReadDeadline(expired) // fails if the connection has ended
+	})
+	defer stop()
+	raw, err := readBody(c.r, c.server.opts.Limits.BodyBytes)
+	if err != nil {
+		return nil, contextErrorOr(ctx, err, fault.NotExecuted)
+	}
+	return raw, nil
+}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -27,7 +27,7 @@
 	if err := c.authenticate(); err != nil {
 		return err
 	}
-	raw, err := readBody(c.r, s.opts.Limits.BodyBytes)
+	raw, err := c.readBody(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -44,7 +44,7 @@
 			return err
 		}
 	}
-	body, err := readBody(c.r, s.opts.Limits.BodyBytes)
+	body, err := c.readBody(ctx)
 	if err != nil {
 		return err
 	}
