--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -93,6 +94,9 @@
 	for k, v := range resp.header {
 		h[k] = v
 	}
+	if len(resp.body) > 0 {
+		h.Set("Content-Length", strconv.Itoa(len(resp.body)))
+	}
 	c.w.WriteHeader(resp.status)
 	_, _ = c.w.Write(resp.body)
 }
@@ -135,6 +139,8 @@
 		return contextErrorOr(ctx, err, run)
 	}
 	c.writeServiceResponse(resp)
+	// Recording may take longer than a shutdown waits for calls.
+	_ = http.NewResponseController(c.w).Flush() // fails if the caller has gone
 	c.recordOutcome(ctx, intent, resp)
 	return nil
 }
