--- a/internal/relay/services.go
+++ b/internal/relay/services.go
@@ -80,11 +80,12 @@
 	}
 }
 
-// updateEndpoints updates the scheduler with the plain services' endpoints if the snapshot is new.
+// updateEndpoints updates the scheduler with the plain services' endpoints if the snapshot is newer than the last one. A call keeps the
+// snapshot of its arrival, which may be older.
 func (f *serviceForwarder) updateEndpoints(snap *configuration.Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.loaded && f.version == snap.Version {
+	if f.loaded && f.version >= snap.Version {
 		return
 	}
 	f.loaded, f.version = true, snap.Version
