--- a/internal/callerconn/tcp_test.go
+++ b/internal/callerconn/tcp_test.go
@@ -5,10 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/fulmartide/fulmartide/test/heldlistener"
 )
 
 const testRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -81,38 +84,28 @@
 	}
 }
 
-// gatedListener accepts nothing until the gate opens, as in a process that gets no processor time.
-type gatedListener struct {
-	*net.TCPListener
-	gate chan struct{}
-}
-
-func (l *gatedListener) Accept() (net.Conn, error) {
-	<-l.gate
-	return l.TCPListener.Accept()
-}
-
 // TestDrainAcceptsEstablishedConnections guards against requests that are reset in the accept queue of a listener.
 func TestDrainAcceptsEstablishedConnections(t *testing.T) {
-	l := &gatedListener{listenTCP(t), make(chan struct{})}
+	l, err := heldlistener.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
 	s := New(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}, testOptions(nil))
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
 	var callers []net.Conn
 	for range 8 {
-		c := dialTCP(t, l.TCPListener)
+		c := dialTCP(t, l)
 		send(t, c)
 		callers = append(callers, c)
 	}
 	for s.serving() == nil {
-		time.Sleep(time.Millisecond)
+		runtime.Gosched()
 	}
 	drained := make(chan error, 1)
 	go func() { drained <- s.Drain(t.Context(), &calls{}) }()
-	for !s.serving().closing.Load() {
-		time.Sleep(time.Millisecond)
-	}
-	close(l.gate)
+	<-l.Stopped()
+	l.Release()
 	for _, c := range callers {
 		checkAnswer(t, c, "a request in the accept queue")
 	}
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -49,6 +49,17 @@
 type limitedReader struct {
 	r         io.Reader
 	remaining int64
+	// idleFrom is a time before which the last data cannot have arrived: the one at which nothing was left to read before
+	// it. This process may read data long after it has arrived.
+	idleFrom time.Time
+	// emptyAt is the last time at which nothing was left to read.
+	emptyAt time.Time
+}
+
+// begin notes that a request is about to be sent, so that no data of its response has arrived yet.
+func (l *limitedReader) begin() {
+	l.emptyAt = time.Now()
+	l.idleFrom = l.emptyAt
 }
 
 // Read implements io.Reader.
@@ -56,7 +67,14 @@
 	if l.remaining <= 0 {
 		return 0, errHeaderTooLarge
 	}
-	n, err := l.r.Read(p[:min(int64(len(p)), l.remaining)])
+	p = p[:min(int64(len(p)), l.remaining)]
+	n, err := l.r.Read(p)
+	if n > 0 {
+		l.idleFrom = l.emptyAt
+	}
+	if n < len(p) {
+		l.emptyAt = time.Now()
+	}
 	if l.remaining != noLimit {
 		l.remaining -= int64(n)
 	}
@@ -72,10 +90,16 @@
 }
 
 // roundTrip writes the request and reads the response header. Large bodies are written
-// concurrently, because an endpoint may respond before it has read the whole body.
+// concurrently, because an endpoint may respond before it has read the whole body. It returns errNotSent if the kernel took
+// no byte of the request.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*Response, error) {
+	if cause := context.Cause(ctx); cause != nil {
+		c.close()
+		return nil, &Error{Err: cause}
+	}
+	c.in.begin()
 	stopCancel := context.AfterFunc(ctx, c.close)
-	written := make(chan error, 1)
+	written := make(chan writeResult, 1)
 	if len(r.Body) <= maxSyncBody {
 		written <- c.write(r)
 	} else {
@@ -85,6 +109,9 @@
 	if err != nil {
 		stopCancel()
 		c.close()
+		if w := <-written; w.nothing() {
+			return nil, errNotSent
+		}
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
@@ -102,19 +129,28 @@
 // endpoint to read.
 const maxSyncBody = 2 << 10
 
-func (c *conn) write(r *Request) error {
+// writeResult is the result of writing a request; n is the number of bytes that the kernel has taken.
+type writeResult struct {
+	n   int
+	err error
+}
+
+// nothing reports whether no byte of the request was sent.
+func (w writeResult) nothing() bool { return w.err != nil && w.n == 0 }
+
+func (c *conn) write(r *Request) writeResult {
 	var b bytes.Buffer
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(&b); err != nil {
-		return err
+		return writeResult{err: err}
 	}
 	if r.Body != nil {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	b.Write(r.Body)
-	_, err := c.nc.Write(b.Bytes())
-	return err
+	n, err := c.nc.Write(b.Bytes())
+	return writeResult{n, err}
 }
 
 // readHeader reads up to maxResponseReads response headers until one matches the request. Responses
@@ -160,13 +196,13 @@
 
 	conn        *conn
 	body        io.ReadCloser
-	written     chan error
+	written     chan writeResult
 	stopCancel  func() bool
 	bodyRead    bool
 	idleTimeout time.Duration
 }
 
-func newResponse(c *conn, resp *http.Response, written chan error, stopCancel func() bool) *Response {
+func newResponse(c *conn, resp *http.Response, written chan writeResult, stopCancel func() bool) *Response {
 	r := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
@@ -207,7 +243,7 @@
 		r.conn.close()
 		return nil
 	}
-	r.conn.idleUntil = time.Now().Add(r.idleTimeout)
+	r.conn.idleUntil = r.conn.in.idleFrom.Add(r.idleTimeout)
 	r.conn.pool.put(r.conn)
 	return nil
 }
@@ -215,8 +251,8 @@
 // writeSucceeded reports whether the request was written completely.
 func (r *Response) writeSucceeded() bool {
 	select {
-	case err := <-r.written:
-		return err == nil
+	case w := <-r.written:
+		return w.err == nil
 	default:
 		return false
 	}
--- a/internal/vmserver/vmserver_test.go
+++ b/internal/vmserver/vmserver_test.go
@@ -114,6 +114,15 @@
 
 func (busyHandler) Active() int64 { return 1 }
 
+// serveCallers starts the callers' server of a process with a handler, for the connections of the listener.
+func serveCallers(p *Process, handler http.HandlerFunc) *connListener {
+	l := &connListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	p.callers = callerconn.New(&http.Server{Handler: handler}, callerconn.Options{Log: zap.NewNop(), Metrics: metrics.NewSet()})
+	go func() { _ = p.callers.Serve(l) }()
+	synctest.Wait()
+	return l
+}
+
 // connListener accepts the connections that it is given.
 type connListener struct {
 	conns  chan net.Conn
@@ -147,12 +156,9 @@
 			Clock: clock.NewMonotonic(), Transport: peer.New(peer.Options{}), Registry: hangingRegistry{}, Work: p.scheduler, Plans: p.admission,
 			Documents: p.State, Quarantine: p.quarantine, Log: zap.NewNop(),
 		})
-		p.callers = callerconn.New(&http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })},
-			callerconn.Options{Log: zap.NewNop(), Metrics: metrics.NewSet()})
+		l := serveCallers(p, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 		caller, accepted := net.Pipe()
-		l := &connListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
 		l.conns <- accepted
-		go func() { _ = p.callers.Serve(l) }()
 		if _, err := caller.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
 			t.Fatal(err)
 		}
