--- a/internal/callerconn/drain.go
+++ b/internal/callerconn/drain.go
@@ -77,10 +77,8 @@
 // it ends are closed.
 func (s *Server) Drain(ctx context.Context, calls Calls) error {
 	began := time.Now()
-	if l := s.serving(); l != nil {
-		if err := l.stop(ctx); err != nil {
-			s.opts.Log.Warn("listener not closed in order", zap.Error(err))
-		}
+	if err := s.stopListener(ctx); err != nil {
+		s.opts.Log.Warn("listener not closed in order", zap.Error(err))
 	}
 	s.setPhase(phaseEndingIdle)
 	s.awaitArrivals(ctx)
@@ -94,6 +92,16 @@
 	return err
 }
 
+// stopListener accepts the connections that are established, also where Serve is about to begin, and no others.
+func (s *Server) stopListener(ctx context.Context) error {
+	select {
+	case <-s.served:
+		return s.serving().stop(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // awaitArrivals waits until no connection is without a request, for at most arrivalTime.
 func (s *Server) awaitArrivals(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, arrivalTime)
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -37,6 +37,9 @@
 	cut   *metrics.Counter
 	phase atomic.Int32
 
+	// served is closed when the server has its listener.
+	served chan struct{}
+
 	mu       sync.Mutex
 	listener *listener
 	conns    map[*conn]struct{}
@@ -54,7 +57,7 @@
 		o.IdleTimeout = func() time.Duration { return 0 }
 	}
 	s := &Server{
-		http: base, opts: o, conns: map[*conn]struct{}{}, empty: make(chan struct{}, 1),
+		http: base, opts: o, conns: map[*conn]struct{}{}, served: make(chan struct{}), empty: make(chan struct{}, 1),
 		cut: o.Metrics.GetOrCreateCounter(`fulmartide_requests_cut_by_this_vm_total`),
 	}
 	next := base.Handler
@@ -74,12 +77,13 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// Serve accepts connections until Drain or Close is called, with TLS if it is configured.
+// Serve accepts connections until Drain or Close is called, with TLS if it is configured. It is called once.
 func (s *Server) Serve(ln net.Listener) error {
 	l := newListener(ln, s)
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
+	close(s.served)
 	var err error
 	if s.http.TLSConfig != nil {
 		err = s.http.ServeTLS(l, "", "")
