--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/callerconn"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/endpoint"
@@ -175,31 +176,42 @@
 	return nil
 }
 
-// shutdownTimeout limits the shutdown of the callers' server, the ledger, the limiter and the transport
-// together, after the drain.
-const shutdownTimeout = 2 * time.Second
+const (
+	// callersTimeout limits the time in which the connections of callers are ended, after the drain.
+	callersTimeout = 2 * time.Second
+	// shutdownTimeout limits the shutdown of the ledger, the limiter and the transport together.
+	shutdownTimeout = 2 * time.Second
+)
 
 // stop announces that this VM is leaving, drains requests, hands over the state that this VM owns, and
 // stops the services. It returns the number of interrupted requests.
-func (d *daemon) stop(callers, operator *http.Server, stopServices context.CancelFunc) int {
+func (d *daemon) stop(callers *callerconn.Server, operator *http.Server, stopServices context.CancelFunc) int {
 	d.log.Info("stopping", zap.Duration("drain", d.settings.DrainTimeout()))
 	drainCtx, cancelDrain := context.WithTimeout(context.Background(), d.settings.DrainTimeout())
 	defer cancelDrain()
 	d.membership.Leave(drainCtx)
 	interrupted := d.relay.Stop(drainCtx)
+	d.endConnections(callers)
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancelStop()
-	_ = callers.Shutdown(stopCtx)
 	d.ledger.Stop(stopCtx)
 	d.limiter.Stop(stopCtx)
 	stopServices()
 	d.services.Wait() // before the transport closes, as membership reports the end of this VM when it stops
 	_ = operator.Close()
-	_ = callers.Close()
 	d.transport.Shutdown(stopCtx)
 	d.background.Wait()
 	d.log.Info("stopped", zap.Int("cut", interrupted))
 	return interrupted
 }
 
+// endConnections answers the requests that have arrived and ends the connections of callers.
+func (d *daemon) endConnections(callers *callerconn.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), callersTimeout)
+	defer cancel()
+	if err := callers.Drain(ctx, d.relay); err != nil {
+		d.log.Warn("connections cut by the stop", zap.Error(err))
+	}
+}
+
 func addrOf(ln net.Listener) netip.AddrPort { return netip.MustParseAddrPort(ln.Addr().String()) }
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -8,6 +8,9 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/callerconn"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/settings"
 	"github.com/fulmartide/fulmartide/internal/tcpconn"
@@ -45,33 +48,28 @@
 	// headerLimitFactor makes net/http accept headers of several times the configured limit, so that
 	// the relay can reject headers over the limit with its own error response.
 	headerLimitFactor = 4
-	// idleTimeout is the time after which idle connections of callers are closed.
-	idleTimeout = 2 * time.Minute
+	// maxIdleTime is the time after which idle connections of callers are closed.
+	maxIdleTime = 2 * time.Minute
 )
 
-func (d *daemon) callerServer() (*http.Server, error) {
+func (d *daemon) callerServer() (*callerconn.Server, error) {
 	cfg, err := tlsfile.ServerConfig(d.settings.TLS.CallersCert, d.settings.TLS.CallersKey)
 	if err != nil {
 		return nil, err
 	}
-	return &http.Server{
+	log := d.log.Named("callers")
+	return callerconn.New(&http.Server{
 		Handler:           d.relay,
 		TLSConfig:         cfg,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerLimitFactor * d.settings.Limits.HeaderBytes,
-	}, nil
+		ErrorLog:          zap.NewStdLog(log),
+	}, callerconn.Options{MaxIdleTime: maxIdleTime, Log: log, Metrics: d.relay.Metrics()}), nil
 }
 
-func serveCallers(s *http.Server, ln net.Listener) {
-	var err error
-	if s.TLSConfig != nil {
-		err = s.ServeTLS(ln, "", "")
-	} else {
-		err = s.Serve(ln)
-	}
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+func serveCallers(s *callerconn.Server, ln net.Listener) {
+	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		panic(err)
 	}
 }
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -107,15 +107,24 @@
 // stop rejects new requests and waits until the running ones finish or ctx ends. It then cancels
 // the remaining requests and returns their number.
 func (r *requestRegistry) stop(ctx context.Context) int {
-	r.mu.Lock()
-	r.stopping = true
-	r.signalDrained()
-	r.mu.Unlock()
+	r.rejectNew()
 	select {
 	case <-r.drained:
 		return 0
 	case <-ctx.Done():
 	}
+	return r.cancelAll()
+}
+
+func (r *requestRegistry) rejectNew() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+	r.signalDrained()
+}
+
+// cancelAll cancels all requests and returns their number.
+func (r *requestRegistry) cancelAll() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, l := range r.requests {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -80,7 +80,16 @@
 // remaining requests and returns their number.
 func (s *Server) Stop(ctx context.Context) int { return s.registry.stop(ctx) }
 
-// IsStopping reports whether Stop was called.
+// Active implements callerconn.Calls.
+func (s *Server) Active() int64 { return int64(s.registry.count()) }
+
+// RefuseNew implements callerconn.Calls.
+func (s *Server) RefuseNew() { s.registry.rejectNew() }
+
+// End implements callerconn.Calls.
+func (s *Server) End() { s.registry.cancelAll() }
+
+// IsStopping reports whether new requests are rejected.
 func (s *Server) IsStopping() bool { return s.registry.isStopping() }
 
 // Explain returns the recorded steps of a request that this process served.
