--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -111,7 +111,7 @@
 	return resp, err
 }
 
-const testCallers = 8
+const testCallers = 16
 
 var encryptions = map[string]bool{"plain": false, "TLS": true}
 
--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -142,3 +142,22 @@
 	}
 	f.must(<-terminated)
 }
+
+// TestEndOfDrainAnswersCallsInProgress guards against calls without a response that a stop closes at the end of the drain.
+func TestEndOfDrainAnswersCallsInProgress(t *testing.T) {
+	f := startFleet(t, fleet.Partilha(), func(o *fleet.Options) { o.DrainSeconds = 1 })
+	c := f.dialCaller(f.Daemon(vm1).Callers)
+	body := fmt.Sprintf(`{"model":%q,"prompt":"{tag:%s}{stop:400}","max_tokens":404}`, f.layout.ModelName, t.Name())
+	_, err := fmt.Fprintf(c, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", c.secret, len(body), body)
+	f.must(err)
+	f.awaitDecoding()
+	terminated := make(chan error, 1)
+	go func() { terminated <- f.Terminate(vm1) }()
+	resp, err := c.receive()
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("got %+v, %v, want a refusal with Retry-After", resp, err)
+	}
+	if err := <-terminated; err == nil {
+		t.Error("the daemon did not report the interrupted call")
+	}
+}
