--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -183,10 +183,13 @@
 	shutdownTimeout = 2 * time.Second
 )
 
-// stop announces that this VM is leaving, drains requests, hands over the state that this VM owns, and
-// stops the services. It returns the number of interrupted requests.
+// stop reports this VM as not ready and serves on while callers may not know it, announces that this VM is
+// leaving, drains requests, hands over the state that this VM owns, and stops the services. It returns the number
+// of interrupted requests.
 func (d *daemon) stop(callers *callerconn.Server, operator *http.Server, stopServices context.CancelFunc) int {
-	d.log.Info("stopping", zap.Duration("drain", d.settings.DrainTimeout()))
+	d.log.Info("stopping", zap.Duration("notice", d.settings.NoticeTime()), zap.Duration("drain", d.settings.DrainTimeout()))
+	d.relay.AnnounceStop()
+	time.Sleep(d.settings.NoticeTime())
 	drainCtx, cancelDrain := context.WithTimeout(context.Background(), d.settings.DrainTimeout())
 	defer cancelDrain()
 	d.membership.Leave(drainCtx)
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -13,6 +13,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -32,6 +33,7 @@
 	s.VM = settings.VM{Name: "vm", DataCentre: "a", Region: "r"}
 	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operator: "127.0.0.1:0"}
 	s.Platform.Address = unreachable
+	s.Stop.NoticeSeconds = 0
 	if useTLS {
 		s.TLS.CallersCert, s.TLS.CallersKey = writeCertificate(t)
 	}
@@ -222,3 +224,52 @@
 		})
 	}
 }
+
+// TestCallersAreServedUntilTheyCanNoticeTheStop guards against a stop that ends idle connections and refuses new ones before load
+// balancers and callers can know of it.
+func TestCallersAreServedUntilTheyCanNoticeTheStop(t *testing.T) {
+	d := newTestDaemon(t, false)
+	d.settings.Stop.NoticeSeconds = settings.Defaults().Stop.NoticeSeconds
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- d.run(ctx) }()
+	idle := connect(t, d.listeners.callers.Addr(), false)
+	if _, err := idle.call(); err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	awaitStopping(t, d.listeners.operator.Addr())
+	for name, c := range map[string]*caller{"idle": idle, "new": connect(t, d.listeners.callers.Addr(), false)} {
+		resp, err := c.call()
+		if err != nil {
+			t.Errorf("the request of the %s connection got no answer: %v", name, err)
+			continue
+		}
+		if !resp.Close {
+			t.Errorf("the response on the %s connection leaves it open", name)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// awaitStopping waits until the readiness check says that the daemon is shutting down.
+func awaitStopping(t *testing.T, operator net.Addr) {
+	t.Helper()
+	for {
+		resp, err := http.Get("http://" + operator.String() + "/readyz")
+		if err != nil {
+			t.Fatalf("the readiness check did not report the stop: %v", err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(body), "shutting down") {
+			return
+		}
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -30,6 +30,7 @@
 	services  *serviceForwarder
 	metrics   *metrics.Set
 	seq       atomic.Uint64
+	stopping  atomic.Bool
 	mux       *http.ServeMux
 }
 
@@ -89,8 +90,11 @@
 // End implements callerconn.Calls.
 func (s *Server) End() { s.registry.cancelAll() }
 
-// IsStopping reports whether new requests are rejected.
-func (s *Server) IsStopping() bool { return s.registry.isStopping() }
+// AnnounceStop makes IsStopping report the shutdown, and responses end their connections, while new requests are still served.
+func (s *Server) AnnounceStop() { s.stopping.Store(true) }
+
+// IsStopping reports whether the shutdown has begun.
+func (s *Server) IsStopping() bool { return s.stopping.Load() || s.registry.isStopping() }
 
 // Explain returns the recorded steps of a request that this process served.
 func (s *Server) Explain(request string) ([]TraceEvent, bool) { return s.traces.get(request) }
@@ -121,7 +125,7 @@
 		c := &call{
 			id:        requestID.String(),
 			requestID: requestID,
-			w:         &drainWriter{ResponseWriter: w, stopping: s.registry.isStopping},
+			w:         &drainWriter{ResponseWriter: w, stopping: s.IsStopping},
 			r:         r,
 			arrivedAt: s.opts.Clock.Now(),
 			server:    s,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -115,6 +115,9 @@
 
 // Stop configures graceful shutdown.
 type Stop struct {
+	// NoticeSeconds is how long the VM goes on serving after it reports that it is not ready, so that load balancers and
+	// callers can move to other VMs. Default 3: two readiness checks a second apart and the time to act on them.
+	NoticeSeconds int64 `toml:"notice_seconds"`
 	// DrainSeconds is how long requests in progress may run before they are interrupted. Default 30.
 	DrainSeconds int64 `toml:"drain_seconds"`
 }
@@ -125,12 +128,17 @@
 		Platform: Platform{TimeoutMillis: 1000},
 		Limits:   Limits{BodyBytes: 1 << 20, HeaderBytes: 32 << 10, PromptTokens: 65536, Requests: 4096},
 		Log:      Log{Level: "info"},
-		Stop:     Stop{DrainSeconds: 30},
+		Stop:     Stop{NoticeSeconds: 3, DrainSeconds: 30},
 		Policy:   Policy{Placement: "predictive", Limiter: "pooled"},
 		Start:    Start{WarmUp: true},
 	}
 }
 
+// NoticeTime returns how long the VM goes on serving after it reports that it is not ready.
+func (s Settings) NoticeTime() time.Duration {
+	return time.Duration(s.Stop.NoticeSeconds) * time.Second
+}
+
 // DrainTimeout returns how long requests in progress may run during shutdown.
 func (s Settings) DrainTimeout() time.Duration {
 	return time.Duration(s.Stop.DrainSeconds) * time.Second
@@ -249,6 +257,7 @@
 	add(s.Limits.Requests <= 0, "limits.requests", "must be positive", "set a positive number of requests, such as 4096")
 	add(!slices.Contains(placements, s.Policy.Placement), "policy.placement", "not a known policy", "set one of "+strings.Join(placements, ", "))
 	add(!slices.Contains(limiters, s.Policy.Limiter), "policy.limiter", "not a known policy", "set one of "+strings.Join(limiters, ", "))
+	add(s.Stop.NoticeSeconds < 0, "stop.notice_seconds", "must not be negative", "set a number of seconds, such as 3")
 	add(s.Stop.DrainSeconds <= 0, "stop.drain_seconds", "must be positive", "set a positive number of seconds, such as 30")
 	add((s.TLS.CallersCert == "") != (s.TLS.CallersKey == ""), "tls.callers_cert", "callers_cert and callers_key are not both set",
 		"set callers_cert and callers_key together")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Stop.DrainSeconds != 30 || s.Log.Level != "info" || s.Limits.BodyBytes != 1<<20 {
+	if s.Stop.NoticeSeconds != 3 || s.Stop.DrainSeconds != 30 || s.Log.Level != "info" || s.Limits.BodyBytes != 1<<20 {
 		t.Errorf("unexpected defaults: %+v", s)
 	}
 }
@@ -46,6 +46,7 @@
 		"partial mTLS":    {validSettings + "[tls]\npeers_cert = \"a\"\n", "f.toml:12: tls.peers_cert", "together"},
 		"unknown policy":  {validSettings + "[policy]\nplacement = \"best\"\n", "f.toml:12: policy.placement", "predictive"},
 		"bad seed":        {validSettings + "[peers]\nseeds = [\"x:1\"]\n", "f.toml:12: peers.seeds", "IP addresses"},
+		"negative notice": {validSettings + "[stop]\nnotice_seconds = -1\n", "f.toml:12: stop.notice_seconds", "seconds"},
 		"zero drain time": {validSettings + "[stop]\ndrain_seconds = 0\n", "f.toml:12: stop.drain_seconds", "seconds"},
 		"syntax error":    {"[vm", "f.toml:1", "correct this line"},
 	}
--- a/test/fleet/faults.go
+++ b/test/fleet/faults.go
@@ -45,11 +45,16 @@
 	f.listed[vm] = leaving
 	f.publishList()
 	f.mu.Unlock()
-	err = d.terminate(time.Duration(f.opts.DrainSeconds)*time.Second + stopGrace)
+	err = d.terminate(f.stopTimeout())
 	f.removeFromList(vm)
 	return err
 }
 
+// stopTimeout is how long a daemon may take to stop.
+func (f *Fleet) stopTimeout() time.Duration {
+	return time.Duration(f.opts.NoticeSeconds+f.opts.DrainSeconds)*time.Second + stopGrace
+}
+
 func (f *Fleet) removeFromList(vm string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -42,6 +42,8 @@
 	ListLag time.Duration
 	// LogLevel is the daemons' log level. Default info.
 	LogLevel string
+	// NoticeSeconds is the daemons' setting stop.notice_seconds. Default 0, as no load balancer is in front of the daemons.
+	NoticeSeconds int64
 	// DrainSeconds is the daemons' setting stop.drain_seconds. Default 10.
 	DrainSeconds int64
 	// Dir is the directory for the daemons' settings, logs and, if built, the binary. If empty, a
@@ -269,7 +271,7 @@
 	s.Platform.Address = f.platformAddrs[dc].String()
 	s.Peers.Seeds = f.seeds(dc)
 	s.Log.Level = f.opts.LogLevel
-	s.Stop.DrainSeconds = f.opts.DrainSeconds
+	s.Stop = settings.Stop{NoticeSeconds: f.opts.NoticeSeconds, DrainSeconds: f.opts.DrainSeconds}
 	s.Policy.Placement = cmp.Or(f.opts.Policy.Placement, s.Policy.Placement)
 	s.Policy.Limiter = cmp.Or(f.opts.Policy.Limiter, s.Policy.Limiter)
 	s.Start.WarmUp = !f.opts.SkipWarmUp
@@ -351,7 +353,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			if err := d.terminate(time.Duration(f.opts.DrainSeconds)*time.Second + stopGrace); err != nil {
+			if err := d.terminate(f.stopTimeout()); err != nil {
 				mu.Lock()
 				defer mu.Unlock()
 				errs = append(errs, fmt.Errorf("%s: %w", d.VM, err))
