--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -30,11 +30,12 @@
 	services  *serviceForwarder
 	metrics   *metrics.Set
 	seq       atomic.Uint64
+	stopping  atomic.Bool
 	mux       *http.ServeMux
 }
 
 // defaultRetryAfter is the Retry-After delay of calls that are rejected because the process is at
-// its request limit or has no configuration yet.
+// its request limit, has no configuration yet or is shutting down.
 const defaultRetryAfter = time.Second
 
 // New returns a Server. Run must be running while it serves.
@@ -80,8 +81,20 @@
 // remaining requests and returns their number.
 func (s *Server) Stop(ctx context.Context) int { return s.registry.stop(ctx) }
 
-// IsStopping reports whether Stop was called.
-func (s *Server) IsStopping() bool { return s.registry.isStopping() }
+// Active implements callerconn.Calls.
+func (s *Server) Active() int64 { return int64(s.registry.count()) }
+
+// RefuseNew implements callerconn.Calls.
+func (s *Server) RefuseNew() { s.registry.rejectNew() }
+
+// End implements callerconn.Calls.
+func (s *Server) End() { s.registry.cancelAll() }
+
+// AnnounceStop makes IsStopping report the shutdown, and responses end their connections, while new requests are still served.
+func (s *Server) AnnounceStop() { s.stopping.Store(true) }
+
+// IsStopping reports whether the shutdown has begun.
+func (s *Server) IsStopping() bool { return s.stopping.Load() || s.registry.isStopping() }
 
 // Explain returns the recorded steps of a request that this process served.
 func (s *Server) Explain(request string) ([]TraceEvent, bool) { return s.traces.get(request) }
@@ -112,7 +125,7 @@
 		c := &call{
 			id:        requestID.String(),
 			requestID: requestID,
-			w:         w,
+			w:         &drainWriter{ResponseWriter: w, stopping: s.IsStopping},
 			r:         r,
 			arrivedAt: s.opts.Clock.Now(),
 			server:    s,
@@ -121,6 +134,9 @@
 		w.Header().Set("X-Request-Id", c.id)
 		err := s.serve(h, c)
 		c.finish(err)
+		if err != nil && s.registry.isStopping() {
+			c.discardBody()
+		}
 	}
 }
 
