--- /dev/null
+++ b/internal/callerconn/listener.go
@@ -0,0 +1,43 @@
+package callerconn
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/fulmartide/fulmartide/internal/tcpconn"
+)
+
+// listener accepts tracked connections.
+type listener struct {
+	*tcpconn.DrainingListener
+	server *Server
+	// closed is closed once the listener accepts no more connections.
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func newListener(ln net.Listener, s *Server) *listener {
+	return &listener{DrainingListener: tcpconn.NewDrainingListener(ln), server: s, closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	nc, err := l.DrainingListener.Accept()
+	if err != nil {
+		l.closeOnce.Do(func() { close(l.closed) })
+		return nil, err
+	}
+	return l.server.track(nc), nil
+}
+
+// stop accepts the connections that are established and closes the listener, at the latest when ctx ends.
+func (l *listener) stop(ctx context.Context) error {
+	l.Drain()
+	select {
+	case <-l.closed:
+		return nil
+	case <-ctx.Done():
+		return l.Close()
+	}
+}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -1,7 +1,7 @@
 // Package connpool implements a pool of HTTP/1.1 client connections to endpoints, each of which
-// serves one request at a time. Unlike net/http's Transport it never retries a request, reports
-// whether any byte of a failed request may have been sent, and checks that a response belongs to
-// its request.
+// serves one request at a time. Unlike net/http's Transport it sends a request again only if the kernel took no byte of
+// it, reports whether any byte of a failed request may have been sent, and checks that a response belongs to its
+// request.
 package connpool
 
 import (
@@ -13,8 +13,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/fulmartide/fulmartide/internal/tcpconn"
 )
 
@@ -98,17 +96,30 @@
 	}
 }
 
-// Do sends a request and returns the response once its header has been read. Errors are of type
-// *Error.
+// errNotSent means that the kernel took no byte of a request.
+var errNotSent = errors.New("the connection was closed before the request was sent")
+
+// Do sends a request and returns the response once its header has been read. If a reused connection takes no byte of the
+// request, it is sent on a new one. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c := p.get(r.Target)
-	if c == nil {
-		var err error
-		if c, err = p.dial(ctx, r.Target); err != nil {
-			return nil, &Error{Err: err}
+	if c := p.get(r.Target); c != nil {
+		resp, err := c.roundTrip(ctx, r)
+		if !errors.Is(err, errNotSent) {
+			return resp, err
 		}
 	}
-	return c.roundTrip(ctx, r)
+	if cause := context.Cause(ctx); cause != nil {
+		return nil, &Error{Err: cause}
+	}
+	c, err := p.dial(ctx, r.Target)
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	resp, err := c.roundTrip(ctx, r)
+	if errors.Is(err, errNotSent) {
+		err = &Error{Err: err}
+	}
+	return resp, err
 }
 
 // Connect opens a connection, which is kept for a later request. It fails if the endpoint does not accept it.
@@ -165,17 +176,6 @@
 	p.idle[c.target] = append(list, c)
 }
 
-// CloseIdle closes the idle connections to a target, after a failure that may affect all of them.
-func (p *Pool) CloseIdle(t Target) {
-	p.mu.Lock()
-	list := p.idle[t]
-	delete(p.idle, t)
-	p.mu.Unlock()
-	for _, c := range list {
-		c.close()
-	}
-}
-
 // CloseExpired closes connections whose idle timeout has expired.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
@@ -212,22 +212,3 @@
 }
 
 var errUnmatchedResponses = errors.New("no response on the connection matched the request")
-
-// Readable reports whether a byte, EOF or an error is pending on the connection, without consuming
-// it.
-func Readable(nc net.Conn) (pending bool) {
-	sc, ok := nc.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		pending = err != unix.EAGAIN
-	})
-	return pending || err != nil
-}
