--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/callerconn"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/endpoint"
@@ -34,6 +35,7 @@
 // daemon contains the services and listeners of one process.
 type daemon struct {
 	settings settings.Settings
+	reload   Reload
 	log      *zap.Logger
 	clock    clock.Clock
 	self     membership.Member
@@ -60,15 +62,15 @@
 
 // Run serves until ctx ends, then stops gracefully. It returns an error if the daemon cannot start or
 // if the shutdown interrupts requests.
-func Run(ctx context.Context, s settings.Settings, log *zap.Logger) error {
-	d, err := newDaemon(s, log)
+func Run(ctx context.Context, s settings.Settings, reload Reload, log *zap.Logger) error {
+	d, err := newDaemon(s, reload, log)
 	if err != nil {
 		return err
 	}
 	return d.run(ctx)
 }
 
-func newDaemon(s settings.Settings, log *zap.Logger) (*daemon, error) {
+func newDaemon(s settings.Settings, reload Reload, log *zap.Logger) (*daemon, error) {
 	ls, err := openListeners(s)
 	if err != nil {
 		return nil, err
@@ -77,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{settings: s, log: log, clock: clock.BootTime{}, listeners: ls, counter: newFrameCounter()}
+	d := &daemon{settings: s, reload: reload, log: log, clock: clock.BootTime{}, listeners: ls, counter: newFrameCounter()}
 	d.self = membership.Member{
 		VM:          ident.VM{Name: s.VM.Name, Incarnation: ident.Incarnation(time.Now().UnixNano())},
 		DataCentre:  s.VM.DataCentre,
@@ -140,6 +142,7 @@
 func (d *daemon) serviceLoops() []func(context.Context) {
 	return []func(context.Context){
 		d.membership.Run, d.config.Run, d.keys.Run, d.limiter.Run, d.placer.Run, d.ledger.Run, d.sweep.Run, d.relay.Run,
+		d.reloadOnSignals,
 	}
 }
 
@@ -173,31 +176,45 @@
 	return nil
 }
 
-// shutdownTimeout limits the shutdown of the callers' server, the ledger, the limiter and the transport
-// together, after the drain.
-const shutdownTimeout = 2 * time.Second
+const (
+	// callersTimeout limits the time in which the connections of callers are ended, after the drain.
+	callersTimeout = 2 * time.Second
+	// shutdownTimeout limits the shutdown of the ledger, the limiter and the transport together.
+	shutdownTimeout = 2 * time.Second
+)
 
-// stop announces that this VM is leaving, drains requests, hands over the state that this VM owns, and
-// stops the services. It returns the number of interrupted requests.
-func (d *daemon) stop(callers, operator *http.Server, stopServices context.CancelFunc) int {
-	d.log.Info("stopping", zap.Duration("drain", d.settings.DrainTimeout()))
+// stop reports this VM as not ready and serves on while callers may not know it, announces that this VM is
+// leaving, drains requests, hands over the state that this VM owns, and stops the services. It returns the number
+// of interrupted requests.
+func (d *daemon) stop(callers *callerconn.Server, operator *http.Server, stopServices context.CancelFunc) int {
+	d.log.Info("stopping", zap.Duration("notice", d.settings.NoticeTime()), zap.Duration("drain", d.settings.DrainTimeout()))
+	d.relay.AnnounceStop()
+	time.Sleep(d.settings.NoticeTime())
 	drainCtx, cancelDrain := context.WithTimeout(context.Background(), d.settings.DrainTimeout())
 	defer cancelDrain()
 	d.membership.Leave(drainCtx)
 	interrupted := d.relay.Stop(drainCtx)
+	d.endConnections(callers)
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancelStop()
-	_ = callers.Shutdown(stopCtx)
 	d.ledger.Stop(stopCtx)
 	d.limiter.Stop(stopCtx)
 	stopServices()
 	d.services.Wait() // before the transport closes, as membership reports the end of this VM when it stops
 	_ = operator.Close()
-	_ = callers.Close()
 	d.transport.Shutdown(stopCtx)
 	d.background.Wait()
 	d.log.Info("stopped", zap.Int("cut", interrupted))
 	return interrupted
 }
 
+// endConnections answers the requests that have arrived and ends the connections of callers.
+func (d *daemon) endConnections(callers *callerconn.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), callersTimeout)
+	defer cancel()
+	if err := callers.Drain(ctx, d.relay); err != nil {
+		d.log.Warn("connections cut by the stop", zap.Error(err))
+	}
+}
+
 func addrOf(ln net.Listener) netip.AddrPort { return netip.MustParseAddrPort(ln.Addr().String()) }
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -31,7 +31,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.stopping {
-		return fault.New(fault.Stopping, "retry the call; another VM will serve it", "this VM is shutting down")
+		return fault.New(fault.Stopping, "retry the call; another VM will serve it", "this VM is shutting down",
+			fault.WithRetryAfter(defaultRetryAfter))
 	}
 	if len(r.requests) >= r.limit {
 		return fault.New(fault.Overloaded, "retry the call after the Retry-After delay", "this VM is at its request limit",
@@ -106,21 +107,30 @@
 // stop rejects new requests and waits until the running ones finish or ctx ends. It then cancels
 // the remaining requests and returns their number.
 func (r *requestRegistry) stop(ctx context.Context) int {
-	r.mu.Lock()
-	r.stopping = true
-	r.signalDrained()
-	r.mu.Unlock()
+	r.rejectNew()
 	select {
 	case <-r.drained:
 		return 0
 	case <-ctx.Done():
 	}
+	return r.cancelAll()
+}
+
+func (r *requestRegistry) rejectNew() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+	r.signalDrained()
+}
+
+// cancelAll cancels all requests and returns their number.
+func (r *requestRegistry) cancelAll() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, l := range r.requests {
 		l.cancel(fault.New(fault.Stopping, "retry the call; another VM will serve it",
 			"this VM stopped before the response was complete",
-			fault.WithExecution(fault.ExecutionUnknown)))
+			fault.WithExecution(fault.ExecutionUnknown), fault.WithRetryAfter(defaultRetryAfter)))
 	}
 	return len(r.requests)
 }
