--- a/test/integration/planned_test.go
+++ b/test/integration/planned_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -67,8 +68,8 @@
 	refused       bool
 }
 
-// TestPlannedWorkWithSettingsFiles guards against requests that are lost around planned work: SIGTERM with a restart, and configurations, in daemons with
-// little processor time.
+// TestPlannedWorkWithSettingsFiles guards against requests that are lost around planned work: SIGTERM with a restart, SIGHUP and
+// configurations, in daemons with little processor time.
 func TestPlannedWorkWithSettingsFiles(t *testing.T) {
 	for i := range *plannedSeeds {
 		seed := *plannedFirst + uint64(i)
@@ -108,14 +109,19 @@
 
 func (p *plannedPlay) random(n int) *rand.Rand { return rand.New(rand.NewPCG(p.seed, uint64(n))) }
 
-// work stops VMs, starts them again and changes the configuration, in series and overlapping, but never stops all VMs.
+// work stops VMs, starts them again, sends SIGHUP and changes the configuration, in series and overlapping, but never stops all VMs.
 func (p *plannedPlay) work(ctx context.Context) {
 	random, names := p.random(1), []string{}
 	for _, d := range p.Daemons() {
 		names = append(names, d.VM)
 	}
 	for begin := time.Now(); time.Since(begin) < plannedLength; time.Sleep(time.Duration(100+random.IntN(600)) * time.Millisecond) {
-		if random.IntN(4) == 0 {
+		vm := names[random.IntN(len(names))]
+		switch random.IntN(6) {
+		case 0:
+			p.must(p.Signal(vm, syscall.SIGHUP))
+			continue
+		case 1:
 			p.must(p.EditConfiguration(func(d *configuration.Document) {
 				r := d.Routes["lots"]
 				r.DeadlineMillis = int64(5000 + random.IntN(5000))
@@ -123,7 +129,6 @@
 			}))
 			continue
 		}
-		vm := names[random.IntN(len(names))]
 		if !p.beginStop(vm) {
 			continue
 		}
