--- a/internal/tcpconn/draining.go
+++ b/internal/tcpconn/draining.go
@@ -57,7 +57,7 @@
 func (l *DrainingListener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
-		if err == nil && l.draining.Load() {
+		if err == nil && l.draining.Load() && l.deadliner != nil {
 			l.taken++
 			err = l.deadliner.SetDeadline(past)
 		}
--- a/internal/tcpconn/draining_test.go
+++ b/internal/tcpconn/draining_test.go
@@ -55,3 +55,31 @@
 		t.Errorf("error %v, want %v", err, net.ErrClosed)
 	}
 }
+
+// acceptedOnDrain is a listener without deadlines, whose Accept returns a connection as Drain closes it.
+type acceptedOnDrain struct{ closed chan struct{} }
+
+func (l acceptedOnDrain) Accept() (net.Conn, error) {
+	<-l.closed
+	near, _ := net.Pipe()
+	return near, nil
+}
+
+func (l acceptedOnDrain) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l acceptedOnDrain) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestDrainOfAListenerWithoutDeadlines guards against a panic when a listener without deadlines has accepted a connection as it is
+// closed.
+func TestDrainOfAListenerWithoutDeadlines(t *testing.T) {
+	l := NewDrainingListener(acceptedOnDrain{make(chan struct{})})
+	l.Drain()
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = nc.Close()
+}
