--- a/internal/relay/errors.go
+++ b/internal/relay/errors.go
@@ -71,20 +71,28 @@
 	}}
 }
 
+// statusCode returns the status of an error response. 503 invites callers to repeat the call, so one that may have run gets 502.
+func statusCode(d fault.Detail) int {
+	status, ok := statusByKind[d.Kind]
+	switch {
+	case !ok:
+		return http.StatusInternalServerError
+	case status == http.StatusServiceUnavailable && d.Execution != fault.NotExecuted:
+		return http.StatusBadGateway
+	}
+	return status
+}
+
 // writeError writes err as a JSON error response and returns its detail.
 func writeError(w http.ResponseWriter, id string, err error) fault.Detail {
 	d := fault.DetailOf(err)
-	status, ok := statusByKind[d.Kind]
-	if !ok {
-		status = http.StatusInternalServerError
-	}
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("X-Should-Retry", strconv.FormatBool(retryableKinds[d.Kind] && d.Execution == fault.NotExecuted))
-	if d.RetryAfter > 0 {
+	if d.RetryAfter > 0 && d.Execution == fault.NotExecuted {
 		setRetryAfter(h, d.RetryAfter)
 	}
-	w.WriteHeader(status)
+	w.WriteHeader(statusCode(d))
 	_ = json.NewEncoder(w).Encode(newErrorBody(id, d))
 	return d
 }
