--- a/review/stand/plainclient.go
+++ b/review/stand/plainclient.go
@@ -8,8 +8,8 @@
 
 // PlainResult is what a client of the application service saw of one request.
 type PlainResult struct {
-	ID     string
-	Answer Answer
+	ID, Key string
+	Answer  Answer
 	// Err is set if there was no complete answer.
 	Err error
 }
@@ -17,6 +17,11 @@
 // PlainClients sends requests that may run once at most from a number of clients, which keep their channels, for a time.
 // Each client pauses after each answer. It calls done with each result, one at a time.
 func (p *Play) PlainClients(clients int, pause, length time.Duration, done func(PlainResult)) {
+	p.KeyedClients([]string{Key}, clients, pause, length, done)
+}
+
+// KeyedClients is PlainClients for clients that have several keys, in turn.
+func (p *Play) KeyedClients(keys []string, clients int, pause, length time.Duration, done func(PlainResult)) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	end := time.Now().Add(length)
@@ -24,7 +29,7 @@
 		d := p.Fleet.Daemons[i%len(p.Fleet.Daemons)]
 		wg.Go(func() {
 			time.Sleep(time.Duration(i) * pause / time.Duration(clients))
-			c := &plainClient{play: p, daemon: d}
+			c := &plainClient{play: p, daemon: d, key: keys[i%len(keys)]}
 			for time.Now().Before(end) {
 				r := c.send()
 				mu.Lock()
@@ -41,6 +46,7 @@
 type plainClient struct {
 	play   *Play
 	daemon *Daemon
+	key    string
 	conn   *Conn
 }
 
@@ -56,7 +62,7 @@
 
 func (c *plainClient) send() PlainResult {
 	rec := c.play.Record
-	r := PlainResult{ID: Hex(8)}
+	r := PlainResult{ID: Hex(8), Key: c.key}
 	if c.conn == nil {
 		if c.conn, r.Err = Dial(c.daemon.Front); r.Err != nil {
 			c.conn = nil
@@ -66,7 +72,7 @@
 	}
 	rec.Note("client sends %s to %s", r.ID, c.daemon.Name)
 	r.Answer, r.Err = c.conn.Do("POST", Host, PlainPath+"2f", map[string]string{
-		"Request-Attempt-Id": r.ID, "Deadline-Ms": strconv.FormatInt(PlainDeadline.Milliseconds(), 10), "Api-Key": Key,
+		"Request-Attempt-Id": r.ID, "Deadline-Ms": strconv.FormatInt(PlainDeadline.Milliseconds(), 10), "Api-Key": c.key,
 	}, "pass "+r.ID, PlainDeadline+lateness)
 	if r.Err != nil {
 		rec.Note("client gets no answer to %s: %v", r.ID, r.Err)
