review: case 2, an entry that can't be read stops configurations

One entry that the JSON reader refuses hides the whole list of replicas, and the configuration is not read any more.

--- a/review/stand/daemon.go
+++ b/review/stand/daemon.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -68,8 +69,37 @@
 // internalPorts is the number of ports for communication between machines.
 const internalPorts = 4
 
-// Add writes the settings file of one more machine and starts it. The figures are those of the sheet of Hinokuni.
-func (f *Fleet) Add(name, zone string) (*Daemon, error) {
+// startTries is how often a machine is started, with other ports each time, as another process may have taken one meanwhile.
+// A machine whose ports are taken ends within endsWithin.
+const (
+	startTries = 5
+	endsWithin = 500 * time.Millisecond
+)
+
+// Start starts machines of the given names, in zones in turn.
+func (f *Fleet) Start(names []string) error {
+	f.Daemons = make([]*Daemon, len(names))
+	for range startTries {
+		for i, name := range names {
+			if d := f.Daemons[i]; d != nil && !d.Ended() {
+				continue
+			}
+			d, err := f.add(name, f.Zones[i%len(f.Zones)])
+			if err != nil {
+				return err
+			}
+			f.Daemons[i] = d
+		}
+		time.Sleep(endsWithin)
+		if !slices.ContainsFunc(f.Daemons, (*Daemon).Ended) {
+			return nil
+		}
+	}
+	return errors.New("a machine ends at its start")
+}
+
+// add writes the settings file of one more machine and starts it. The figures are those of the sheet of Hinokuni.
+func (f *Fleet) add(name, zone string) (*Daemon, error) {
 	first, err := freePorts(internalPorts + 2)
 	if err != nil {
 		return nil, err
@@ -99,7 +129,6 @@
 	if err := os.WriteFile(d.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		return nil, err
 	}
-	f.Daemons = append(f.Daemons, d)
 	return d, d.Start()
 }
 
@@ -184,7 +213,9 @@
 // Close kills all machines.
 func (f *Fleet) Close() {
 	for _, d := range f.Daemons {
-		d.Kill()
+		if d != nil {
+			d.Kill()
+		}
 	}
 }
 
--- a/review/stand/deploy.go
+++ b/review/stand/deploy.go
@@ -114,11 +114,12 @@
 	if err := p.Store.Put("config", "main", Configuration()); err != nil {
 		return err
 	}
+	var names []string
 	for i := range n {
-		zone := Zones[i%len(Zones)]
-		if _, err := p.Fleet.Add(fmt.Sprintf("front-%s-%d", zone, i/len(Zones)+1), zone); err != nil {
-			return err
-		}
+		names = append(names, fmt.Sprintf("front-%s-%d", Zones[i%len(Zones)], i/len(Zones)+1))
+	}
+	if err := p.Fleet.Start(names); err != nil {
+		return err
 	}
 	if err := p.Fleet.AwaitReady(startTime); err != nil {
 		return err
--- a/review/stand/plainclient.go
+++ b/review/stand/plainclient.go
@@ -9,6 +9,7 @@
 // PlainResult is what a client of the application service saw of one request.
 type PlainResult struct {
 	ID, Key string
+	SentAt  time.Time
 	Answer  Answer
 	// Err is set if there was no complete answer.
 	Err error
@@ -62,7 +63,7 @@
 
 func (c *plainClient) send() PlainResult {
 	rec := c.play.Record
-	r := PlainResult{ID: Hex(8), Key: c.key}
+	r := PlainResult{ID: Hex(8), Key: c.key, SentAt: time.Now()}
 	if c.conn == nil {
 		if c.conn, r.Err = Dial(c.daemon.Front); r.Err != nil {
 			c.conn = nil
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -4,6 +4,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -17,7 +19,6 @@
 type object struct {
 	Metadata metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
-	Status   json.RawMessage `json:"status"`
 }
 
 type metadata struct {
@@ -62,10 +63,15 @@
 	if err != nil {
 		return err
 	}
+	s.PutText(kind, name, string(raw))
+	return nil
+}
+
+// PutText is Put with the JSON text of the content.
+func (s *Store) PutText(kind, name, spec string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(kind, name, raw)
-	return nil
+	s.write(kind, name, json.RawMessage(spec))
 }
 
 func (s *Store) write(kind, name string, spec json.RawMessage) *object {
@@ -114,59 +120,58 @@
 	status, out := s.call(r, kind, name, &body)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	if out != nil {
-		_ = json.NewEncoder(w).Encode(out)
-	}
+	_, _ = io.WriteString(w, out)
 }
 
-func (s *Store) call(r *http.Request, kind, name string, body *object) (status int, out any) {
+func (s *Store) call(r *http.Request, kind, name string, body *object) (status int, out string) {
 	switch r.Method {
 	case http.MethodGet:
 		if name == "" {
 			return http.StatusOK, s.list(kind, r.URL.Query().Get("after"))
 		}
 		if o := s.objects[kind][name]; o != nil {
-			return http.StatusOK, o
+			return http.StatusOK, o.text()
 		}
-		return http.StatusNotFound, nil
+		return http.StatusNotFound, ""
 	case http.MethodPost:
 		if o := s.objects[kind][body.Metadata.Name]; o != nil {
-			return http.StatusConflict, o
+			return http.StatusConflict, o.text()
 		}
-		return http.StatusOK, s.write(kind, body.Metadata.Name, body.Spec)
+		return http.StatusOK, s.write(kind, body.Metadata.Name, body.Spec).text()
 	case http.MethodPut:
 		o := s.objects[kind][name]
 		if o == nil {
-			return http.StatusNotFound, nil
+			return http.StatusNotFound, ""
 		}
 		if body.Metadata.Revision != 0 && body.Metadata.Revision != o.Metadata.Revision {
-			return http.StatusConflict, o
+			return http.StatusConflict, o.text()
 		}
-		return http.StatusOK, s.write(kind, name, body.Spec)
+		return http.StatusOK, s.write(kind, name, body.Spec).text()
 	case http.MethodDelete:
 		o := s.objects[kind][name]
 		if o == nil {
-			return http.StatusNotFound, nil
+			return http.StatusNotFound, ""
 		}
 		if want, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64); err == nil && want != 0 && want != o.Metadata.Revision {
-			return http.StatusConflict, o
+			return http.StatusConflict, o.text()
 		}
 		s.revision++
 		delete(s.objects[kind], name)
-		return http.StatusOK, o
+		return http.StatusOK, o.text()
 	}
-	return http.StatusMethodNotAllowed, nil
+	return http.StatusMethodNotAllowed, ""
 }
 
-// listing is the answer to a list call.
-type listing struct {
-	Items         []*object `json:"items"`
-	HasMore       bool      `json:"hasMore"`
-	StoreRevision uint64    `json:"storeRevision"`
+// text returns the JSON text of an object. The content is what its writer wrote.
+func (o *object) text() string {
+	meta, err := json.Marshal(&o.Metadata)
+	if err != nil {
+		return "null"
+	}
+	return `{"metadata":` + string(meta) + `,"spec":` + string(o.Spec) + `,"status":null}`
 }
 
-func (s *Store) list(kind, after string) listing {
-	l := listing{Items: []*object{}, StoreRevision: s.revision}
+func (s *Store) list(kind, after string) string {
 	var names []string
 	for name := range s.objects[kind] {
 		if name > after {
@@ -174,11 +179,10 @@
 		}
 	}
 	sort.Strings(names)
-	if len(names) > page {
-		names, l.HasMore = names[:page], true
-	}
-	for _, name := range names {
-		l.Items = append(l.Items, s.objects[kind][name])
+	hasMore := len(names) > page
+	var items []string
+	for _, name := range names[:min(len(names), page)] {
+		items = append(items, s.objects[kind][name].text())
 	}
-	return l
+	return fmt.Sprintf(`{"items":[%s],"hasMore":%t,"storeRevision":%d}`, strings.Join(items, ","), hasMore, s.revision)
 }
