--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -161,7 +161,7 @@
 	default:
 		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nRequest-Attempt-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id), false
 	}
-	p.OnRun(p, id, r.Method+" "+r.RequestURI)
+	p.OnRun(p, id, fmt.Sprintf("%s %s, tenant %q", r.Method, r.RequestURI, r.Header.Get("Tenant")))
 	time.Sleep(p.Work)
 	running := len(p.slots)
 	<-p.slots
