review: sounder stand-ins, scripts that end all, a line for each entry

The store names its era and removes entries that fall silent, so the entry of case 3 stands for 3.6 s. Scripts end what they started also when they are ended.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -55,8 +55,11 @@
 	time.Sleep(2 * configApply)
 	if p.Trouble {
 		time.AfterFunc(entryAfter, func() {
-			p.Record.Say("another writer writes an entry whose content is lists in lists, %d deep", depth)
-			p.Store.PutText("servers", "probe-1", strings.Repeat("[", depth)+strings.Repeat("]", depth))
+			p.Record.Say("another writer writes an entry whose content is lists in lists, %d deep, and again as often as replicas write", depth)
+			for {
+				p.Store.PutText("servers", "probe-1", strings.Repeat("[", depth)+strings.Repeat("]", depth))
+				time.Sleep(stand.Heartbeat)
+			}
 		})
 	}
 	var mu sync.Mutex
--- a/review/stand/daemon.go
+++ b/review/stand/daemon.go
@@ -37,6 +37,11 @@
 	Store   string // the store's address
 	Zones   []string
 	Daemons []*Daemon
+
+	mu sync.Mutex
+	// started are all machines that were started, closed is set once no further one may be.
+	started []*Daemon
+	closed  bool
 }
 
 // freePorts returns n free ports in a row.
@@ -129,7 +134,16 @@
 	if err := os.WriteFile(d.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		return nil, err
 	}
-	return d, d.Start()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return nil, errors.New("the run is over")
+	}
+	if err := d.Start(); err != nil {
+		return nil, err
+	}
+	f.started = append(f.started, d)
+	return d, nil
 }
 
 // Start starts the process with the command of the deploy file.
@@ -212,10 +226,11 @@
 
 // Close kills all machines.
 func (f *Fleet) Close() {
-	for _, d := range f.Daemons {
-		if d != nil {
-			d.Kill()
-		}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
+	for _, d := range f.started {
+		d.Kill()
 	}
 }
 
--- a/review/stand/deploy.go
+++ b/review/stand/deploy.go
@@ -1,8 +1,11 @@
 package stand
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -83,6 +86,20 @@
 	os.Exit(code)
 }
 
+// maxTime is how long a run may take at most. parentPeriod is the time between two checks whether the script that started the
+// process is still there.
+const (
+	maxTime      = 100 * time.Second
+	parentPeriod = 200 * time.Millisecond
+)
+
+var (
+	errSignal  = errors.New("ended by a signal")
+	errOrphan  = errors.New("the script that started this process has ended")
+	errTooLong = errors.New("the run takes too long")
+)
+
+// run runs a case. It ends all processes of the case, and removes its files, also if it is ended early.
 func run(play func(p *Play) (int, error), root, folder string) (int, error) {
 	p := &Play{Trouble: os.Getenv("TROUBLE") != "0"}
 	var err error
@@ -100,7 +117,33 @@
 	defer p.Store.Close()
 	p.Fleet = &Fleet{Root: root, Dir: p.dir, Store: p.Store.Addr, Zones: Zones}
 	defer p.Fleet.Close()
-	return play(p)
+	type result struct {
+		code int
+		err  error
+	}
+	done := make(chan result, 1)
+	go func() {
+		code, err := play(p)
+		done <- result{code, err}
+	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	parent, check, tooLong := os.Getppid(), time.NewTicker(parentPeriod), time.After(maxTime)
+	defer check.Stop()
+	for {
+		select {
+		case r := <-done:
+			return r.code, r.err
+		case <-signals:
+			return NotRun, errSignal
+		case <-tooLong:
+			return NotRun, errTooLong
+		case <-check.C:
+			if os.Getppid() != parent {
+				return NotRun, errOrphan
+			}
+		}
+	}
 }
 
 // startTime is how long the machines may take to become ready, settleTime how long the script waits then.
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -86,7 +86,7 @@
 }
 
 func (e *Engine) beat(born int64) {
-	for range time.Tick(heartbeat) {
+	for range time.Tick(Heartbeat) {
 		if e.register(born) != nil {
 			return
 		}
@@ -150,6 +150,10 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Attempt-Id: %s\r\nInstance-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, e.ID)
 		return err == nil
 	}
+	if r.Method == http.MethodGet && r.URL.Path == healthPath {
+		_, err := io.WriteString(c, health(e.ID))
+		return err == nil
+	}
 	if r.Header.Get("Stage") != "" {
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Attempt-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 		return err == nil
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -43,8 +43,8 @@
 	closed  bool
 }
 
-// heartbeat is the time between two writes of a replica's entry.
-const heartbeat = 1200 * time.Millisecond
+// Heartbeat is the time between two writes of a replica's entry.
+const Heartbeat = 1200 * time.Millisecond
 
 // Start opens a port, registers the replica and serves.
 func (p *Plain) Start(s *Store) error {
@@ -76,7 +76,7 @@
 }
 
 func (p *Plain) beat() {
-	for range time.Tick(heartbeat) {
+	for range time.Tick(Heartbeat) {
 		if p.register() != nil || p.isClosed() {
 			return
 		}
@@ -156,6 +156,9 @@
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != p.ID {
 		return fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nRequest-Attempt-Id: %s\r\nInstance-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, p.ID), false
 	}
+	if r.Method == http.MethodGet && r.URL.Path == healthPath {
+		return health(p.ID), false
+	}
 	select {
 	case p.slots <- struct{}{}:
 	default:
@@ -175,3 +178,10 @@
 
 // PlainSignature is the signature of a replica's answer to a request.
 func PlainSignature(replica, id string) string { return replica + "." + id }
+
+// healthPath is the path of the liveness check, health its answer.
+const healthPath = "/healthz"
+
+func health(id string) string {
+	return "HTTP/1.1 200 OK\r\nInstance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
+}
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"sort"
 	"strconv"
 	"strings"
@@ -19,6 +20,8 @@
 type object struct {
 	Metadata metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
+
+	writtenAt time.Time
 }
 
 type metadata struct {
@@ -42,6 +45,16 @@
 // storeLatency is the time of an answer, as the users' sheets give it.
 const storeLatency = 4 * time.Millisecond
 
+const (
+	// kindServers is the kind of the replicas' entries. One that is not written for lapseAfter, three check-in intervals, is
+	// removed.
+	kindServers = "servers"
+	lapseAfter  = 3 * Heartbeat
+	lapsePeriod = 100 * time.Millisecond
+	// era is the store's era, which all answers name. It never comes back from a copy here.
+	era = "1"
+)
+
 // NewStore starts a store on a free loopback port.
 func NewStore() (*Store, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -51,12 +64,27 @@
 	s := &Store{Addr: ln.Addr().String(), revision: 100, objects: map[string]map[string]*object{}}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(ln) }()
+	go s.lapse()
 	return s, nil
 }
 
 // Close ends the store.
 func (s *Store) Close() { _ = s.server.Close() }
 
+// lapse removes the entries of replicas that have fallen silent.
+func (s *Store) lapse() {
+	for range time.Tick(lapsePeriod) {
+		s.mu.Lock()
+		for name, o := range s.objects[kindServers] {
+			if time.Since(o.writtenAt) > lapseAfter {
+				s.revision++
+				delete(s.objects[kindServers], name)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
 // Put writes an object as the operator or a replica does.
 func (s *Store) Put(kind, name string, spec any) error {
 	raw, err := json.Marshal(spec)
@@ -79,11 +107,12 @@
 		s.objects[kind] = map[string]*object{}
 	}
 	o := s.objects[kind][name]
-	if o != nil && string(o.Spec) == string(spec) {
-		return o // a write that changes nothing does not increase the revision
+	if o != nil && (string(o.Spec) == string(spec) || kind == kindServers && differsInSeqOnly(o.Spec, spec)) {
+		o.Spec, o.writtenAt = spec, time.Now() // a write that changes nothing does not increase the revision
+		return o
 	}
 	s.revision++
-	next := &object{Metadata: metadata{Name: name, Revision: s.revision, CreateRev: s.revision, Finalizers: []string{}}, Spec: spec}
+	next := &object{writtenAt: time.Now(), Metadata: metadata{Name: name, Revision: s.revision, CreateRev: s.revision, Finalizers: []string{}}, Spec: spec}
 	if o != nil {
 		next.Metadata.CreateRev = o.Metadata.CreateRev
 	}
@@ -91,6 +120,17 @@
 	return next
 }
 
+// differsInSeqOnly reports whether two entries of a replica differ in nothing but the number of their writes.
+func differsInSeqOnly(a, b json.RawMessage) bool {
+	var x, y map[string]any
+	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
+		return false
+	}
+	delete(x, "seq")
+	delete(y, "seq")
+	return reflect.DeepEqual(x, y)
+}
+
 // Remove removes an object.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
@@ -119,6 +159,7 @@
 	defer s.mu.Unlock()
 	status, out := s.call(r, kind, name, &body)
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", era)
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, out)
 }
