platform, codec, keys, configuration: an object that a reader refuses hides no other

Cause: a page of a list was decoded in one step, so that encoding/json, which takes 10,000 levels, refused all of it for one object. The refresher then returned before it read the configuration, which is another object. Change: lists are split into their elements without decoding them (package jsonsplit), and each element is decoded by itself: all kinds of the platform's store; the lists of objects and of VMs, the key list and the configuration of the own form; the lists in messages between VMs (codec.List). The configuration is also read if the list of endpoints, or that of evacuations, is unreadable as a whole. A response without its list is an error, not an empty list.

--- a/internal/activeconfig/refresher.go
+++ b/internal/activeconfig/refresher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -90,9 +91,12 @@
 			err := r.read(ctx)
 			r.logAvailability(err)
 			r.failures++
-			if err == nil {
+			switch {
+			case err == nil:
 				r.failures = 0
-			} else {
+			case unreadable(err):
+				pause = primaryReadAge
+			default:
 				pause = r.retryPause()
 			}
 		} else {
@@ -127,10 +131,19 @@
 	return min(maxRetryPause, minRetryPause<<min(r.failures-1, 8)) + rand.N(minRetryPause)
 }
 
-// read reads the endpoint table, and the configuration if the store has changed.
+// unreadable reports whether the store responded with something that cannot be read. It is available then, and what it
+// says about other objects may be readable.
+func unreadable(err error) bool {
+	return fault.Is(err, fault.Malformed) || fault.Is(err, fault.TooLarge)
+}
+
+// read reads the endpoint table, and the configuration if the store has changed or the table cannot be read.
 func (r *Refresher) read(ctx context.Context) error {
 	asOf := r.State.opts.Clock.Now()
 	e, err := r.Source.Endpoints(ctx)
+	if unreadable(err) {
+		return errors.Join(err, r.readConfiguration(ctx, traffic.Endpoints{}))
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/configuration/apply.go
+++ b/internal/configuration/apply.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/jsonsplit"
 	"github.com/fulmartide/fulmartide/internal/objectstore"
 	"github.com/fulmartide/fulmartide/internal/replication"
 )
@@ -49,24 +51,70 @@
 type storedDocument struct {
 	Document
 	Revisions []Revision `json:"revisions"`
+	// unreadable are the objects that this build cannot read, in the form of Entries.
+	unreadable map[string]string
 }
 
+// decodeStoredDocument decodes the value of the platform object. Objects and revisions that cannot be read are left out.
 func decodeStoredDocument(value []byte) (storedDocument, error) {
-	var st storedDocument
-	if err := json.Unmarshal(value, &st); err != nil {
-		return st, fault.Wrap(err, fault.Malformed, "apply a document that this release can read", "configuration object")
+	raw, revisions, err := splitStoredDocument(value)
+	if err != nil {
+		return storedDocument{}, fault.Wrap(err, fault.Malformed, "apply a document that this release can read", "configuration object")
 	}
+	st := storedDocument{unreadable: map[string]string{}}
+	var unreadable []string
+	st.Document, unreadable = fromEntries(raw)
 	st.Document = Normalize(st.Document)
+	for _, object := range unreadable {
+		st.unreadable[object] = raw[object]
+	}
+	for _, raw := range revisions {
+		var r Revision
+		if json.Unmarshal(raw, &r) == nil {
+			st.Revisions = append(st.Revisions, r)
+		}
+	}
 	return st, nil
 }
 
-// DecodeEntries decodes the value of the platform object into the form that Entries returns.
+// splitStoredDocument returns the objects of the value of the platform object by section/name, and its revisions.
+func splitStoredDocument(value []byte) (objects map[string]string, revisions []json.RawMessage, err error) {
+	members, err := jsonsplit.Members(value)
+	if err != nil {
+		return nil, nil, err
+	}
+	objects = map[string]string{}
+	for section, raw := range members {
+		if !slices.Contains(sections, section) || string(raw) == "null" {
+			continue
+		}
+		bySection, err := jsonsplit.Members(raw)
+		if err != nil {
+			return nil, nil, fault.Wrap(err, fault.Malformed, "apply a document that this release can read", "section "+section)
+		}
+		for name, object := range bySection {
+			objects[section+"/"+name] = string(object)
+		}
+	}
+	if raw, ok := members["revisions"]; ok {
+		revisions, err = jsonsplit.Elements(raw)
+	}
+	return objects, revisions, err
+}
+
+// DecodeEntries decodes the value of the platform object into the form that Entries returns. Objects that this build cannot
+// read are returned as they are, as other VMs may be able to read them.
 func DecodeEntries(value []byte) (map[string]string, error) {
 	st, err := decodeStoredDocument(value)
 	if err != nil {
 		return nil, err
 	}
-	return Entries(st.Document)
+	entries, err := Entries(st.Document)
+	if err != nil {
+		return nil, err
+	}
+	maps.Copy(entries, st.unreadable)
+	return entries, nil
 }
 
 // Apply validates the document and stores it if the stored version is still ifVersion; 0 means
--- a/internal/configuration/entries.go
+++ b/internal/configuration/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -19,6 +20,9 @@
 	SectionEndpoints   = "endpoints"
 )
 
+// sections are the sections of a document.
+var sections = []string{SectionDataCentres, SectionPlans, SectionWorkspaces, SectionModels, SectionRoutes, SectionEndpoints}
+
 // Entries returns one JSON value for each object of the document, keyed by section/name. Documents
 // are compared and replicated in this form.
 func Entries(doc Document) (map[string]string, error) {
@@ -54,15 +58,26 @@
 	return nil
 }
 
-// FromEntries is the inverse of Entries.
+// FromEntries is the inverse of Entries. If this build cannot read all objects, it returns an error and the document without
+// them. What refers to such an object is refused, as if the object were not there.
 func FromEntries(entries map[string]string) (Document, error) {
-	doc := Normalize(Document{})
+	doc, unreadable := fromEntries(entries)
+	if len(unreadable) == 0 {
+		return doc, nil
+	}
+	return doc, fault.New(fault.Malformed, "apply a document that this release can read",
+		fmt.Sprintf("%d objects cannot be read, among them %s", len(unreadable), unreadable[0]))
+}
+
+// fromEntries also returns the names of the objects that it leaves out, in order.
+func fromEntries(entries map[string]string) (doc Document, unreadable []string) {
+	doc = Normalize(Document{})
 	for _, key := range slices.Sorted(maps.Keys(entries)) {
 		if err := doc.setEntry(key, entries[key]); err != nil {
-			return Document{}, err
+			unreadable = append(unreadable, key)
 		}
 	}
-	return doc, nil
+	return doc, unreadable
 }
 
 func (d *Document) setEntry(key, raw string) error {
--- a/internal/configuration/service.go
+++ b/internal/configuration/service.go
@@ -105,8 +105,7 @@
 	}
 	doc, err := FromEntries(t.Entries)
 	if err != nil {
-		s.opts.Log.Error("cannot decode configuration", zap.Uint64("version", t.Version), zap.Error(err))
-		return
+		s.opts.Log.Error("objects of the configuration ignored", zap.Uint64("version", t.Version), zap.Error(err))
 	}
 	snap := &Snapshot{Version: Version(t.Version), Document: doc, AdoptedAt: time.Now()}
 	s.current.Store(snap)
--- a/internal/keys/change.go
+++ b/internal/keys/change.go
@@ -123,7 +123,7 @@
 }
 
 func (s *Service) readList(ctx context.Context) (keyList, uint64, error) {
-	l := keyList{Keys: map[string]keyEntry{}}
+	l := newKeyList()
 	obj, err := s.opts.Store.Get(ctx, ObjectName)
 	if fault.Is(err, fault.NotFound) {
 		return l, 0, nil
@@ -131,13 +131,8 @@
 	if err != nil {
 		return l, 0, err
 	}
-	if err := json.Unmarshal(obj.Value, &l); err != nil {
-		return l, 0, fault.Wrap(err, fault.Malformed, "write a valid key list to the platform object keys", "cannot decode key list")
-	}
-	if l.Keys == nil {
-		l.Keys = map[string]keyEntry{}
-	}
-	return l, obj.Version, nil
+	l, err = decodeKeyList(obj.Value)
+	return l, obj.Version, err
 }
 
 // updateList applies an idempotent change to the list with a read-modify-write loop. It returns once the
--- a/internal/keys/keyring.go
+++ b/internal/keys/keyring.go
@@ -11,6 +11,7 @@
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/eventloop"
 	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/jsonsplit"
 	"github.com/fulmartide/fulmartide/internal/replication"
 )
 
@@ -29,7 +30,53 @@
 
 // keyList is the stored form of the key list.
 type keyList struct {
-	Keys map[string]keyEntry `json:"keys"`
+	Keys map[string]keyEntry
+	// unreadable holds the entries that this build cannot read. They are written back as they are, and name no key.
+	unreadable map[string]json.RawMessage
+}
+
+var _ json.Marshaler = keyList{}
+
+func newKeyList() keyList {
+	return keyList{Keys: map[string]keyEntry{}, unreadable: map[string]json.RawMessage{}}
+}
+
+// decodeKeyList decodes a stored key list. One without a list of keys is no key list.
+func decodeKeyList(value []byte) (keyList, error) {
+	l := newKeyList()
+	members, err := jsonsplit.Members(value)
+	if err != nil {
+		return l, fault.Wrap(err, fault.Malformed, remedyKeyList, "cannot decode key list")
+	}
+	entries, err := jsonsplit.Members(members["keys"])
+	if err != nil {
+		return l, fault.Wrap(err, fault.Malformed, remedyKeyList, "cannot decode the keys of the key list")
+	}
+	for id, raw := range entries {
+		var e keyEntry
+		if json.Unmarshal(raw, &e) != nil {
+			l.unreadable[id] = raw
+			continue
+		}
+		l.Keys[id] = e
+	}
+	return l, nil
+}
+
+const remedyKeyList = "write a valid key list to the platform object keys"
+
+// MarshalJSON implements json.Marshaler.
+func (l keyList) MarshalJSON() ([]byte, error) {
+	entries := make(map[string]any, len(l.Keys)+len(l.unreadable))
+	for id, raw := range l.unreadable {
+		if json.Valid(raw) { // what no reader understands is dropped
+			entries[id] = raw
+		}
+	}
+	for id, e := range l.Keys {
+		entries[id] = e
+	}
+	return json.Marshal(map[string]any{"keys": entries})
 }
 
 // keyringInput is an input of the keyring.
--- a/internal/keys/service.go
+++ b/internal/keys/service.go
@@ -107,9 +107,9 @@
 }
 
 func decodeEntries(value []byte) (map[string]string, error) {
-	var l keyList
-	if err := json.Unmarshal(value, &l); err != nil {
-		return nil, fault.Wrap(err, fault.Malformed, "write a valid key list to the platform object keys", "cannot decode key list")
+	l, err := decodeKeyList(value)
+	if err != nil {
+		return nil, err
 	}
 	return l.entries()
 }
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/jsonsplit"
 )
 
 // MaxWatchWait is how long the platform holds a watch request open.
@@ -101,9 +102,30 @@
 	return o, err
 }
 
-// listResponse is the JSON form of a list of objects.
-type listResponse struct {
-	Objects []Object `json:"objects"`
+// listResponse is a response that holds a list. Elements that cannot be read are left out.
+type listResponse[T any] struct {
+	// member is the name of the list, which has to be there.
+	member string
+	list   []T
+}
+
+// decode decodes the body of a response.
+func (l *listResponse[T]) decode(raw []byte) error {
+	members, err := jsonsplit.Members(raw)
+	if err != nil {
+		return err
+	}
+	elements, err := jsonsplit.Elements(members[l.member])
+	if err != nil {
+		return err
+	}
+	for _, raw := range elements {
+		var element T
+		if json.Unmarshal(raw, &element) == nil {
+			l.list = append(l.list, element)
+		}
+	}
+	return nil
 }
 
 // List implements Store.
@@ -111,23 +133,18 @@
 	u := c.base
 	u.Path = "/objects"
 	u.RawQuery = url.Values{"prefix": {prefix}}.Encode()
-	var response listResponse
+	response := listResponse[Object]{member: "objects"}
 	_, err := c.call(ctx, http.MethodGet, u.String(), nil, &response)
-	return response.Objects, err
-}
-
-// vmsResponse is the JSON form of the list of VMs.
-type vmsResponse struct {
-	VMs []VM `json:"vms"`
+	return response.list, err
 }
 
 // VMs implements VMLister.
 func (c *HTTPClient) VMs(ctx context.Context) ([]VM, error) {
 	u := c.base
 	u.Path = "/vms"
-	var response vmsResponse
+	response := listResponse[VM]{member: "vms"}
 	_, err := c.call(ctx, http.MethodGet, u.String(), nil, &response)
-	return response.VMs, err
+	return response.list, err
 }
 
 func (c *HTTPClient) objectURL(name string, query url.Values) string {
@@ -162,7 +179,7 @@
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		err = json.Unmarshal(raw, response)
+		err = decodeResponse(raw, response)
 		return resp.StatusCode, fault.Wrap(err, fault.Unavailable, "check that the address is that of the platform", "decode platform response")
 	case http.StatusNoContent:
 		return resp.StatusCode, nil
@@ -171,6 +188,14 @@
 	}
 }
 
+// decodeResponse decodes a body into out, by its own decode if it has one.
+func decodeResponse(raw []byte, out any) error {
+	if d, ok := out.(interface{ decode(raw []byte) error }); ok {
+		return d.decode(raw)
+	}
+	return json.Unmarshal(raw, out)
+}
+
 var errResponseTooLarge = errors.New("response exceeds 4 MiB")
 
 func readLimited(r io.Reader) ([]byte, error) {
--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -153,8 +154,8 @@
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Records   []Record
-	Sightings []Sighting
+	Records   codec.List[Record]
+	Sightings codec.List[Sighting]
 	// Complete is set if Sightings are all versions at which streams that may be resumed now can have begun.
 	Complete bool
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -50,8 +51,8 @@
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Records []Record
-	Starts  []Starts
+	Records codec.List[Record]
+	Starts  codec.List[Starts]
 }
 
 // Empty reports whether the state says nothing.
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/admission"
+	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -79,8 +80,8 @@
 	Full bool
 	// Seq numbers the changes of Work.
 	Seq      uint64
-	Work     []endpointWork
-	Counters []counter
+	Work     endpointWorks
+	Counters codec.List[counter]
 	// Versions are the versions of the sender's documents, indexed by document number.
 	Versions []traffic.DocumentVersion
 	// Age is the time since these versions were last known to be the newest in the store.
@@ -88,7 +89,7 @@
 	// Quarantine is the fingerprint of what the sender knows about prompts that crash engines.
 	Quarantine uint64
 	// Limits are the rate limits of endpoints in force, in full heartbeats only.
-	Limits []endpointLimit
+	Limits codec.List[endpointLimit]
 }
 
 // endpointLimit is what a VM knows of the rate limit of an endpoint.
@@ -111,12 +112,12 @@
 	// Forward asks the receiver to send the digest on to the other VMs of its data centre.
 	Forward bool
 	// Members are the live VMs of the sender's data centre, including the sender.
-	Members []Member
+	Members codec.List[Member]
 	// Work is the combined work of Members, except on endpoints of the receiver's data centre:
 	// each member reports that work to the receiver's data centre itself.
-	Work []endpointWork
+	Work codec.List[endpointWork]
 	// Used is the combined usage that Members admitted in the current plan window.
-	Used []usage
+	Used codec.List[usage]
 	// Versions, Age and Quarantine are as in a heartbeat.
 	Versions   []traffic.DocumentVersion
 	Age        time.Duration
@@ -131,8 +132,8 @@
 
 	From     netip.AddrPort
 	Seq      uint64
-	Work     []endpointWork
-	Counters []counter
+	Work     endpointWorks
+	Counters codec.List[counter]
 	// Snapshot is set if Work is all the work that the sender has on endpoints of the receiver's
 	// data centre.
 	Snapshot bool
--- a/internal/statesync/origins.go
+++ b/internal/statesync/origins.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/origin"
 	"github.com/fulmartide/fulmartide/internal/peer"
@@ -56,7 +57,7 @@
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	List []origin.Record
+	List codec.List[origin.Record]
 }
 
 // originQuery asks where a stream began.
--- a/internal/statesync/pace.go
+++ b/internal/statesync/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -79,6 +80,25 @@
 	}
 }
 
+// endpointWorks is a list of work to which paces refer by index. An element that cannot be decoded hides no other.
+type endpointWorks []endpointWork
+
+// DecodeMsgpack implements msgpack.CustomDecoder. An element that cannot be decoded keeps its place and has no name.
+func (l *endpointWorks) DecodeMsgpack(dec *msgpack.Decoder) error {
+	*l = nil
+	return codec.DecodeElements(dec, func(w endpointWork, err error) {
+		if err != nil {
+			w = endpointWork{}
+		}
+		*l = append(*l, w)
+	})
+}
+
+// readable returns the elements that were decoded.
+func (l endpointWorks) readable() endpointWorks {
+	return slices.DeleteFunc(l, func(w endpointWork) bool { return w.Name == "" })
+}
+
 // plainHeartbeat and plainUpdate are the messages without paces.
 type (
 	plainHeartbeat heartbeat
@@ -90,6 +110,7 @@
 	_ msgpack.CustomDecoder = (*heartbeat)(nil)
 	_ msgpack.CustomEncoder = (*update)(nil)
 	_ msgpack.CustomDecoder = (*update)(nil)
+	_ msgpack.CustomDecoder = (*endpointWorks)(nil)
 )
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
@@ -102,6 +123,7 @@
 	err := dec.Decode((*plainHeartbeat)(hb))
 	if err == nil {
 		decodePaces(dec, hb.Work)
+		hb.Work = hb.Work.readable()
 	}
 	return err
 }
@@ -116,6 +138,7 @@
 	err := dec.Decode((*plainUpdate)(m))
 	if err == nil {
 		decodePaces(dec, m.Work)
+		m.Work = m.Work.readable()
 	}
 	return err
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/codec"
 )
 
 // RouteKind is how the calls of a route respond and whether they may run more than once.
@@ -289,7 +290,7 @@
 	// Era is the era of the store; see DocumentVersion.
 	Era     uint64
 	Version uint64
-	List    []Endpoint
+	List    codec.List[Endpoint]
 	// Evacuated are the data centres to whose endpoints nothing more is to be sent, in order.
 	Evacuated []string
 	// EvacuationsKnown is set if Evacuated is as new as the table. A VM that does not know evacuations leaves it unset.
