platform, traffic: a list that is there and empty differs from one that is absent

Lists of regions had the same fault: a route or tenant whose last region was taken away was served everywhere. An empty list of regions allows none, an absent or null one all.

--- a/internal/dispatch/region_test.go
+++ b/internal/dispatch/region_test.go
@@ -72,6 +72,8 @@
 		{"workspace", two, nil, []string{"south"}, map[string][]string{oncePath: {"b"}, streamPath: {"b"}}},
 		{"both", three, []string{"south", "west"}, []string{"north", "south"}, map[string][]string{oncePath: {"b"}, streamPath: {"b"}}},
 		{"both, none in common", three, []string{"south"}, []string{"north"}, map[string][]string{oncePath: nil, streamPath: nil}},
+		{"a route with an empty list", two, []string{}, nil, map[string][]string{oncePath: nil, streamPath: nil}},
+		{"a workspace with an empty list", two, []string{"north"}, []string{}, map[string][]string{oncePath: nil, streamPath: nil}},
 		{"no such region", two, []string{"east"}, nil, map[string][]string{oncePath: nil, streamPath: nil}},
 		{"no endpoint there", two, nil, []string{"west"}, map[string][]string{oncePath: nil, streamPath: nil}},
 		{"the decode engine of the region prefills", three, nil, []string{"west"}, map[string][]string{oncePath: {"c"}, streamPath: {"c"}}},
--- a/internal/traffic/region.go
+++ b/internal/traffic/region.go
@@ -13,11 +13,9 @@
 		workspace = c.Workspace.HomeRegions
 	}
 	switch {
-	case len(route) == 0 && len(workspace) == 0:
-		return nil
-	case len(route) == 0:
+	case route == nil:
 		return workspace
-	case len(workspace) == 0:
+	case workspace == nil:
 		return route
 	}
 	both := []string{}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -59,7 +59,7 @@
 	AllowAnonymous bool
 	// Targets are the services of the route with their weights.
 	Targets []Target
-	// HomeRegions are the regions in which the calls of the route are handled; empty means all.
+	// HomeRegions are the regions in which the calls of the route are handled, nil for all.
 	HomeRegions []string
 }
 
@@ -110,7 +110,7 @@
 	Rate, Burst float64
 	// DefaultCost is the cost of a call without token counts, in tokens.
 	DefaultCost int64
-	// HomeRegions are the regions in which the calls of the workspace are handled; empty means all.
+	// HomeRegions are the regions in which the calls of the workspace are handled, nil for all.
 	HomeRegions []string
 }
 
