activeconfig, statesync: a read of the store is taken once by each VM

Cause: one VM reads the store for all, by the age of what it knows, and VMs renewed each other's age with each heartbeat: now less the age that the sender gave. The time that a message was under way, or waited for a stopped or busy VM, was lost each time, and the result was told on, five times a second by each VM. With six VMs a mean delay of 33 ms is enough that the age never reaches the 0.7 s at which the store is read. Heartbeats that named a newer configuration renewed it as well, also where that could not be fetched from the sender. Change: heartbeats and digests name the read that they speak of (VM and number), as a value behind the message. A VM takes a read once, and only if it has the configuration and the table that the sender has. A fetched document is as old as at the time of the request. Builds that name no read are not believed: beside them one VM of this build reads as well. Versions, read and age are taken in one step. Why it works: what is added to the true age is at most the way of one message, and it does not add up. Added for the next time: `age` in "configuration in force", gauge fulmartide_store_age_seconds.

--- a/internal/activeconfig/evacuation.go
+++ b/internal/activeconfig/evacuation.go
@@ -138,7 +138,7 @@
 // logEvacuations logs the data centres that are evacuated from now on, and those that are no longer.
 func (s *State) logEvacuations(e *traffic.Endpoints, from string) {
 	change := func(message, name string, lifted bool) {
-		s.opts.Log.Warn(message, zap.String("data_centre", name), zap.String("from", from), zap.Duration("age", s.opts.Clock.Now().Sub(s.asOf)),
+		s.opts.Log.Warn(message, zap.String("data_centre", name), zap.String("from", from), zap.Duration("age", s.opts.Clock.Now().Sub(s.confirmed.asOf)),
 			zap.Uint64("table_version", e.Version), zap.Uint64("era", e.Era), zap.Bool("as_new_as_table", e.EvacuationsKnown),
 			zap.Bool("retained", slices.Contains(s.evacuations.lost, name)))
 		s.opts.OnEvacuation(name, lifted)
--- a/internal/activeconfig/evacuation_test.go
+++ b/internal/activeconfig/evacuation_test.go
@@ -78,12 +78,12 @@
 	st.ApplyEndpoints(inEra(1, evacuating(90, "x")), c.now, fromStore)
 	st.ApplyEndpoints(inEra(2, evacuating(40)), c.now.Add(time.Second), "vm")
 	c.now = c.now.Add(lostEvacuationTime - time.Millisecond)
-	st.ConfirmVersion(st.Versions()[DocumentEndpoints], 0)
+	st.Confirm(st.Freshness())
 	if len(last.Evacuated) != 1 {
 		t.Error("the evacuation ended early")
 	}
 	c.now = c.now.Add(time.Millisecond)
-	st.ConfirmVersion(st.Versions()[DocumentEndpoints], 0)
+	st.Confirm(st.Freshness())
 	if len(last.Evacuated) != 0 {
 		t.Errorf("%v is evacuated still", last.Evacuated)
 	}
@@ -225,7 +225,7 @@
 			continue
 		}
 		version := from.Versions()[DocumentEndpoints]
-		vm.ConfirmVersion(version, from.Age())
+		vm.Confirm(from.Freshness())
 		if vm.NeedsVersion(DocumentEndpoints, version) {
 			e := *from.last
 			e.List, e.EvacuationsLostFor = slices.Clone(e.List), from.evacuations.lostFor(m.clock.now)
--- a/internal/activeconfig/state.go
+++ b/internal/activeconfig/state.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -26,6 +27,8 @@
 
 // Options configure a State.
 type Options struct {
+	// Self is this VM.
+	Self  ident.VM
 	Clock clock.Clock
 	Log   *zap.Logger
 	// Decode parses a configuration as operators wrote it.
@@ -57,9 +60,9 @@
 	configEra uint64
 	endpoints traffic.Endpoints
 	hasTable  bool
-	// asOf is the latest time at which the store is known to have held this table, read by this
-	// VM or by another.
-	asOf clock.Instant
+	// confirmed is as of when the store is known to have held what this VM has. reads counts the reads of this VM.
+	confirmed confirmations
+	reads     uint64
 	// retainUntil is set after an outage of the store: until then no endpoint is dropped.
 	retainUntil clock.Instant
 	// hasRetained is set if the table was applied before retainUntil, and so may contain endpoints
@@ -116,7 +119,7 @@
 	s.raw = raw
 	s.config.Store(c)
 	s.opts.Log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Uint64("era", era), zap.String("from", from),
-		zap.Int("services", len(c.Services)), zap.Int("workspaces", len(c.Workspaces)))
+		zap.Duration("age", s.age()), zap.Int("services", len(c.Services)), zap.Int("workspaces", len(c.Workspaces)))
 	s.opts.OnChange(c, s.endpoints)
 	return nil
 }
@@ -144,11 +147,16 @@
 	}
 	keepLeaving(e.List, s.endpoints.List)
 	s.evacuations.merge(now, asOf, &e, !s.hasTable, from)
-	if s.hasTable && asOf.Sub(s.asOf) > s.opts.EndpointTTL {
+	if unconfirmed := asOf.Sub(s.confirmed.asOf); s.hasTable && unconfirmed > s.opts.EndpointTTL {
 		s.retainUntil = now.Add(s.opts.ReregisterTime)
-		s.opts.Log.Info("store regained", zap.Duration("unavailable_for", asOf.Sub(s.asOf)), zap.Duration("retain_endpoints_for", s.opts.ReregisterTime))
+		s.opts.Log.Info("store regained", zap.Duration("unavailable_for", unconfirmed), zap.Duration("retain_endpoints_for", s.opts.ReregisterTime))
+	}
+	if from == fromStore {
+		s.reads++
+		s.confirmed.add(now, asOf, traffic.Reading{VM: s.opts.Self, Number: s.reads})
+	} else {
+		s.confirmed.addDocument(asOf)
 	}
-	s.asOf = max(s.asOf, asOf)
 	retain := now.Before(s.retainUntil)
 	if s.hasTable && !retain && !s.hasRetained && e.Era == s.endpoints.Era && sameEndpoints(e.List, s.endpoints.List) &&
 		sameEvacuations(&e, &s.endpoints) && !s.evacuations.settle(&e, newerTable(tableVersion(e), tableVersion(s.endpoints)), from) {
@@ -192,18 +200,7 @@
 	if !s.hasTable {
 		return noTableAge
 	}
-	return s.opts.Clock.Now().Sub(s.asOf)
-}
-
-// ConfirmVersion records that, according to another VM, the store held this version of the table at
-// the time age before now.
-func (s *State) ConfirmVersion(version traffic.DocumentVersion, age time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expireLostEvacuations()
-	if s.hasTable && version == tableVersion(s.endpoints) && !s.hasRetained {
-		s.asOf = max(s.asOf, s.opts.Clock.Now().Add(-age))
-	}
+	return s.opts.Clock.Now().Sub(s.confirmed.asOf)
 }
 
 // withoutUnknownRetained returns list without the endpoints that another VM has retained and that
--- a/internal/activeconfig/state_test.go
+++ b/internal/activeconfig/state_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -28,10 +29,14 @@
 	testReregisterTime = 2 * time.Second
 )
 
+// testVMs is the number of States created by newTestState, which names their VMs.
+var testVMs int
+
 func newTestState(c clock.Clock) (*State, *traffic.Endpoints) {
 	var last traffic.Endpoints
+	testVMs++
 	st := New(Options{
-		Clock: c, Log: zap.NewNop(), EndpointTTL: testEndpointTTL, ReregisterTime: testReregisterTime,
+		Self: ident.VM{Name: "vm-" + strconv.Itoa(testVMs)}, Clock: c, Log: zap.NewNop(), EndpointTTL: testEndpointTTL, ReregisterTime: testReregisterTime,
 		Decode: func(raw []byte) (*traffic.Configuration, error) {
 			v, err := strconv.ParseUint(string(raw), 10, 64)
 			return traffic.NewConfiguration(v, nil, nil, nil, traffic.Limits{}), err
@@ -168,7 +173,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := to.Apply(i, version.Era, body, from.Age(), "other"); err != nil {
+		if err := to.Apply(i, version.Era, body, c.now.Add(-from.Age()), "other"); err != nil {
 			t.Fatal(err)
 		}
 		if to.NeedsVersion(i, version) {
@@ -278,8 +283,8 @@
 		exchangeFor := func(d time.Duration) {
 			for range d / (200 * time.Millisecond) {
 				time.Sleep(200 * time.Millisecond)
-				b.ConfirmVersion(a.Versions()[DocumentEndpoints], a.Age())
-				a.ConfirmVersion(b.Versions()[DocumentEndpoints], b.Age())
+				b.Confirm(a.Freshness())
+				a.Confirm(b.Freshness())
 			}
 		}
 		exchangeFor(10 * time.Second)
@@ -319,7 +324,7 @@
 				time.Sleep(100 * time.Millisecond)
 				for _, from := range states {
 					for _, to := range states {
-						to.ConfirmVersion(from.Versions()[DocumentEndpoints], from.Age())
+						to.Confirm(from.Freshness())
 					}
 				}
 			}
@@ -391,15 +396,15 @@
 
 // receiveNewer lets a VM take the documents of another one that it needs, as after a heartbeat.
 func receiveNewer(t rapid.TB, to, from *State) {
-	versions := from.Versions()
-	to.ConfirmVersion(versions[DocumentEndpoints], from.Age())
-	for document, version := range versions {
+	fresh := from.Freshness()
+	to.Confirm(fresh)
+	for document, version := range fresh.Versions {
 		if !to.NeedsVersion(document, version) {
 			continue
 		}
 		version, body, err := from.Encode(document)
 		if err == nil {
-			err = to.Apply(document, version.Era, body, from.Age(), "vm")
+			err = to.Apply(document, version.Era, body, to.opts.Clock.Now().Add(-fresh.Age), "vm")
 		}
 		if err != nil {
 			t.Fatal(err)
--- a/internal/activeconfig/transfer.go
+++ b/internal/activeconfig/transfer.go
@@ -4,10 +4,10 @@
 	"bytes"
 	"compress/flate"
 	"io"
-	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -76,9 +76,9 @@
 
 var errDocumentTooLarge = fault.New(fault.TooLarge, "reduce the configuration or the number of endpoints", "the document exceeds the size limit")
 
-// Apply applies a document of the given era from another VM. age is the time since the store was
-// last known to hold the endpoint table that the other VM has.
-func (s *State) Apply(document int, era uint64, body []byte, age time.Duration, from string) error {
+// Apply applies a document of the given era from another VM. The store is known to have held the endpoint table that the
+// other VM has at asOf.
+func (s *State) Apply(document int, era uint64, body []byte, asOf clock.Instant, from string) error {
 	raw, err := decompress(body)
 	if err != nil {
 		return err
@@ -90,6 +90,6 @@
 	if err := codec.Unmarshal(raw, &e); err != nil {
 		return fault.Wrap(err, fault.Malformed, "run the same release on all VMs", "decode the endpoint table")
 	}
-	s.ApplyEndpoints(e, s.opts.Clock.Now().Add(-age), from)
+	s.ApplyEndpoints(e, asOf, from)
 	return nil
 }
--- a/internal/statesync/digest.go
+++ b/internal/statesync/digest.go
@@ -10,6 +10,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
 // sendsDigests reports whether this VM sends digests of its data centre to the other ones.
@@ -107,10 +108,11 @@
 	for _, m := range members {
 		vms = append(vms, m.VM)
 	}
+	fresh := s.opts.Documents.Freshness()
 	return digest{
 		From: s.opts.Self, Forward: true, Members: append(members, s.opts.Self),
 		Work: workList(s.opts.Work.CombinedWork(vms, to)), Used: usageList(s.opts.Plans.WindowUsage()),
-		Versions: s.opts.Documents.Versions(), Age: s.opts.Documents.Age(), Quarantine: s.opts.Quarantine.Fingerprint(),
+		Versions: fresh.Versions, Age: fresh.Age, Reading: fresh.Reading, Quarantine: s.opts.Quarantine.Fingerprint(),
 	}
 }
 
@@ -145,7 +147,7 @@
 	s.opts.Log.Debug("digest received", zap.String("data_centre", d.From.DataCentre), zap.Stringer("vm", d.From.VM),
 		zap.Int("vms", len(d.Members)), zap.Int("endpoints", len(d.Work)), zap.Duration("took", s.opts.Clock.Now().Sub(now)))
 	if d.Forward {
-		s.requestNewer(d.From, d.Versions, d.Age)
+		s.requestNewer(d.From, traffic.Freshness{Versions: d.Versions, Reading: d.Reading, Age: d.Age})
 		s.requestQuarantine(d.From, d.Quarantine)
 		s.forwardDigest(ctx, d)
 	}
--- a/internal/statesync/digest_test.go
+++ b/internal/statesync/digest_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -127,9 +126,9 @@
 func (n *node) NeedsVersion(int, traffic.DocumentVersion) bool { return false }
 
 func (n *node) Encode(int) (traffic.DocumentVersion, []byte, error)    { return n.Versions()[0], nil, nil }
-func (n *node) Apply(int, uint64, []byte, time.Duration, string) error { return nil }
-func (n *node) Age() time.Duration                                     { return 0 }
-func (n *node) ConfirmVersion(traffic.DocumentVersion, time.Duration)  {}
+func (n *node) Apply(int, uint64, []byte, clock.Instant, string) error { return nil }
+func (n *node) Freshness() traffic.Freshness                           { return traffic.Freshness{Versions: n.Versions()} }
+func (n *node) Confirm(traffic.Freshness)                              {}
 
 func (n *node) WindowUsage() map[string]int64                                      { return map[string]int64{"w": 70} }
 func (n *node) OwnWork() (uint64, map[string]map[traffic.EndpointID]schedule.Work) { return 0, nil }
--- a/internal/statesync/handlers.go
+++ b/internal/statesync/handlers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -36,7 +35,7 @@
 	for i := range hb.Limits {
 		s.recordLimit(&hb.Limits[i])
 	}
-	s.requestNewer(hb.From, hb.Versions, hb.Age)
+	s.requestNewer(hb.From, traffic.Freshness{Versions: hb.Versions, Reading: hb.Reading, Age: hb.Age})
 	s.requestQuarantine(hb.From, hb.Quarantine)
 }
 
@@ -113,12 +112,10 @@
 	s.opts.Work.RecordPeerOutcome(traffic.EndpointID{Name: m.Name, StartedAt: m.StartedAt}, m.Outcome)
 }
 
-// requestNewer fetches the documents of which another VM reports a newer version.
-func (s *Service) requestNewer(from Member, versions []traffic.DocumentVersion, age time.Duration) {
-	if n := len(versions); n > 0 {
-		s.opts.Documents.ConfirmVersion(versions[n-1], age)
-	}
-	for i, version := range versions {
+// requestNewer records what another VM knows of the store, and fetches the documents of which it reports a newer version.
+func (s *Service) requestNewer(from Member, f traffic.Freshness) {
+	s.opts.Documents.Confirm(f)
+	for i, version := range f.Versions {
 		if !s.opts.Documents.NeedsVersion(i, version) {
 			continue
 		}
@@ -140,10 +137,11 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	requestedAt := s.opts.Clock.Now()
 	req := &documentRequest{Document: document, Known: s.opts.Documents.Versions()[document]}
 	resp, err := peer.Call[documentRequest, documentResponse](ctx, s.opts.Transport, addr, peer.KindDocument, req)
 	if err == nil && resp.Body != nil {
-		err = s.opts.Documents.Apply(document, resp.Version.Era, resp.Body, resp.Age, vm.Name)
+		err = s.opts.Documents.Apply(document, resp.Version.Era, resp.Body, requestedAt.Add(-resp.Age), vm.Name)
 	}
 	if err != nil {
 		s.opts.Log.Warn("could not fetch document", zap.Int("document", document), zap.Stringer("vm", vm), zap.Error(err))
@@ -155,5 +153,5 @@
 	if err != nil || version == req.Known {
 		return &documentResponse{}, err
 	}
-	return &documentResponse{Version: version, Body: body, Age: s.opts.Documents.Age()}, nil
+	return &documentResponse{Version: version, Body: body, Age: s.opts.Documents.Freshness().Age}, nil
 }
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -86,6 +86,8 @@
 	Versions []traffic.DocumentVersion
 	// Age is the time since these versions were last known to be the newest in the store.
 	Age time.Duration
+	// Reading is the read of the store of which this is known. It follows the message.
+	Reading traffic.Reading `msgpack:"-"`
 	// Quarantine is the fingerprint of what the sender knows about prompts that crash engines.
 	Quarantine uint64
 	// Limits are the rate limits of endpoints in force, in full heartbeats only.
@@ -118,9 +120,10 @@
 	Work codec.List[endpointWork]
 	// Used is the combined usage that Members admitted in the current plan window.
 	Used codec.List[usage]
-	// Versions, Age and Quarantine are as in a heartbeat.
+	// Versions, Age, Reading and Quarantine are as in a heartbeat.
 	Versions   []traffic.DocumentVersion
 	Age        time.Duration
+	Reading    traffic.Reading `msgpack:"-"`
 	Quarantine uint64
 }
 
--- a/internal/statesync/pace.go
+++ b/internal/statesync/pace.go
@@ -1,7 +1,6 @@
 package statesync
 
 import (
-	"io"
 	"slices"
 	"time"
 
@@ -48,31 +47,19 @@
 	Age      time.Duration
 }
 
-// encodeWithPaces encodes a message, and the paces in its list of work if there are any.
-func encodeWithPaces(enc *msgpack.Encoder, message any, work []endpointWork) error {
+// pacesOf returns the paces in a list of work.
+func pacesOf(work []endpointWork) []endpointPace {
 	var paces []endpointPace
 	for i := range work {
 		if w := &work[i]; w.Slowness > 0 {
 			paces = append(paces, endpointPace{Index: i, Slowness: w.Slowness, Age: w.SlownessAge})
 		}
 	}
-	err := enc.Encode(message)
-	if err == nil && len(paces) > 0 {
-		err = enc.Encode(paces)
-	}
-	return err
+	return paces
 }
 
-// decodePaces decodes what follows a message. It is ignored if it is malformed.
-func decodePaces(dec *msgpack.Decoder, work []endpointWork) {
-	raw, err := io.ReadAll(dec.Buffered())
-	if err != nil || len(raw) == 0 {
-		return
-	}
-	var paces []endpointPace
-	if codec.Unmarshal(raw, &paces) != nil {
-		return
-	}
+// setPaces sets the paces in a list of work.
+func setPaces(work []endpointWork, paces []endpointPace) {
 	for _, p := range paces {
 		if p.Index >= 0 && p.Index < len(work) {
 			work[p.Index].Slowness, work[p.Index].SlownessAge = p.Slowness, p.Age
@@ -98,47 +85,3 @@
 func (l endpointWorks) readable() endpointWorks {
 	return slices.DeleteFunc(l, func(w endpointWork) bool { return w.Name == "" })
 }
-
-// plainHeartbeat and plainUpdate are the messages without paces.
-type (
-	plainHeartbeat heartbeat
-	plainUpdate    update
-)
-
-var (
-	_ msgpack.CustomEncoder = (*heartbeat)(nil)
-	_ msgpack.CustomDecoder = (*heartbeat)(nil)
-	_ msgpack.CustomEncoder = (*update)(nil)
-	_ msgpack.CustomDecoder = (*update)(nil)
-	_ msgpack.CustomDecoder = (*endpointWorks)(nil)
-)
-
-// EncodeMsgpack implements msgpack.CustomEncoder.
-func (hb *heartbeat) EncodeMsgpack(enc *msgpack.Encoder) error {
-	return encodeWithPaces(enc, (*plainHeartbeat)(hb), hb.Work)
-}
-
-// DecodeMsgpack implements msgpack.CustomDecoder.
-func (hb *heartbeat) DecodeMsgpack(dec *msgpack.Decoder) error {
-	err := dec.Decode((*plainHeartbeat)(hb))
-	if err == nil {
-		decodePaces(dec, hb.Work)
-		hb.Work = hb.Work.readable()
-	}
-	return err
-}
-
-// EncodeMsgpack implements msgpack.CustomEncoder.
-func (m *update) EncodeMsgpack(enc *msgpack.Encoder) error {
-	return encodeWithPaces(enc, (*plainUpdate)(m), m.Work)
-}
-
-// DecodeMsgpack implements msgpack.CustomDecoder.
-func (m *update) DecodeMsgpack(dec *msgpack.Decoder) error {
-	err := dec.Decode((*plainUpdate)(m))
-	if err == nil {
-		decodePaces(dec, m.Work)
-		m.Work = m.Work.readable()
-	}
-	return err
-}
--- a/internal/statesync/ports.go
+++ b/internal/statesync/ports.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"net/netip"
-	"time"
 
 	"github.com/fulmartide/fulmartide/internal/admission"
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/quarantine"
 	"github.com/fulmartide/fulmartide/internal/schedule"
@@ -88,13 +88,12 @@
 	NeedsVersion(document int, version traffic.DocumentVersion) bool
 	// Encode encodes a document.
 	Encode(document int) (version traffic.DocumentVersion, body []byte, err error)
-	// Apply receives a document from another VM, together with its era and that VM's Age.
-	Apply(document int, era uint64, body []byte, age time.Duration, from string) error
-	// Age returns the time since the documents were last known to be the newest in the store.
-	Age() time.Duration
-	// ConfirmVersion records that the store held this version of the last document at the time age
-	// before now.
-	ConfirmVersion(version traffic.DocumentVersion, age time.Duration)
+	// Apply receives a document of an era from another VM, which the store is known to have held at asOf.
+	Apply(document int, era uint64, body []byte, asOf clock.Instant, from string) error
+	// Freshness returns the versions of the documents and as of when the store is known to have held them.
+	Freshness() traffic.Freshness
+	// Confirm receives the Freshness of another VM.
+	Confirm(f traffic.Freshness)
 }
 
 // Quarantine holds what VMs know about prompts that crash engines.
--- a/internal/statesync/send.go
+++ b/internal/statesync/send.go
@@ -27,7 +27,7 @@
 		s.lastFull = now
 	}
 	s.mu.Unlock()
-	hb.Versions, hb.Age = s.opts.Documents.Versions(), s.opts.Documents.Age()
+	hb.setFreshness(s.opts.Documents.Freshness())
 	hb.Quarantine = s.opts.Quarantine.Fingerprint()
 	if hb.Full {
 		seq, work := s.opts.Work.OwnWork()
@@ -47,9 +47,8 @@
 
 // greet sends VMs that are not members a heartbeat, to which a live one responds with its own.
 func (s *Service) greet(vms []Member) {
-	hb := heartbeat{
-		From: s.opts.Self, Versions: s.opts.Documents.Versions(), Age: s.opts.Documents.Age(), Quarantine: s.opts.Quarantine.Fingerprint(),
-	}
+	hb := heartbeat{From: s.opts.Self, Quarantine: s.opts.Quarantine.Fingerprint()}
+	hb.setFreshness(s.opts.Documents.Freshness())
 	var to []netip.AddrPort
 	for _, m := range vms {
 		to = append(to, m.Address)
--- a/internal/statesync/window.go
+++ b/internal/statesync/window.go
@@ -13,6 +13,7 @@
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/peer"
+	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
 const (
@@ -80,7 +81,7 @@
 				s.opts.Log.Debug("plan window not received", zap.Stringer("address", addr), zap.Error(err))
 				return
 			}
-			s.requestNewer(resp.From, resp.Versions, resp.Age)
+			s.requestNewer(resp.From, traffic.Freshness{Versions: resp.Versions, Age: resp.Age})
 			if resp.Complete {
 				s.opts.Plans.AdoptWindow(resp.State)
 				s.opts.Log.Info("plan window adopted", zap.Stringer("address", addr), zap.Int("workspaces", len(resp.State.Buckets)),
@@ -97,8 +98,6 @@
 	if req.LivedThrough && state.Restarted {
 		state, ok = admission.WindowState{}, false
 	}
-	return &windowResponse{
-		Complete: ok, State: state,
-		From: s.opts.Self, Versions: s.opts.Documents.Versions(), Age: s.opts.Documents.Age(),
-	}, nil
+	fresh := s.opts.Documents.Freshness()
+	return &windowResponse{Complete: ok, State: state, From: s.opts.Self, Versions: fresh.Versions, Age: fresh.Age}, nil
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -14,6 +14,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/codec"
+	"github.com/fulmartide/fulmartide/internal/ident"
 )
 
 // RouteKind is how the calls of a route respond and whether they may run more than once.
@@ -285,6 +286,28 @@
 	Number uint64
 }
 
+// Reading identifies a read of the store by a VM.
+type Reading struct {
+	//lint:ignore U1000 the codec reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	VM ident.VM
+	// Number counts the reads of the VM from 1.
+	Number uint64
+}
+
+// IsZero reports whether r identifies no read.
+func (r Reading) IsZero() bool { return r.VM.IsZero() }
+
+// Freshness says as of when the store is known to have held documents.
+type Freshness struct {
+	// Versions are the versions of the documents, indexed by document number.
+	Versions []DocumentVersion
+	// Reading is the read that found them in the store, Age before this was said. It is zero if that is not known.
+	Reading Reading
+	Age     time.Duration
+}
+
 // Endpoints is the endpoint table at a version of the store.
 type Endpoints struct {
 	// Era is the era of the store; see DocumentVersion.
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -124,10 +124,11 @@
 	p.quarantineKeeper = quarantine.NewKeeper(p.quarantine, platform.Quarantine, s.FirstStart, log.Named("quarantine"))
 	p.buildOrigins(self.VM)
 	p.State = activeconfig.New(activeconfig.Options{
-		Clock: p.clock, Log: log.Named("inforce"), Decode: platform.Decode, OnChange: p.applyChange,
+		Self: self.VM, Clock: p.clock, Log: log.Named("inforce"), Decode: platform.Decode, OnChange: p.applyChange,
 		EndpointTTL: missedHeartbeats * s.HeartbeatPeriod, ReregisterTime: reregisterTime, OnEra: p.enterEra,
 		OnEvacuation: p.countEvacuation,
 	})
+	set.NewGauge(`fulmartide_store_age_seconds`, func() float64 { return p.State.Age().Seconds() })
 	p.stateSync = statesync.New(statesync.Options{
 		Self: self, Clock: p.clock, Transport: p.transport, Registry: platform.Registry,
 		Work: p.scheduler, Plans: p.admission, Documents: p.State, Quarantine: p.quarantine, Origins: p.origins,
