activeconfig: a table of another VM is adopted for its version

What was seen: in a test with delays, after a VM had started later with the same table under a later version of the store, six VMs read the store 29 times in 14 s instead of 20, and fetched the table from it 350 times. Cause: a table with the same endpoints was dropped, so its version stayed newer than the receiver's: it was fetched with every heartbeat, and VMs with different versions do not confirm each other's reads. Change: a newer table of another VM is adopted although its endpoints are the same. What a VM reads itself keeps its version, as before. Measured: TestVMThatStartsMakesNoOtherRead failed before and passes.

--- a/internal/activeconfig/confirm_test.go
+++ b/internal/activeconfig/confirm_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -203,6 +204,40 @@
 	})
 }
 
+// TestVMThatStartsMakesNoOtherRead guards against VMs that do not take each other's reads, and fetch the table again and again,
+// because one that started later has the same table under a later version of the store.
+func TestVMThatStartsMakesNoOtherRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &delayedFleet{source: &versionedSource{version: 1}}
+		f.delay = func(int, int) time.Duration { return time.Millisecond }
+		var fetches atomic.Int64
+		f.loses = func(int, int) bool { fetches.Add(1); return false }
+		ctx, stop := context.WithCancel(t.Context())
+		f.run(ctx, 6)
+		time.Sleep(5 * time.Second)
+		f.source.write()
+		started := f.states[3]
+		started.mu.Lock()
+		started.endpoints.Version = 2 // as at a VM that knew no table before
+		started.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		f.source.mu.Lock()
+		before := f.source.reads
+		f.source.mu.Unlock()
+		fetchesBefore := fetches.Load()
+		time.Sleep(14 * time.Second)
+		f.source.mu.Lock()
+		defer f.source.mu.Unlock()
+		if reads := f.source.reads - before; reads > 21 {
+			t.Errorf("6 VMs read the store %d times in 14 s, want once each %s", reads, primaryReadAge)
+		}
+		if n := fetches.Load() - fetchesBefore; n > 0 {
+			t.Errorf("%d documents were fetched although nothing changed", n)
+		}
+		stop()
+	})
+}
+
 // TestConfirmTakesAReadOnce guards against knowledge that is renewed by what was said before.
 func TestConfirmTakesAReadOnce(t *testing.T) {
 	c := &fakeClock{now: clock.Instant(time.Hour)}
--- a/internal/activeconfig/state.go
+++ b/internal/activeconfig/state.go
@@ -158,8 +158,10 @@
 		s.confirmed.addDocument(asOf)
 	}
 	retain := now.Before(s.retainUntil)
+	// A table of another VM is adopted for its version, as VMs confirm and fetch tables by it.
+	newer := newerTable(tableVersion(e), tableVersion(s.endpoints))
 	if s.hasTable && !retain && !s.hasRetained && e.Era == s.endpoints.Era && sameEndpoints(e.List, s.endpoints.List) &&
-		sameEvacuations(&e, &s.endpoints) && !s.evacuations.settle(&e, newerTable(tableVersion(e), tableVersion(s.endpoints)), from) {
+		sameEvacuations(&e, &s.endpoints) && !s.evacuations.settle(&e, newer, from) && (from == fromStore || !newer) {
 		return // the version changed for other objects; no need to send the table to other VMs
 	}
 	if s.hasRetained = retain; retain {
