traffic: a route's host matches in any case

Cause: only the host of the request was put in lower case. Change: routes are indexed by their host in lower case. Measured: TestHostsMatchInAnyCase failed before and passes.

--- a/internal/traffic/configuration.go
+++ b/internal/traffic/configuration.go
@@ -19,7 +19,7 @@
 	Limits      Limits
 
 	keys   map[string]*Workspace
-	routes map[string][]*Route // by host, longest prefix first
+	routes map[string][]*Route // by host in lower case, longest prefix first
 }
 
 // Routes returns all routes.
@@ -48,7 +48,8 @@
 		c.Workspaces[w.Name] = w
 	}
 	for _, r := range routes {
-		c.routes[r.Host] = append(c.routes[r.Host], r)
+		host := strings.ToLower(r.Host)
+		c.routes[host] = append(c.routes[host], r)
 	}
 	for _, rs := range c.routes {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
