--- a/internal/statesync/pace.go
+++ b/internal/statesync/pace.go
@@ -72,8 +72,7 @@
 
 // DecodeMsgpack implements msgpack.CustomDecoder. An element that cannot be decoded keeps its place and has no name.
 func (l *endpointWorks) DecodeMsgpack(dec *msgpack.Decoder) error {
-	*l = nil
-	return codec.DecodeElements(dec, func(w endpointWork, err error) {
+	return codec.DecodeList(dec, (*[]endpointWork)(l), func(w endpointWork, err error) {
 		if err != nil {
 			w = endpointWork{}
 		}
