platform, membership: an unreadable record of a list inside an object hides no other

Not changed, on purpose: the versions of services, open streams, and the own limiter's records, where a list without one element says something else than the whole (a version that is left out makes the other one the only one); they are refused as a whole, and what depends on them is refused.

--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/objectstore"
 )
@@ -32,9 +33,9 @@
 	// Sum is a checksum of the sender's records.
 	Sum uint32 `msgpack:"s,omitempty"`
 	// Digest summarizes the versions that the sender has. It is attached to OpPing and its reply.
-	Digest  *Digest  `msgpack:"d,omitempty"`
-	Records []Record `msgpack:"r,omitempty"`
-	Buckets []uint32 `msgpack:"b,omitempty"`
+	Digest  *Digest            `msgpack:"d,omitempty"`
+	Records codec.List[Record] `msgpack:"r,omitempty"`
+	Buckets []uint32           `msgpack:"b,omitempty"`
 	// Target and TargetAddress identify the VM to probe with OpIndirect.
 	Target        ident.VM       `msgpack:"t,omitempty"`
 	TargetAddress netip.AddrPort `msgpack:"p,omitempty"`
