activeconfig: a fetched table does not hide that a configuration is missing

What would have been seen (CONFIG): a VM that is told of a newer configuration and can fetch tables from other VMs, but not that configuration, goes on with the former one for as long as endpoints come and go. Cause: each table that it fetched made its knowledge of the store young again, so it did not read the store. Evidence: TestConfigurationThatCannotBeFetchedIsRead with a table that changes: not in force 20 s after it was written, where the test ends. Change: a VM remembers the newest configuration of which it was told. While it lacks that one, neither reads nor tables of others renew its age.

--- a/internal/activeconfig/confirm.go
+++ b/internal/activeconfig/confirm.go
@@ -19,6 +19,8 @@
 	reading traffic.Reading
 	// known are the latest reads by VM.
 	known map[ident.VM]knownReading
+	// named is the newest configuration of which another VM has told.
+	named traffic.DocumentVersion
 }
 
 // knownReading is the number of a read, and when it became known.
@@ -65,6 +67,12 @@
 	}
 }
 
+// lacksConfiguration reports whether another VM has told of a newer configuration than the one in force. What this VM learns
+// from others then says nothing about its own configuration. s.mu must be held.
+func (s *State) lacksConfiguration() bool {
+	return newerConfiguration(s.confirmed.named, s.versions()[DocumentConfiguration])
+}
+
 // Freshness returns the versions of the documents and as of when the store is known to have held them.
 func (s *State) Freshness() traffic.Freshness {
 	s.mu.Lock()
@@ -79,11 +87,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLostEvacuations()
+	if len(f.Versions) > DocumentConfiguration && newerConfiguration(f.Versions[DocumentConfiguration], s.confirmed.named) {
+		s.confirmed.named = f.Versions[DocumentConfiguration]
+	}
 	if !s.hasTable || s.hasRetained || len(f.Versions) < documentCount || f.Reading.IsZero() {
 		return
 	}
-	own := s.versions()
-	if f.Versions[DocumentEndpoints] != own[DocumentEndpoints] || newerConfiguration(f.Versions[DocumentConfiguration], own[DocumentConfiguration]) {
+	if f.Versions[DocumentEndpoints] != tableVersion(s.endpoints) || s.lacksConfiguration() {
 		return
 	}
 	now := s.opts.Clock.Now()
--- a/internal/activeconfig/confirm_test.go
+++ b/internal/activeconfig/confirm_test.go
@@ -17,24 +17,34 @@
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
-// versionedSource is a store whose version rises with each configuration.
+// versionedSource is a store whose version rises with each configuration. changing is set if its endpoints change with each
+// read, too.
 type versionedSource struct {
-	mu      sync.Mutex
-	version uint64
-	reads   int
+	mu       sync.Mutex
+	version  uint64
+	config   uint64
+	changing bool
+	reads    int
 }
 
 func (s *versionedSource) Endpoints(context.Context) (traffic.Endpoints, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	return table(s.version, "a"), nil
+	if s.changing {
+		s.version++
+	}
+	e := table(s.version, "a")
+	if s.changing {
+		e.List[0].Slots = s.reads
+	}
+	return e, nil
 }
 
 func (s *versionedSource) Configuration(context.Context) ([]byte, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return strconv.AppendUint(nil, s.version, 10), 0, nil
+	return strconv.AppendUint(nil, s.config+1, 10), 0, nil
 }
 
 // write writes the next configuration and returns its version.
@@ -42,7 +52,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	return s.version
+	s.config++
+	return s.config + 1
 }
 
 // delayedFleet is VMs that tell each other of the store every 200 ms. Messages to some VMs are delayed.
@@ -51,8 +62,8 @@
 	states []*State
 	// delay draws how long a message is under way.
 	delay func(from, to int) time.Duration
-	// loses reports whether documents cannot be fetched by a VM from another one.
-	loses func(from, to int) bool
+	// loses reports whether a document cannot be fetched by a VM from another one.
+	loses func(document, to int) bool
 }
 
 const testHeartbeatPeriod = 200 * time.Millisecond
@@ -85,7 +96,7 @@
 	receiver, sender := f.states[to], f.states[from]
 	receiver.Confirm(fresh)
 	for document, version := range fresh.Versions {
-		if !receiver.NeedsVersion(document, version) || f.loses(from, to) {
+		if !receiver.NeedsVersion(document, version) || f.loses(document, to) {
 			continue
 		}
 		requestedAt := receiver.opts.Clock.Now()
@@ -168,19 +179,26 @@
 // TestConfigurationThatCannotBeFetchedIsRead guards against a VM whose knowledge is renewed by VMs that name a newer
 // configuration which it cannot fetch from them.
 func TestConfigurationThatCannotBeFetchedIsRead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := &delayedFleet{
-			source: &versionedSource{version: 1}, delay: func(int, int) time.Duration { return time.Millisecond },
-			loses: func(_, to int) bool { return to == 3 },
-		}
-		ctx, stop := context.WithCancel(t.Context())
-		f.run(ctx, 6)
-		if latest := f.latestIn(20, 700*time.Millisecond, 3); latest > configApplyTime {
-			t.Errorf("a configuration was in force %s after it was written, want %s at most", latest, configApplyTime)
-		}
-		stop()
-		synctest.Wait()
-	})
+	for name, f := range map[string]*delayedFleet{
+		"no document": {source: &versionedSource{version: 1}, loses: func(_, to int) bool { return to == 3 }},
+		"the table can, and changes": {
+			source: &versionedSource{version: 1, changing: true},
+			loses:  func(document, to int) bool { return to == 3 && document == DocumentConfiguration },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f.delay = func(int, int) time.Duration { return time.Millisecond }
+				ctx, stop := context.WithCancel(t.Context())
+				f.run(ctx, 6)
+				if latest := f.latestIn(20, 700*time.Millisecond, 3); latest > configApplyTime {
+					t.Errorf("a configuration was in force %s after it was written, want %s at most", latest, configApplyTime)
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
 }
 
 // TestOneVMReadsForAll guards against more calls to the store than one VM needs to make for a calm fleet.
@@ -248,6 +266,7 @@
 	st.ApplyEndpoints(table(9, "a"), c.now, fromStore)
 	own := st.Freshness()
 	reader := ident.VM{Name: "reader", Incarnation: 5}
+	const applied = "the same once the configuration is known"
 	with := func(number, config, table uint64) traffic.Freshness {
 		return traffic.Freshness{Versions: []traffic.DocumentVersion{{Number: config}, {Number: table}}, Reading: traffic.Reading{VM: reader, Number: number}}
 	}
@@ -262,13 +281,18 @@
 		{"an earlier one", with(6, 4, 9), 2 * time.Second},
 		{"a later one", with(8, 4, 9), 0},
 		{"of a newer configuration", with(9, 5, 9), time.Second},
-		{"the same once the configuration is known", with(9, 4, 9), 0},
-		{"of another table", with(10, 4, 10), time.Second},
-		{"of an unnamed read", traffic.Freshness{Versions: own.Versions}, 2 * time.Second},
+		{"of the former one, while the newer one is not known", with(10, 4, 9), 2 * time.Second},
+		{applied, with(9, 5, 9), 0},
+		{"of another table", with(11, 5, 10), time.Second},
+		{"of an unnamed read", traffic.Freshness{Versions: with(0, 5, 9).Versions}, 2 * time.Second},
 		{"without versions", traffic.Freshness{Reading: traffic.Reading{VM: reader, Number: 20}}, 3 * time.Second},
-		{"after a restart of the reader", traffic.Freshness{Versions: own.Versions, Reading: traffic.Reading{VM: ident.VM{Name: "reader", Incarnation: 4}, Number: 1}}, 0},
+		{"after a restart of the reader", traffic.Freshness{Versions: with(0, 5, 9).Versions, Reading: traffic.Reading{VM: ident.VM{Name: "reader", Incarnation: 4}, Number: 1}}, 0},
 	} {
-		c.now = c.now.Add(time.Second)
+		if c.now = c.now.Add(time.Second); tc.name == applied {
+			if err := st.ApplyConfiguration([]byte("5"), 0, "vm"); err != nil {
+				t.Fatal(err)
+			}
+		}
 		st.Confirm(tc.fresh)
 		if age := st.Age(); age != tc.age {
 			t.Errorf("%s: the age is %s, want %s", tc.name, age, tc.age)
--- a/internal/activeconfig/state.go
+++ b/internal/activeconfig/state.go
@@ -154,7 +154,7 @@
 	if from == fromStore {
 		s.reads++
 		s.confirmed.add(now, asOf, traffic.Reading{VM: s.opts.Self, Number: s.reads})
-	} else {
+	} else if !s.hasTable || !s.lacksConfiguration() {
 		s.confirmed.addDocument(asOf)
 	}
 	retain := now.Before(s.retainUntil)
