admission: usage that records and several VMs tell a starting VM counts once

Cause: a VM that starts raises each bucket of its window to what a record, a VM that started and VMs that lived through the window tell. Records count as 2 s newer than their time says, and the buckets of two VMs are not aligned, so the same calls fell into different buckets and counted two or three times. Change: adopted usage is kept apart by age, and each further source raises its cumulative sum from the youngest bucket on: no more than the largest source, no source undercut. Nothing changes between VMs. The test failed before (6,300 tokens counted, 5,300 used).

--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -44,6 +44,8 @@
 	hasOwn   bool
 	// counted is the number of tokens that were added since this VM started, by any VM.
 	counted int64
+	// adopted is what buckets holds of the usage that records and other VMs told this one at its start, nil if they told none.
+	adopted *adoptedUsage
 }
 
 // Slack is the permitted overuse of a plan in a window while VMs cannot know the usage of others.
--- a/internal/admission/restart_test.go
+++ b/internal/admission/restart_test.go
@@ -162,3 +162,55 @@
 		t.Error("the usage counts twice")
 	}
 }
+
+// TestUsageInRecordsAndInTheWindowOfALivingVMCountsOnce guards against calls that are refused as over a plan that is half unused, after
+// most VMs have ended.
+func TestUsageInRecordsAndInTheWindowOfALivingVMCountsOnce(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 500} // 8500 tokens in a window
+	lived := NewPlans(oldStart(), testWindow, testLoweringDelay, Slack{})
+	for i := range 5 {
+		lived.Admit(at(time.Duration(i)*time.Second), "w", limit, 1000)
+	}
+	record, _ := lived.Record(at(5 * time.Second))
+	state, _ := lived.WindowState(at(6 * time.Second))
+	started := at(6 * time.Second)
+	for _, adopt := range []struct {
+		name string
+		run  func(p *Plans)
+	}{
+		{"records", func(p *Plans) { p.AdoptRecords(started, "", []UsageRecord{record}) }},
+		{"window of a VM that started", func(p *Plans) {
+			other := NewPlans(started, testWindow, testLoweringDelay, Slack{})
+			other.AdoptRecords(started, "", []UsageRecord{record})
+			told, _ := other.WindowState(started)
+			p.AdoptWindow(started, told)
+		}},
+	} {
+		t.Run(adopt.name, func(t *testing.T) {
+			p := NewPlans(started, testWindow, testLoweringDelay, Slack{})
+			adopt.run(p)
+			p.AddFromPeer(started, "w", 300)
+			p.AdoptWindow(started, state)
+			if d := p.Preview(started, "w", limit, 3200); !d.Admitted {
+				t.Errorf("%d tokens count as used, want 5300", d.UsedBefore)
+			}
+			if p.Preview(started, "w", limit, 3201).Admitted {
+				t.Error("more than the plan is admitted")
+			}
+		})
+	}
+}
+
+// TestRecordsThatTellMoreThanALivingVMStay guards against a plan that is exceeded when the VM that lived was cut off from the others.
+func TestRecordsThatTellMoreThanALivingVMStay(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 500}
+	p := NewPlans(at(0), testWindow, testLoweringDelay, Slack{})
+	p.AdoptRecords(at(0), "", []UsageRecord{{Age: time.Second, Buckets: map[string][]int64{"w": {5000}}}})
+	p.AdoptWindow(at(0), windowOf(map[int]int64{20: 1000}))
+	if p.Preview(at(0), "w", limit, 3501).Admitted {
+		t.Error("usage that is recorded does not count")
+	}
+	if !p.Preview(at(0), "w", limit, 2500).Admitted {
+		t.Error("usage that is in the record and in the window counts more than twice")
+	}
+}
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -108,7 +108,7 @@
 }
 
 // AdoptWindow adds the usage in the window that another VM knows of, if this VM started too late to
-// know it. Usage that both know of counts once: a bucket keeps the larger of the two amounts.
+// know it. Usage that both know of counts once.
 func (p *Plans) AdoptWindow(now clock.Instant, state WindowState) {
 	if now.Sub(p.startedAt) >= p.window {
 		return
@@ -120,7 +120,7 @@
 		p.seeded, p.restarted = true, false
 	}
 	for name, tokens := range state.Buckets {
-		p.usage(now, name).raise(tokens)
+		p.usage(now, name).adopt(tokens)
 	}
 	for name, r := range state.DataCentres {
 		if at := now.Add(-r.Age); at > p.dataCentres[name].at {
@@ -130,8 +130,7 @@
 }
 
 // adoptRestart adopts from another VM that all VMs ended. It returns false if the state is of no use: a VM that
-// lived through the window has told it, or another one that started has; the buckets of two VMs are not aligned, so
-// that each further state would count some usage again.
+// lived through the window has told it, or another one that started has, which knows the same records.
 func (p *Plans) adoptRestart(now clock.Instant, state WindowState) bool {
 	if p.seeded || p.toldOfRestart {
 		return false
@@ -176,3 +175,68 @@
 		}
 	}
 }
+
+// adoptedUsage is usage that others told a VM at its start, by age when bucket was the current one.
+type adoptedUsage struct {
+	bucket int64
+	// told is what is known of the usage, added what it added to the account.
+	told, added []int64
+}
+
+// adopt adds usage that a record or another VM tells, by age. What several of them tell counts once, although their clocks
+// and the borders of their buckets differ.
+func (a *account) adopt(tokens []int64) {
+	told := cumulativeMax(tokens, a.takeAdopted())
+	a.adopted = &adoptedUsage{bucket: a.bucket, told: told, added: make([]int64, accountBuckets)}
+	for age, n := range told {
+		a.adopted.added[age] = max(0, n-a.buckets[a.index(age)])
+	}
+	a.raise(told)
+}
+
+// takeAdopted removes the adopted usage from the account and returns it, by the ages that it has now.
+func (a *account) takeAdopted() []int64 {
+	u := a.adopted
+	if u == nil {
+		return nil
+	}
+	a.adopted = nil
+	for age, n := range aged(u.added, a.bucket-u.bucket) {
+		i := a.index(age)
+		n = max(0, min(n, a.buckets[i]))
+		a.buckets[i] -= n
+		a.sum -= n
+	}
+	return aged(u.told, a.bucket-u.bucket)
+}
+
+// aged returns the buckets of a window as they are some buckets later.
+func aged(tokens []int64, buckets int64) []int64 {
+	out := make([]int64, accountBuckets)
+	if buckets < accountBuckets {
+		copy(out[buckets:], tokens)
+	}
+	return out
+}
+
+// cumulativeMax returns buckets by age of which the youngest, however many, hold at least what those of a and of b
+// do. Usage that a and b tell with different ages counts once.
+func cumulativeMax(a, b []int64) []int64 {
+	out := make([]int64, accountBuckets)
+	sumA, sumB, sum := int64(0), int64(0), int64(0)
+	for age := range out {
+		sumA += tokensAt(a, age)
+		sumB += tokensAt(b, age)
+		most := max(sumA, sumB, sum)
+		out[age], sum = most-sum, most
+	}
+	return out
+}
+
+// tokensAt returns the tokens of an age, 0 if they are negative or the buckets do not go back so far.
+func tokensAt(buckets []int64, age int) int64 {
+	if age >= len(buckets) {
+		return 0
+	}
+	return max(0, buckets[age])
+}
