dispatch: failing tests of answers given up although nothing can replace them

A sound endpoint may be silent for a second or so and go on. Three timers end an attempt so that another may follow, and only then find out whether one can: the stall timer of resumable streams, the timeout of a prefill, and the timeout of a plain attempt. With no retry left, no other endpoint, or only endpoints of another version, the caller loses an answer that would have come.

Measured: all four tests fail. A stream is cut 1.5 s after its first event, or fails with 502 before it; a prefill is given up after 0.35 s and its call refused with 503; a plain call fails with 502 after 0.54 s. The endpoints go on after 1.3 s, and an event that is due when the silence begins comes after 1.6 s. Calls that may run once are not affected (TestSilentEndpointKeepsCallsThatRunOnce passes).

--- /dev/null
+++ b/internal/dispatch/silence_test.go
@@ -0,0 +1,222 @@
+package dispatch_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/admission"
+	"github.com/fulmartide/fulmartide/internal/backend"
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/dispatch"
+	"github.com/fulmartide/fulmartide/internal/schedule"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+const (
+	// silence is how long a sound endpoint may be silent before it goes on.
+	silence = 1300 * time.Millisecond
+	// silenceBeforeEvent is the longest pause before an event of such an endpoint: it falls silent when the event is due.
+	silenceBeforeEvent = silence + 300*time.Millisecond
+)
+
+// step is a pause of an endpoint and what it sends then.
+type step struct {
+	pause time.Duration
+	text  string
+}
+
+// steps is a body that is sent in steps. Its connection breaks if the request is cancelled.
+type steps struct {
+	ctx  context.Context
+	left []step
+}
+
+func (s *steps) Read(p []byte) (int, error) {
+	if len(s.left) == 0 {
+		return 0, io.EOF
+	}
+	if !clock.Sleep(s.ctx, s.left[0].pause) {
+		return 0, context.Cause(s.ctx)
+	}
+	n := copy(p, s.left[0].text)
+	s.left = s.left[1:]
+	return n, nil
+}
+
+func (s *steps) Close() error { return nil }
+
+// silentFleet is a backend whose endpoints are silent during the first prefill and the first run, and go on then unless
+// the request was cancelled.
+type silentFleet struct {
+	fakeBackend
+	prefillSilence, headerSilence time.Duration
+	body                          []step
+	stream                        bool
+	// later is what runs after the first one answer.
+	later string
+}
+
+func (f *silentFleet) Prefill(ctx context.Context, req backend.Request) (backend.Handle, error) {
+	h, err := f.fakeBackend.Prefill(ctx, req)
+	if f.prefills == 1 && !clock.Sleep(ctx, f.prefillSilence) {
+		return backend.Handle{}, &backend.SendError{Sent: true, Err: context.Cause(ctx)}
+	}
+	return h, err
+}
+
+func (f *silentFleet) firstRun(n int, ctx context.Context, _ backend.Request) (*backend.Response, error) {
+	r := reply(http.StatusOK, f.later)
+	r.EventStream = f.stream
+	if n > 1 {
+		return r, nil
+	}
+	if !clock.Sleep(ctx, f.headerSilence) {
+		return nil, &backend.SendError{Sent: true, Err: context.Cause(ctx)}
+	}
+	r.Body = &steps{ctx: ctx, left: f.body}
+	return r, nil
+}
+
+// retrySlack is the retries that a test dispatcher may make.
+const retrySlack = 100
+
+// serveSilent runs one call against a fleet. The fleet may make slack retries.
+func serveSilent(t *testing.T, f *silentFleet, call *traffic.Call, list traffic.Endpoints, slack float64) (out *recordingSink, err error) {
+	t.Helper()
+	f.run = f.firstRun
+	out = &recordingSink{}
+	synctest.Test(t, func(t *testing.T) {
+		now := clock.NewMonotonic()
+		cfg := testConfiguration()
+		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7})
+		s.UpdateEndpoints(list, cfg.Services)
+		budget := admission.RetryBudget{Window: 10 * time.Second, Slack: slack}
+		gate := admission.NewController(now, budget, admission.PlanOptions{Window: 8 * time.Second}, 1, nil)
+		time.Sleep(time.Minute)
+		d := newTestDispatcher(now, cfg, s, f, func(o *dispatch.Options) { o.Admission = gate })
+		ctx, stop := context.WithCancel(t.Context())
+		go d.Run(ctx)
+		call.ArrivedAt = now.Now()
+		call.Deadline = call.ArrivedAt.Add(5 * time.Second)
+		err = d.Serve(t.Context(), call, out)
+		synctest.Wait()
+		stop()
+		synctest.Wait()
+		if _, held := s.OwnWork(); len(held) != 0 {
+			t.Errorf("capacity %v is still allocated after the call", held)
+		}
+	})
+	return out, err
+}
+
+// oneOfEach returns the first endpoint of each service and stage.
+func oneOfEach() traffic.Endpoints {
+	list := traffic.Endpoints{Version: 1}
+	seen := map[traffic.Stage]bool{}
+	for _, e := range testEndpoints().List {
+		if !seen[e.Stage] {
+			list.List = append(list.List, e)
+		}
+		seen[e.Stage] = true
+	}
+	return list
+}
+
+// versionOfEach returns endpoints of which no two of a service and stage have the same software version.
+func versionOfEach() traffic.Endpoints {
+	list := testEndpoints()
+	for i := range list.List {
+		name := list.List[i].ID.Name
+		list.List[i].SoftwareVersion = name[len(name)-1:]
+	}
+	list.List = list.List[:len(list.List)-1] // the third decode engine has no prefill engine of its version
+	return list
+}
+
+// noSuccessor are the reasons for which no other attempt may follow one whose endpoint is silent.
+var noSuccessor = []struct {
+	name      string
+	endpoints func() traffic.Endpoints
+	slack     float64
+}{
+	{"retry budget used up", testEndpoints, 0},
+	{"no other endpoint", oneOfEach, retrySlack},
+	{"other endpoints are of other versions", versionOfEach, retrySlack},
+}
+
+func TestStreamOfSilentEngineIsNotCutWhenNoOtherCanContinueIt(t *testing.T) {
+	for _, tc := range noSuccessor {
+		t.Run(tc.name, func(t *testing.T) {
+			f := &silentFleet{stream: true, body: []step{{0, events(1, 1)}, {silenceBeforeEvent, events(2, 2)}, {silenceBeforeEvent, events(3, 3)}}}
+			out, err := serveSilent(t, f, newCall(resumablePath), tc.endpoints(), tc.slack)
+			if err != nil || out.body.String() != events(1, 3) || f.count("run") != 1 {
+				t.Errorf("body %q, error %v, %d runs", out.body.String(), err, f.count("run"))
+			}
+		})
+	}
+}
+
+func TestStreamOfEngineThatIsSilentBeforeTheFirstEventIsNotRefused(t *testing.T) {
+	for _, tc := range noSuccessor[:2] {
+		t.Run(tc.name, func(t *testing.T) {
+			f := &silentFleet{stream: true, headerSilence: silence, body: []step{{300 * time.Millisecond, events(1, 3)}}}
+			out, err := serveSilent(t, f, newCall(resumablePath), tc.endpoints(), tc.slack)
+			if err != nil || out.body.String() != events(1, 3) || f.count("run") != 1 {
+				t.Errorf("body %q, error %v, %d runs", out.body.String(), err, f.count("run"))
+			}
+		})
+	}
+}
+
+func TestSilentPrefillIsAwaitedWhenNoOtherCanFollow(t *testing.T) {
+	for _, path := range []string{streamPath, resumablePath} {
+		for _, tc := range noSuccessor[:2] {
+			t.Run(path+" "+tc.name, func(t *testing.T) {
+				f := &silentFleet{stream: true, prefillSilence: silence, body: []step{{0, events(1, 3)}}}
+				out, err := serveSilent(t, f, newCall(path), tc.endpoints(), tc.slack)
+				if err != nil || out.body.String() != events(1, 3) || f.count("prefill") != 1 {
+					t.Errorf("body %q, error %v, %d prefills", out.body.String(), err, f.count("prefill"))
+				}
+			})
+		}
+	}
+}
+
+func TestSilentPlainEndpointIsAwaitedWhenNoOtherCanFollow(t *testing.T) {
+	for _, tc := range noSuccessor[:2] {
+		for name, f := range map[string]*silentFleet{
+			"before the header": {headerSilence: silence, body: []step{{0, "good"}}},
+			"in the body":       {body: []step{{0, "go"}, {silence, "od"}}},
+		} {
+			t.Run(tc.name+", "+name, func(t *testing.T) {
+				out, err := serveSilent(t, f, newCall(repeatPath), tc.endpoints(), tc.slack)
+				if err != nil || out.status != http.StatusOK || out.body.String() != "good" || f.count("run") != 1 {
+					t.Errorf("status %d, body %q, error %v, %d runs", out.status, out.body.String(), err, f.count("run"))
+				}
+			})
+		}
+	}
+}
+
+func TestSilentEndpointKeepsCallsThatRunOnce(t *testing.T) {
+	for _, tc := range []struct {
+		name, path, want string
+		fleet            *silentFleet
+	}{
+		{"plain, before the header", oncePath, "good", &silentFleet{headerSilence: silence, body: []step{{0, "good"}}}},
+		{"plain, in the body", oncePath, "good", &silentFleet{body: []step{{0, "go"}, {silence, "od"}}}},
+		{"stream, before the header", streamPath, events(1, 3), &silentFleet{stream: true, headerSilence: silence, body: []step{{0, events(1, 3)}}}},
+		{"stream, between events", streamPath, events(1, 3), &silentFleet{stream: true, body: []step{{0, events(1, 1)}, {silenceBeforeEvent, events(2, 3)}}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			out, err := serveSilent(t, tc.fleet, newCall(tc.path), testEndpoints(), retrySlack)
+			if err != nil || out.body.String() != tc.want || tc.fleet.count("run") != 1 {
+				t.Errorf("body %q, error %v, %d runs", out.body.String(), err, tc.fleet.count("run"))
+			}
+		})
+	}
+}
