dispatch: an attempt at a silent endpoint is ended only once another can follow

Callers of sound endpoints that fell silent for a second or so lost answers that would have come: a stream was cut after its first event, a call whose prefill was slow got 503, an idempotent call 502.

Cause: the stall timer, the timeout of a prefill and that of a plain attempt ended the attempt first. Only then the retry budget, the quarantine, the versions and the places decided whether another attempt may follow.

The three paths now share one timer (silenceTimer). When it fires, replacement takes three steps: nothing known is in the way, the places of the next attempt are claimed, and, under the lock that also guards the arrival of data, the retry is deducted and the attempt ended. What arrives after the attempt was ended is not delivered, since the next attempt delivers it; once anything of a response has arrived the next attempt must be of the same software version. A second prefill keeps the claimed decode engine. A retry that is deducted and not used is given back to the part of the window in which it was counted, so that totals told to other VMs never decrease. Progress of streams is events, as before.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -252,6 +252,20 @@
 	c.onCount(CounterKey{ServiceCalls, service}, c.retries.CountCall(c.clock.Now(), service))
 }
 
+// RetryLeft reports whether the budget has capacity for a retry of a call to a service now.
+func (c *Controller) RetryLeft(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retries.Remaining(c.clock.Now(), service, c.directShare) >= 1
+}
+
+// ReturnRetry gives back a retry that was counted and not sent.
+func (c *Controller) ReturnRetry(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retries.Return(c.clock.Now(), service)
+}
+
 // SpendRetry counts a retry of a call to a service if the budget has capacity for it and for
 // reserve more.
 func (c *Controller) SpendRetry(service string, reserve float64) bool {
--- a/internal/admission/retries.go
+++ b/internal/admission/retries.go
@@ -45,6 +45,8 @@
 	sumRetries     int
 	// ownCalls and ownRetries are the totals of this VM since its start.
 	ownCalls, ownRetries int64
+	// returned is the number of retries in the current bucket that were counted and not sent.
+	returned int
 }
 
 // NewRetries returns the Retries of a VM that starts now.
@@ -62,6 +64,9 @@
 		w = &retryWindow{bucket: bucket}
 		r.services[service] = w
 	}
+	if w.bucket < bucket {
+		w.returned = 0
+	}
 	for ; w.bucket < bucket && w.sumCalls+w.sumRetries > 0; w.bucket++ {
 		i := (w.bucket + 1) % retryBuckets
 		w.sumCalls -= w.calls[i]
@@ -106,15 +111,25 @@
 // Spend counts a retry if the budget has capacity for it and returns this VM's total. reserve is
 // the number of retries that must remain for more urgent uses.
 func (r *Retries) Spend(now clock.Instant, service string, share, reserve float64) (total int64, ok bool) {
+	w := r.window(now, service)
+	if w.returned > 0 {
+		w.returned--
+		return w.ownRetries, true
+	}
 	if r.Remaining(now, service, share) < 1+reserve {
 		return 0, false
 	}
-	w := r.window(now, service)
 	w.add(0, 1)
 	w.ownRetries++
 	return w.ownRetries, true
 }
 
+// Return gives back a retry that was counted and not sent. The next one in the same bucket takes its place, so that totals
+// that other VMs were told never decrease.
+func (r *Retries) Return(now clock.Instant, service string) {
+	r.window(now, service).returned++
+}
+
 // ownTotals adds the counters of this VM since its start to out.
 func (r *Retries) ownTotals(out map[CounterKey]int64) {
 	for name, w := range r.services {
--- a/internal/admission/retries_test.go
+++ b/internal/admission/retries_test.go
@@ -105,3 +105,21 @@
 		t.Errorf("the VMs sent %d retries after their restart, want at most %d", afterRestart, limit)
 	}
 }
+
+func TestReturnedRetryIsNotCountedTwice(t *testing.T) {
+	budget := RetryBudget{Window: 10 * time.Second, Slack: 5}
+	now := clock.Instant(time.Minute)
+	r := NewRetries(0, budget)
+	spend := func(at clock.Instant) (total int64, ok bool) { return r.Spend(at, "s", 1, 0) }
+	for range 3 { // 0.7 of the slack
+		spend(now)
+	}
+	r.Return(now, "s")
+	if total, ok := spend(now); total != 3 || !ok {
+		t.Errorf("after a return: total %d, allowed %v, want 3 and allowed", total, ok)
+	}
+	r.Return(now, "s")
+	if _, ok := spend(now.Add(time.Second)); ok {
+		t.Error("a returned retry takes the place of one that is sent in another part of the window")
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -179,6 +179,8 @@
 	countedPlaced bool
 	// regions are the regions in which the call is handled, nil for any.
 	regions []string
+	// next is what follows the last attempt, nil if that is to be decided.
+	next *successor
 	// tried are the endpoints that were tried, unsent those to which this VM got no connection.
 	tried, unsent []traffic.EndpointID
 }
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -54,6 +54,7 @@
 
 func (f *inflightCall) generate(ctx context.Context) error {
 	g := &generation{inflightCall: f, stream: newEventStream(f), prefix: prefixcache.NewChain(f.call.Prefix)}
+	defer g.dropNext()
 	for {
 		err := g.attempt(ctx)
 		if err == nil {
@@ -85,6 +86,9 @@
 // shouldRetry reports whether to make another attempt after a failed one. If so, it deducts the
 // attempt from the retry budget.
 func (g *generation) shouldRetry(ctx context.Context, err error) bool {
+	if ctx.Err() == nil && !isFinal(err) && g.next != nil {
+		return true
+	}
 	if ctx.Err() != nil || isFinal(err) || g.prefills >= maxPrefills || len(g.unsent) >= maxUnsentAttempts {
 		return false
 	}
@@ -106,21 +110,23 @@
 // attempt claims the engines, runs the prefill if the service has prefill engines, and streams the
 // response of the decode.
 func (g *generation) attempt(ctx context.Context) error {
-	if err := g.checkQuarantine(); err != nil {
-		return &attemptError{err: err, final: true}
-	}
-	prefill, decode, err := g.placeStages(ctx)
+	prefill, decode, err := g.takePlaces(ctx)
 	if err != nil {
 		return &attemptError{err: err, final: true}
 	}
 	if prefill == nil {
 		return g.runOnOneEngine(ctx, decode)
 	}
-	h, err := g.prefill(ctx, prefill)
+	h, err := g.prefill(ctx, prefill, decode)
+	if err != nil && g.next != nil {
+		g.next.decode = decode // only the prefill is repeated
+		return err
+	}
 	if err != nil {
 		decode.Release()
 		return err
 	}
+	g.dropNext()
 	prefilledAt := g.dispatcher.opts.Clock.Now()
 	fetched, err := g.decodePrefilled(ctx, h, decode, prefilledAt)
 	if !fetched {
@@ -130,6 +136,17 @@
 	return err
 }
 
+// takePlaces returns the claimed engines of the next attempt.
+func (g *generation) takePlaces(ctx context.Context) (prefill, decode *schedule.Claim, err error) {
+	if next := g.takeNext(); next != nil {
+		return next.prefill, next.decode, nil
+	}
+	if err := g.checkQuarantine(); err != nil {
+		return nil, nil, err
+	}
+	return g.placeStages(ctx)
+}
+
 // memoryWaitLimit returns the deadline for waiting for engine memory, as a duration since the call's
 // arrival.
 func (g *generation) memoryWaitLimit() time.Duration {
@@ -160,17 +177,24 @@
 // placePrefill claims a prefill engine of the decode engine's software version. The claim is nil if only other versions
 // can prefill.
 func (g *generation) placePrefill(ctx context.Context, decode traffic.Endpoint) (*schedule.Claim, error) {
-	request := g.newPlacementRequest(traffic.Prefill, decode.DataCentre, nil)
-	request.Version = &decode.SoftwareVersion
-	request.MaxPrefillTime = time.Duration(PrefillFraction * float64(g.call.Route.LatencyTarget))
-	claim, err := g.place(ctx, request, g.memoryWaitLimit())
-	if fault.Is(err, fault.Unavailable) && g.dispatcher.opts.Scheduler.HasOtherVersion(g.call.Service.Name, traffic.Prefill, *request.Version) {
-		g.log.Info("prefill left to the decode engine", zap.String("endpoint", decode.ID.Name), zap.String("software", *request.Version), zap.Error(err))
+	request := g.prefillRequest(*g.newPlacementRequest(traffic.Prefill, "", nil), decode)
+	claim, err := g.place(ctx, &request, g.memoryWaitLimit())
+	if err != nil && g.leftToDecode(decode, err) {
 		return nil, nil
 	}
 	return claim, err
 }
 
+// leftToDecode reports whether the decode engine computes the prefill, as the error of placing the prefill is that only
+// other software versions have engines for it.
+func (g *generation) leftToDecode(decode traffic.Endpoint, err error) bool {
+	if !fault.Is(err, fault.Unavailable) || !g.dispatcher.opts.Scheduler.HasOtherVersion(g.call.Service.Name, traffic.Prefill, decode.SoftwareVersion) {
+		return false
+	}
+	g.log.Info("prefill left to the decode engine", zap.String("endpoint", decode.ID.Name), zap.String("software", decode.SoftwareVersion), zap.Error(err))
+	return true
+}
+
 func (g *generation) newPlacementRequest(stage traffic.Stage, dataCentre string, exclude []traffic.EndpointID) *schedule.Request {
 	return &schedule.Request{
 		Service: g.call.Service.Name, Stage: stage, Tokens: g.call.Tokens, PreferredDataCentre: dataCentre,
@@ -179,21 +203,34 @@
 	}
 }
 
-// prefill runs the prefill on the claimed engine.
-func (g *generation) prefill(ctx context.Context, claim *schedule.Claim) (backend.Handle, error) {
+// startPrefillTimer starts the timer of a prefill at the claimed engine for a decode engine. It returns nil if no other
+// prefill may follow.
+func (g *generation) startPrefillTimer(claim, decode *schedule.Claim, cancel context.CancelCauseFunc) *silenceTimer {
+	if g.prefills+1 >= maxPrefills {
+		return nil
+	}
+	timeout := prefillFactor*claim.ExpectedPrefill + prefillSlack
+	request := g.prefillRequest(*g.newPlacementRequest(traffic.Prefill, "", []traffic.EndpointID{claim.Endpoint.ID}), decode.Endpoint)
+	claimNext := func(bool) (*successor, error) {
+		other, err := g.claimNow(request)
+		return &successor{prefill: other}, err
+	}
+	return g.startSilenceTimer(silenceOptions{at: claim, timeout: timeout, examine: true, claim: claimNext, cancel: cancel})
+}
+
+// prefill runs the prefill for a decode engine on the claimed engine.
+func (g *generation) prefill(ctx context.Context, claim, decode *schedule.Claim) (backend.Handle, error) {
 	defer claim.Release()
 	if err := g.startSend(claim); err != nil {
 		g.prefills++
 		return backend.Handle{}, err
 	}
 	start := g.dispatcher.opts.Clock.Now()
-	timeout := prefillFactor*claim.ExpectedPrefill + prefillSlack
-	stageCtx, cancel := context.WithTimeoutCause(ctx, timeout, errEndpointTimeout)
-	defer cancel()
+	stageCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := g.startPrefillTimer(claim, decode, cancel)
 	h, err := g.dispatcher.opts.Backend.Prefill(stageCtx, g.newRequest(claim))
-	if claim.Via == nil && errors.Is(context.Cause(stageCtx), errEndpointTimeout) {
-		g.dispatcher.opts.OnSilent(claim.Endpoint)
-	}
+	g.next = timer.Stop()
 	claim.RecordLoad(h.Load)
 	took := g.dispatcher.opts.Clock.Now().Sub(start)
 	if connected(err) {
@@ -245,7 +282,7 @@
 	for n := 1; ; n++ {
 		fetched, err = g.decode(ctx, claim, &h)
 		claim.Release()
-		if err == nil || fetched || ctx.Err() != nil || isFinal(err) {
+		if err == nil || fetched || ctx.Err() != nil || isFinal(err) || g.next != nil {
 			return fetched, err
 		}
 		if connected(err) {
@@ -310,8 +347,8 @@
 	g.stream.beginResponse()
 	stageCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := g.startStallTimer(claim, cancel)
-	defer stall.Stop()
+	stall := g.startStallTimer(claim, g.prefillsAfter(h), cancel)
+	defer func() { g.next = stall.Stop() }()
 	running, delimited := loadUnknown, false
 	stopWatch := g.watchSilence(claim)
 	reply, err := g.dispatcher.opts.Backend.Run(stageCtx, req)
@@ -358,6 +395,14 @@
 	return backend.MayHaveRun(err), err
 }
 
+// prefillsAfter returns the number of prefills of the call after a decode, which computes one itself if h is nil.
+func (g *generation) prefillsAfter(h *backend.Handle) int {
+	if h == nil {
+		return g.prefills + 1
+	}
+	return g.prefills
+}
+
 // recordDecode records how long the events of a complete stream took.
 func (g *generation) recordDecode(claim *schedule.Claim) {
 	s := g.stream
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -6,7 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +15,7 @@
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/schedule"
+	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
 const (
@@ -25,7 +26,7 @@
 	// the call fails.
 	maxUnsentAttempts = 4
 	// attemptTimeoutFraction is the fraction of the latency target after which a retryable call is
-	// sent to another endpoint.
+	// sent to another endpoint, if one can be claimed.
 	attemptTimeoutFraction = 0.6
 	// minAttemptTimeout is the minimum timeout of an attempt that another one may follow.
 	minAttemptTimeout = 50 * time.Millisecond
@@ -53,6 +54,7 @@
 
 // servePlain serves a call whose response is not a series of events.
 func (f *inflightCall) servePlain(ctx context.Context) error {
+	defer f.dropNext()
 	var errorResponse *response // the last response with a server error, if any
 	unsent := 0
 	for {
@@ -88,6 +90,8 @@
 	switch {
 	case ctx.Err() != nil || f.responseStarted || unsent >= maxUnsentAttempts:
 		return false
+	case f.next != nil:
+		return true
 	case fault.Is(err, fault.Overloaded) || fault.Is(err, fault.Unavailable) || fault.Is(err, fault.Quarantined):
 		return false // no endpoint could be claimed, or none should be
 	case err != nil && !backend.MayHaveArrived(err):
@@ -102,11 +106,7 @@
 // attemptPlain claims an endpoint, sends the call and reads the response. A response that is not buffered completely is
 // delivered at once.
 func (f *inflightCall) attemptPlain(ctx context.Context) (*response, error) {
-	if err := f.checkQuarantine(); err != nil {
-		return nil, err
-	}
-	request := &schedule.Request{Service: f.call.Service.Name, Exclude: f.tried, Unsent: f.unsent, NotRetryable: !f.call.Route.Retryable(), Version: f.requiredVersion(), Regions: f.regions, BodyBytes: len(f.call.Body)}
-	claim, err := f.place(ctx, request, time.Duration(capacityWaitFraction*float64(f.call.Route.LatencyTarget)))
+	claim, err := f.placePlain(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -117,9 +117,9 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stopTimeout := f.startAttemptTimeout(cancel)
-	defer stopTimeout()
+	timer := f.startAttemptTimer(claim, cancel)
 	resp, err := f.send(ctx, claim)
+	f.next = timer.Stop()
 	if err == nil || backend.MayHaveArrived(err) {
 		f.tried = append(f.tried, claim.Endpoint.ID)
 	}
@@ -127,7 +127,7 @@
 		defer func() { _ = resp.reply.Body.Close() }()
 	}
 	if err == nil && !resp.complete {
-		if stopTimeout() {
+		if f.next == nil {
 			body := f.newReadAhead(resp.reply.Body, nil, claim, cancel)
 			defer body.close()
 			err = f.deliverAsItArrives(resp, body)
@@ -139,15 +139,36 @@
 	return resp, err
 }
 
-// startAttemptTimeout starts the timeout of an attempt that another one may follow. The returned function stops it, and
-// reports whether it has not expired.
-func (f *inflightCall) startAttemptTimeout(cancel context.CancelCauseFunc) (stop func() bool) {
+// placePlain claims the endpoint of the next attempt.
+func (f *inflightCall) placePlain(ctx context.Context) (*schedule.Claim, error) {
+	if next := f.takeNext(); next != nil {
+		return next.decode, nil
+	}
+	if err := f.checkQuarantine(); err != nil {
+		return nil, err
+	}
+	return f.place(ctx, f.plainRequest(f.tried), time.Duration(capacityWaitFraction*float64(f.call.Route.LatencyTarget)))
+}
+
+func (f *inflightCall) plainRequest(exclude []traffic.EndpointID) *schedule.Request {
+	return &schedule.Request{
+		Service: f.call.Service.Name, Exclude: exclude, Unsent: f.unsent, NotRetryable: !f.call.Route.Retryable(),
+		Version: f.requiredVersion(), Regions: f.regions, BodyBytes: len(f.call.Body),
+	}
+}
+
+// startAttemptTimer starts the timer of an attempt that another one may follow, nil if none may.
+func (f *inflightCall) startAttemptTimer(claim *schedule.Claim, cancel context.CancelCauseFunc) *silenceTimer {
 	timeout, ok := f.attemptTimeout()
 	if !ok {
-		return func() bool { return true }
+		return nil
+	}
+	request := f.plainRequest(append(slices.Clip(f.tried), claim.Endpoint.ID))
+	claimNext := func(bool) (*successor, error) {
+		other, err := f.claimNow(*request)
+		return &successor{decode: other}, err
 	}
-	t := time.AfterFunc(timeout, func() { cancel(errEndpointTimeout) })
-	return sync.OnceValue(t.Stop)
+	return f.startSilenceTimer(silenceOptions{at: claim, timeout: timeout, claim: claimNext, cancel: cancel})
 }
 
 // errEndpointTimeout is the cancellation cause when an endpoint does not respond within the timeout
--- a/internal/dispatch/readahead.go
+++ b/internal/dispatch/readahead.go
@@ -68,6 +68,9 @@
 
 // newReadAhead returns a reader of a response. cancel aborts the request to the claim's endpoint.
 func (f *inflightCall) newReadAhead(body io.Reader, stall *stallTimer, claim *schedule.Claim, cancel context.CancelCauseFunc) *readAhead {
+	if stall != nil {
+		body = &stalledBody{body, stall}
+	}
 	r := &readAhead{call: f, body: body, stall: stall, claim: claim, cancel: cancel}
 	r.sink, _ = f.sink.(aborter)
 	r.arrived.L = &r.mu
@@ -80,9 +83,7 @@
 	ahead := r.ahead // changes only during a write
 	r.mu.Unlock()
 	if !ahead {
-		n, err := r.body.Read(p)
-		r.stall.received(p[:n])
-		return n, err
+		return r.body.Read(p)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -190,7 +191,6 @@
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := r.body.Read(buf)
-		r.stall.received(buf[:n])
 		r.stall.pause() // while there is no room
 		if n > 0 && !r.store(buf[:n]) {
 			return
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -220,3 +221,48 @@
 		})
 	}
 }
+
+func TestSilentAttemptIsReplacedWithOneRetry(t *testing.T) {
+	for _, tc := range []struct {
+		name, path, method, want string
+		fleet                    *silentFleet
+	}{
+		{"stream", resumablePath, "run", events(1, 3), &silentFleet{stream: true, body: []step{{0, events(1, 1)}, {time.Minute, ""}}, later: events(2, 3)}},
+		{"plain", repeatPath, "run", "good", &silentFleet{headerSilence: time.Minute, later: "good"}},
+		{"prefill", streamPath, "prefill", events(1, 3), &silentFleet{stream: true, prefillSilence: time.Minute, body: []step{{0, events(1, 3)}}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			// 0.7 of the slack is used: one retry
+			out, err := serveSilent(t, tc.fleet, newCall(tc.path), testEndpoints(), 1/0.7+0.01)
+			if err != nil || out.body.String() != tc.want || tc.fleet.count(tc.method) != 2 {
+				t.Errorf("body %q, error %v, received %v", out.body.String(), err, tc.fleet.sends)
+			}
+		})
+	}
+}
+
+// TestEventsAtTheEndOfTheTimeoutAreNotLost guards against events that arrive while the attempt is being replaced.
+func TestEventsAtTheEndOfTheTimeoutAreNotLost(t *testing.T) {
+	const stallTime = 1500 * time.Millisecond
+	for range 200 {
+		f := &silentFleet{stream: true, later: events(2, 3), body: []step{{0, events(1, 1)}, {stallTime, events(2, 2)}, {0, events(3, 3)}}}
+		out, err := serveSilent(t, f, newCall(resumablePath), testEndpoints(), retrySlack)
+		if err != nil || out.body.String() != events(1, 3) {
+			t.Fatalf("body %q, error %v, received %v", out.body.String(), err, f.sends)
+		}
+	}
+}
+
+// TestReplacedStreamKeepsItsVersion guards against text of two versions when the first bytes arrive as the attempt is
+// replaced.
+func TestReplacedStreamKeepsItsVersion(t *testing.T) {
+	const stallTime = 1500 * time.Millisecond
+	for range 200 {
+		f := &silentFleet{stream: true, later: events(1, 3), body: []step{{stallTime, events(1, 1)}, {silenceBeforeEvent, events(2, 3)}}}
+		out, err := serveSilent(t, f, newCall(resumablePath), versionOfEach(), retrySlack)
+		resumed := slices.ContainsFunc(f.sends, func(s sentRequest) bool { return s.after != "" })
+		if err != nil || out.body.String() != events(1, 3) || resumed {
+			t.Fatalf("body %q, error %v, received %v", out.body.String(), err, f.sends)
+		}
+	}
+}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -3,14 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/schedule"
+	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
 const (
-	// A stream that can be resumed at another endpoint is aborted if it makes no progress for stallFactor times the route's
-	// maximum event gap, and at least for stallMin: a sound endpoint may pause for about a second, and one that does not notice
+	// A stream continues at another endpoint if it makes no progress for stallFactor times the route's maximum event gap,
+	// and at least for stallMin: a sound endpoint may pause for about a second, and one that does not notice
 	// that its connection was closed would go on beside the next one.
 	stallFactor = 3
 	stallMin    = 1500 * time.Millisecond
@@ -18,41 +20,40 @@
 	progressBytes = 4 << 10
 )
 
-// stallTimer aborts a request to an engine when its response has made no progress for the timer's timeout. A nil
+// stallTimer is the silence timer of a stream: of a response that is a series of events, only events are progress. A nil
 // stallTimer does nothing.
 type stallTimer struct {
-	timer   *time.Timer
-	timeout time.Duration
-	// expires is when the timer fires unless it is paused, left the time until then at the last pause.
-	expires time.Time
-	left    time.Duration
+	*silenceTimer
 	// eventStream is set if the response is a series of events. Otherwise each byte is progress.
 	eventStream bool
 	progress    eventProgress
 }
 
-// startStallTimer starts the stall timer of a stream that can be resumed at another engine. It
-// returns nil if no other attempt may follow.
-func (g *generation) startStallTimer(claim *schedule.Claim, cancel context.CancelCauseFunc) *stallTimer {
+// startStallTimer starts the stall timer of a stream that can be resumed at another engine. prefills is the number of
+// prefills of the call after this attempt. It returns nil if no other attempt may follow.
+func (g *generation) startStallTimer(claim *schedule.Claim, prefills int, cancel context.CancelCauseFunc) *stallTimer {
 	r := g.call.Route
-	if !r.Retryable() || g.runs+1 >= r.MaxAttempts {
+	if !r.Retryable() || g.runs+1 >= r.MaxAttempts || prefills >= maxPrefills {
 		return nil
 	}
-	timeout := max(stallMin, stallFactor*r.MaxEventGap)
-	stalled := func() {
-		cancel(errEndpointTimeout)
-		if claim.Via == nil {
-			g.dispatcher.opts.OnSilent(claim.Endpoint)
+	request := g.newPlacementRequest(traffic.Decode, "", []traffic.EndpointID{claim.Endpoint.ID})
+	claimNext := func(begun bool) (*successor, error) {
+		next := *request
+		if begun { // the caller gets, or has got, text of this version
+			next.Version = &claim.Endpoint.SoftwareVersion
 		}
+		return g.claimEngines(next)
 	}
-	return &stallTimer{timer: time.AfterFunc(timeout, stalled), timeout: timeout, expires: time.Now().Add(timeout)}
+	timeout := max(stallMin, stallFactor*r.MaxEventGap)
+	return &stallTimer{silenceTimer: g.startSilenceTimer(silenceOptions{at: claim, timeout: timeout, examine: true, claim: claimNext, cancel: cancel})}
 }
 
-// Stop stops the timer.
-func (t *stallTimer) Stop() {
-	if t != nil {
-		t.timer.Stop()
+// Stop stops the timer and returns the successor in whose favour it has ended the attempt, nil if it has not.
+func (t *stallTimer) Stop() *successor {
+	if t == nil {
+		return nil
 	}
+	return t.silenceTimer.Stop()
 }
 
 // countEvents is called before the body of a response is read. eventStream is set if it is a series of events.
@@ -62,30 +63,33 @@
 	}
 }
 
-// received starts the timer anew if p, which follows what was received before, is progress.
-func (t *stallTimer) received(p []byte) {
-	if t == nil || len(p) == 0 {
-		return
-	}
-	if !t.eventStream || t.progress.add(p) {
-		t.expires = time.Now().Add(t.timeout)
-		t.timer.Reset(t.timeout)
-	}
-}
-
 // pause stops the timer while the body is not read, resume lets it go on.
 func (t *stallTimer) pause() {
 	if t != nil {
-		t.timer.Stop()
-		t.left = time.Until(t.expires)
+		t.silenceTimer.pause()
 	}
 }
 
 func (t *stallTimer) resume() {
 	if t != nil {
-		t.expires = time.Now().Add(t.left)
-		t.timer.Reset(t.left)
+		t.silenceTimer.resume()
+	}
+}
+
+// stalledBody is the body of a response under a stall timer. Nothing that comes after the timer has ended the attempt is
+// delivered, as the successor delivers it.
+type stalledBody struct {
+	io.Reader
+	timer *stallTimer
+}
+
+// Read implements io.Reader.
+func (b *stalledBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if n > 0 && !b.timer.receive(!b.timer.eventStream || b.timer.progress.add(p[:n])) {
+		return 0, errEndpointTimeout
 	}
+	return n, err
 }
 
 // eventProgress finds the progress of a series of events: the end of an event, and progressBytes without one. Empty
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -83,6 +83,11 @@
 	return Decision{Part: v.part, Trial: v.trial, RetryAfter: v.wait}
 }
 
+// Suspects reports whether calls with one of the parts are refused now. Unlike Check, it begins no trial.
+func (c *Controller) Suspects(parts []string) bool {
+	return len(parts) > 0 && c.check(parts, false).part != ""
+}
+
 func (c *Controller) check(parts []string, mayTry bool) (v verdict) {
 	c.update("", func(now clock.Instant) State {
 		v = c.tracker.check(now, parts, mayTry)
