dispatch, relay: a response that is cut off is logged and counted with what ended it

A response that has begun and cannot be finished ends with its connection. The logs said that a call had ended with started=true, but not which side or timer ended the response, why no other endpoint continued it, how long the endpoint had been silent and which configuration was in force.

'response cut off' (warning) gives the request, route, service, the version of the call and the one in force with its age, the reason (caller gone, caller not reading, timeout, stop, stall, endpoint), the obstacle to another attempt, the silence of the endpoint and the share of the call's time; fulmartide_responses_cut_total counts by reason and obstacle.

--- a/internal/activeconfig/state.go
+++ b/internal/activeconfig/state.go
@@ -53,6 +53,8 @@
 type State struct {
 	opts   Options
 	config atomic.Pointer[traffic.Configuration]
+	// configSince is the clock.Instant at which the configuration came into force.
+	configSince atomic.Int64
 
 	mu  sync.Mutex
 	raw []byte
@@ -90,6 +92,11 @@
 // Configuration returns the configuration in force, nil before the first.
 func (s *State) Configuration() *traffic.Configuration { return s.config.Load() }
 
+// ConfigurationAge returns how long the configuration in force has been in force at this VM.
+func (s *State) ConfigurationAge() time.Duration {
+	return s.opts.Clock.Now().Sub(clock.Instant(s.configSince.Load()))
+}
+
 // Ready reports whether the VM has all it needs to serve calls.
 func (s *State) Ready() bool {
 	s.mu.Lock()
@@ -117,6 +124,7 @@
 		return nil
 	}
 	s.raw = raw
+	s.configSince.Store(int64(s.opts.Clock.Now()))
 	s.config.Store(c)
 	s.opts.Log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Uint64("era", era), zap.String("from", from),
 		zap.Duration("age", s.age()), zap.Int("services", len(c.Services)), zap.Int("workspaces", len(c.Workspaces)))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -40,9 +41,11 @@
 	Clock clock.Clock
 	// Configuration returns the current configuration, nil before the first one has arrived.
 	Configuration func() *traffic.Configuration
-	Scheduler     *schedule.Scheduler
-	Backend       backend.Client
-	Admission     *admission.Controller
+	// ConfigurationAge returns how long the current configuration has been in force at this VM. It may be nil.
+	ConfigurationAge func() time.Duration
+	Scheduler        *schedule.Scheduler
+	Backend          backend.Client
+	Admission        *admission.Controller
 	// Quarantine keeps calls that crash endpoints from them. If nil, the Dispatcher creates one of its own.
 	Quarantine *quarantine.Controller
 	// Origins remembers where streams began. If nil, the Dispatcher creates one of its own.
@@ -91,6 +94,9 @@
 	if o.ReachedElsewhere == nil {
 		o.ReachedElsewhere = func(context.Context, traffic.Endpoint) bool { return false }
 	}
+	if o.ConfigurationAge == nil {
+		o.ConfigurationAge = func() time.Duration { return 0 }
+	}
 	if o.OnSilent == nil {
 		o.OnSilent = func(traffic.Endpoint) {}
 	}
@@ -124,6 +130,9 @@
 	if err != nil && !f.mayHaveRun {
 		d.opts.Admission.Refund(c.Workspace, c.Cost())
 	}
+	if err != nil && f.responseStarted {
+		f.reportCut(err)
+	}
 	f.finish(err)
 	return err
 }
@@ -181,6 +190,12 @@
 	regions []string
 	// tried are the endpoints that were tried, unsent those to which this VM got no connection.
 	tried, unsent []traffic.EndpointID
+	// receivedAt is the clock.Instant at which the last part of a response arrived.
+	receivedAt atomic.Int64
+	broken     brokenAttempt
+	// budgetUsedUp is set if the retry budget did not allow the last retry, notPlaced if the last placement failed.
+	budgetUsedUp bool
+	notPlaced    error
 }
 
 func (f *inflightCall) workspaceName() string {
@@ -219,6 +234,7 @@
 // other uses and returns false only if the budget is exhausted.
 func (f *inflightCall) consumeRetryBudget(why string) bool {
 	ok := f.dispatcher.opts.Admission.SpendRetry(f.call.Service.Name, 0)
+	f.budgetUsedUp = !ok
 	f.log.Info("another send", zap.String("why", why), zap.Bool("allowed", ok), zap.Int("sends", f.sends), zap.Int("runs", f.runs))
 	return ok
 }
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -333,6 +333,7 @@
 		body := g.newReadAhead(reply.Body, stall, claim, cancel)
 		defer body.close()
 		err = g.forward(reply, body)
+		g.noteBroken(stageCtx, claim, err)
 	}
 	g.failureLog(err).Info("decoded", zap.String("endpoint", claim.Endpoint.ID.Name), zap.String("software", claim.Endpoint.SoftwareVersion), zap.String("after", req.LastEventID),
 		zap.Int("events", g.stream.events), zap.Bool("delimited", delimited), zap.Int("trailing", g.stream.trailing),
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -33,6 +33,13 @@
 // already, or if it is known that none takes calls by then. While the ranks of the service's calls differ, capacity that
 // is short is divided by rank, and calls wait only if that is of use.
 func (f *inflightCall) place(ctx context.Context, request *schedule.Request, maxElapsed time.Duration) (*schedule.Claim, error) {
+	claim, err := f.findPlace(ctx, request, maxElapsed)
+	f.notPlaced = err
+	return claim, err
+}
+
+// findPlace does the work of place.
+func (f *inflightCall) findPlace(ctx context.Context, request *schedule.Request, maxElapsed time.Duration) (*schedule.Claim, error) {
 	s := f.dispatcher.opts.Scheduler
 	f.setRank(request)
 	if err := f.shed(request); err != nil {
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -131,6 +131,7 @@
 			body := f.newReadAhead(resp.reply.Body, nil, claim, cancel)
 			defer body.close()
 			err = f.deliverAsItArrives(resp, body)
+			f.noteBroken(ctx, claim, err)
 		} else {
 			err = &backend.SendError{Sent: true, Err: errEndpointTimeout}
 		}
--- a/internal/dispatch/readahead.go
+++ b/internal/dispatch/readahead.go
@@ -71,6 +71,7 @@
 	r := &readAhead{call: f, body: body, stall: stall, claim: claim, cancel: cancel}
 	r.sink, _ = f.sink.(aborter)
 	r.arrived.L = &r.mu
+	f.noteReceived()
 	return r
 }
 
@@ -80,9 +81,7 @@
 	ahead := r.ahead // changes only during a write
 	r.mu.Unlock()
 	if !ahead {
-		n, err := r.body.Read(p)
-		r.stall.received(p[:n])
-		return n, err
+		return r.readFromBody(p)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -105,6 +104,16 @@
 	return n, nil
 }
 
+// readFromBody reads what the endpoint has sent.
+func (r *readAhead) readFromBody(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if n > 0 {
+		r.call.noteReceived()
+	}
+	r.stall.received(p[:n])
+	return n, err
+}
+
 func (r *readAhead) giveBack(n int) {
 	r.held -= n
 	r.budget().Return(n)
@@ -189,8 +198,7 @@
 	defer close(r.done)
 	buf := make([]byte, readBufferBytes)
 	for {
-		n, err := r.body.Read(buf)
-		r.stall.received(buf[:n])
+		n, err := r.readFromBody(buf)
 		r.stall.pause() // while there is no room
 		if n > 0 && !r.store(buf[:n]) {
 			return
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -193,6 +193,17 @@
 		zap.String("kind", string(d.Kind)), zap.String("run", string(d.Execution)), zap.String("why", d.Message))
 }
 
+// traceCut traces and counts a response that has begun and that d ends before it is complete.
+func (c *call) traceCut(d fault.Detail) {
+	c.server.metrics.GetOrCreateCounter(`fulmartide_responses_cut_total{reason="` + string(d.Kind) + `",obstacle=""}`).Inc()
+	inForce := configuration.Version(0)
+	if latest := c.server.opts.Configuration(); latest != nil {
+		inForce = latest.Version
+	}
+	c.trace("answer", "response cut off", zap.String("reason", string(d.Kind)), zap.Uint64("configuration", uint64(c.snapshot.Version)),
+		zap.Uint64("configuration_in_force", uint64(inForce)), zap.Duration("elapsed", c.elapsed()), zap.String("why", d.Message))
+}
+
 func (s *Server) countResult(kind string, run fault.Execution) {
 	s.metrics.GetOrCreateCounter(`fulmartide_relay_requests_total{result="` + kind + `",run="` + string(run) + `"}`).Inc()
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -169,6 +169,7 @@
 	if !s.writer.started() {
 		return d.Err()
 	}
+	s.c.traceCut(d)
 	s.writer.fail(d)
 	return reportedError{d}
 }
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -137,7 +137,7 @@
 	bodies := bodybuffer.NewBudget(s.MemoryBytes/bodyMemoryFraction, set)
 	p.buildForwarding(bodies)
 	p.dispatch = dispatch.New(dispatch.Options{
-		Clock: p.clock, Configuration: p.State.Configuration, Scheduler: p.scheduler, Backend: platform.Backend, Admission: p.admission,
+		Clock: p.clock, Configuration: p.State.Configuration, ConfigurationAge: p.State.ConfigurationAge, Scheduler: p.scheduler, Backend: platform.Backend, Admission: p.admission,
 		Quarantine: p.quarantine, Origins: p.origins, Bodies: bodies,
 		ReachedElsewhere: p.reach.ReachedElsewhere, OnSilent: p.reach.Silent, Log: log.Named("dispatch"), Metrics: set, Seed: uint64(incarnation),
 	})
