connpool: an answer that names no request is taken only by the first request of a connection

Cause: sendDirectly took a response without an id for that to any request. Additional bytes of a faulty endpoint may arrive on a kept connection once the next request has been read; no check before the write finds them.

Change: Request.MatchesResponse becomes IDHeader, and the connection judges the response. Without the id of its request, only the first request of a connection takes it; later ones read on for their own until their time ends (outcome unknown, never "not run"). A connection with such a response is not kept. A second attempt does not use the connection of the first one, whose late copy would have the same id. Requests without an id get a connection of their own: orders and the freeing of handles were not kept after their answer, but sent on used ones.

In pool_test.go requests that share a connection have ids of their own, as attempts have.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -35,6 +35,12 @@
 	in        *limitedReader
 	br        *bufio.Reader
 	idleUntil time.Time
+	// requests is the number of requests that the connection has carried, lastID the id of the last one.
+	requests int
+	lastID   string
+	// unnamed is the number of responses that did not name the request that they were read for. The connection is not
+	// used again after one.
+	unnamed int
 }
 
 func newConn(p *Pool, t Target, nc net.Conn) *conn {
@@ -74,8 +80,12 @@
 func (c *conn) close() { _ = c.nc.Close() }
 
 // reusable reports whether an idle connection can be used for a request: its idle timeout has not
-// expired, and the peer has neither closed it nor sent unsolicited data.
-func (c *conn) reusable() bool {
+// expired, and the peer has neither closed it nor sent unsolicited data. A second attempt does not use the connection
+// of the first one, as a late copy of the first response would bear its id too.
+func (c *conn) reusable(r *Request) bool {
+	if id := r.id(); id != "" && id == c.lastID {
+		return false
+	}
 	return time.Now().Before(c.idleUntil) && c.br.Buffered() == 0 && !tcpconn.Readable(c.nc)
 }
 
@@ -87,6 +97,8 @@
 		c.close()
 		return nil, &Error{Err: cause}
 	}
+	c.requests++
+	c.lastID = r.id()
 	stopCancel := context.AfterFunc(ctx, c.close)
 	written := make(chan writeResult, 1)
 	if len(r.Body) <= maxSyncBody {
@@ -107,7 +119,7 @@
 		return nil, &Error{Sent: true, Err: err}
 	}
 	out := newResponse(c, resp, written, stopCancel)
-	if r.Last {
+	if r.Alone || c.unnamed > 0 {
 		out.idleTimeout = 0
 	}
 	return out, nil
@@ -142,8 +154,26 @@
 	return writeResult{n, err}
 }
 
-// readHeader reads up to maxResponseReads response headers until one matches the request. Responses
-// to other requests are discarded.
+// answers reports whether a response is the one to the request that has been sent last. Without an id it may be
+// additional bytes that follow the response to an earlier request, so only the first request of a connection takes it.
+func (c *conn) answers(r *Request, resp http.Header) bool {
+	id := r.id()
+	if id == "" {
+		return r.IDHeader == "" || resp.Get(r.IDHeader) == ""
+	}
+	switch resp.Get(r.IDHeader) {
+	case id:
+		return true
+	case "":
+		c.unnamed++
+		return c.requests == 1
+	}
+	c.unnamed++
+	return false
+}
+
+// readHeader reads up to maxResponseReads response headers until one matches the request. Other responses are
+// discarded.
 func (c *conn) readHeader(r *Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	for range maxResponseReads {
@@ -156,7 +186,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.MatchesResponse == nil || r.MatchesResponse(resp.Header) {
+		if c.answers(r, resp.Header) {
 			return resp, nil
 		}
 		if resp.Close {
@@ -182,6 +212,8 @@
 	// Delimited is set if a length or chunks mark the end of the body. Otherwise it ends with the
 	// connection.
 	Delimited bool
+	// Unnamed is the number of responses that were read and did not name the request.
+	Unnamed int
 
 	conn        *conn
 	body        io.ReadCloser
@@ -195,6 +227,7 @@
 	r := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		Unnamed:   c.unnamed,
 		conn:      c, body: resp.Body, written: written, stopCancel: stopCancel,
 	}
 	if r.Delimited && !resp.Close {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -49,11 +49,19 @@
 	Header http.Header
 	// Body is nil if the request has none.
 	Body []byte
-	// MatchesResponse reports whether a response with this header belongs to the request. If nil, any
-	// response does.
-	MatchesResponse func(http.Header) bool
-	// Last is set if the connection is not kept after the response.
-	Last bool
+	// IDHeader is the header with the id of the request that the endpoint repeats in its response. If it is empty, or the
+	// request has no id, any response is taken.
+	IDHeader string
+	// Alone is set if the request gets a connection of its own, before and after which no other request is sent.
+	Alone bool
+}
+
+// id returns the id that the response must repeat, empty if there is none.
+func (r *Request) id() string {
+	if r.IDHeader == "" {
+		return ""
+	}
+	return r.Header.Get(r.IDHeader)
 }
 
 // Error reports a failed request. Sent is set if any byte of the request may have been sent.
@@ -102,7 +110,7 @@
 // Do sends a request and returns the response once its header has been read. If a reused connection takes no byte of the
 // request, it is sent on a new one. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	if c := p.get(r.Target); c != nil {
+	if c := p.get(r); c != nil {
 		resp, err := c.roundTrip(ctx, r)
 		if !errors.Is(err, errNotSent) {
 			return resp, err
@@ -142,15 +150,16 @@
 	return newConn(p, t, nc), nil
 }
 
-// get returns the most recently used idle connection that can still be used, or nil.
-func (p *Pool) get(t Target) *conn {
-	for {
-		c := p.pop(t)
-		if c == nil || c.reusable() {
+// get returns the most recently used idle connection that can be used for a request, or nil.
+func (p *Pool) get(r *Request) *conn {
+	for !r.Alone {
+		c := p.pop(r.Target)
+		if c == nil || c.reusable(r) {
 			return c
 		}
 		c.close()
 	}
+	return nil
 }
 
 func (p *Pool) pop(t Target) *conn {
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -63,11 +63,13 @@
 	}
 }
 
-func (s *server) request(method string) *connpool.Request {
+func (s *server) request(method string) *connpool.Request { return s.requestWithID(method, "1") }
+
+func (s *server) requestWithID(method, id string) *connpool.Request {
 	return &connpool.Request{
 		Target: connpool.Target{Address: netip.MustParseAddrPort(s.ln.Addr().String()), Instance: "i"},
-		Method: method, URI: "/a//b/../c?x=%2f", Host: "h.example", Header: http.Header{"X-Id": {"1"}},
-		MatchesResponse: func(h http.Header) bool { return h.Get("X-Id") == "" || h.Get("X-Id") == "1" },
+		Method: method, URI: "/a//b/../c?x=%2f", Host: "h.example", Header: http.Header{"X-Id": {id}},
+		IDHeader: "X-Id",
 	}
 }
 
@@ -90,13 +92,13 @@
 	var target string
 	s := startServer(t, func(_ int, r *http.Request, c net.Conn) bool {
 		target = r.RequestURI
-		_, err := io.WriteString(c, response("1", "x"))
+		_, err := io.WriteString(c, response(r.Header.Get("X-Id"), "x"))
 		return err == nil
 	})
 	p := connpool.New(nil)
 	defer p.Close()
-	for range 3 {
-		if body, err := get(t, p, s.request("GET")); err != nil || body != "x" {
+	for _, id := range []string{"1", "2", "3"} {
+		if body, err := get(t, p, s.requestWithID("GET", id)); err != nil || body != "x" {
 			t.Fatalf("body %q, error %v", body, err)
 		}
 	}
@@ -128,7 +130,7 @@
 	sent := make(chan struct{}, 1)
 	s := startServer(t, func(n int, _ *http.Request, c net.Conn) bool {
 		if n > 1 {
-			_, err := io.WriteString(c, response("1", "second"))
+			_, err := io.WriteString(c, response("2", "second"))
 			return err == nil
 		}
 		_, _ = io.WriteString(c, response("1", "first"))
@@ -142,7 +144,7 @@
 		t.Fatalf("body %q, error %v", body, err)
 	}
 	<-sent
-	if body, err := get(t, p, s.request("GET")); err != nil || body != "second" {
+	if body, err := get(t, p, s.requestWithID("GET", "2")); err != nil || body != "second" {
 		t.Errorf("body %q, error %v", body, err)
 	}
 }
@@ -161,10 +163,8 @@
 	p := connpool.New(nil)
 	defer p.Close()
 	for i, want := range []string{"first", "second"} {
-		r, id := s.request("GET"), strconv.Itoa(i+1)
-		r.Header.Set("X-Id", id)
-		r.MatchesResponse = func(h http.Header) bool { return h.Get("X-Id") == "" || h.Get("X-Id") == id }
-		if body, err := get(t, p, r); err != nil || body != want {
+		id := strconv.Itoa(i + 1)
+		if body, err := get(t, p, s.requestWithID("GET", id)); err != nil || body != want {
 			t.Errorf("request %s: body %q, error %v", id, body, err)
 		}
 	}
@@ -188,7 +188,7 @@
 	if _, err := get(t, p, s.request("GET")); err != nil {
 		t.Fatal(err)
 	}
-	_, err := get(t, p, s.request("GET"))
+	_, err := get(t, p, s.requestWithID("GET", "2"))
 	var connErr *connpool.Error
 	if !errors.As(err, &connErr) || !connErr.Sent {
 		t.Errorf("error %v, want one with Sent set", err)
@@ -216,7 +216,7 @@
 			if _, err := get(t, p, s.request("GET")); err != nil {
 				t.Fatal(err)
 			}
-			r := s.request("POST")
+			r := s.requestWithID("POST", "2")
 			r.Body = make([]byte, size)
 			if _, err := get(t, p, r); err == nil || !connpool.MayHaveSent(err) {
 				t.Errorf("error %v, want one of a request that may have run", err)
--- a/test/erratic/behaviour.go
+++ b/test/erratic/behaviour.go
@@ -40,12 +40,14 @@
 
 // The identities.
 const (
-	Own         Identity = iota
-	Unnamed              // no request is named
-	Other                // first the answer to another request
-	Twice                // the answer, and once more
-	OnlyOther            // only the answer to another request
-	Unsolicited          // an answer before the request has been read, then the answer
+	Own           Identity = iota
+	Unnamed                // no request is named, and the connection ends
+	Other                  // first the answer to another request
+	Twice                  // the answer, and once more
+	OnlyOther              // only the answer to another request
+	Unsolicited            // an answer before the request has been read, then the answer
+	LateUnnamed            // the answer; ahead of that to the next request one that names no request
+	LateRejection          // the same with an answer that says that the request was not run
 	identities
 )
 
@@ -134,11 +136,14 @@
 	return b.Ending == Closed || b.Ending == Reset || b.Ending == LastChunk && b.chunked()
 }
 
-// Sound reports whether the answer is an ordinary whole one.
+// Sound reports whether the answer is an ordinary whole one that names its request.
 func (b Behaviour) Sound() bool {
-	return b.Framing <= HTTP10 && !b.cutsBody() && b.Identity <= Unnamed && b.Beginning <= Interim && b.Status == 200
+	return b.Framing <= HTTP10 && !b.cutsBody() && (b.Identity == Own || b.late()) && b.Beginning <= Interim && b.Status == 200
 }
 
+// late reports whether additional bytes follow the answer once the next request has been read.
+func (b Behaviour) late() bool { return b.Identity == LateUnnamed || b.Identity == LateRejection }
+
 // Truncated reports whether the framing shows that the body is not whole.
 func (b Behaviour) Truncated() bool {
 	switch {
--- a/test/erratic/endpoint.go
+++ b/test/erratic/endpoint.go
@@ -82,20 +82,33 @@
 		e.mu.Unlock()
 	}()
 	in := bufio.NewReader(c)
+	late := "" // what is sent once the next request has been read
 	for {
 		r, err := http.ReadRequest(in)
 		if err != nil {
 			return
 		}
-		if !e.answer(c, r) {
+		b := e.next(r)
+		if !e.answer(c, r, b, late) {
 			return
 		}
+		late = e.late(b)
 	}
 }
 
-// answer answers a request and reports whether the connection goes on.
-func (e *Endpoint) answer(c net.Conn, r *http.Request) bool {
-	b := e.next(r)
+// late returns the additional answer that follows one of the behaviour, empty if there is none.
+func (e *Endpoint) late(b Behaviour) string {
+	switch b.Identity {
+	case LateUnnamed:
+		return e.head(Behaviour{Status: http.StatusOK}, "", len("late")) + "late"
+	case LateRejection:
+		return e.head(Behaviour{Status: http.StatusServiceUnavailable, Rejected: true}, "", 0)
+	}
+	return ""
+}
+
+// answer answers a request, after late, and reports whether the connection goes on.
+func (e *Endpoint) answer(c net.Conn, r *http.Request, b Behaviour, late string) bool {
 	id := r.Header.Get(e.names.AttemptID)
 	out := writer{conn: c, piece: b.Piece}
 	if b.Identity == Unsolicited {
@@ -109,6 +122,7 @@
 		e.runs[id]++
 		e.mu.Unlock()
 	}
+	out.write(late)
 	switch b.Identity {
 	case Unnamed:
 		id = ""
@@ -167,7 +181,7 @@
 	case b.Ending == Closed || b.Framing == ByClose || b.Framing == HTTP10 || b.Framing == LengthTooLong || b.Framing == HugeChunk:
 		return false
 	}
-	return b.Identity != OnlyOther // a client that still waits is not kept waiting
+	return b.Identity != OnlyOther && b.Identity != Unnamed // a client that still waits is not kept waiting
 }
 
 // head returns the head of an answer.
