admission, dispatch: failing tests of successors, returned retries and adopted usage

Of adopted usage: own admissions are lost at the next adoption, and usage of several records counts as the same whatever lies between.

--- a/internal/admission/restart_test.go
+++ b/internal/admission/restart_test.go
@@ -214,3 +214,48 @@
 		t.Error("usage that is in the record and in the window counts more than twice")
 	}
 }
+
+// TestAdmissionsAfterAnAdoptionStayAtTheNextOne guards against a plan that is exceeded because a second report of the same usage takes
+// back what this VM has admitted since the first one.
+func TestAdmissionsAfterAnAdoptionStayAtTheNextOne(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 500} // 8500 tokens in a window
+	p := NewPlans(at(0), testWindow, testLoweringDelay, Slack{})
+	p.AddFromPeer(at(0), "w", 1000)
+	p.AdoptWindow(at(0), windowOf(map[int]int64{0: 2000}))
+	before := p.Preview(at(0), "w", limit, 0).UsedBefore
+	p.Admit(at(0), "w", limit, 1000)
+	p.AdoptWindow(at(0), windowOf(map[int]int64{0: 2000}))
+	if used := p.Preview(at(0), "w", limit, 0).UsedBefore; used < before+1000 {
+		t.Errorf("%d tokens count as used after 1000 were admitted to %d", used, before)
+	}
+}
+
+// TestRecordsOfSeveralDataCentresAddUp guards against a plan that is exceeded when the VMs of a large fleet start before they know that
+// it is large: the usage of different data centres is not the same usage.
+func TestRecordsOfSeveralDataCentresAddUp(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 500}
+	p := NewPlans(at(0), testWindow, testLoweringDelay, Slack{})
+	p.AdoptRecords(at(0), "", []UsageRecord{
+		{Group: "a", Age: time.Second, Buckets: map[string][]int64{"w": {4000}}},
+		{Group: "b", Age: time.Second, Buckets: map[string][]int64{"w": {4000}}},
+	})
+	if p.Preview(at(0), "w", limit, 501).Admitted {
+		t.Error("8000 tokens are recorded by two data centres, and more than the 500 that are left are admitted")
+	}
+}
+
+// TestRecordsOfTwoSidesAtDifferentTimesAddUp guards against a plan that is exceeded because usage of the two sides of a partition, seconds
+// apart, counts as the same.
+func TestRecordsOfTwoSidesAtDifferentTimesAddUp(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 500}
+	p := NewPlans(at(0), testWindow, testLoweringDelay, Slack{})
+	late := make([]int64, 41)
+	late[40] = 4000 // 5 s before the record
+	p.AdoptRecords(at(0), "", []UsageRecord{
+		{Age: time.Second, Buckets: map[string][]int64{"w": {4000}}},
+		{Age: time.Second, Buckets: map[string][]int64{"w": late}},
+	})
+	if p.Preview(at(0), "w", limit, 501).Admitted {
+		t.Error("8000 tokens are recorded by two sides, and more than the 500 that are left are admitted")
+	}
+}
--- a/internal/admission/retries_test.go
+++ b/internal/admission/retries_test.go
@@ -123,3 +123,22 @@
 		t.Error("a returned retry takes the place of one that is sent in another part of the window")
 	}
 }
+
+// TestRetryReturnedAfterItsWindowIsNotSentAgain guards against a budget that is exceeded by a retry that is given back when it no longer
+// counts.
+func TestRetryReturnedAfterItsWindowIsNotSentAgain(t *testing.T) {
+	budget := RetryBudget{Window: 10 * time.Second, Slack: 5}
+	now := clock.Instant(time.Minute)
+	r := NewRetries(0, budget)
+	spend := func(at clock.Instant) bool { _, ok := r.Spend(at, "s", 1, 0); return ok }
+	spend(now)
+	later := now.Add(budget.Window + time.Second)
+	r.Return(later, "s")
+	sent := 0
+	for spend(later) {
+		sent++
+	}
+	if sent > 3 { // 0.7 of the slack
+		t.Errorf("%d retries in a window, want at most 3", sent)
+	}
+}
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -266,3 +266,113 @@
 		}
 	}
 }
+
+// TestAnswerThatIsDueInTimeIsNotGivenUpForAnAttemptThatCannotBe guards against calls that time out at a successor, although their first
+// endpoint answers in time.
+func TestAnswerThatIsDueInTimeIsNotGivenUpForAnAttemptThatCannotBe(t *testing.T) {
+	f := &fakeBackend{run: func(n int, ctx context.Context, _ backend.Request) (*backend.Response, error) {
+		pause := silence
+		if n > 1 {
+			pause = 200 * time.Millisecond
+		}
+		if !clock.Sleep(ctx, pause) {
+			return nil, &backend.SendError{Sent: true, Err: context.Cause(ctx)}
+		}
+		return reply(http.StatusOK, "good"), nil
+	}}
+	synctest.Test(t, func(t *testing.T) {
+		now, cfg, out := clock.NewMonotonic(), testConfiguration(), &recordingSink{}
+		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7})
+		s.UpdateEndpoints(oneOfEach(), cfg.Services)
+		time.Sleep(time.Minute)
+		d := newTestDispatcher(now, cfg, s, f, nil)
+		time.Sleep(time.Minute)
+		call := newCall(repeatPath)
+		call.ArrivedAt = now.Now()
+		call.Deadline = call.ArrivedAt.Add(silence + 100*time.Millisecond)
+		time.AfterFunc(silence-100*time.Millisecond, func() {
+			more := testEndpoints()
+			more.Version = 2
+			s.UpdateEndpoints(more, cfg.Services)
+		})
+		if err := d.Serve(t.Context(), call, out); err != nil || out.body.String() != "good" {
+			t.Errorf("body %q, error %v, received %v", out.body.String(), err, f.sends)
+		}
+	})
+}
+
+// sinkFunc is a dispatch.Sink that calls a function for each write.
+type sinkFunc struct {
+	recordingSink
+	onWrite func()
+}
+
+func (s *sinkFunc) WriteData(p []byte) error {
+	s.onWrite()
+	return s.recordingSink.WriteData(p)
+}
+
+// TestSuccessorIsGivenBackBeforeTheAnswerIsDelivered guards against capacity and retries that are held while a slow caller reads.
+func TestSuccessorIsGivenBackBeforeTheAnswerIsDelivered(t *testing.T) {
+	f := &fakeBackend{run: func(int, context.Context, backend.Request) (*backend.Response, error) {
+		time.Sleep(silence) // the answer has arrived when the attempt is ended
+		return reply(http.StatusOK, "good"), nil
+	}}
+	synctest.Test(t, func(t *testing.T) {
+		now, cfg := clock.NewMonotonic(), testConfiguration()
+		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7})
+		s.UpdateEndpoints(testEndpoints(), cfg.Services)
+		time.Sleep(time.Minute)
+		d := newTestDispatcher(now, cfg, s, f, nil)
+		time.Sleep(time.Minute)
+		call := newCall(repeatPath)
+		call.ArrivedAt = now.Now()
+		call.Deadline = call.ArrivedAt.Add(5 * time.Second)
+		out := &sinkFunc{onWrite: func() {
+			if room := s.Room(&schedule.Request{Service: "plain"}); room.Running != 0 {
+				t.Errorf("capacity for %d calls is allocated while the answer is delivered", room.Running)
+			}
+		}}
+		if err := d.Serve(t.Context(), call, out); err != nil || out.body.String() != "good" {
+			t.Errorf("body %q, error %v, received %v", out.body.String(), err, f.sends)
+		}
+	})
+}
+
+// TestOtherVMsAreNotToldOfSuccessorsThatAreNotSent guards against messages and log lines for each silent stream, ten times a second, while
+// the prefill engines are full.
+func TestOtherVMsAreNotToldOfSuccessorsThatAreNotSent(t *testing.T) {
+	f := &silentFleet{stream: true, body: []step{{0, events(1, 1)}, {3 * time.Second, events(2, 3)}}}
+	f.run = f.firstRun
+	synctest.Test(t, func(t *testing.T) {
+		now, cfg, out := clock.NewMonotonic(), testConfiguration(), &recordingSink{}
+		told := 0
+		s := schedule.New(schedule.Options{
+			Clock: now, DataCentre: "a", Seed: 7,
+			OnWorkChange: func(uint64, traffic.EndpointID, string, schedule.Work) { told++ },
+		})
+		s.UpdateEndpoints(testEndpoints(), cfg.Services)
+		time.Sleep(time.Minute)
+		d := newTestDispatcher(now, cfg, s, f, nil)
+		time.Sleep(time.Minute)
+		call := newCall(resumablePath)
+		call.ArrivedAt = now.Now()
+		call.Deadline = call.ArrivedAt.Add(5 * time.Second)
+		before := 0
+		time.AfterFunc(time.Second, func() {
+			for {
+				if _, err := s.Place(&schedule.Request{Service: "engines", Stage: traffic.Prefill, Tokens: &traffic.Tokens{Prompt: 1}}, nil); err != nil {
+					break
+				}
+			}
+			before = told
+		})
+		err := d.Serve(t.Context(), call, out)
+		if err != nil || out.body.String() != events(1, 3) {
+			t.Errorf("body %q, error %v, received %v", out.body.String(), err, f.sends)
+		}
+		if more := told - before; more > 1 { // the end of the attempt
+			t.Errorf("the other VMs were told of %d changes of this VM's work while one attempt ran", more)
+		}
+	})
+}
