dispatch: an attempt is not replaced late if the call ends within the time of one attempt

A plain call whose endpoint is silent searched for a successor until the end of its time. One that was found shortly before that ended the silent attempt, whose answer may be due, and had no time itself. A replacement later than the first one now needs the time of an attempt, as the timer does when it starts. TestAnswerThatIsDueInTimeIsNotGivenUpForAnAttemptThatCannotBe failed before.

--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -165,7 +165,12 @@
 		return nil
 	}
 	request := f.plainRequest(append(slices.Clip(f.tried), claim.Endpoint.ID))
+	began := f.dispatcher.opts.Clock.Now()
 	claimNext := func(bool) (*successor, error) {
+		late := f.dispatcher.opts.Clock.Now().Sub(began) >= timeout+successorPeriod
+		if late && timeout >= f.remaining() {
+			return nil, errTimeNearlyOver
+		}
 		other, err := f.claimNow(*request)
 		return &successor{decode: other}, err
 	}
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -52,9 +52,10 @@
 
 // Reasons for which an attempt is not replaced.
 var (
-	errNoRetryLeft = errors.New("the retry budget is used up")
-	errWentOn      = errors.New("the attempt went on or ended")
-	errQuarantined = errors.New("the request or a part of its prompt is quarantined")
+	errNoRetryLeft    = errors.New("the retry budget is used up")
+	errWentOn         = errors.New("the attempt went on or ended")
+	errQuarantined    = errors.New("the request or a part of its prompt is quarantined")
+	errTimeNearlyOver = errors.New("the call ends before another attempt could")
 )
 
 // successorObstacle returns why no other attempt of the call may follow now, or nil.
