dispatch: a successor that is not used is given back before the answer is delivered

If the answer arrived as the attempt was being ended, the successor's place and retry were held until the caller had read the answer. TestSuccessorIsGivenBackBeforeTheAnswerIsDelivered failed before.

--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -66,6 +66,7 @@
 		case err == nil && resp.delivered:
 			return nil
 		case err == nil && (resp.succeeded() || !f.call.Route.Retryable()):
+			f.dropNext() // a caller may take long to read
 			return f.deliver(resp)
 		case err == nil:
 			errorResponse = resp
