admission: a retry that is given back late is not sent again

A retry was given back to the bucket of the moment, also if it had been counted in an earlier one or had left the window: the next retry was then free, and a window could hold one more than the budget for each. It is given back only while its own bucket is the current one. TestRetryReturnedAfterItsWindowIsNotSentAgain failed before (4 retries, 3 allowed).

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -259,11 +259,11 @@
 	return c.retries.Remaining(c.clock.Now(), service, c.directShare) >= 1
 }
 
-// ReturnRetry gives back a retry that was counted and not sent.
-func (c *Controller) ReturnRetry(service string) {
+// ReturnRetry gives back a retry that was counted at spentAt and not sent.
+func (c *Controller) ReturnRetry(service string, spentAt clock.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.retries.Return(c.clock.Now(), service)
+	c.retries.Return(c.clock.Now(), spentAt, service)
 }
 
 // SpendRetry counts a retry of a call to a service if the budget has capacity for it and for
--- a/internal/admission/retries.go
+++ b/internal/admission/retries.go
@@ -59,7 +59,7 @@
 
 func (r *Retries) window(now clock.Instant, service string) *retryWindow {
 	w := r.services[service]
-	bucket := int64(now) / (int64(r.budget.Window) / retryBuckets)
+	bucket := r.bucket(now)
 	if w == nil {
 		w = &retryWindow{bucket: bucket}
 		r.services[service] = w
@@ -124,10 +124,16 @@
 	return w.ownRetries, true
 }
 
-// Return gives back a retry that was counted and not sent. The next one in the same bucket takes its place, so that totals
-// that other VMs were told never decrease.
-func (r *Retries) Return(now clock.Instant, service string) {
-	r.window(now, service).returned++
+// Return gives back a retry that was counted at spentAt and not sent. The next one in the same bucket takes its place, so that
+// totals that other VMs were told never decrease. Nothing is given back once that bucket has passed.
+func (r *Retries) Return(now, spentAt clock.Instant, service string) {
+	if w := r.window(now, service); r.bucket(spentAt) == w.bucket {
+		w.returned++
+	}
+}
+
+func (r *Retries) bucket(now clock.Instant) int64 {
+	return int64(now) / (int64(r.budget.Window) / retryBuckets)
 }
 
 // ownTotals adds the counters of this VM since its start to out.
--- a/internal/admission/retries_test.go
+++ b/internal/admission/retries_test.go
@@ -114,11 +114,11 @@
 	for range 3 { // 0.7 of the slack
 		spend(now)
 	}
-	r.Return(now, "s")
+	r.Return(now, now, "s")
 	if total, ok := spend(now); total != 3 || !ok {
 		t.Errorf("after a return: total %d, allowed %v, want 3 and allowed", total, ok)
 	}
-	r.Return(now, "s")
+	r.Return(now, now, "s")
 	if _, ok := spend(now.Add(time.Second)); ok {
 		t.Error("a returned retry takes the place of one that is sent in another part of the window")
 	}
@@ -133,7 +133,7 @@
 	spend := func(at clock.Instant) bool { _, ok := r.Spend(at, "s", 1, 0); return ok }
 	spend(now)
 	later := now.Add(budget.Window + time.Second)
-	r.Return(later, "s")
+	r.Return(later, now, "s")
 	sent := 0
 	for spend(later) {
 		sent++
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -147,6 +147,7 @@
 	if !t.silentLocked() || t.received != received {
 		return errWentOn
 	}
+	s.spentAt = t.call.dispatcher.opts.Clock.Now()
 	if !t.call.dispatcher.opts.Admission.SpendRetry(t.call.call.Service.Name, 0) {
 		return errNoRetryLeft
 	}
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -14,6 +15,8 @@
 type successor struct {
 	// decode is where the call runs. prefill is nil if the prompt is not prefilled at another endpoint before.
 	decode, prefill *schedule.Claim
+	// spentAt is when the retry was deducted.
+	spentAt clock.Instant
 }
 
 func (s *successor) release() {
@@ -98,7 +101,7 @@
 func (f *inflightCall) dropNext() {
 	if next := f.takeNext(); next != nil {
 		next.release()
-		f.dispatcher.opts.Admission.ReturnRetry(f.call.Service.Name)
+		f.dispatcher.opts.Admission.ReturnRetry(f.call.Service.Name, next.spentAt)
 	}
 }
 
