admission: what a VM has admitted since it was told usage stays at the next report

A bucket that was raised to what another VM told held the VM's own admissions of before, which the report may contain, and those that followed, which it cannot. The next report took the raise back and raised the bucket anew, to the same total, so that the latter no longer counted. They now count beside the earlier report.

--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -165,40 +165,40 @@
 	return out
 }
 
-// raise raises each bucket to at least the given tokens, which start with the current bucket.
-func (a *account) raise(tokens []int64) {
-	for age, n := range tokens[:min(len(tokens), accountBuckets)] {
-		i := a.index(age)
-		if more := n - a.buckets[i]; more > 0 {
-			a.buckets[i] += more
-			a.sum += more
-		}
-	}
-}
-
 // adoptedUsage is usage that others told a VM at its start, by age when bucket was the current one.
 type adoptedUsage struct {
 	bucket int64
-	// told is what is known of the usage, added what it added to the account.
-	told, added []int64
+	// told is what is known of the usage, added what it added to the account, counted what the account held itself when that
+	// was told.
+	told, added, counted []int64
 }
 
 // adopt adds usage that a record or another VM tells, by age. What several of them tell counts once, although their clocks
 // and the borders of their buckets differ.
 func (a *account) adopt(tokens []int64) {
-	told := cumulativeMax(tokens, a.takeAdopted())
-	a.adopted = &adoptedUsage{bucket: a.bucket, told: told, added: make([]int64, accountBuckets)}
+	earlier := a.takeAdopted()
+	told := cumulativeMax(tokens, earlier.told)
+	u := &adoptedUsage{bucket: a.bucket, told: told, added: make([]int64, accountBuckets), counted: earlier.counted}
 	for age, n := range told {
-		a.adopted.added[age] = max(0, n-a.buckets[a.index(age)])
+		i := a.index(age)
+		own, known := a.buckets[i], min(n, earlier.told[age])
+		since := own - earlier.counted[age] // what was told before does not contain it
+		total := max(n, own, max(known, earlier.counted[age])+since)
+		u.added[age] = total - own
+		if n > known {
+			u.counted[age] = own
+		}
+		a.buckets[i] = total
+		a.sum += total - own
 	}
-	a.raise(told)
+	a.adopted = u
 }
 
 // takeAdopted removes the adopted usage from the account and returns it, by the ages that it has now.
-func (a *account) takeAdopted() []int64 {
+func (a *account) takeAdopted() adoptedUsage {
 	u := a.adopted
 	if u == nil {
-		return nil
+		return adoptedUsage{told: make([]int64, accountBuckets), counted: make([]int64, accountBuckets)}
 	}
 	a.adopted = nil
 	for age, n := range aged(u.added, a.bucket-u.bucket) {
@@ -207,7 +207,7 @@
 		a.buckets[i] -= n
 		a.sum -= n
 	}
-	return aged(u.told, a.bucket-u.bucket)
+	return adoptedUsage{told: aged(u.told, a.bucket-u.bucket), counted: aged(u.counted, a.bucket-u.bucket)}
 }
 
 // aged returns the buckets of a window as they are some buckets later.
