admission: usage in several reports that is seconds apart counts for each

The cumulative maximum of two reports counted usage as the same whatever lay between, so that of two records of the sides of a partition only the larger one counted, also where one side had used its part 5 s before the other. Only usage whose ages differ by no more than clocks, the age of a record and the borders of buckets explain counts once now.

--- a/internal/admission/restart.go
+++ b/internal/admission/restart.go
@@ -101,7 +101,7 @@
 		for name, tokens := range r.Buckets {
 			p.hot[name] = true
 			if r.Group == group || group == "" {
-				p.usage(now, name).adopt(p.shift(tokens, r.Age))
+				p.usage(now, name).adopt(p.shift(tokens, r.Age), p.ageTolerance())
 			}
 		}
 		if r.Group != group && group != "" {
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -120,7 +120,7 @@
 		p.seeded, p.restarted = true, false
 	}
 	for name, tokens := range state.Buckets {
-		p.usage(now, name).adopt(tokens)
+		p.usage(now, name).adopt(tokens, p.ageTolerance())
 	}
 	for name, r := range state.DataCentres {
 		if at := now.Add(-r.Age); at > p.dataCentres[name].at {
@@ -165,6 +165,10 @@
 	return out
 }
 
+// ageTolerance returns by how many buckets the ages may differ in which records and other VMs tell the same usage: clocks differ by
+// up to clock.Tolerance, and a record counts as so much newer.
+func (p *Plans) ageTolerance() int { return int(2*clock.Tolerance/p.bucketDuration()) + 2 }
+
 // adoptedUsage is usage that others told a VM at its start, by age when bucket was the current one.
 type adoptedUsage struct {
 	bucket int64
@@ -175,9 +179,10 @@
 
 // adopt adds usage that a record or another VM tells, by age. What several of them tell counts once, although their clocks
 // and the borders of their buckets differ.
-func (a *account) adopt(tokens []int64) {
+// The ages in which they tell it differ by at most tolerance buckets.
+func (a *account) adopt(tokens []int64, tolerance int) {
 	earlier := a.takeAdopted()
-	told := cumulativeMax(tokens, earlier.told)
+	told := union(tokens, earlier.told, tolerance)
 	u := &adoptedUsage{bucket: a.bucket, told: told, added: make([]int64, accountBuckets), counted: earlier.counted}
 	for age, n := range told {
 		i := a.index(age)
@@ -219,16 +224,33 @@
 	return out
 }
 
-// cumulativeMax returns buckets by age of which the youngest, however many, hold at least what those of a and of b
-// do. Usage that a and b tell with different ages counts once.
-func cumulativeMax(a, b []int64) []int64 {
+// union returns the usage that a and b tell, by age. Usage whose ages differ by at most tolerance buckets counts once, with the lower
+// age.
+func union(a, b []int64, tolerance int) []int64 {
 	out := make([]int64, accountBuckets)
-	sumA, sumB, sum := int64(0), int64(0), int64(0)
+	leftA, leftB := make([]int64, accountBuckets), make([]int64, accountBuckets)
+	for age := range out {
+		leftA[age], leftB[age] = tokensAt(a, age), tokensAt(b, age)
+	}
+	for i, j := 0, 0; i < accountBuckets && j < accountBuckets; {
+		switch {
+		case leftA[i] == 0 || j-i > tolerance:
+			out[i] += leftA[i]
+			leftA[i] = 0
+			i++
+		case leftB[j] == 0 || i-j > tolerance:
+			out[j] += leftB[j]
+			leftB[j] = 0
+			j++
+		default:
+			n := min(leftA[i], leftB[j])
+			out[min(i, j)] += n
+			leftA[i] -= n
+			leftB[j] -= n
+		}
+	}
 	for age := range out {
-		sumA += tokensAt(a, age)
-		sumB += tokensAt(b, age)
-		most := max(sumA, sumB, sum)
-		out[age], sum = most-sum, most
+		out[age] += leftA[age] + leftB[age]
 	}
 	return out
 }
