--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -346,10 +347,10 @@
 	f.run = f.firstRun
 	synctest.Test(t, func(t *testing.T) {
 		now, cfg, out := clock.NewMonotonic(), testConfiguration(), &recordingSink{}
-		told := 0
+		var told, before atomic.Int64
 		s := schedule.New(schedule.Options{
 			Clock: now, DataCentre: "a", Seed: 7,
-			OnWorkChange: func(uint64, traffic.EndpointID, string, schedule.Work) { told++ },
+			OnWorkChange: func(uint64, traffic.EndpointID, string, schedule.Work) { told.Add(1) },
 		})
 		s.UpdateEndpoints(testEndpoints(), cfg.Services)
 		time.Sleep(time.Minute)
@@ -358,20 +359,19 @@
 		call := newCall(resumablePath)
 		call.ArrivedAt = now.Now()
 		call.Deadline = call.ArrivedAt.Add(5 * time.Second)
-		before := 0
 		time.AfterFunc(time.Second, func() {
 			for {
 				if _, err := s.Place(&schedule.Request{Service: "engines", Stage: traffic.Prefill, Tokens: &traffic.Tokens{Prompt: 1}}, nil); err != nil {
 					break
 				}
 			}
-			before = told
+			before.Store(told.Load())
 		})
 		err := d.Serve(t.Context(), call, out)
 		if err != nil || out.body.String() != events(1, 3) {
 			t.Errorf("body %q, error %v, received %v", out.body.String(), err, f.sends)
 		}
-		if more := told - before; more > 1 { // the end of the attempt
+		if more := told.Load() - before.Load(); more > 1 { // the end of the attempt
 			t.Errorf("the other VMs were told of %d changes of this VM's work while one attempt ran", more)
 		}
 	})
