dispatch: no decode engine is claimed for a successor while the prefill engines are full

A silent stream searched for a successor ten times a second, and each time claimed and released a decode engine although no prefill engine had capacity. Each claim was logged as a placement, told to the other VMs twice, counted as a call that passed queued ones and as memory that the prompt takes at the engine. TestOtherVMsAreNotToldOfSuccessorsThatAreNotSent failed before (31 messages, 1 allowed).

--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -58,6 +58,7 @@
 	errNoRetryLeft    = errors.New("the retry budget is used up")
 	errWentOn         = errors.New("the attempt went on or ended")
 	errQuarantined    = errors.New("the request or a part of its prompt is quarantined")
+	errPrefillFull    = errors.New("the prefill engines are full")
 	errTimeNearlyOver = errors.New("the call ends before another attempt could")
 )
 
@@ -107,12 +108,16 @@
 
 // claimEngines claims the engines that continue a generation. request is that of its decode engine.
 func (g *generation) claimEngines(request schedule.Request) (*successor, error) {
+	prefills := g.dispatcher.opts.Scheduler.HasStage(request.Service, traffic.Prefill, request.Regions)
+	if prefills && g.prefillFull(request) {
+		return nil, errPrefillFull
+	}
 	decode, err := g.claimNow(request)
 	if err != nil {
 		return nil, err
 	}
 	s := &successor{decode: decode}
-	if !g.dispatcher.opts.Scheduler.HasStage(request.Service, traffic.Prefill, request.Regions) {
+	if !prefills {
 		return s, nil
 	}
 	s.prefill, err = g.claimNow(g.prefillRequest(request, decode.Endpoint))
@@ -123,6 +128,14 @@
 	return s, nil
 }
 
+// prefillFull reports whether no prefill engine has capacity for a generation. It is asked first, as a decode engine that is
+// claimed in vain counts as used to other VMs, the prefix cache and queued calls.
+func (g *generation) prefillFull(request schedule.Request) bool {
+	request.Stage, request.NotRetryable = traffic.Prefill, false
+	room := g.dispatcher.opts.Scheduler.Room(&request)
+	return room.Engines > 0 && room.Free == 0
+}
+
 // prefillRequest returns the request for a prefill engine of a decode engine's software version.
 func (g *generation) prefillRequest(request schedule.Request, decode traffic.Endpoint) schedule.Request {
 	request.Stage, request.NotRetryable = traffic.Prefill, false
