dispatch: failing test of calls that are sent to a frozen engine while no retry is left

An attempt that is not replaced says nothing about its endpoint until it ends, and nothing at all if the call's time ends it.

--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -376,3 +377,55 @@
 		}
 	})
 }
+
+// TestEnginesThatStaySilentGetNoFurtherCallsWhenNoneCanBeReplaced guards against calls that are sent to a frozen engine beside sound ones
+// while the retry budget is used up.
+func TestEnginesThatStaySilentGetNoFurtherCallsWhenNoneCanBeReplaced(t *testing.T) {
+	var frozen atomic.Value
+	f := &fakeBackend{run: func(n int, ctx context.Context, req backend.Request) (*backend.Response, error) {
+		if n == 1 {
+			frozen.Store(req.Endpoint.ID.Name)
+		}
+		pause := 200 * time.Millisecond
+		if req.Endpoint.ID.Name == frozen.Load() {
+			pause = time.Minute
+		}
+		if !clock.Sleep(ctx, pause) {
+			return nil, &backend.SendError{Sent: true, Err: context.Cause(ctx)}
+		}
+		r := reply(http.StatusOK, events(1, 3))
+		r.EventStream = true
+		return r, nil
+	}}
+	synctest.Test(t, func(t *testing.T) {
+		now, cfg := clock.NewMonotonic(), testConfiguration()
+		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7})
+		s.UpdateEndpoints(testEndpoints(), cfg.Services)
+		gate := admission.NewController(now, admission.RetryBudget{Window: 10 * time.Second}, admission.PlanOptions{Window: 8 * time.Second}, 1, nil)
+		time.Sleep(time.Minute)
+		d := newTestDispatcher(now, cfg, s, f, func(o *dispatch.Options) { o.Admission = gate })
+		serve := func(id string) {
+			call := newCall(resumablePath)
+			call.ID, call.Tokens = id, &traffic.Tokens{Prompt: 50, MaxOutput: 50}
+			call.ArrivedAt = now.Now()
+			call.Deadline = call.ArrivedAt.Add(5 * time.Second)
+			_ = d.Serve(t.Context(), call, &recordingSink{})
+		}
+		go serve("first")
+		time.Sleep(2 * time.Second)
+		for i := range 12 {
+			go serve("later" + strconv.Itoa(i))
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+	})
+	calls := 0
+	for _, s := range f.sends {
+		if s.method == "run" && s.endpoint == frozen.Load() {
+			calls++
+		}
+	}
+	if calls != 1 {
+		t.Errorf("%d calls were sent to the frozen engine, want 1; received %v", calls, f.sends)
+	}
+}
