dispatch: an endpoint that stays silent counts as failed although its attempt goes on

An attempt whose endpoint was silent and that could not be replaced left the endpoint in use for further calls, as nothing was recorded until the attempt ended, and nothing if the call's time ended it. TestEnginesThatStaySilentGetNoFurtherCallsWhenNoneCanBeReplaced failed before (4 calls of 13, want 1) and passes.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -215,7 +215,7 @@
 		other, err := g.claimNow(request)
 		return &successor{prefill: other}, err
 	}
-	return g.startSilenceTimer(silenceOptions{at: claim, timeout: timeout, examine: true, claim: claimNext, cancel: cancel})
+	return g.startSilenceTimer(silenceOptions{at: claim, timeout: timeout, outcome: schedule.Dead, examine: true, claim: claimNext, cancel: cancel})
 }
 
 // prefill runs the prefill for a decode engine on the claimed engine.
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -175,7 +175,7 @@
 		other, err := f.claimNow(*request)
 		return &successor{decode: other}, err
 	}
-	return f.startSilenceTimer(silenceOptions{at: claim, timeout: timeout, claim: claimNext, cancel: cancel})
+	return f.startSilenceTimer(silenceOptions{at: claim, timeout: timeout, outcome: schedule.Failed, claim: claimNext, cancel: cancel})
 }
 
 // errEndpointTimeout is the cancellation cause when an endpoint does not respond within the timeout
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -18,6 +18,8 @@
 	// at is where the attempt runs.
 	at      *schedule.Claim
 	timeout time.Duration
+	// outcome is what silence for the timeout says about the endpoint.
+	outcome schedule.Outcome
 	// examine is set if the path to the endpoint is examined when the timeout has passed.
 	examine bool
 	// claim claims the places of the successor. begun is set if something of a response has been received.
@@ -132,6 +134,9 @@
 	}
 	err := r.replace()
 	if t.wait(err) {
+		if err != nil { // the end of the attempt may be far, and further calls should go elsewhere
+			t.at.RecordOutcome(t.outcome)
+		}
 		t.call.log.Info("endpoint is silent", zap.String("endpoint", t.at.Endpoint.ID.Name), zap.String("via", viaName(t.at.Via)),
 			zap.Duration("timeout", t.timeout), zap.Bool("replaced", err == nil), zap.Duration("elapsed", t.call.elapsed()), zap.Error(err))
 		if t.examine && t.at.Via == nil {
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -45,7 +45,7 @@
 		return g.claimEngines(next)
 	}
 	timeout := max(stallMin, stallFactor*r.MaxEventGap)
-	return &stallTimer{silenceTimer: g.startSilenceTimer(silenceOptions{at: claim, timeout: timeout, examine: true, claim: claimNext, cancel: cancel})}
+	return &stallTimer{silenceTimer: g.startSilenceTimer(silenceOptions{at: claim, timeout: timeout, outcome: schedule.Dead, examine: true, claim: claimNext, cancel: cancel})}
 }
 
 // Stop stops the timer and returns the successor in whose favour it has ended the attempt, nil if it has not.
