--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -120,7 +120,7 @@
 		p.seeded, p.restarted = true, false
 	}
 	for name, tokens := range state.Buckets {
-		p.usage(now, name).adopt(tokens)
+		p.usage(now, name).adopt(tokens, p.ageTolerance())
 	}
 	for name, r := range state.DataCentres {
 		if at := now.Add(-r.Age); at > p.dataCentres[name].at {
@@ -165,40 +165,45 @@
 	return out
 }
 
-// raise raises each bucket to at least the given tokens, which start with the current bucket.
-func (a *account) raise(tokens []int64) {
-	for age, n := range tokens[:min(len(tokens), accountBuckets)] {
-		i := a.index(age)
-		if more := n - a.buckets[i]; more > 0 {
-			a.buckets[i] += more
-			a.sum += more
-		}
-	}
-}
+// ageTolerance returns by how many buckets the ages may differ in which records and other VMs tell the same usage: clocks differ by
+// up to clock.Tolerance, and a record counts as so much newer.
+func (p *Plans) ageTolerance() int { return int(2*clock.Tolerance/p.bucketDuration()) + 2 }
 
 // adoptedUsage is usage that others told a VM at its start, by age when bucket was the current one.
 type adoptedUsage struct {
 	bucket int64
-	// told is what is known of the usage, added what it added to the account.
-	told, added []int64
+	// told is what is known of the usage, added what it added to the account, counted what the account held itself when that
+	// was told.
+	told, added, counted []int64
 }
 
 // adopt adds usage that a record or another VM tells, by age. What several of them tell counts once, although their clocks
 // and the borders of their buckets differ.
-func (a *account) adopt(tokens []int64) {
-	told := cumulativeMax(tokens, a.takeAdopted())
-	a.adopted = &adoptedUsage{bucket: a.bucket, told: told, added: make([]int64, accountBuckets)}
+// The ages in which they tell it differ by at most tolerance buckets.
+func (a *account) adopt(tokens []int64, tolerance int) {
+	earlier := a.takeAdopted()
+	told := union(tokens, earlier.told, tolerance)
+	u := &adoptedUsage{bucket: a.bucket, told: told, added: make([]int64, accountBuckets), counted: earlier.counted}
 	for age, n := range told {
-		a.adopted.added[age] = max(0, n-a.buckets[a.index(age)])
+		i := a.index(age)
+		own, known := a.buckets[i], min(n, earlier.told[age])
+		since := own - earlier.counted[age] // what was told before does not contain it
+		total := max(n, own, max(known, earlier.counted[age])+since)
+		u.added[age] = total - own
+		if n > known {
+			u.counted[age] = own
+		}
+		a.buckets[i] = total
+		a.sum += total - own
 	}
-	a.raise(told)
+	a.adopted = u
 }
 
 // takeAdopted removes the adopted usage from the account and returns it, by the ages that it has now.
-func (a *account) takeAdopted() []int64 {
+func (a *account) takeAdopted() adoptedUsage {
 	u := a.adopted
 	if u == nil {
-		return nil
+		return adoptedUsage{told: make([]int64, accountBuckets), counted: make([]int64, accountBuckets)}
 	}
 	a.adopted = nil
 	for age, n := range aged(u.added, a.bucket-u.bucket) {
@@ -207,7 +212,7 @@
 		a.buckets[i] -= n
 		a.sum -= n
 	}
-	return aged(u.told, a.bucket-u.bucket)
+	return adoptedUsage{told: aged(u.told, a.bucket-u.bucket), counted: aged(u.counted, a.bucket-u.bucket)}
 }
 
 // aged returns the buckets of a window as they are some buckets later.
@@ -219,16 +224,33 @@
 	return out
 }
 
-// cumulativeMax returns buckets by age of which the youngest, however many, hold at least what those of a and of b
-// do. Usage that a and b tell with different ages counts once.
-func cumulativeMax(a, b []int64) []int64 {
+// union returns the usage that a and b tell, by age. Usage whose ages differ by at most tolerance buckets counts once, with the lower
+// age.
+func union(a, b []int64, tolerance int) []int64 {
 	out := make([]int64, accountBuckets)
-	sumA, sumB, sum := int64(0), int64(0), int64(0)
+	leftA, leftB := make([]int64, accountBuckets), make([]int64, accountBuckets)
+	for age := range out {
+		leftA[age], leftB[age] = tokensAt(a, age), tokensAt(b, age)
+	}
+	for i, j := 0, 0; i < accountBuckets && j < accountBuckets; {
+		switch {
+		case leftA[i] == 0 || j-i > tolerance:
+			out[i] += leftA[i]
+			leftA[i] = 0
+			i++
+		case leftB[j] == 0 || i-j > tolerance:
+			out[j] += leftB[j]
+			leftB[j] = 0
+			j++
+		default:
+			n := min(leftA[i], leftB[j])
+			out[min(i, j)] += n
+			leftA[i] -= n
+			leftB[j] -= n
+		}
+	}
 	for age := range out {
-		sumA += tokensAt(a, age)
-		sumB += tokensAt(b, age)
-		most := max(sumA, sumB, sum)
-		out[age], sum = most-sum, most
+		out[age] += leftA[age] + leftB[age]
 	}
 	return out
 }
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -66,6 +66,7 @@
 		case err == nil && resp.delivered:
 			return nil
 		case err == nil && (resp.succeeded() || !f.call.Route.Retryable()):
+			f.dropNext() // a caller may take long to read
 			return f.deliver(resp)
 		case err == nil:
 			errorResponse = resp
@@ -165,11 +166,16 @@
 		return nil
 	}
 	request := f.plainRequest(append(slices.Clip(f.tried), claim.Endpoint.ID))
+	began := f.dispatcher.opts.Clock.Now()
 	claimNext := func(bool) (*successor, error) {
+		late := f.dispatcher.opts.Clock.Now().Sub(began) >= timeout+successorPeriod
+		if late && timeout >= f.remaining() {
+			return nil, errTimeNearlyOver
+		}
 		other, err := f.claimNow(*request)
 		return &successor{decode: other}, err
 	}
-	return f.startSilenceTimer(silenceOptions{at: claim, timeout: timeout, claim: claimNext, cancel: cancel})
+	return f.startSilenceTimer(silenceOptions{at: claim, timeout: timeout, outcome: schedule.Failed, claim: claimNext, cancel: cancel})
 }
 
 // errEndpointTimeout is the cancellation cause when an endpoint does not respond within the timeout
