callerconn: look at what has arrived and end the connection without giving up the processor

Callers saw a reset of a kept connection although their request had arrived at the VM, when the idle timeout passed or a stop ended idle connections. Between the system call that looks and the one that closes, Go could run other goroutines, on a busy VM for tens of milliseconds.

ReadArrivedOrEnd makes both with raw system calls, after which Go keeps the processor; what remains is a pause of the whole thread between two instructions. The same holds for connections with a part of a request, which were ended by net/http later still.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -92,31 +92,44 @@
 	return c.state != serving && !c.multiplexed
 }
 
-// readArrived reads what has arrived although the deadline has passed. If nothing has, it returns the error that ends the
-// connection, or errWaitOn.
+// readArrived reads what has arrived although the deadline has passed. If nothing has, it ends the connection and returns the error
+// that says so, or errWaitOn.
 func (c *conn) readArrived(p []byte, timeout error) (int, error) {
-	n, err := tcpconn.ReadArrived(c.Conn, p)
-	if n > 0 || err != nil {
-		return n, err
-	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.state != awaiting || c.fresh && !c.interrupted {
-		return 0, timeout
+	waitsOn, idle, look := c.waitsOn(), c.state == awaiting && (c.interrupted || !c.fresh), tcpconn.ReadArrived
+	if !waitsOn && !c.tls {
+		// A request that arrives after the look, before net/http closes the connection, would be lost.
+		look = tcpconn.ReadArrivedOrEnd
 	}
-	if limit := c.server.idleLimit(); c.interrupted || limit > 0 && time.Since(c.idleSince) >= limit {
-		if !c.tls {
-			_ = c.Conn.Close() // at once, as a request that arrives before net/http closes the connection would be lost
-		}
+	c.mu.Unlock()
+	n, err := look(c.Conn, p)
+	switch {
+	case n > 0 || err != nil && !errors.Is(err, io.EOF):
+		return n, err
+	case idle && !waitsOn:
 		return 0, io.EOF
+	case !waitsOn:
+		return 0, timeout
+	case err != nil:
+		return 0, err
 	}
-	// A configuration has made the idle timeout longer since the connection became idle.
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err := c.applyDeadline(); err != nil {
 		return 0, err
 	}
 	return 0, errWaitOn
 }
 
+// waitsOn reports whether a configuration has made the idle timeout longer since the connection became idle. c.mu must be held.
+func (c *conn) waitsOn() bool {
+	if c.state != awaiting || c.fresh || c.interrupted {
+		return false
+	}
+	limit := c.server.idleLimit()
+	return limit <= 0 || time.Since(c.idleSince) < limit
+}
+
 // received follows a Read with a buffer of size bytes that returned data.
 func (c *conn) received(size int) {
 	c.mu.Lock()
--- a/internal/tcpconn/arrived.go
+++ b/internal/tcpconn/arrived.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"syscall"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -33,6 +34,45 @@
 	return n, nil
 }
 
+// ReadArrivedOrEnd is ReadArrived, but ends both directions of the connection if nothing has arrived, and then returns io.EOF. The
+// scheduler cannot run another goroutine between the look and the end, so that no request arrives in the meantime.
+// A connection without a socket is not ended.
+func ReadArrivedOrEnd(nc net.Conn, p []byte) (n int, err error) {
+	raw, err := rawConn(nc)
+	if raw == nil || err != nil || len(p) == 0 {
+		return 0, err
+	}
+	var errno syscall.Errno
+	err = raw.Control(func(fd uintptr) { n, errno = recvOrShutdown(fd, p) })
+	switch {
+	case err != nil:
+		return 0, err
+	case errno != 0:
+		return 0, os.NewSyscallError("recvfrom", errno)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// recvOrShutdown reads what has arrived on a socket, or shuts it down if nothing has. Raw system calls keep the processor: after others
+// a goroutine may wait for one, on a busy VM for tens of milliseconds.
+func recvOrShutdown(fd uintptr, p []byte) (int, syscall.Errno) {
+	for {
+		n, _, errno := unix.RawSyscall6(unix.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&p[0])), uintptr(len(p)), unix.MSG_DONTWAIT, 0, 0)
+		switch errno {
+		case 0:
+			return int(n), 0
+		case unix.EINTR:
+			continue
+		case unix.EAGAIN:
+			_, _, _ = unix.RawSyscall(unix.SYS_SHUTDOWN, fd, unix.SHUT_RDWR, 0) // fails if the peer has reset the connection
+			return 0, 0
+		}
+		return 0, errno
+	}
+}
+
 // Readable reports whether a byte, EOF or an error is pending on the connection, or below TLS on it, without consuming it.
 func Readable(nc net.Conn) (pending bool) {
 	if t, ok := nc.(*tls.Conn); ok {
