tcpconn: a drained listener ends with the look that finds its queue empty

The look and a shutdown of the listening socket are now made with raw system calls, after which Go keeps the processor.

--- a/internal/tcpconn/draining.go
+++ b/internal/tcpconn/draining.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -64,7 +65,7 @@
 		if !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nc, err
 		}
-		if l.taken >= maxQueue || !l.queued() {
+		if l.taken >= maxQueue || !l.endUnlessQueued() {
 			return nil, errors.Join(net.ErrClosed, l.Close())
 		}
 		// Accept looks at the deadline before it looks at the queue.
@@ -74,8 +75,9 @@
 	}
 }
 
-// queued reports whether the kernel may have accepted a connection that the process has not.
-func (l *DrainingListener) queued() bool {
+// endUnlessQueued makes the kernel accept no more connections, unless it may have accepted one that the process has not. It reports
+// whether there may be one.
+func (l *DrainingListener) endUnlessQueued() (queued bool) {
 	sc, ok := l.Listener.(syscall.Conn)
 	if !ok {
 		return true
@@ -84,9 +86,18 @@
 	if err != nil {
 		return false
 	}
-	ready := 0
-	err = raw.Control(func(fd uintptr) {
-		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) // an error means that nothing is ready
-	})
-	return err == nil && ready > 0
+	err = raw.Control(func(fd uintptr) { queued = pollOrShutdown(fd) })
+	return err == nil && queued
+}
+
+// pollOrShutdown reports whether a connection waits in the queue of a listening socket, and shuts the socket down if none does. Raw
+// system calls keep the processor, as in recvOrShutdown.
+func pollOrShutdown(fd uintptr) (queued bool) {
+	fds, noWait := unix.PollFd{Fd: int32(fd), Events: unix.POLLIN}, unix.Timespec{}
+	ready, _, errno := unix.RawSyscall6(unix.SYS_PPOLL, uintptr(unsafe.Pointer(&fds)), 1, uintptr(unsafe.Pointer(&noWait)), 0, 0, 0)
+	if errno == 0 && ready > 0 {
+		return true
+	}
+	_, _, _ = unix.RawSyscall(unix.SYS_SHUTDOWN, fd, unix.SHUT_RDWR, 0) // the listener is closed in any case
+	return false
 }
