endpoint: failing test of a prefill at an engine that is silent for 1.3 s

Engines send a heartbeat every 0.5 s, so that a sound one that is silent for 1.3 s may send nothing for 1.8 s. The daemon with a settings file cancels the request after 1.5 s and only then decides whether another attempt may follow.

--- a/internal/endpoint/http_test.go
+++ b/internal/endpoint/http_test.go
@@ -366,3 +366,29 @@
 		t.Fatalf("events %+v", events)
 	}
 }
+
+// TestPrefillOfEngineThatIsSilentForASecondIsNotCut guards against answers of a sound engine that are given up because it was silent for
+// 1.3 s when its next heartbeat was due.
+func TestPrefillOfEngineThatIsSilentForASecondIsNotCut(t *testing.T) {
+	t.Parallel()
+	const heartbeatInterval, silence = 500 * time.Millisecond, 1300 * time.Millisecond
+	s, err := standin.Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte("\n"))
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-r.Context().Done():
+		case <-time.After(heartbeatInterval + silence):
+			_, _ = w.Write([]byte(`{"result":{"handle":"h"}}` + "\n"))
+		}
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	dialer := endpoint.NewHTTPDialer()
+	defer dialer.Close()
+	result, err := dialer.Engine(s.Addr()).Prefill(t.Context(), endpoint.PrefillRequest{})
+	if err != nil || result.Handle != "h" {
+		t.Errorf("result %+v, error %v", result, err)
+	}
+}
