schedule: an engine counts as dead after 1.5 s of silence, not after one late prefill

A prefill that took longer than twice its forecast and 0.35 s made its engine count as dead, at this VM and, as they are told, at all others. A sound engine may be silent for longer than that; all VMs then avoided it for 0.7 s, and for 1.4 s after the next such report.

Cause: the outcome did not say how long the engine had been silent. RecordSilence now keeps the time of the first request that was left without an answer since the last answer. Until that is 1.5 s ago the outcome is a failure, which raises the engine's cost; from then on the engine is dead, as before. A stalled stream always has that age. Requests more than 1.5 s apart do not add up.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -265,8 +265,8 @@
 	case !backend.MayHaveArrived(err):
 		g.recordUnreachable(claim, err)
 		return
-	case errors.Is(context.Cause(ctx), errEndpointTimeout):
-		claim.RecordOutcome(schedule.Dead)
+	case errors.Is(context.Cause(ctx), errEndpointTimeout) && g.next != nil:
+		claim.RecordSilence(g.next.silence)
 	default:
 		claim.RecordOutcome(schedule.Failed)
 	}
@@ -348,7 +348,6 @@
 	stageCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stall := g.startStallTimer(claim, g.prefillsAfter(h), cancel)
-	defer func() { g.next = stall.Stop() }()
 	running, delimited := loadUnknown, false
 	stopWatch := g.watchSilence(claim)
 	reply, err := g.dispatcher.opts.Backend.Run(stageCtx, req)
@@ -371,6 +370,7 @@
 		defer body.close()
 		err = g.forward(reply, body)
 	}
+	g.next = stall.Stop()
 	g.failureLog(err).Info("decoded", zap.String("endpoint", claim.Endpoint.ID.Name), zap.String("software", claim.Endpoint.SoftwareVersion), zap.String("after", req.LastEventID),
 		zap.Int("events", g.stream.events), zap.Bool("delimited", delimited), zap.Int("trailing", g.stream.trailing),
 		zap.Int("running", running), zap.Duration("elapsed", g.elapsed()), zap.Error(err))
--- /dev/null
+++ b/internal/dispatch/outcome_test.go
@@ -0,0 +1,66 @@
+package dispatch_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/admission"
+	"github.com/fulmartide/fulmartide/internal/backend"
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/dispatch"
+	"github.com/fulmartide/fulmartide/internal/schedule"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// silentEngine is a backend of which one prefill engine is silent for a time.
+type silentEngine struct {
+	fakeBackend
+	silence time.Duration
+	until   time.Time
+}
+
+// begin begins the silence.
+func (f *silentEngine) begin() { f.until = time.Now().Add(f.silence) }
+
+func (f *silentEngine) Prefill(ctx context.Context, req backend.Request) (backend.Handle, error) {
+	if req.Endpoint.ID.Name == "prefill1" && !clock.Sleep(ctx, time.Until(f.until)) {
+		return backend.Handle{}, &backend.SendError{Sent: true, Err: context.Cause(ctx)}
+	}
+	return f.fakeBackend.Prefill(ctx, req)
+}
+
+// TestOtherVMsAreNotToldThatASilentEngineIsDead guards against engines that all VMs avoid although they were only silent
+// for a second.
+func TestOtherVMsAreNotToldThatASilentEngineIsDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &silentEngine{silence: silence}
+		now := clock.NewMonotonic()
+		cfg := testConfiguration()
+		var outcomes []schedule.Outcome
+		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7, OnFailure: func(_ traffic.EndpointID, _ string, o schedule.Outcome) {
+			outcomes = append(outcomes, o)
+		}})
+		s.UpdateEndpoints(testEndpoints(), cfg.Services)
+		budget := admission.RetryBudget{Window: 10 * time.Second, Slack: retrySlack}
+		gate := admission.NewController(now, budget, admission.PlanOptions{Window: 8 * time.Second}, 1, nil)
+		time.Sleep(time.Minute)
+		d := newTestDispatcher(now, cfg, s, f, func(o *dispatch.Options) { o.Admission = gate })
+		f.begin()
+		for range 20 {
+			call := newCall(streamPath)
+			call.Tokens = &traffic.Tokens{Prompt: 50, MaxOutput: 5}
+			call.ArrivedAt = now.Now()
+			call.Deadline = call.ArrivedAt.Add(5 * time.Second)
+			if err := d.Serve(t.Context(), call, &recordingSink{}); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if slices.Contains(outcomes, schedule.Dead) || len(outcomes) == 0 {
+			t.Errorf("outcomes %v, want failures and none that says dead", outcomes)
+		}
+	})
+}
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -35,11 +35,15 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
+	// since is when the attempt began or last made progress.
+	since time.Time
 	// expires is when the timer fires unless it is paused, left the time until then at the last pause.
 	expires time.Time
 	left    time.Duration
 	paused  bool
-	stopped bool
+	// pausedAt is when the timer was last paused.
+	pausedAt time.Time
+	stopped  bool
 	// received is the number of times that something was received.
 	received int
 	// awaited is set once the endpoint is known to be silent and the attempt goes on.
@@ -49,7 +53,7 @@
 }
 
 func (f *inflightCall) startSilenceTimer(o silenceOptions) *silenceTimer {
-	t := &silenceTimer{silenceOptions: o, call: f, expires: time.Now().Add(o.timeout)}
+	t := &silenceTimer{silenceOptions: o, call: f, since: time.Now(), expires: time.Now().Add(o.timeout)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(o.timeout, t.expire)
@@ -80,7 +84,7 @@
 	}
 	t.received++
 	if progress && !t.stopped {
-		t.awaited = false
+		t.awaited, t.since = false, time.Now()
 		t.startLocked(t.timeout)
 	}
 	return true
@@ -91,13 +95,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer.Stop()
-	t.paused, t.left = true, time.Until(t.expires)
+	t.paused, t.pausedAt, t.left = true, time.Now(), time.Until(t.expires)
 }
 
 func (t *silenceTimer) resume() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.paused && !t.stopped {
+		t.since = t.since.Add(time.Since(t.pausedAt))
 		t.startLocked(t.left)
 	}
 }
@@ -150,7 +155,7 @@
 	if !t.call.dispatcher.opts.Admission.SpendRetry(t.call.call.Service.Name, 0) {
 		return errNoRetryLeft
 	}
-	t.next = s
+	t.next, s.silence = s, time.Since(t.since)
 	t.cancel(errEndpointTimeout)
 	return nil
 }
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -14,6 +14,8 @@
 type successor struct {
 	// decode is where the call runs. prefill is nil if the prompt is not prefilled at another endpoint before.
 	decode, prefill *schedule.Claim
+	// silence is how long the endpoint of the replaced attempt had been silent.
+	silence time.Duration
 }
 
 func (s *successor) release() {
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -19,6 +19,8 @@
 	// failure, up to maxEjection.
 	minEjection = 700 * time.Millisecond
 	maxEjection = 5 * time.Second
+	// SoundSilence is the silence up to which an endpoint does not count as dead. A sound one may pause for about a second.
+	SoundSilence = 1500 * time.Millisecond
 )
 
 // Outcome is the result of an attempt as far as it concerns the endpoint's health.
@@ -59,6 +61,9 @@
 	// ejections is the number of ejections since the last success.
 	ejections    int
 	ejectedUntil clock.Instant
+	// silentSince is when the first request was sent that the endpoint left without an answer in time, 0 if it has answered
+	// since. silentUntil is when the last one was given up.
+	silentSince, silentUntil clock.Instant
 }
 
 func (h *health) rate(now clock.Instant) float64 {
@@ -69,9 +74,12 @@
 	rate := h.rate(now)
 	h.updatedAt = now
 	if o == Succeeded {
-		h.failureRate, h.ejections = rate*(1-failureWeight), 0
+		h.failureRate, h.ejections, h.silentSince = rate*(1-failureWeight), 0, 0
 		return
 	}
+	if o == Errored {
+		h.silentSince = 0
+	}
 	weight := failureWeight
 	if o == Errored {
 		weight = errorWeight
@@ -87,6 +95,19 @@
 	h.ejections++
 }
 
+// silent records that the endpoint left a request without an answer since it was sent, and returns the outcome. Requests at
+// longer intervals than SoundSilence say nothing about the time between them.
+func (h *health) silent(now, sent clock.Instant) Outcome {
+	if h.silentSince == 0 || sent.Sub(h.silentUntil) > SoundSilence {
+		h.silentSince = sent
+	}
+	h.silentSince, h.silentUntil = min(h.silentSince, sent), now
+	if now.Sub(h.silentSince) < SoundSilence {
+		return Failed
+	}
+	return Dead
+}
+
 // endEjection lets the endpoint be used again, because it was shown to be up.
 func (h *health) endEjection() { h.ejections, h.ejectedUntil = 0, 0 }
 
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -255,6 +255,22 @@
 	}
 }
 
+// RecordSilence records that the claim's endpoint left a request without an answer for a time. That is a failure, and the
+// endpoint is dead once it has been silent for SoundSilence.
+func (c *Claim) RecordSilence(silent time.Duration) {
+	c.RecordOutcome(c.scheduler.recordSilence(c.Endpoint.ID, silent))
+}
+
+func (s *Scheduler) recordSilence(id traffic.EndpointID, silent time.Duration) Outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.opts.Clock.Now()
+	if e := s.table.states[id]; e != nil {
+		return e.health.silent(now, now.Add(-silent))
+	}
+	return Failed
+}
+
 // recordOutcome records an outcome of this VM's; direct is set if the request went over a connection of its own. It reports whether the endpoint is known, and whether the outcome
 // ended a pause of it.
 func (s *Scheduler) recordOutcome(id traffic.EndpointID, o Outcome, direct bool) (known, pauseEnded bool) {
