dispatch: a stream counts as stalled 1.5 s after its next event was due

A resumable stream was continued at another engine 1.5 s after its last event. An engine that falls silent when an event is due sends it after its silence and a whole gap: after 1.6 s with a silence of 1.3 s and a gap of 0.3 s. Its stream was then run again elsewhere, or cut where that failed, while the engine went on.

--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -57,7 +57,7 @@
 func (s *pausingSink) Abort() {}
 
 // TestStreamProgress guards against engines that keep a stalled stream by a byte now and then, and against streams that
-// are cut although their events are only slow or large. The engine counts as stalled after 1.5 s. A stream that may not
+// are cut although their events are only slow or large. The engine counts as stalled 1.5 s after an event was due. A stream that may not
 // be continued at another engine is left at its engine until its time is over.
 func TestStreamProgress(t *testing.T) {
 	const interval = 400 * time.Millisecond
