--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
+	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -283,3 +285,45 @@
 		}
 	}
 }
+
+// silentFree is a backend whose endpoints are silent when a handle is freed.
+type silentFree struct{ fakeBackend }
+
+func (f *silentFree) Free(ctx context.Context, h backend.Handle) error {
+	if !clock.Sleep(ctx, silence) {
+		return context.Cause(ctx)
+	}
+	return f.fakeBackend.Free(ctx, h)
+}
+
+func TestEndpointThatIsSilentWhenAHandleIsFreedIsNotAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &silentFree{}
+		f.run = func(int, context.Context, backend.Request) (*backend.Response, error) { return nil, notSent() }
+		now := clock.NewMonotonic()
+		cfg := testConfiguration()
+		var failed []string
+		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7, OnFailure: func(id traffic.EndpointID, _ string, _ schedule.Outcome) {
+			if strings.HasPrefix(id.Name, "prefill") {
+				failed = append(failed, id.Name)
+			}
+		}})
+		s.UpdateEndpoints(testEndpoints(), cfg.Services)
+		time.Sleep(time.Minute)
+		d := newTestDispatcher(now, cfg, s, f, nil)
+		ctx, stop := context.WithCancel(t.Context())
+		go d.Run(ctx)
+		time.Sleep(time.Minute)
+		call := newCall(streamPath)
+		call.ArrivedAt = now.Now()
+		call.Deadline = call.ArrivedAt.Add(5 * time.Second)
+		err := d.Serve(t.Context(), call, &recordingSink{})
+		time.Sleep(2 * silence)
+		stop()
+		synctest.Wait()
+		checkError(t, err, fault.Unavailable, fault.NotExecuted)
+		if len(failed) > 0 || f.count("prefill") != 1 {
+			t.Errorf("engines that failed: %v, %d prefills", failed, f.count("prefill"))
+		}
+	})
+}
