dispatch: a search for a successor reads nothing that attempts change

The log line of a successor's place read the call's shedding decision, whose reason the call itself may set at the same time if the silent attempt has just failed by itself. Found by reading; go test -race ./internal/dispatch passed before and passes now, twice. The request key is no longer computed while the retry budget is used up.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -86,12 +86,19 @@
 }
 
 func (f *inflightCall) logPlaced(request *schedule.Request, claim *schedule.Claim, waited bool) {
-	f.log.With(f.shedding.fields(request.Rank)...).Info("placed", zap.Stringer("stage", request.Stage), zap.String("endpoint", claim.Endpoint.ID.Name),
+	f.log.With(f.shedding.fields(request.Rank)...).Info("placed", placedFields(request, claim, waited)...)
+}
+
+// placedFields returns the log fields of a claim.
+func placedFields(request *schedule.Request, claim *schedule.Claim, waited bool) []zap.Field {
+	return []zap.Field{
+		zap.Stringer("stage", request.Stage), zap.String("endpoint", claim.Endpoint.ID.Name),
 		zap.String("software", claim.Endpoint.SoftwareVersion), zap.Uint64("table_version", claim.TableVersion), zap.Duration("predicted_cost", claim.Score), zap.Int("among", claim.Candidates),
 		zap.Int("calls", claim.EndpointWork.Calls), zap.Int64("tokens", claim.EndpointWork.Tokens),
 		zap.Float64("slowness", claim.Slowness), zap.Duration("slowness_age", claim.SlownessAge),
 		zap.String("via", viaName(claim.Via)), zap.Bool("ejected", claim.Ejected), zap.Bool("cold", claim.Cold),
-		zap.Int("parts_expected", claim.Held.Parts), zap.Int64("tokens_saved", claim.SavedTokens), zap.Bool("waited", waited))
+		zap.Int("parts_expected", claim.Held.Parts), zap.Int64("tokens_saved", claim.SavedTokens), zap.Bool("waited", waited),
+	}
 }
 
 func (f *inflightCall) logNotPlaced(request *schedule.Request, waited bool, err error) {
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -62,20 +62,21 @@
 // successorObstacle returns why no other attempt of the call may follow now, or nil.
 func (f *inflightCall) successorObstacle() error {
 	o := &f.dispatcher.opts
+	if !o.Admission.RetryLeft(f.call.Service.Name) {
+		return errNoRetryLeft
+	}
 	parts := f.call.PromptParts
 	if o.Quarantine.SuspectsRequests() {
 		parts = append(slices.Clip(parts), f.call.RequestKey())
 	}
-	switch {
-	case !o.Admission.RetryLeft(f.call.Service.Name):
-		return errNoRetryLeft
-	case o.Quarantine.Suspects(parts):
+	if o.Quarantine.Suspects(parts) {
 		return errQuarantined
 	}
 	return nil
 }
 
-// claimNow claims an endpoint for a successor if one has capacity now.
+// claimNow claims an endpoint for a successor if one has capacity now. It reads nothing of the call that attempts change, as
+// an attempt is in progress.
 func (f *inflightCall) claimNow(request schedule.Request) (*schedule.Claim, error) {
 	f.setRank(&request)
 	claim, err := f.dispatcher.opts.Scheduler.Place(&request, nil)
@@ -84,7 +85,7 @@
 	}
 	f.countCold(claim, false)
 	f.countSaved(claim)
-	f.logPlaced(&request, claim, false)
+	f.log.Info("placed", placedFields(&request, claim, false)...)
 	return claim, nil
 }
 
