platform: a stream goes on only over a connection to the lifetime of its endpoint's entry

Cause: a stream goes on at an endpoint whose entry names its version. An endpoint may start again under its id and address with another version, and Expect-Instance names the id only. Until the store is read again (0.7 s) the VM sends by the former entry, over a new connection that leads to the later lifetime.

Change: requests with Last-Event-Id, also those that are sent for other VMs, use a kept connection only if it was open before the store was last known to list the entry. On a new one they wait until that is known, for which the VM reads the store at once (VMs of the first ranks; about 0.2 s). If the entry is gone, nothing is sent and another endpoint is tried. While the table is older than 2 s, as the store is away, nothing is awaited, as before.

--- a/internal/activeconfig/refresher.go
+++ b/internal/activeconfig/refresher.go
@@ -110,6 +110,9 @@
 // whole fleet starts, one VM reads as soon as it may know its rank, and the others give it time.
 func (r *Refresher) untilRead() time.Duration {
 	if r.State.hasEndpoints() {
+		if r.failures == 0 && r.State.awaitsRead() && r.Rank() <= maxStandbyRank {
+			return 0
+		}
 		return ReadAge(r.Rank()) - r.State.Age()
 	}
 	if !r.FirstStart {
--- a/internal/activeconfig/state.go
+++ b/internal/activeconfig/state.go
@@ -63,6 +63,8 @@
 	// confirmed is as of when the store is known to have held what this VM has. reads counts the reads of this VM.
 	confirmed confirmations
 	reads     uint64
+	// readRequested is when a read of the store was last requested ahead of the next regular one, 0 for never.
+	readRequested clock.Instant
 	// retainUntil is set after an outage of the store: until then no endpoint is dropped.
 	retainUntil clock.Instant
 	// hasRetained is set if the table was applied before retainUntil, and so may contain endpoints
--- /dev/null
+++ b/internal/connpool/await_test.go
@@ -0,0 +1,49 @@
+package connpool_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/connpool"
+)
+
+// TestOnlyConnectionsOpenInTimeCarryARequest guards against a request that is sent over a kept connection which was opened too late,
+// or over a new one that its sender has not accepted.
+func TestOnlyConnectionsOpenInTimeCarryARequest(t *testing.T) {
+	s := startServer(t, func(_ int, r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, response(r.Header.Get("X-Id"), "x"))
+		return err == nil
+	})
+	p := connpool.New(nil)
+	defer p.Close()
+	start := time.Now()
+	if _, err := get(t, p, s.request("GET")); err != nil {
+		t.Fatal(err)
+	}
+	errNotAccepted := errors.New("not accepted")
+	awaited := 0
+	late := s.requestWithID("GET", "2")
+	late.OpenedBefore = start
+	late.Await = func(_ context.Context, opened time.Time) error {
+		awaited++
+		if opened.Before(start) {
+			t.Errorf("opened %v before the pool was used", start.Sub(opened))
+		}
+		return errNotAccepted
+	}
+	if _, err := get(t, p, late); !errors.Is(err, errNotAccepted) || connpool.MayHaveSent(err) {
+		t.Errorf("error %v", err)
+	}
+	late.OpenedBefore = time.Now()
+	if _, err := get(t, p, late); err != nil {
+		t.Errorf("error %v, although a kept connection was open in time", err)
+	}
+	if n := s.requests.Load(); n != 2 || awaited != 1 {
+		t.Errorf("%d requests arrived, %d awaited", n, awaited)
+	}
+}
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -34,6 +34,7 @@
 	nc        net.Conn
 	in        *limitedReader
 	br        *bufio.Reader
+	opened    time.Time
 	idleUntil time.Time
 	// requests is the number of requests that the connection has carried, lastID the id of the last one.
 	requests int
@@ -45,7 +46,7 @@
 
 func newConn(p *Pool, t Target, nc net.Conn) *conn {
 	in := &limitedReader{r: nc, remaining: noLimit}
-	return &conn{pool: p, target: t, nc: nc, in: in, br: bufio.NewReaderSize(in, readBufferSize)}
+	return &conn{pool: p, target: t, opened: time.Now(), nc: nc, in: in, br: bufio.NewReaderSize(in, readBufferSize)}
 }
 
 // noLimit lets a limitedReader read on.
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +53,10 @@
 	// IDHeader is the header with the id of the request that the endpoint repeats in its response. If it is empty, or the
 	// request has no id, any response is taken.
 	IDHeader string
+	// OpenedBefore, if not zero, is when a kept connection must have been open to be used. Await, if not nil, is called before
+	// the request is written to a new connection, with the time at which it was open; the request is not sent if it fails.
+	OpenedBefore time.Time
+	Await        func(ctx context.Context, opened time.Time) error
 	// Alone is set if the request gets a connection of its own, before and after which no other request is sent.
 	Alone bool
 }
@@ -123,6 +128,12 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if r.Await != nil {
+		if err := r.Await(ctx, c.opened); err != nil {
+			c.close()
+			return nil, &Error{Err: err}
+		}
+	}
 	resp, err := c.roundTrip(ctx, r)
 	if errors.Is(err, errNotSent) {
 		err = &Error{Err: err}
@@ -153,7 +164,7 @@
 // get returns the most recently used idle connection that can be used for a request, or nil.
 func (p *Pool) get(r *Request) *conn {
 	for !r.Alone {
-		c := p.pop(r.Target)
+		c := p.pop(r)
 		if c == nil || c.reusable(r) {
 			return c
 		}
@@ -162,16 +173,17 @@
 	return nil
 }
 
-func (p *Pool) pop(t Target) *conn {
+func (p *Pool) pop(r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[t]
-	if len(list) == 0 {
-		return nil
+	list := p.idle[r.Target]
+	for i, c := range slices.Backward(list) {
+		if r.OpenedBefore.IsZero() || c.opened.Before(r.OpenedBefore) {
+			p.idle[r.Target] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[t] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(c *conn) {
--- a/internal/vmserver/platform.go
+++ b/internal/vmserver/platform.go
@@ -35,6 +35,8 @@
 	// ObserveNotices sets the function that receives what endpoints say about themselves. It is called before
 	// the first request.
 	ObserveNotices func(observe func(traffic.EndpointID, backend.Notice))
+	// SetTable sets the state with the endpoints that the store lists. It is called before the first request.
+	SetTable func(*activeconfig.State)
 	// SetForwarder sets the client that sends requests through other VMs. It is called before the first request.
 	SetForwarder func(*forward.Client)
 	// SendForwarded sends a request of another VM to an endpoint over a connection of this one.
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -128,6 +128,9 @@
 		EndpointTTL: missedHeartbeats * s.HeartbeatPeriod, ReregisterTime: reregisterTime, OnEra: p.enterEra,
 		OnEvacuation: p.countEvacuation,
 	})
+	if platform.SetTable != nil {
+		platform.SetTable(p.State)
+	}
 	set.NewGauge(`fulmartide_store_age_seconds`, func() float64 { return p.State.Age().Seconds() })
 	p.stateSync = statesync.New(statesync.Options{
 		Self: self, Clock: p.clock, Transport: p.transport, Registry: platform.Registry,
