activeconfig, platform: retained entries and a stale table do not bind streams to connections

An entry that is retained after an outage of the store counted as gone for streams that go on over a new connection, so these were not sent for up to 2 s after the outage. It counts as not known now, as while the store is away, and then any connection is used, as before.

--- a/internal/activeconfig/listed.go
+++ b/internal/activeconfig/listed.go
@@ -6,14 +6,18 @@
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
-// Listed returns the time since the store was last known to list an endpoint. ok is false if the table in force does not
-// list it, or retains it although the store may not.
+// Listed returns the time since the store was last known to list an endpoint, which is long if the table in force retains it
+// although the store may not list it. ok is false if the table lacks it.
 func (s *State) Listed(id traffic.EndpointID) (age time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.endpoints.List {
-		if e.ID == id {
-			return s.age(), s.hasTable && !e.Retained
+		switch {
+		case e.ID != id:
+		case e.Retained:
+			return noTableAge, true
+		default:
+			return s.age(), true
 		}
 	}
 	return 0, false
