--- a/internal/callerconn/tcp_test.go
+++ b/internal/callerconn/tcp_test.go
@@ -179,6 +179,30 @@
 	})
 }
 
+// TestShorterIdleTimeoutKeepsConnectionsThatWereIdleBefore guards against connections that are ended because a configuration has
+// made the idle timeout shorter since they became idle.
+func TestShorterIdleTimeoutKeepsConnectionsThatWereIdleBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const short, long = 2 * time.Second, 15 * time.Second
+		var timeout atomic.Int64
+		timeout.Store(int64(long))
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		s := serveWith(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}, l,
+			Options{IdleTimeout: func() time.Duration { return time.Duration(timeout.Load()) }})
+		c := connect(t, l)
+		send(t, c)
+		checkAnswer(t, c, "the first request")
+		synctest.Wait()
+		timeout.Store(int64(short))
+		time.Sleep(long - time.Millisecond)
+		send(t, c)
+		checkAnswer(t, c, "a request within the timeout at which the connection became idle")
+		time.Sleep(short + time.Millisecond)
+		checkClosed(t, c)
+		_ = s.Close()
+	})
+}
+
 // connect returns the caller's side of a connection to the server.
 func connect(t *testing.T, l *pipeListener) net.Conn {
 	caller, accepted := net.Pipe()
