callerconn, platform, relay: refusals reach callers that still send their bodies

A caller whose request was refused before its body had been read (413, 431, 408, 503 for lack of memory; 401 and others in the daemon with a settings file) saw a reset in place of the refusal if it was still sending more than 256 KiB.

--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -39,13 +38,6 @@
 	w.began = true
 }
 
-// discardBody sends the response and reads the rest of the body, up to the limit of bodies. A connection that is closed before
-// its request has been read is reset, which callers that are still sending see instead of the response.
-func (c *call) discardBody() {
-	_ = http.NewResponseController(c.w).Flush() // fails if the caller has gone, as the read does then
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.r.Body, c.server.opts.Limits.BodyBytes))
-}
-
 // expired is a read deadline that makes a read in progress fail.
 var expired = time.Unix(1, 0)
 
@@ -59,5 +51,6 @@
 	if err != nil {
 		return nil, contextErrorOr(ctx, err, fault.NotExecuted)
 	}
+	c.bodyRead = true
 	return raw, nil
 }
--- a/internal/relay/errors.go
+++ b/internal/relay/errors.go
@@ -92,8 +92,10 @@
 	if d.RetryAfter > 0 && d.Execution == fault.NotExecuted {
 		setRetryAfter(h, d.RetryAfter)
 	}
+	raw, _ := json.Marshal(newErrorBody(id, d))       // strings only
+	h.Set("Content-Length", strconv.Itoa(len(raw)+1)) // the response is whole before the rest of a request's body is discarded
 	w.WriteHeader(statusCode(d))
-	_ = json.NewEncoder(w).Encode(newErrorBody(id, d))
+	_, _ = w.Write(append(raw, '\n'))
 	return d
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/callerconn"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/configuration"
 	"github.com/fulmartide/fulmartide/internal/fault"
@@ -112,6 +113,8 @@
 	r         *http.Request
 	snapshot  *configuration.Snapshot
 	identity  keys.Identity
+	// bodyRead is set once the body has been read to its end.
+	bodyRead  bool
 	arrivedAt clock.Instant
 	log       *zap.Logger
 	server    *Server
@@ -133,9 +136,13 @@
 		c.log = s.opts.Log.With(zap.String("request", c.id))
 		w.Header().Set("X-Request-Id", c.id)
 		err := s.serve(h, c)
+		unread := err != nil && !c.bodyRead && r.ContentLength != 0
+		if unread && r.ProtoMajor == 1 {
+			w.Header().Set("Connection", "close") // net/http would wait for the rest of the body before it sends the refusal
+		}
 		c.finish(err)
-		if err != nil && s.registry.isStopping() {
-			c.discardBody()
+		if unread {
+			callerconn.DiscardBody(c.w, r)
 		}
 	}
 }
--- a/internal/relay/stop_test.go
+++ b/internal/relay/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -106,8 +107,22 @@
 
 // TestRefusalOfLongRequestIsReceived guards against a reset that ends the connection of a refused call while its body is being sent.
 func TestRefusalOfLongRequestIsReceived(t *testing.T) {
-	f := newFixture(t)
-	f.server.Stop(t.Context())
+	t.Run("stopping", func(t *testing.T) {
+		f := newFixture(t)
+		f.server.Stop(t.Context())
+		resp := sendLongRequest(t, f)
+		checkStoppingError(t, resp.StatusCode, resp.Header, resp.Body, fault.NotExecuted)
+	})
+	t.Run("no key", func(t *testing.T) {
+		if resp := sendLongRequest(t, newFixture(t)); resp.StatusCode != http.StatusUnauthorized {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+	})
+}
+
+// sendLongRequest sends a request without a key, whose body follows once its response has come.
+func sendLongRequest(t *testing.T, f *fixture) *http.Response {
+	t.Helper()
 	nc := f.serveTCP(t)
 	if err := nc.SetWriteBuffer(4096); err != nil { // writes wait until the server reads
 		t.Fatal(err)
@@ -120,7 +135,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	checkStoppingError(t, resp.StatusCode, resp.Header, resp.Body, fault.NotExecuted)
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(raw))
 	for len(body) > 0 {
 		n, err := io.WriteString(nc, body[:min(len(body), 64<<10)])
 		if err != nil {
@@ -132,6 +151,7 @@
 	if _, err := io.Copy(io.Discard, nc); err != nil {
 		t.Errorf("the connection was not closed in order: %v", err)
 	}
+	return resp
 }
 
 // TestEndOfDrainAnswersRequestBeingReceived guards against a stop that closes the connection of a call whose body is late, without an
