admission: usage that others tell with other bucket bounds counts once

Cause: a VM that starts adopts the usage before its start from the records in the store, from other VMs that started, and from those that lived through the window, and kept the larger amount of each bucket (125 ms). The buckets of two VMs begin at different times, so that a call lies in neighbouring buckets in two reports, and counts in both.

At 29.46 s three VMs count 851,981 tokens of a workspace as used, the VM that lived on 275,387 at 29.50 s; 605,781 are allowed. They had adopted two records, a window from records and windows that a VM had lived through.

Change: of the time before its start, a VM now keeps for each period up to the start the larger of the two sums. That is the least usage of which neither report tells more, so nothing that was told is forgotten. What it counted since its start is merged as before, and so are several records of one load, as they may come from two sides of a partition.

Both new tests fail on the code before.

--- a/internal/admission/restart_test.go
+++ b/internal/admission/restart_test.go
@@ -133,6 +133,31 @@
 	}
 }
 
+// TestRecordedUsageDoesNotCountBesideTheWindow checks that usage does not count once as recorded and once as told.
+func TestRecordedUsageDoesNotCountBesideTheWindow(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 500} // 8500 tokens in a window
+	bucket := testWindow / windowBuckets
+	lived := NewPlans(oldStart(), testWindow, testLoweringDelay, Slack{})
+	for n := range 8 {
+		lived.Admit(at(time.Duration(n)*4*bucket), "w", limit, 500)
+	}
+	recordedAt, startedAt := at(30*bucket), at(40*bucket)
+	record, _ := lived.Record(recordedAt)
+	p := NewPlans(startedAt, testWindow, testLoweringDelay, Slack{})
+	p.AdoptRecords(startedAt, "", []UsageRecord{{Age: 9 * bucket, Buckets: record.Buckets}})
+	if !p.Admit(startedAt, "w", limit, 500).Admitted {
+		t.Fatal("the first call after the start was refused")
+	}
+	state, _ := lived.WindowState(startedAt)
+	p.AdoptWindow(startedAt, state)
+	if p.Admit(startedAt, "w", limit, 8500-4500+1).Admitted {
+		t.Error("more was admitted than the plan allows")
+	}
+	if !p.Admit(startedAt, "w", limit, 8500-4500).Admitted {
+		t.Error("what the plan still allows was refused: recorded usage counts beside the window")
+	}
+}
+
 // TestRecordedUsageIsThatOfTheWholeFleet checks that a VM which has not heard most of the fleet yet does not take
 // what was recorded for its own share of the usage.
 func TestRecordedUsageIsThatOfTheWholeFleet(t *testing.T) {
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -108,7 +108,7 @@
 }
 
 // AdoptWindow adds the usage in the window that another VM knows of, if this VM started too late to
-// know it. Usage that both know of counts once: a bucket keeps the larger of the two amounts.
+// know it. Usage that both know of counts once.
 func (p *Plans) AdoptWindow(now clock.Instant, state WindowState) {
 	if now.Sub(p.startedAt) >= p.window {
 		return
@@ -120,7 +120,7 @@
 		p.seeded, p.restarted = true, false
 	}
 	for name, tokens := range state.Buckets {
-		p.usage(now, name).raise(tokens)
+		p.usage(now, name).merge(tokens, p.bucketsSinceStart(now))
 	}
 	for name, r := range state.DataCentres {
 		if at := now.Add(-r.Age); at > p.dataCentres[name].at {
@@ -152,6 +152,11 @@
 // NeedsWindow reports whether a VM that lived through the window, if there is one, should still be asked for it.
 func (p *Plans) NeedsWindow(now clock.Instant) bool { return !p.seeded && !p.WindowComplete(now) }
 
+// bucketsSinceStart returns the age of the bucket in which this VM started.
+func (p *Plans) bucketsSinceStart(now clock.Instant) int {
+	return int(p.bucket(now) - p.bucket(p.startedAt))
+}
+
 // index returns the position of the bucket of the given age.
 func (a *account) index(age int) int64 {
 	return (a.bucket - int64(age) + accountBuckets*accountBuckets) % accountBuckets
@@ -176,3 +181,24 @@
 		}
 	}
 }
+
+// merge adds what another VM knows of the usage, by age. From the bucket in which this VM started, of age start, until
+// now a bucket keeps the larger of the two amounts. Usage of earlier buckets is known from others only, whose buckets
+// begin at other times, so that the larger amount of each bucket would count much of it twice. There the buckets become
+// those of the least usage that is in no period up to the start below either of the two.
+func (a *account) merge(tokens []int64, start int) {
+	tokens = tokens[:min(len(tokens), accountBuckets)]
+	a.raise(tokens[:min(len(tokens), start+1)])
+	known, told, merged := int64(0), int64(0), int64(0)
+	for age := start + 1; age < accountBuckets; age++ {
+		i := a.index(age)
+		known += a.buckets[i]
+		if age < len(tokens) {
+			told += max(0, tokens[age])
+		}
+		a.sum -= a.buckets[i]
+		a.buckets[i] = max(known, told) - merged
+		a.sum += a.buckets[i]
+		merged = max(known, told)
+	}
+}
--- a/internal/admission/window_test.go
+++ b/internal/admission/window_test.go
@@ -112,3 +112,26 @@
 		}
 	})
 }
+
+// TestMergedUsageIsNeitherForgottenNorCountedTwice checks that each period up to a start holds the larger of two told amounts.
+func TestMergedUsageIsNeitherForgottenNorCountedTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		usage := rapid.SliceOfN(rapid.Int64Range(0, 1000), accountBuckets, accountBuckets)
+		told := [][]int64{usage.Draw(t, "first"), usage.Draw(t, "second")}
+		p := NewPlans(at(0), testWindow, testLoweringDelay, Slack{})
+		for _, tokens := range told {
+			tokens[0] = 0 // the bucket of the start
+			p.AdoptWindow(at(0), WindowState{Buckets: map[string][]int64{"w": tokens}})
+		}
+		var merged, first, second int64
+		for age, n := range p.usage(at(0), "w").byAge() {
+			merged, first, second = merged+n, first+told[0][age], second+told[1][age]
+			if merged != max(first, second) {
+				t.Fatalf("%d tokens in the last %d buckets, told %d and %d", merged, age+1, first, second)
+			}
+		}
+		if p.accounts["w"].sum != merged {
+			t.Fatalf("sum %d, the buckets hold %d", p.accounts["w"].sum, merged)
+		}
+	})
+}
