--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -177,9 +177,8 @@
 	told, added, counted []int64
 }
 
-// adopt adds usage that a record or another VM tells, by age. What several of them tell counts once, although their clocks
-// and the borders of their buckets differ.
-// The ages in which they tell it differ by at most tolerance buckets.
+// adopt adds usage that a record or another VM tells, by age. What several of them tell counts once, as far as its ages differ
+// by at most tolerance buckets.
 func (a *account) adopt(tokens []int64, tolerance int) {
 	earlier := a.takeAdopted()
 	told := union(tokens, earlier.told, tolerance)
