--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -266,3 +268,164 @@
 		}
 	}
 }
+
+// TestAnswerThatIsDueInTimeIsNotGivenUpForAnAttemptThatCannotBe guards against calls that time out at a successor, although their first
+// endpoint answers in time.
+func TestAnswerThatIsDueInTimeIsNotGivenUpForAnAttemptThatCannotBe(t *testing.T) {
+	f := &fakeBackend{run: func(n int, ctx context.Context, _ backend.Request) (*backend.Response, error) {
+		pause := silence
+		if n > 1 {
+			pause = 200 * time.Millisecond
+		}
+		if !clock.Sleep(ctx, pause) {
+			return nil, &backend.SendError{Sent: true, Err: context.Cause(ctx)}
+		}
+		return reply(http.StatusOK, "good"), nil
+	}}
+	synctest.Test(t, func(t *testing.T) {
+		now, cfg, out := clock.NewMonotonic(), testConfiguration(), &recordingSink{}
+		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7})
+		s.UpdateEndpoints(oneOfEach(), cfg.Services)
+		time.Sleep(time.Minute)
+		d := newTestDispatcher(now, cfg, s, f, nil)
+		time.Sleep(time.Minute)
+		call := newCall(repeatPath)
+		call.ArrivedAt = now.Now()
+		call.Deadline = call.ArrivedAt.Add(silence + 100*time.Millisecond)
+		time.AfterFunc(silence-100*time.Millisecond, func() {
+			more := testEndpoints()
+			more.Version = 2
+			s.UpdateEndpoints(more, cfg.Services)
+		})
+		if err := d.Serve(t.Context(), call, out); err != nil || out.body.String() != "good" {
+			t.Errorf("body %q, error %v, received %v", out.body.String(), err, f.sends)
+		}
+	})
+}
+
+// sinkFunc is a dispatch.Sink that calls a function for each write.
+type sinkFunc struct {
+	recordingSink
+	onWrite func()
+}
+
+func (s *sinkFunc) WriteData(p []byte) error {
+	s.onWrite()
+	return s.recordingSink.WriteData(p)
+}
+
+// TestSuccessorIsGivenBackBeforeTheAnswerIsDelivered guards against capacity and retries that are held while a slow caller reads.
+func TestSuccessorIsGivenBackBeforeTheAnswerIsDelivered(t *testing.T) {
+	f := &fakeBackend{run: func(int, context.Context, backend.Request) (*backend.Response, error) {
+		time.Sleep(silence) // the answer has arrived when the attempt is ended
+		return reply(http.StatusOK, "good"), nil
+	}}
+	synctest.Test(t, func(t *testing.T) {
+		now, cfg := clock.NewMonotonic(), testConfiguration()
+		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7})
+		s.UpdateEndpoints(testEndpoints(), cfg.Services)
+		time.Sleep(time.Minute)
+		d := newTestDispatcher(now, cfg, s, f, nil)
+		time.Sleep(time.Minute)
+		call := newCall(repeatPath)
+		call.ArrivedAt = now.Now()
+		call.Deadline = call.ArrivedAt.Add(5 * time.Second)
+		out := &sinkFunc{onWrite: func() {
+			if room := s.Room(&schedule.Request{Service: "plain"}); room.Running != 0 {
+				t.Errorf("capacity for %d calls is allocated while the answer is delivered", room.Running)
+			}
+		}}
+		if err := d.Serve(t.Context(), call, out); err != nil || out.body.String() != "good" {
+			t.Errorf("body %q, error %v, received %v", out.body.String(), err, f.sends)
+		}
+	})
+}
+
+// TestOtherVMsAreNotToldOfSuccessorsThatAreNotSent guards against messages and log lines for each silent stream, ten times a second, while
+// the prefill engines are full.
+func TestOtherVMsAreNotToldOfSuccessorsThatAreNotSent(t *testing.T) {
+	f := &silentFleet{stream: true, body: []step{{0, events(1, 1)}, {3 * time.Second, events(2, 3)}}}
+	f.run = f.firstRun
+	synctest.Test(t, func(t *testing.T) {
+		now, cfg, out := clock.NewMonotonic(), testConfiguration(), &recordingSink{}
+		var told, before atomic.Int64
+		s := schedule.New(schedule.Options{
+			Clock: now, DataCentre: "a", Seed: 7,
+			OnWorkChange: func(uint64, traffic.EndpointID, string, schedule.Work) { told.Add(1) },
+		})
+		s.UpdateEndpoints(testEndpoints(), cfg.Services)
+		time.Sleep(time.Minute)
+		d := newTestDispatcher(now, cfg, s, f, nil)
+		time.Sleep(time.Minute)
+		call := newCall(resumablePath)
+		call.ArrivedAt = now.Now()
+		call.Deadline = call.ArrivedAt.Add(5 * time.Second)
+		time.AfterFunc(time.Second, func() {
+			for {
+				if _, err := s.Place(&schedule.Request{Service: "engines", Stage: traffic.Prefill, Tokens: &traffic.Tokens{Prompt: 1}}, nil); err != nil {
+					break
+				}
+			}
+			before.Store(told.Load())
+		})
+		err := d.Serve(t.Context(), call, out)
+		if err != nil || out.body.String() != events(1, 3) {
+			t.Errorf("body %q, error %v, received %v", out.body.String(), err, f.sends)
+		}
+		if more := told.Load() - before.Load(); more > 1 { // the end of the attempt
+			t.Errorf("the other VMs were told of %d changes of this VM's work while one attempt ran", more)
+		}
+	})
+}
+
+// TestEnginesThatStaySilentGetNoFurtherCallsWhenNoneCanBeReplaced guards against calls that are sent to a frozen engine beside sound ones
+// while the retry budget is used up.
+func TestEnginesThatStaySilentGetNoFurtherCallsWhenNoneCanBeReplaced(t *testing.T) {
+	var frozen atomic.Value
+	f := &fakeBackend{run: func(n int, ctx context.Context, req backend.Request) (*backend.Response, error) {
+		if n == 1 {
+			frozen.Store(req.Endpoint.ID.Name)
+		}
+		pause := 200 * time.Millisecond
+		if req.Endpoint.ID.Name == frozen.Load() {
+			pause = time.Minute
+		}
+		if !clock.Sleep(ctx, pause) {
+			return nil, &backend.SendError{Sent: true, Err: context.Cause(ctx)}
+		}
+		r := reply(http.StatusOK, events(1, 3))
+		r.EventStream = true
+		return r, nil
+	}}
+	synctest.Test(t, func(t *testing.T) {
+		now, cfg := clock.NewMonotonic(), testConfiguration()
+		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7})
+		s.UpdateEndpoints(testEndpoints(), cfg.Services)
+		gate := admission.NewController(now, admission.RetryBudget{Window: 10 * time.Second}, admission.PlanOptions{Window: 8 * time.Second}, 1, nil)
+		time.Sleep(time.Minute)
+		d := newTestDispatcher(now, cfg, s, f, func(o *dispatch.Options) { o.Admission = gate })
+		serve := func(id string) {
+			call := newCall(resumablePath)
+			call.ID, call.Tokens = id, &traffic.Tokens{Prompt: 50, MaxOutput: 50}
+			call.ArrivedAt = now.Now()
+			call.Deadline = call.ArrivedAt.Add(5 * time.Second)
+			_ = d.Serve(t.Context(), call, &recordingSink{})
+		}
+		go serve("first")
+		time.Sleep(2 * time.Second)
+		for i := range 12 {
+			go serve("later" + strconv.Itoa(i))
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+	})
+	calls := 0
+	for _, s := range f.sends {
+		if s.method == "run" && s.endpoint == frozen.Load() {
+			calls++
+		}
+	}
+	if calls != 1 {
+		t.Errorf("%d calls were sent to the frozen engine, want 1; received %v", calls, f.sends)
+	}
+}
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -14,6 +15,8 @@
 type successor struct {
 	// decode is where the call runs. prefill is nil if the prompt is not prefilled at another endpoint before.
 	decode, prefill *schedule.Claim
+	// spentAt is when the retry was deducted.
+	spentAt clock.Instant
 }
 
 func (s *successor) release() {
@@ -52,9 +55,11 @@
 
 // Reasons for which an attempt is not replaced.
 var (
-	errNoRetryLeft = errors.New("the retry budget is used up")
-	errWentOn      = errors.New("the attempt went on or ended")
-	errQuarantined = errors.New("the request or a part of its prompt is quarantined")
+	errNoRetryLeft    = errors.New("the retry budget is used up")
+	errWentOn         = errors.New("the attempt went on or ended")
+	errQuarantined    = errors.New("the request or a part of its prompt is quarantined")
+	errPrefillFull    = errors.New("the prefill engines are full")
+	errTimeNearlyOver = errors.New("the call ends before another attempt could")
 )
 
 // successorObstacle returns why no other attempt of the call may follow now, or nil.
@@ -97,18 +102,22 @@
 func (f *inflightCall) dropNext() {
 	if next := f.takeNext(); next != nil {
 		next.release()
-		f.dispatcher.opts.Admission.ReturnRetry(f.call.Service.Name)
+		f.dispatcher.opts.Admission.ReturnRetry(f.call.Service.Name, next.spentAt)
 	}
 }
 
 // claimEngines claims the engines that continue a generation. request is that of its decode engine.
 func (g *generation) claimEngines(request schedule.Request) (*successor, error) {
+	prefills := g.dispatcher.opts.Scheduler.HasStage(request.Service, traffic.Prefill, request.Regions)
+	if prefills && g.prefillFull(request) {
+		return nil, errPrefillFull
+	}
 	decode, err := g.claimNow(request)
 	if err != nil {
 		return nil, err
 	}
 	s := &successor{decode: decode}
-	if !g.dispatcher.opts.Scheduler.HasStage(request.Service, traffic.Prefill, request.Regions) {
+	if !prefills {
 		return s, nil
 	}
 	s.prefill, err = g.claimNow(g.prefillRequest(request, decode.Endpoint))
@@ -119,6 +128,14 @@
 	return s, nil
 }
 
+// prefillFull reports whether no prefill engine has capacity for a generation. It is asked first, as a decode engine that is
+// claimed in vain counts as used to other VMs, the prefix cache and queued calls.
+func (g *generation) prefillFull(request schedule.Request) bool {
+	request.Stage, request.NotRetryable = traffic.Prefill, false
+	room := g.dispatcher.opts.Scheduler.Room(&request)
+	return room.Engines > 0 && room.Free == 0
+}
+
 // prefillRequest returns the request for a prefill engine of a decode engine's software version.
 func (g *generation) prefillRequest(request schedule.Request, decode traffic.Endpoint) schedule.Request {
 	request.Stage, request.NotRetryable = traffic.Prefill, false
