--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,7 @@
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
+	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -24,6 +26,8 @@
 	silence = 1300 * time.Millisecond
 	// silenceBeforeEvent is the longest pause before an event of such an endpoint: it falls silent when the event is due.
 	silenceBeforeEvent = silence + 300*time.Millisecond
+	// longSilence is beyond the time after which a stream is continued at another endpoint.
+	longSilence = 2500 * time.Millisecond
 )
 
 // step is a pause of an endpoint and what it sends then.
@@ -52,6 +56,9 @@
 
 func (s *steps) Close() error { return nil }
 
+// stallTime is the time after which a stream of the test route is continued at another endpoint.
+const stallTime = schedule.SoundSilence + 300*time.Millisecond
+
 // silentFleet is a backend whose endpoints are silent during the first prefill and the first run, and go on then unless
 // the request was cancelled.
 type silentFleet struct {
@@ -154,7 +161,7 @@
 func TestStreamOfSilentEngineIsNotCutWhenNoOtherCanContinueIt(t *testing.T) {
 	for _, tc := range noSuccessor {
 		t.Run(tc.name, func(t *testing.T) {
-			f := &silentFleet{stream: true, body: []step{{0, events(1, 1)}, {silenceBeforeEvent, events(2, 2)}, {silenceBeforeEvent, events(3, 3)}}}
+			f := &silentFleet{stream: true, body: []step{{0, events(1, 1)}, {silenceBeforeEvent, events(2, 2)}, {longSilence, events(3, 3)}}}
 			out, err := serveSilent(t, f, newCall(resumablePath), tc.endpoints(), tc.slack)
 			if err != nil || out.body.String() != events(1, 3) || f.count("run") != 1 {
 				t.Errorf("body %q, error %v, %d runs", out.body.String(), err, f.count("run"))
@@ -166,7 +173,7 @@
 func TestStreamOfEngineThatIsSilentBeforeTheFirstEventIsNotRefused(t *testing.T) {
 	for _, tc := range noSuccessor[:2] {
 		t.Run(tc.name, func(t *testing.T) {
-			f := &silentFleet{stream: true, headerSilence: silence, body: []step{{300 * time.Millisecond, events(1, 3)}}}
+			f := &silentFleet{stream: true, headerSilence: silence, body: []step{{longSilence - silence, events(1, 3)}}}
 			out, err := serveSilent(t, f, newCall(resumablePath), tc.endpoints(), tc.slack)
 			if err != nil || out.body.String() != events(1, 3) || f.count("run") != 1 {
 				t.Errorf("body %q, error %v, %d runs", out.body.String(), err, f.count("run"))
@@ -205,6 +212,20 @@
 	}
 }
 
+func TestStreamOfEngineThatIsSilentForASecondIsNotRunElsewhere(t *testing.T) {
+	for name, f := range map[string]*silentFleet{
+		"before the header": {stream: true, headerSilence: silence, body: []step{{300 * time.Millisecond, events(1, 3)}}},
+		"between events":    {stream: true, body: []step{{0, events(1, 1)}, {silenceBeforeEvent, events(2, 2)}, {silenceBeforeEvent, events(3, 3)}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			out, err := serveSilent(t, f, newCall(resumablePath), testEndpoints(), retrySlack)
+			if err != nil || out.body.String() != events(1, 3) || f.count("run") != 1 {
+				t.Errorf("body %q, error %v, %d runs", out.body.String(), err, f.count("run"))
+			}
+		})
+	}
+}
+
 func TestSilentEndpointKeepsCallsThatRunOnce(t *testing.T) {
 	for _, tc := range []struct {
 		name, path, want string
@@ -245,7 +266,6 @@
 
 // TestEventsAtTheEndOfTheTimeoutAreNotLost guards against events that arrive while the attempt is being replaced.
 func TestEventsAtTheEndOfTheTimeoutAreNotLost(t *testing.T) {
-	const stallTime = 1500 * time.Millisecond
 	for range 200 {
 		f := &silentFleet{stream: true, later: events(2, 3), body: []step{{0, events(1, 1)}, {stallTime, events(2, 2)}, {0, events(3, 3)}}}
 		out, err := serveSilent(t, f, newCall(resumablePath), testEndpoints(), retrySlack)
@@ -258,7 +278,6 @@
 // TestReplacedStreamKeepsItsVersion guards against text of two versions when the first bytes arrive as the attempt is
 // replaced.
 func TestReplacedStreamKeepsItsVersion(t *testing.T) {
-	const stallTime = 1500 * time.Millisecond
 	for range 200 {
 		f := &silentFleet{stream: true, later: events(1, 3), body: []step{{stallTime, events(1, 1)}, {silenceBeforeEvent, events(2, 3)}}}
 		out, err := serveSilent(t, f, newCall(resumablePath), versionOfEach(), retrySlack)
@@ -429,3 +448,45 @@
 		t.Errorf("%d calls were sent to the frozen engine, want 1; received %v", calls, f.sends)
 	}
 }
+
+// silentFree is a backend whose endpoints are silent when a handle is freed.
+type silentFree struct{ fakeBackend }
+
+func (f *silentFree) Free(ctx context.Context, h backend.Handle) error {
+	if !clock.Sleep(ctx, silence) {
+		return context.Cause(ctx)
+	}
+	return f.fakeBackend.Free(ctx, h)
+}
+
+func TestEndpointThatIsSilentWhenAHandleIsFreedIsNotAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &silentFree{}
+		f.run = func(int, context.Context, backend.Request) (*backend.Response, error) { return nil, notSent() }
+		now := clock.NewMonotonic()
+		cfg := testConfiguration()
+		var failed []string
+		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7, OnFailure: func(id traffic.EndpointID, _ string, _ schedule.Outcome) {
+			if strings.HasPrefix(id.Name, "prefill") {
+				failed = append(failed, id.Name)
+			}
+		}})
+		s.UpdateEndpoints(testEndpoints(), cfg.Services)
+		time.Sleep(time.Minute)
+		d := newTestDispatcher(now, cfg, s, f, nil)
+		ctx, stop := context.WithCancel(t.Context())
+		go d.Run(ctx)
+		time.Sleep(time.Minute)
+		call := newCall(streamPath)
+		call.ArrivedAt = now.Now()
+		call.Deadline = call.ArrivedAt.Add(5 * time.Second)
+		err := d.Serve(t.Context(), call, &recordingSink{})
+		time.Sleep(2 * silence)
+		stop()
+		synctest.Wait()
+		checkError(t, err, fault.Unavailable, fault.NotExecuted)
+		if len(failed) > 0 || f.count("prefill") != 1 {
+			t.Errorf("engines that failed: %v, %d prefills", failed, f.count("prefill"))
+		}
+	})
+}
