--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -27,7 +27,7 @@
 }
 
 // silenceTimer ends an attempt if its endpoint is silent for the timer's timeout and another attempt can follow. As long
-// as none can, the attempt goes on: a sound endpoint may be silent for a second or so, and only the end of the call's own
+// as none can, the attempt goes on: a healthy endpoint may be silent for a second or so, and only the end of the call's own
 // time shows that nothing will come. A nil silenceTimer does nothing.
 type silenceTimer struct {
 	silenceOptions
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -57,7 +57,7 @@
 func (s *steps) Close() error { return nil }
 
 // stallTime is the time after which a stream of the test route is continued at another endpoint.
-const stallTime = schedule.SoundSilence + 300*time.Millisecond
+const stallTime = schedule.MaxPause + 300*time.Millisecond
 
 // silentFleet is a backend whose endpoints are silent during the first prefill and the first run, and go on then unless
 // the request was cancelled.
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -11,7 +11,7 @@
 
 const (
 	// A stream continues at another endpoint if it makes no progress for stallFactor times the route's maximum event gap,
-	// and at least for schedule.SoundSilence after an event was due: a sound endpoint may pause for about a second, and one
+	// and at least for schedule.MaxPause after an event was due: a healthy endpoint may pause for about a second, and one
 	// that does not notice that its connection was closed would go on beside the next one.
 	stallFactor = 3
 	// progressBytes is how much of an event that has not ended yet counts as progress.
@@ -42,7 +42,7 @@
 		}
 		return g.claimEngines(next)
 	}
-	timeout := max(schedule.SoundSilence+r.MaxEventGap, stallFactor*r.MaxEventGap)
+	timeout := max(schedule.MaxPause+r.MaxEventGap, stallFactor*r.MaxEventGap)
 	return &stallTimer{silenceTimer: g.startSilenceTimer(silenceOptions{at: claim, timeout: timeout, examine: true, claim: claimNext, cancel: cancel})}
 }
 
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -19,8 +19,8 @@
 	// failure, up to maxEjection.
 	minEjection = 700 * time.Millisecond
 	maxEjection = 5 * time.Second
-	// SoundSilence is the silence up to which an endpoint does not count as dead. A sound one may pause for about a second.
-	SoundSilence = 1500 * time.Millisecond
+	// MaxPause is the silence up to which an endpoint does not count as dead. A healthy one may pause for about a second.
+	MaxPause = 1500 * time.Millisecond
 )
 
 // Outcome is the result of an attempt as far as it concerns the endpoint's health.
@@ -96,13 +96,13 @@
 }
 
 // silent records that the endpoint left a request without an answer since it was sent, and returns the outcome. Requests at
-// longer intervals than SoundSilence say nothing about the time between them.
+// longer intervals than MaxPause say nothing about the time between them.
 func (h *health) silent(now, sent clock.Instant) Outcome {
-	if h.silentSince == 0 || sent.Sub(h.silentUntil) > SoundSilence {
+	if h.silentSince == 0 || sent.Sub(h.silentUntil) > MaxPause {
 		h.silentSince = sent
 	}
 	h.silentSince, h.silentUntil = min(h.silentSince, sent), now
-	if now.Sub(h.silentSince) < SoundSilence {
+	if now.Sub(h.silentSince) < MaxPause {
 		return Failed
 	}
 	return Dead
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -256,7 +256,7 @@
 }
 
 // RecordSilence records that the claim's endpoint left a request without an answer for a time. That is a failure, and the
-// endpoint is dead once it has been silent for SoundSilence.
+// endpoint is dead once it has been silent for MaxPause.
 func (c *Claim) RecordSilence(silent time.Duration) {
 	c.RecordOutcome(c.scheduler.recordSilence(c.Endpoint.ID, silent))
 }
