admission: records of several data centres add up before the size of the fleet is known

Callers of a large fleet could exceed a plan after all VMs had ended: a VM that did not know yet that its fleet is large took the larger one of two data centres' recorded usage for both. Records of a data centre other than the VM's own are now kept for each data centre, whatever the VM knows of the size. Two records of one data centre are combined by age; the later one replaced the other before.

The other tests of internal/admission and internal/statesync pass with the race detector.

--- a/internal/admission/restart.go
+++ b/internal/admission/restart.go
@@ -97,19 +97,35 @@
 	}
 	p.restartedAt, p.restarted = p.startedAt, true
 	p.knowBeforeStart(now)
+	others := map[string]map[string][]int64{}
 	for _, r := range p.current(records) {
 		for name, tokens := range r.Buckets {
 			p.hot[name] = true
-			if r.Group == group || group == "" {
+			if r.Group == group {
 				p.usage(now, name).adopt(p.shift(tokens, r.Age), p.ageTolerance())
 			}
 		}
-		if r.Group != group && group != "" {
-			p.dataCentres[r.Group] = dataCentreUsage{at: now.Add(-r.Age), tokens: p.sums(r), recorded: true}
+		if r.Group != group {
+			p.adoptDataCentre(now, r, others)
 		}
 	}
 }
 
+// adoptDataCentre adds what was recorded for a data centre whose usage is not known in detail. A VM that does not know yet that its
+// fleet is large adopts each data centre so, as their usage is not the same. told is what records of each data centre have told, by age.
+func (p *Plans) adoptDataCentre(now clock.Instant, r UsageRecord, told map[string]map[string][]int64) {
+	usage := told[r.Group]
+	if usage == nil {
+		usage = map[string][]int64{}
+		told[r.Group] = usage
+	}
+	for name, tokens := range r.Buckets {
+		usage[name] = union(p.shift(tokens, r.Age), usage[name], p.ageTolerance())
+	}
+	at := max(p.dataCentres[r.Group].at, now.Add(-r.Age))
+	p.dataCentres[r.Group] = dataCentreUsage{at: at, tokens: sums(usage), recorded: true}
+}
+
 // knowBeforeStart makes the usage before the start count as that of the whole fleet, which records tell, and not of
 // the share of it that this VM can reach.
 func (p *Plans) knowBeforeStart(now clock.Instant) {
@@ -145,13 +161,12 @@
 	return append(make([]int64, by/p.bucketDuration()), tokens...)
 }
 
-// sums returns the usage in a record that is still in the window.
-func (p *Plans) sums(r UsageRecord) map[string]int64 {
-	out := map[string]int64{}
-	inWindow := accountBuckets - int(r.Age/p.bucketDuration())
-	for name, tokens := range r.Buckets {
-		for _, n := range tokens[:min(len(tokens), inWindow)] {
-			out[name] += max(0, n)
+// sums returns the sum of the buckets of each workspace.
+func sums(usage map[string][]int64) map[string]int64 {
+	out := make(map[string]int64, len(usage))
+	for name, tokens := range usage {
+		for _, n := range tokens {
+			out[name] += n
 		}
 	}
 	return out
