endpoint: a silence counts from when the next heartbeat is due

Callers of the daemon with a settings file lost answers of sound engines: a stream was interrupted 1.5 s after its last byte, heartbeats included, but a healthy engine that sends a heartbeat each 0.5 s may be silent for 1.5 s after one was due. The limit is now the sum of both, 2 s. A connection attempt and a transfer whose prefill result is about to expire keep 1.5 s.

--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -28,7 +28,7 @@
 	idleConnTimeout         = 20 * time.Second
 	maxIdleConns            = 4096
 	maxIdleConnsPerEndpoint = 64
-	dialTimeout             = InactivityTimeout
+	dialTimeout             = MaxPause
 	maxResponseHeaderBytes  = 16 << 10
 	contentTypeJSON         = "application/json"
 	userAgentProduct        = "fulmartide"
--- a/internal/endpoint/port.go
+++ b/internal/endpoint/port.go
@@ -145,6 +145,12 @@
 	Engine(addr netip.AddrPort) Engine
 }
 
-// InactivityTimeout is how long an engine may send nothing on a stream before the stream counts as
-// interrupted.
-const InactivityTimeout = 1500 * time.Millisecond
+const (
+	// HeartbeatInterval is the longest time between two messages that an engine sends on a stream while it works.
+	HeartbeatInterval = 500 * time.Millisecond
+	// MaxPause is the longest silence of a healthy engine after a message was due.
+	MaxPause = 1500 * time.Millisecond
+	// InactivityTimeout is how long an engine may send nothing on a stream before the stream counts as
+	// interrupted.
+	InactivityTimeout = HeartbeatInterval + MaxPause
+)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -133,11 +133,11 @@
 // transferTimeout returns the time after the decode request at which stall checks begin and the
 // time at which the transfer is aborted. The abort comes before the prefill result expires, as
 // the transfer can be repeated only until then. If the remaining TTL is too short for a repeat,
-// only the engine's inactivity timeout applies.
+// only the longest pause of a healthy engine applies.
 func (s *session) transferTimeout(a placement.Assignment) (checkAfter, abortAfter time.Duration) {
 	ttl := s.prefillExpiresAt.Sub(s.c.server.opts.Clock.Now())
 	if ttl <= 2*minTransferTTL {
-		return endpoint.InactivityTimeout, endpoint.InactivityTimeout
+		return endpoint.MaxPause, endpoint.MaxPause
 	}
 	abortAfter = ttl - minTransferTTL
 	rate := s.linkRate(a)
