--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -215,6 +215,8 @@
 	Delimited bool
 	// Unnamed is the number of responses that were read and did not name the request.
 	Unnamed int
+	// Opened is when the connection was open.
+	Opened time.Time
 
 	conn        *conn
 	body        io.ReadCloser
@@ -228,7 +230,7 @@
 	r := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-		Unnamed:   c.unnamed,
+		Unnamed:   c.unnamed, Opened: c.opened,
 		conn:      c, body: resp.Body, written: written, stopCancel: stopCancel,
 	}
 	if r.Delimited && !resp.Close {
