Let a stream go on only over a connection whose lifetime is known

Cause: the check that a connection leads to the lifetime of an endpoint's entry was left out while the table was older than 2 s. That stood for a store that is away, but a VM that resumes after a pause has such a table too.

A connection leads to one process only. So a pause between the check and the send is harmless if the check is about the connection:

- Only reads of the store by this VM itself count, by the time at which they began; times are compared, not ages.
Reads of a store that was restored from a backup do not count until former entries have expired.
- If there is no such read (the store is away, it does not come within 0.5 s, or other VMs read for this one), the endpoint is asked on the connection itself for its start time (GET /v1/report).
An endpoint that names none, or another one, does not get the request, which was not sent then: the stream is continued elsewhere, broken off or refused.
- A kept connection is checked like a new one, and a connection that passed is used again for the same lifetime without a check.

Requests that are sent for other VMs take the same path, with the table of the VM that sends.

Tests on the former code: TestStreamsWhileTheStoreIsAway failed (12 of 12 streams at a later lifetime), and so did equivalents of TestNewsOfReadsIsNoRead and TestKeptConnectionIsBoundToItsLifetime against its interfaces. The case "store away" of TestContinuedStreamAwaitsItsEntry wanted the stream to be sent over any connection, which is the fault; it is replaced by cases that want it sent only to an endpoint that names the start time of the entry. TestListedEndpoints compares times in place of ages, as the interface does.

--- a/internal/activeconfig/refresher.go
+++ b/internal/activeconfig/refresher.go
@@ -110,7 +110,7 @@
 // whole fleet starts, one VM reads as soon as it may know its rank, and the others give it time.
 func (r *Refresher) untilRead() time.Duration {
 	if r.State.hasEndpoints() {
-		if r.failures == 0 && r.State.awaitsRead() && r.Rank() <= maxStandbyRank {
+		if r.State.awaitsRead(r.failures == 0 && r.Rank() <= maxStandbyRank) {
 			return 0
 		}
 		return ReadAge(r.Rank()) - r.State.Age()
--- a/internal/activeconfig/state.go
+++ b/internal/activeconfig/state.go
@@ -65,8 +65,11 @@
 	// confirmed is as of when the store is known to have held what this VM has. reads counts the reads of this VM.
 	confirmed confirmations
 	reads     uint64
-	// readRequested is when a read of the store was last requested ahead of the next regular one, 0 for never.
-	readRequested clock.Instant
+	// ownRead is the last read of the table by this VM. readRequested is when one was last requested ahead of the next regular
+	// one, 0 for never, and readsOnRequest is set while this VM reads on request.
+	ownRead        ownRead
+	readRequested  clock.Instant
+	readsOnRequest bool
 	// retainUntil is set after an outage of the store: until then no endpoint is dropped.
 	retainUntil clock.Instant
 	// hasRetained is set if the table was applied before retainUntil, and so may contain endpoints
@@ -143,6 +146,9 @@
 
 func (s *State) applyEndpointsLocked(e traffic.Endpoints, asOf clock.Instant, from string) {
 	now := s.opts.Clock.Now()
+	if from == fromStore && e.Era >= s.endpoints.Era {
+		s.recordOwnRead(asOf, e.List)
+	}
 	if s.hasTable && newerTable(tableVersion(s.endpoints), tableVersion(e)) {
 		return
 	}
--- /dev/null
+++ b/internal/connpool/accept.go
@@ -0,0 +1,74 @@
+package connpool
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+)
+
+// Conn is a connection on which a request is about to be sent.
+type Conn struct {
+	c *conn
+	// broken is set once the connection cannot carry the request any more.
+	broken bool
+}
+
+// Opened returns when the connection was open.
+func (o *Conn) Opened() time.Time { return o.c.opened }
+
+var (
+	errAnswerTooLarge = errors.New("the endpoint's answer exceeds the maximum size")
+	errNotKeptOpen    = errors.New("the endpoint does not keep the connection open")
+)
+
+// Ask sends another request on the connection first and returns the status and the body of its response, of at most maxBody
+// bytes. The connection cannot be used any more if it fails.
+func (o *Conn) Ask(ctx context.Context, r *Request, maxBody int64) (status int, body []byte, err error) {
+	o.broken = true
+	resp, err := o.c.roundTrip(ctx, r)
+	if err != nil {
+		return 0, nil, err
+	}
+	body, err = io.ReadAll(io.LimitReader(resp, maxBody+1))
+	switch kept := resp.reusable(); {
+	case err != nil:
+		return 0, nil, err
+	case int64(len(body)) > maxBody:
+		return 0, nil, errAnswerTooLarge
+	case !kept:
+		return 0, nil, errNotKeptOpen
+	}
+	o.broken = false
+	return resp.Status, body, nil
+}
+
+// accepted reports whether a request need not wait for its acceptance on the connection.
+func (c *conn) accepted(r *Request) bool {
+	return r.Await == nil || c.opened.Before(r.OpenedBefore) || r.Lifetime != 0 && c.lifetime == r.Lifetime
+}
+
+// send sends a request once it is accepted. A kept connection on which it is not accepted is kept for others.
+func (c *conn) send(ctx context.Context, r *Request) (*Response, error) {
+	if !c.accepted(r) {
+		on := &Conn{c: c}
+		if err := r.Await(ctx, on); err != nil {
+			c.release(on.broken)
+			if errors.Is(err, errNotSent) {
+				return nil, errNotSent
+			}
+			return nil, &Error{Err: err}
+		}
+		c.lifetime = r.Lifetime
+	}
+	return c.roundTrip(ctx, r)
+}
+
+// release returns a connection that did not carry its request to the pool, unless it is new or broken.
+func (c *conn) release(broken bool) {
+	if broken || !time.Now().Before(c.idleUntil) {
+		c.close()
+		return
+	}
+	c.pool.put(c)
+}
--- a/internal/connpool/await_test.go
+++ b/internal/connpool/await_test.go
@@ -29,10 +29,10 @@
 	awaited := 0
 	late := s.requestWithID("GET", "2")
 	late.OpenedBefore = start
-	late.Await = func(_ context.Context, opened time.Time) error {
+	late.Await = func(_ context.Context, on *connpool.Conn) error {
 		awaited++
-		if opened.Before(start) {
-			t.Errorf("opened %v before the pool was used", start.Sub(opened))
+		if on.Opened().Before(start) {
+			t.Errorf("opened %v before the pool was used", start.Sub(on.Opened()))
 		}
 		return errNotAccepted
 	}
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -36,6 +36,8 @@
 	br        *bufio.Reader
 	opened    time.Time
 	idleUntil time.Time
+	// lifetime is that for which a request was last accepted on the connection, 0 if none was.
+	lifetime int64
 	// requests is the number of requests that the connection has carried, lastID the id of the last one.
 	requests int
 	lastID   string
@@ -231,7 +233,7 @@
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 		Unnamed:   c.unnamed, Opened: c.opened,
-		conn:      c, body: resp.Body, written: written, stopCancel: stopCancel,
+		conn: c, body: resp.Body, written: written, stopCancel: stopCancel,
 	}
 	if r.Delimited && !resp.Close {
 		r.idleTimeout = idleTimeout(resp.Header)
@@ -263,8 +265,7 @@
 // Close returns the connection to the pool if the request was written and the response read
 // completely, and closes the connection otherwise.
 func (r *Response) Close() error {
-	notCancelled := r.stopCancel()
-	if !notCancelled || !r.bodyRead || r.idleTimeout <= 0 || !r.writeSucceeded() || r.conn.br.Buffered() > 0 {
+	if !r.reusable() {
 		r.conn.close()
 		return nil
 	}
@@ -273,6 +274,12 @@
 	return nil
 }
 
+// reusable reports whether the connection can carry further requests. It is called once, when the response has been read.
+func (r *Response) reusable() bool {
+	notCancelled := r.stopCancel()
+	return notCancelled && r.bodyRead && r.idleTimeout > 0 && r.writeSucceeded() && r.conn.br.Buffered() == 0
+}
+
 // writeSucceeded reports whether the request was written completely.
 func (r *Response) writeSucceeded() bool {
 	select {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -53,10 +53,11 @@
 	// IDHeader is the header with the id of the request that the endpoint repeats in its response. If it is empty, or the
 	// request has no id, any response is taken.
 	IDHeader string
-	// OpenedBefore, if not zero, is when a kept connection must have been open to be used. Await, if not nil, is called before
-	// the request is written to a new connection, with the time at which it was open; the request is not sent if it fails.
+	// Await, if not nil, is called before the request is written to a connection; the request is not sent if it fails. It is
+	// not called for a connection that was open before OpenedBefore, or on which it succeeded before for the same Lifetime.
+	Await        func(ctx context.Context, on *Conn) error
 	OpenedBefore time.Time
-	Await        func(ctx context.Context, opened time.Time) error
+	Lifetime     int64
 	// Alone is set if the request gets a connection of its own, before and after which no other request is sent.
 	Alone bool
 }
@@ -116,7 +117,7 @@
 // request, it is sent on a new one. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	if c := p.get(r); c != nil {
-		resp, err := c.roundTrip(ctx, r)
+		resp, err := c.send(ctx, r)
 		if !errors.Is(err, errNotSent) {
 			return resp, err
 		}
@@ -128,13 +129,7 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
-	if r.Await != nil {
-		if err := r.Await(ctx, c.opened); err != nil {
-			c.close()
-			return nil, &Error{Err: err}
-		}
-	}
-	resp, err := c.roundTrip(ctx, r)
+	resp, err := c.send(ctx, r)
 	if errors.Is(err, errNotSent) {
 		err = &Error{Err: err}
 	}
@@ -173,17 +168,24 @@
 	return nil
 }
 
+// pop prefers connections on which the request need not wait.
 func (p *Pool) pop(r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[r.Target]
+	found := len(list) - 1
 	for i, c := range slices.Backward(list) {
-		if r.OpenedBefore.IsZero() || c.opened.Before(r.OpenedBefore) {
-			p.idle[r.Target] = slices.Delete(list, i, i+1)
-			return c
+		if c.accepted(r) {
+			found = i
+			break
 		}
 	}
-	return nil
+	if found < 0 {
+		return nil
+	}
+	c := list[found]
+	p.idle[r.Target] = slices.Delete(list, found, found+1)
+	return c
 }
 
 func (p *Pool) put(c *conn) {
