origin: read the versions anew before the only one decides

A caller takes a stream up at a VM that has no record of it. If the service has one version, the stream goes on there. The VM knew that from its table, which after a pause of the VM is as old as the pause: a second version may have been released meanwhile and have begun the stream, and its record lies unread. Then the text is joined from two versions.

The VM now reads the store again first, for at most 0.5 s and a quarter of the caller's time, and decides by the versions that are listed then. If it cannot read (the store is away, or others read for this VM), it asks the VMs that keep records before the only version decides. Records that name a version are used as before, as they never change.

--- a/internal/activeconfig/listed.go
+++ b/internal/activeconfig/listed.go
@@ -1,6 +1,7 @@
 package activeconfig
 
 import (
+	"context"
 	"time"
 
 	"github.com/fulmartide/fulmartide/internal/clock"
@@ -56,6 +57,31 @@
 	return s.readsOnRequest
 }
 
+// rereadPoll is the time between two checks whether a requested read has ended.
+const rereadPoll = 20 * time.Millisecond
+
+// Reread asks for a read of the store and waits until the table in force is at least as new. It returns false if this VM does
+// not read now, or not before ctx ends.
+func (s *State) Reread(ctx context.Context) bool {
+	since := s.opts.Clock.Now()
+	if !s.RequestRead() {
+		return false
+	}
+	for !s.readSince(since) {
+		if !clock.Sleep(ctx, rereadPoll) {
+			return false
+		}
+	}
+	return true
+}
+
+// readSince reports whether this VM has read the store since a time.
+func (s *State) readSince(since clock.Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ownRead.asOf >= since
+}
+
 // awaitsRead reports whether this VM has not read the store since a read was requested. mayRead says whether it would now.
 func (s *State) awaitsRead(mayRead bool) bool {
 	s.mu.Lock()
--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -23,6 +23,9 @@
 	Share func([]Record)
 	// Ask asks other VMs where a stream began. It may be nil.
 	Ask func(context.Context, Key) (traffic.StreamOrigin, bool)
+	// Reread waits until this VM has read the listed endpoints from the store again, and returns false if it does not before the
+	// context ends. It may be nil.
+	Reread func(context.Context) bool
 	// OnVersions is called after the versions of services have changed. It must not block. It may be nil.
 	OnVersions func()
 	// OnOpen is called after the open streams of this VM, or the snapshots of others, may have changed. It must not block.
@@ -57,6 +60,9 @@
 	if o.Ask == nil {
 		o.Ask = func(context.Context, Key) (traffic.StreamOrigin, bool) { return traffic.StreamOrigin{}, false }
 	}
+	if o.Reread == nil {
+		o.Reread = func(context.Context) bool { return false }
+	}
 	if o.OnVersions == nil {
 		o.OnVersions = func() {}
 	}
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -30,12 +30,18 @@
 	// time that it may take, as its inverse.
 	maxFindWait  = time.Second
 	findFraction = 4
+	// maxRereadWait bounds the wait for a read of the store before the only version decides.
+	maxRereadWait = 500 * time.Millisecond
 )
 
 // Find finds the origin of a stream that a caller resumes. service is the one that its calls go to now, left the time
 // until the caller's deadline. If this VM does not know the origin, it asks other VMs and the store.
 func (c *Controller) Find(ctx context.Context, k Key, service string, left time.Duration) (traffic.StreamOrigin, Source) {
-	if o, source := c.findHere(k, service); source != Unknown {
+	o, source := c.findHere(k, service)
+	if source == FromVersions {
+		o, source = c.findHereAnew(ctx, k, service, left)
+	}
+	if source != Unknown {
 		return o, source
 	}
 	began := c.opts.Clock.Now()
@@ -53,6 +59,19 @@
 	return c.findHere(k, service)
 }
 
+// findHereAnew finds an origin once this VM knows which versions are listed now: while it was paused, or heard nothing of the
+// store, a second one may have begun the stream. If the store cannot be read in time, the VMs that keep records are asked first.
+func (c *Controller) findHereAnew(ctx context.Context, k Key, service string, left time.Duration) (traffic.StreamOrigin, Source) {
+	readCtx, cancel := context.WithTimeout(ctx, min(maxRereadWait, left/findFraction))
+	defer cancel()
+	if !c.opts.Reread(readCtx) && k != 0 {
+		if o, ok := c.opts.Ask(ctx, k); ok {
+			return o, FromVM
+		}
+	}
+	return c.findHere(k, service)
+}
+
 // findHere finds an origin by what this VM knows.
 func (c *Controller) findHere(k Key, service string) (traffic.StreamOrigin, Source) {
 	c.mu.Lock()
