send: a last look at each request right before its first byte is written

What callers saw: on machines of our users requests reached an endpoint that had said it was leaving, and repeats and time limits went beyond the budget. No logs were kept.

Cause: whether a request may be sent was decided in Claim.StartSend, and Deadline-Ms was computed there. After that come a connection attempt of up to 0.3 s, the wait of a continued stream for the table, the turn of the goroutine that writes a large body, a second connection if the first took no byte, and at another VM the read of the body. A VM that gets no processor time in between sent what it had decided seconds before.

Change: connpool calls Request.LastLook on the connection in hand, for each connection, before the first byte; the header and the beginning of a large body are written by the same goroutine. The look asks the scheduler again (listed, leaving, evacuated, paused, permits), ends a call whose time is over, and sets Deadline-Ms from what is left. A kept connection that was checked long before is checked again. A context whose deadline has passed ends before the write, so that orders and frees are not sent late either. A VM that sends for another one looks too, and subtracts the time since the request arrived in its socket (TCP_INFO, no clock of another VM; the messages between VMs are unchanged). A request that is held back was not run: another endpoint is chosen without a retry, permits of limits are given back once, expired ones are replaced. A retry that was counted over 0.5 s before its send is counted again.

Test changed: TestRequestThatCrossesAnIdleCloseIsNotSentAgain demands that a large body counts as sent always, not sometimes, as its beginning is written first; its stand-in pauses once, as such a request is written in two parts.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -29,8 +29,15 @@
 	// Ranked is set if the endpoint is to be told the priority: the call is a generation, and the calls to its service
 	// have different ones.
 	Ranked bool
+	// LastLook is called right before the request is sent. It may be nil.
+	LastLook LastLook
 }
 
+// LastLook is the last decision about a request, right before its first byte is written: after it was decided to send the
+// request any time may have passed. left is the time that the endpoint has to respond, 0 if the request names none. If err is not nil the
+// request is not sent, and err is wrapped in the error of the send.
+type LastLook func() (left time.Duration, err error)
+
 // Handle identifies the KV cache of a prompt that a prefill endpoint retains.
 type Handle struct {
 	Endpoint traffic.Endpoint
@@ -43,6 +50,8 @@
 	Load *Load
 	// Regions are the regions in which the handle is handled, nil for any.
 	Regions []string
+	// LastLook is called right before the request to free the handle is sent. It may be nil.
+	LastLook LastLook
 }
 
 // Load is the load that an endpoint reports about itself.
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -36,6 +36,8 @@
 	br        *bufio.Reader
 	opened    time.Time
 	idleUntil time.Time
+	// checkedAt is when it was last checked whether the connection can be used again.
+	checkedAt time.Time
 	// requests is the number of requests that the connection has carried, lastID the id of the last one.
 	requests int
 	lastID   string
@@ -87,26 +89,22 @@
 	if id := r.id(); id != "" && id == c.lastID {
 		return false
 	}
-	return time.Now().Before(c.idleUntil) && c.br.Buffered() == 0 && !tcpconn.Readable(c.nc)
+	c.checkedAt = time.Now()
+	return c.checkedAt.Before(c.idleUntil) && c.br.Buffered() == 0 && !tcpconn.Readable(c.nc)
 }
 
 // roundTrip writes the request and reads the response header. Large bodies are written
 // concurrently, because an endpoint may respond before it has read the whole body. It returns errNotSent if the kernel took
 // no byte of the request.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*Response, error) {
-	if cause := context.Cause(ctx); cause != nil {
-		c.close()
-		return nil, &Error{Err: cause}
+	if err := c.lastLook(ctx, r); err != nil {
+		return nil, err
 	}
 	c.requests++
 	c.lastID = r.id()
 	stopCancel := context.AfterFunc(ctx, c.close)
 	written := make(chan writeResult, 1)
-	if len(r.Body) <= maxSyncBody {
-		written <- c.write(r)
-	} else {
-		go func() { written <- c.write(r) }()
-	}
+	c.write(r, written)
 	resp, err := c.readHeader(r)
 	if err != nil {
 		stopCancel()
@@ -126,7 +124,42 @@
 	return out, nil
 }
 
-// maxSyncBody is the largest body that is written before the response is read. A request with such a
+// maxCheckAge is how long after its check a kept connection is written to without another one. In a process that was paused the
+// endpoint may have closed it meanwhile.
+const maxCheckAge = 20 * time.Millisecond
+
+// lastLook makes the last decision about a request. It returns an error of type *Error if the request is not to be sent, and
+// errNotSent if it needs a new connection.
+func (c *conn) lastLook(ctx context.Context, r *Request) error {
+	if r.LastLook != nil {
+		if err := r.LastLook(ctx); err != nil {
+			c.keepUnused()
+			return &Error{Err: err}
+		}
+	}
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		<-ctx.Done() // in a process that was paused its timer may not have run yet
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		c.close()
+		return &Error{Err: cause}
+	}
+	if c.requests > 0 && time.Since(c.checkedAt) > maxCheckAge && !c.reusable(r) {
+		c.close()
+		return errNotSent
+	}
+	return nil
+}
+
+// keepUnused returns a connection to the pool to which nothing was written since it was taken or opened.
+func (c *conn) keepUnused() {
+	if c.requests == 0 {
+		c.idleUntil = time.Now().Add(defaultIdleTimeout)
+	}
+	c.pool.put(c)
+}
+
+// maxSyncBody is how much of a body is written before the response is read. A request with such a
 // body fits into the socket buffers and the smallest TCP window, so writing it does not wait for the
 // endpoint to read.
 const maxSyncBody = 2 << 10
@@ -140,19 +173,30 @@
 // nothing reports whether no byte of the request was sent.
 func (w writeResult) nothing() bool { return w.err != nil && w.n == 0 }
 
-func (c *conn) write(r *Request) writeResult {
+// write writes a request and sends the result to written. The header and the beginning of the body are written before it
+// returns, so that the request arrives right after the last look at it; the rest of a large body is written concurrently.
+func (c *conn) write(r *Request, written chan<- writeResult) {
 	var b bytes.Buffer
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(&b); err != nil {
-		return writeResult{err: err}
+		written <- writeResult{err: err}
+		return
 	}
 	if r.Body != nil {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
+	size := b.Len() + min(len(r.Body), maxSyncBody)
 	b.Write(r.Body)
-	n, err := c.nc.Write(b.Bytes())
-	return writeResult{n, err}
+	n, err := c.nc.Write(b.Bytes()[:size])
+	if err != nil || size == b.Len() {
+		written <- writeResult{n, err}
+		return
+	}
+	go func() {
+		rest, err := c.nc.Write(b.Bytes()[size:])
+		written <- writeResult{n + rest, err}
+	}()
 }
 
 // answers reports whether a response is the one to the request that has been sent last. Without an id it may be
--- a/internal/connpool/idleclose_test.go
+++ b/internal/connpool/idleclose_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -126,7 +127,7 @@
 	if err := send(t, p, e.request("/first", nil)); err != nil {
 		t.Fatal(err)
 	}
-	pause = func() {
+	pause = sync.OnceFunc(func() { // a large request is written in two parts
 		close(e.close)
 		<-e.closed
 		if e.reset.Load() {
@@ -134,14 +135,14 @@
 				runtime.Gosched()
 			}
 		}
-	}
+	})
 	return p
 }
 
 // TestRequestThatCrossesAnIdleCloseIsNotSentAgain guards against requests that run twice: a request that was written to a
 // connection which its endpoint closes without an answer may have run. One that was not written is sent on a new connection.
 func TestRequestThatCrossesAnIdleCloseIsNotSentAgain(t *testing.T) {
-	const always, sometimes, never = "always", "sometimes", "never"
+	const always, never = "always", "never"
 	for _, tc := range []struct {
 		name    string
 		body    []byte
@@ -150,8 +151,7 @@
 	}{
 		{"no body", nil, false, always},
 		{"small body", []byte("x"), false, always},
-		// A large body is written beside the read of the response. If the read fails first, nothing is written.
-		{"large body", make([]byte, 200<<10), false, sometimes},
+		{"large body", make([]byte, 200<<10), false, always},
 		{"reset before the write", nil, true, never},
 		{"reset before the write of a large body", make([]byte, 200<<10), true, never},
 	} {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -57,6 +57,11 @@
 	// the request is written to a new connection, with the time at which it was open; the request is not sent if it fails.
 	OpenedBefore time.Time
 	Await        func(ctx context.Context, opened time.Time) error
+	// LastLook, if not nil, is called right before the first byte is written, once for each connection on which that is tried. It
+	// may change Header. The request is not sent if it fails; no byte is sent then.
+	LastLook func(ctx context.Context) error
+	// ArrivedAt is when a request of another VM arrived at this one, zero if it is not one.
+	ArrivedAt time.Time
 	// Alone is set if the request gets a connection of its own, before and after which no other request is sent.
 	Alone bool
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -153,6 +153,7 @@
 func (f *inflightCall) runWithTimeout(ctx context.Context) error {
 	ctx, cancel := context.WithTimeoutCause(ctx, f.remaining(), errCallTimeout)
 	defer cancel()
+	defer f.returnRetry()
 	return f.run(ctx)
 }
 
@@ -195,6 +196,8 @@
 	// receivedAt is the clock.Instant at which the last part of a response arrived.
 	receivedAt atomic.Int64
 	broken     brokenAttempt
+	// retryAt is when the retry was deducted that the next send uses up, 0 if there is none.
+	retryAt clock.Instant
 	// budgetUsedUp is set if the retry budget did not allow the last retry, notPlaced if the last placement failed.
 	budgetUsedUp bool
 	notPlaced    error
@@ -235,7 +238,7 @@
 // consumeRetryBudget deducts one retry from the service's retry budget. It reserves no budget for
 // other uses and returns false only if the budget is exhausted.
 func (f *inflightCall) consumeRetryBudget(why string) bool {
-	ok := f.dispatcher.opts.Admission.SpendRetry(f.call.Service.Name, 0)
+	ok := f.retryAt != 0 || f.spendRetry() // a retry that was deducted and not sent is still there
 	f.budgetUsedUp = !ok
 	f.log.Info("another send", zap.String("why", why), zap.Bool("allowed", ok), zap.Int("sends", f.sends), zap.Int("runs", f.runs))
 	return ok
@@ -261,7 +264,7 @@
 		execution = fault.ExecutionUnknown
 	}
 	switch {
-	case errors.Is(context.Cause(ctx), errCallTimeout):
+	case errors.Is(context.Cause(ctx), errCallTimeout) || errors.Is(err, errCallTimeout):
 		// Reported as unknown even if no endpoint has received the call.
 		return fault.Wrap(err, fault.Timeout, "allow more time", "no response before the timeout",
 			fault.WithExecution(fault.ExecutionUnknown))
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -86,10 +86,10 @@
 // shouldRetry reports whether to make another attempt after a failed one. If so, it deducts the
 // attempt from the retry budget.
 func (g *generation) shouldRetry(ctx context.Context, err error) bool {
-	if ctx.Err() == nil && !isFinal(err) && g.next != nil {
+	if ctx.Err() == nil && !isFinal(err) && !endsCall(err) && g.next != nil {
 		return true
 	}
-	if ctx.Err() != nil || isFinal(err) || g.prefills >= maxPrefills || len(g.unsent) >= maxUnsentAttempts {
+	if ctx.Err() != nil || isFinal(err) || endsCall(err) || g.prefills >= maxPrefills || len(g.unsent) >= maxUnsentAttempts {
 		return false
 	}
 	if !connected(err) {
@@ -230,6 +230,7 @@
 	defer cancel(nil)
 	timer := g.startPrefillTimer(claim, decode, cancel)
 	h, err := g.dispatcher.opts.Backend.Prefill(stageCtx, g.newRequest(claim))
+	g.recordSend(claim, err)
 	g.next = timer.Stop()
 	claim.RecordLoad(h.Load)
 	took := g.dispatcher.opts.Clock.Now().Sub(start)
@@ -262,6 +263,9 @@
 		claim.RecordRefusal()
 		g.countRejected(claim)
 		return
+	case refusedLate(err):
+		g.recordLateRefusal(ctx, claim, err)
+		return
 	case !backend.MayHaveArrived(err):
 		g.recordUnreachable(claim, err)
 		return
@@ -282,7 +286,7 @@
 	for n := 1; ; n++ {
 		fetched, err = g.decode(ctx, claim, &h)
 		claim.Release()
-		if err == nil || fetched || ctx.Err() != nil || isFinal(err) || g.next != nil {
+		if err == nil || fetched || ctx.Err() != nil || isFinal(err) || endsCall(err) || g.next != nil {
 			return fetched, err
 		}
 		if connected(err) {
@@ -363,6 +367,7 @@
 			err = &backend.SendError{Sent: true, Rejected: true, Err: errRejected}
 		}
 	}
+	g.recordSend(claim, err)
 	g.countSend(err)
 	if err == nil {
 		stall.countEvents(reply.EventStream)
--- a/internal/dispatch/handles.go
+++ b/internal/dispatch/handles.go
@@ -43,6 +43,7 @@
 				continue
 			}
 			h.Via = via
+			h.LastLook = func() (time.Duration, error) { return 0, d.opts.Scheduler.LastLook(h.Endpoint.ID) }
 			freeCtx, cancel := context.WithTimeout(ctx, freeTimeout)
 			if err := d.opts.Backend.Free(freeCtx, h); err != nil {
 				d.opts.Log.Info("handle not freed, left to expire", zap.String("endpoint", h.Endpoint.ID.Name), zap.Error(err))
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -25,6 +25,7 @@
 	return backend.Request{
 		Call: f.call, Endpoint: claim.Endpoint, Via: claim.Via, Timeout: f.remaining(),
 		Priority: f.call.Rank(), Ranked: f.call.Ranked(), LastEventID: f.call.LastEventID,
+		LastLook: f.lastLook(claim),
 	}
 }
 
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -89,9 +89,9 @@
 func (f *inflightCall) shouldRetryPlain(ctx context.Context, err error, unsent int) bool {
 	r := f.call.Route
 	switch {
-	case ctx.Err() != nil || f.responseStarted || unsent >= maxUnsentAttempts:
+	case ctx.Err() != nil || endsCall(err) || f.responseStarted || unsent >= maxUnsentAttempts:
 		return false
-	case f.next != nil:
+	case f.next != nil || refusedLate(err):
 		return true
 	case fault.Is(err, fault.Overloaded) || fault.Is(err, fault.Unavailable) || fault.Is(err, fault.Quarantined):
 		return false // no endpoint could be claimed, or none should be
@@ -196,6 +196,7 @@
 	stop := f.watchSilence(claim)
 	reply, err := f.dispatcher.opts.Backend.Run(ctx, f.newRequest(claim))
 	stop()
+	f.recordSend(claim, err)
 	if err != nil {
 		f.countSend(err)
 		return nil, err
@@ -244,8 +245,10 @@
 		claim.RecordOutcome(schedule.Succeeded)
 	case backend.WasRejected(err):
 		claim.RecordRefusal()
+	case refusedLate(err):
+		f.recordLateRefusal(ctx, claim, err)
 	case !backend.MayHaveArrived(err):
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !callerGone(ctx, err) {
 			f.recordUnreachable(claim, err)
 		}
 	case callerGone(ctx, err):
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -98,6 +98,10 @@
 func (f *inflightCall) takeNext() *successor {
 	next := f.next
 	f.next = nil
+	if next != nil {
+		f.returnRetry() // of an attempt that was not sent
+		f.retryAt = next.spentAt
+	}
 	return next
 }
 
@@ -105,7 +109,7 @@
 func (f *inflightCall) dropNext() {
 	if next := f.takeNext(); next != nil {
 		next.release()
-		f.dispatcher.opts.Admission.ReturnRetry(f.call.Service.Name, next.spentAt)
+		f.returnRetry()
 	}
 }
 
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -44,6 +44,12 @@
 	if err != nil {
 		return nil, failure(via, "open a stream", false, err)
 	}
+	if r.LastLook != nil {
+		if err := r.LastLook(ctx); err != nil {
+			_ = nc.Close()
+			return nil, &connpool.Error{Err: err}
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
 	in := bufio.NewReader(nc)
 	out, err := exchange(nc, in, via, endpoint, r)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -35,6 +35,9 @@
 	// Start checks right before a send whether this VM may send a request to an endpoint now, and returns its entry.
 	// permit is set if the other VM has used a permit of the endpoint's rate limit for it.
 	Start func(id traffic.EndpointID, permit bool) (traffic.Endpoint, error)
+	// LastLook returns why a request must not be sent to an endpoint after all, or nil. It is called right before the first byte
+	// is written. It may be nil.
+	LastLook func(id traffic.EndpointID) error
 	// Send sends a request over a connection of this VM.
 	Send func(context.Context, traffic.Endpoint, *connpool.Request) (*connpool.Response, error)
 	// Bodies is the memory for the bodies of requests.
@@ -116,7 +119,7 @@
 	body := s.opts.Bodies.NewBody()
 	defer body.Release()
 	in := bufio.NewReader(nc)
-	h, err := s.readRequest(nc, in, body)
+	h, arrivedAt, err := s.readRequest(nc, in, body)
 	if err != nil {
 		s.log(from, h, nil, fmt.Errorf("read the request: %w", err))
 		body.Release()
@@ -131,7 +134,7 @@
 		_, _ = in.ReadByte()
 		cancel()
 	}()
-	resp, err := s.send(ctx, h, body)
+	resp, err := s.send(ctx, nc, h, body, arrivedAt)
 	s.log(from, h, resp, err)
 	if err != nil {
 		s.reply(nc, from, &outcome{Error: err.Error(), Sent: connpool.MayHaveSent(err)})
@@ -146,39 +149,50 @@
 	}
 }
 
-func (s *Server) readRequest(nc net.Conn, in io.Reader, body *bodybuffer.Body) (*requestHeader, error) {
-	h := &requestHeader{}
+// readRequest reads a request. arrivedAt is when its header arrived at this VM, which may be long before it was read.
+func (s *Server) readRequest(nc net.Conn, in io.Reader, body *bodybuffer.Body) (h *requestHeader, arrivedAt time.Time, err error) {
+	h = &requestHeader{}
 	if err := nc.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
-		return h, err
+		return h, arrivedAt, err
 	}
 	if err := readMessage(in, h); err != nil {
-		return h, err
+		return h, arrivedAt, err
 	}
+	arrivedAt = time.Now().Add(-tcpconn.SinceReceived(nc))
 	if h.BodyBytes < 0 || h.BodyBytes > maxBodyBytes || !h.HasBody && h.BodyBytes > 0 {
-		return h, errTooLarge
+		return h, arrivedAt, errTooLarge
 	}
 	if err := body.Reserve(h.BodyBytes); err != nil {
-		return h, err
+		return h, arrivedAt, err
 	}
 	if err := body.Read(io.LimitReader(in, int64(h.BodyBytes)), maxBodyBytes); err != nil {
-		return h, err
+		return h, arrivedAt, err
 	}
 	if len(body.Bytes()) < h.BodyBytes {
-		return h, io.ErrUnexpectedEOF
+		return h, arrivedAt, io.ErrUnexpectedEOF
 	}
-	return h, nc.SetReadDeadline(time.Time{})
+	return h, arrivedAt, nc.SetReadDeadline(time.Time{})
 }
 
 // send sends a request to its endpoint. Its errors are of type *connpool.Error.
-func (s *Server) send(ctx context.Context, h *requestHeader, body *bodybuffer.Body) (*connpool.Response, error) {
+func (s *Server) send(ctx context.Context, nc net.Conn, h *requestHeader, body *bodybuffer.Body, arrivedAt time.Time) (*connpool.Response, error) {
 	endpoint, err := s.opts.Start(h.Endpoint, h.Permit)
 	if err != nil {
 		return nil, &connpool.Error{Err: err}
 	}
-	r := &connpool.Request{Method: h.Method, URI: h.URI, Host: h.Host, Header: h.Header}
+	r := &connpool.Request{Method: h.Method, URI: h.URI, Host: h.Host, Header: h.Header, ArrivedAt: arrivedAt}
 	if h.HasBody {
 		r.Body = body.Bytes()
 	}
+	r.LastLook = func(context.Context) error {
+		if tcpconn.Readable(nc) { // before the goroutine that cancels ctx has had its turn
+			return errGone
+		}
+		if s.opts.LastLook == nil {
+			return nil
+		}
+		return s.opts.LastLook(h.Endpoint)
+	}
 	return s.opts.Send(ctx, endpoint, r)
 }
 
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -109,13 +109,8 @@
 
 // Take uses up one request. It returns false if none is available.
 func (s *Share) Take(now clock.Instant) bool {
-	if s.Available(now) == 0 {
-		return false
-	}
-	if s.permits[0].requests--; s.permits[0].requests == 0 {
-		s.permits = slices.Delete(s.permits, 0, 1)
-	}
-	return true
+	_, ok := s.TakeOne(now)
+	return ok
 }
 
 // NextAt returns when more requests than now are available to this VM. If that is far away, it returns an earlier
--- a/internal/schedule/cold.go
+++ b/internal/schedule/cold.go
@@ -116,15 +116,16 @@
 	return available > c.placed || setAside && available > 0
 }
 
-// start uses up a permit for a request that mayStart, and reports whether one was needed.
-func (c *coldState) start(now clock.Instant) (permit bool) {
+// start uses up a permit for a request that mayStart, none if no one was needed.
+func (c *coldState) start(now clock.Instant) ratelimit.Taken {
 	if c.limited(now) {
-		return c.share.Take(now)
+		taken, _ := c.share.TakeOne(now)
+		return taken
 	}
 	if c != nil {
 		c.sentAt = now
 	}
-	return false
+	return ratelimit.Taken{}
 }
 
 // setAside sets a permit aside for a placed call, and returns c if one is needed, else nil.
--- a/internal/schedule/limit.go
+++ b/internal/schedule/limit.go
@@ -149,20 +149,20 @@
 	return !n.rateLimited() || n.share.Available(now) > n.placed
 }
 
-// startSend reports whether a request may be sent to an endpoint now, and whether a permit of the endpoint was used up
-// for it: of its rate limit, and of what it bears while it is cold. setAside is set if the latter was set aside for the
-// request.
-func (t *table) startSend(now clock.Instant, id traffic.EndpointID, setAside bool) (permit, ok bool) {
+// startSend reports whether a request may be sent to an endpoint now, and which permits of the endpoint were used up for
+// it. setAside is set if the one of what it bears while it is cold was set aside for the request.
+func (t *table) startSend(now clock.Instant, id traffic.EndpointID, setAside bool) (used permits, ok bool) {
 	n, c := t.notices[id], t.cold.states[id.Name]
 	if n.paused(now) || t.evacuates(id) || !c.mayStart(now, setAside) {
-		return false, false
+		return permits{}, false
 	}
 	if n.rateLimited() {
-		if permit = n.share.Take(now); !permit {
-			return false, false
+		if used.limit, ok = n.share.TakeOne(now); !ok {
+			return permits{}, false
 		}
 	}
-	return c.start(now) || permit, true
+	used.cold = c.start(now)
+	return used, true
 }
 
 // StartSend reports whether a request without a claim may be sent to an endpoint now, and through which VM; via is nil
@@ -179,9 +179,9 @@
 			return nil, false
 		}
 	}
-	permit, ok := s.table.startSend(s.opts.Clock.Now(), id, false)
+	used, ok := s.table.startSend(s.opts.Clock.Now(), id, false)
 	if via != nil {
-		via.Permit = permit
+		via.Permit = used.any()
 	}
 	return via, ok
 }
@@ -192,10 +192,8 @@
 	defer c.scheduler.mu.Unlock()
 	setAside := c.cold != nil
 	c.returnPermit()
-	permit, ok := c.scheduler.table.startSend(c.scheduler.opts.Clock.Now(), c.Endpoint.ID, setAside)
-	if c.Via != nil {
-		c.Via.Permit = permit
-	}
+	used, ok := c.scheduler.table.startSend(c.scheduler.opts.Clock.Now(), c.Endpoint.ID, setAside)
+	c.setUsed(used)
 	return ok
 }
 
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -158,6 +158,8 @@
 	limited *notice
 	// cold is the state of the endpoint if a permit is set aside for the call because the endpoint is cold, else nil.
 	cold *coldState
+	// used is the permits that StartSend has used up, until they are given back.
+	used permits
 	// slowness is what the endpoint said about its pace in its last response to the call, 0 if nothing.
 	slowness float64
 	// bytes is the size of the request.
--- a/internal/tcpconn/arrived.go
+++ b/internal/tcpconn/arrived.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"syscall"
+	"time"
 	"unsafe"
 
 	"golang.org/x/sys/unix"
@@ -90,6 +91,25 @@
 	return pending || err != nil
 }
 
+// SinceReceived returns the time since data last arrived on the connection, whether it was read or not, to the millisecond. It
+// returns 0 if the connection has no socket of its own.
+func SinceReceived(nc net.Conn) time.Duration {
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+	}
+	raw, err := rawConn(nc)
+	if raw == nil || err != nil {
+		return 0
+	}
+	since := time.Duration(0)
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return since
+}
+
 // rawConn returns the socket of a connection, nil if it has none.
 func rawConn(nc net.Conn) (syscall.RawConn, error) {
 	sc, ok := nc.(syscall.Conn)
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -175,7 +175,7 @@
 // buildForwarding creates the components by which VMs send requests for each other.
 func (p *Process) buildForwarding(bodies *bodybuffer.Budget) {
 	p.forwarded = forward.NewServer(p.transport, forward.ServerOptions{
-		Start: p.scheduler.StartForwarded, Send: p.platform.SendForwarded, Bodies: bodies, Log: p.log.Named("forward"), Metrics: p.set,
+		Start: p.scheduler.StartForwarded, LastLook: p.scheduler.LastLook, Send: p.platform.SendForwarded, Bodies: bodies, Log: p.log.Named("forward"), Metrics: p.set,
 	})
 	if p.platform.SetForwarder != nil {
 		p.platform.SetForwarder(&forward.Client{Opener: p.transport})
