send: nothing is sent for callers who left while the VM was paused

What callers saw: work that was done for nobody. A request reached an endpoint after its caller had closed the connection.

Cause: the end of a caller's connection is noticed by the goroutine that reads it. In a VM that was paused the goroutine that sends may have its turn first.

Change: the last look at a request also asks the kernel whether the caller has ended its connection (callerconn.CallerLeft, a peek). Pipelined requests that wait to be read are not taken for an end.

--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -14,6 +14,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/tcpconn"
 )
 
 // Options configures a Server.
@@ -80,6 +82,18 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
+// CallerLeft reports whether the caller of the request with a context has ended its connection, also if the server has not noticed
+// yet.
+func CallerLeft(ctx context.Context) bool {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peerEnded || tcpconn.Ended(c.Conn)
+}
+
 // Serve accepts connections until Drain or Close is called, with TLS if it is configured. It is called once.
 func (s *Server) Serve(ln net.Listener) error {
 	l := newListener(ln, s)
--- a/internal/tcpconn/arrived.go
+++ b/internal/tcpconn/arrived.go
@@ -91,6 +91,21 @@
 	return pending || err != nil
 }
 
+// Ended reports whether the peer has ended its direction of the connection, or the connection has failed, and no data that arrived
+// before is left to be read. It reports false if the connection has no socket of its own.
+func Ended(nc net.Conn) (ended bool) {
+	raw, err := rawConn(nc)
+	if raw == nil || err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		ended = n <= 0 && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+	})
+	return ended || err != nil
+}
+
 // SinceReceived returns the time since data last arrived on the connection, whether it was read or not, to the millisecond. It
 // returns 0 if the connection has no socket of its own.
 func SinceReceived(nc net.Conn) time.Duration {
