vmserver: the time of a stop is counted from its signal

What callers saw: while VMs were stopped as planned on busy machines, requests that had just been accepted were cut off.

Cause, by reading and test: a signal has no time, and the stop counted the grace time from the moment at which it handled the signal. A VM that gets SIGTERM during a pause of 2.6 s planned to end 2.0 s after the grace time, at which the platform ends it, so that the calls that are still in progress were not answered 0.8 s before the end. That this is what was seen is not shown; no logs were kept.

Change: a tick each 0.1 s notes when the process had processor time. A signal that is handled after a pause, or within 0.2 s of its end, may have come at the last tick before it; the grace time is counted from there. The log line "stopping" names handled_late_by. The times in which callers learn that the VM is not ready (2.6 s) and 1 s for calls in progress are kept however late the stop is.

--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -64,7 +64,9 @@
 	regions regionCheck
 
 	stopping atomic.Bool
-	wg       sync.WaitGroup
+	// running notes when this process had processor time.
+	running clock.Running
+	wg      sync.WaitGroup
 }
 
 const (
--- a/internal/vmserver/serve.go
+++ b/internal/vmserver/serve.go
@@ -45,7 +45,7 @@
 			p.log.Error("could not serve peers", zap.Error(err))
 		}
 	})
-	for _, task := range []func(context.Context){p.stateSync.Run, p.reach.Run, p.refresher.Run, p.rebalancer.Run, p.platform.SweepIdleConnections, p.dispatch.Run, p.quarantineKeeper.Run, p.versionKeeper.Run, p.streamKeeper.Run, p.recorder.Run} {
+	for _, task := range []func(context.Context){p.stateSync.Run, p.reach.Run, p.refresher.Run, p.rebalancer.Run, p.platform.SweepIdleConnections, p.dispatch.Run, p.quarantineKeeper.Run, p.versionKeeper.Run, p.streamKeeper.Run, p.recorder.Run, p.watchPauses} {
 		p.wg.Go(func() { task(tasksCtx) })
 	}
 	p.callers = callerconn.New(&http.Server{
@@ -80,6 +80,8 @@
 	return nil
 }
 
+func (p *Process) watchPauses(ctx context.Context) { p.running.Run(ctx, p.clock) }
+
 // idleTimeout returns the configured idle timeout of callers' connections, 0 before a
 // configuration is known.
 func (p *Process) idleTimeout() time.Duration {
@@ -129,16 +131,25 @@
 	disableKeepAlivesAfter = 700 * time.Millisecond
 	// stopMargin is the part of the platform's grace time that is left unused.
 	stopMargin = 600 * time.Millisecond
+	// minDrainTime is how long calls in progress have at least after unreadyTime, however late the stop is.
+	minDrainTime = time.Second
 )
 
+// stopTime returns how long a stop may take from now on if its signal may have come late before: the platform counts the grace
+// time from the signal.
+func stopTime(grace, late time.Duration) time.Duration {
+	return max(grace-stopMargin-late, min(grace-stopMargin, unreadyTime+minDrainTime))
+}
+
 // stop reports the VM as not ready, keeps serving while callers may still connect, and waits for
 // the calls in progress, its own and those of other VMs. From the time on at which it leaves, it refuses further requests of
 // other VMs, as they may not end within the grace time. It returns when the process must have ended.
 func (p *Process) stop() (deadline time.Time) {
-	deadline = time.Now().Add(p.settings.GraceTime - stopMargin)
+	late := p.running.LateBy(p.clock.Now())
+	deadline = time.Now().Add(stopTime(p.settings.GraceTime, late))
 	p.stopping.Store(true)
 	p.forwarded.Withdraw()
-	p.log.Info("stopping", zap.Duration("grace", p.settings.GraceTime), zap.Int64("active", p.Handler.Active()))
+	p.log.Info("stopping", zap.Duration("grace", p.settings.GraceTime), zap.Duration("handled_late_by", late), zap.Int64("active", p.Handler.Active()))
 	time.Sleep(disableKeepAlivesAfter)
 	p.Handler.DisableKeepAlives()
 	time.Sleep(unreadyTime - disableKeepAlivesAfter)
