--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -64,7 +64,9 @@
 	regions regionCheck
 
 	stopping atomic.Bool
-	wg       sync.WaitGroup
+	// running notes when this process had processor time.
+	running clock.Running
+	wg      sync.WaitGroup
 }
 
 const (
@@ -176,7 +178,7 @@
 // buildForwarding creates the components by which VMs send requests for each other.
 func (p *Process) buildForwarding(bodies *bodybuffer.Budget) {
 	p.forwarded = forward.NewServer(p.transport, forward.ServerOptions{
-		Start: p.scheduler.StartForwarded, Send: p.platform.SendForwarded, Bodies: bodies, Log: p.log.Named("forward"), Metrics: p.set,
+		Start: p.scheduler.StartForwarded, LastLook: p.scheduler.LastLook, Send: p.platform.SendForwarded, Bodies: bodies, Log: p.log.Named("forward"), Metrics: p.set,
 	})
 	if p.platform.SetForwarder != nil {
 		p.platform.SetForwarder(&forward.Client{Opener: p.transport})
