activeconfig: a message that waited during a pause does not renew the table

Callers could reach endpoints that had been leaving for longer than the drain time, through a VM that had just got processor time again. The age of the table that another VM's heartbeat confirms counted from when the heartbeat was read; in a VM that was paused it may have waited as long as the pause, so the table seemed younger by that, and the last look did not wait for a read. The time that messages may have waited (clock.Running) is now part of the age.

--- a/internal/activeconfig/confirm.go
+++ b/internal/activeconfig/confirm.go
@@ -82,7 +82,7 @@
 
 // Confirm records what another VM knows of the store. It says nothing about this VM's documents unless they are as new:
 // a configuration that cannot be fetched from the other VM is then read from the store. Builds that do not name the read
-// renew each other's knowledge, so they confirm nothing.
+// renew each other's knowledge, so they confirm nothing. A message may have waited for as long as this VM was paused.
 func (s *State) Confirm(f traffic.Freshness) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -97,5 +97,5 @@
 		return
 	}
 	now := s.opts.Clock.Now()
-	s.confirmed.add(now, now.Add(-f.Age), f.Reading)
+	s.confirmed.add(now, now.Add(-f.Age-s.opts.LateBy()), f.Reading)
 }
--- a/internal/activeconfig/state.go
+++ b/internal/activeconfig/state.go
@@ -44,6 +44,8 @@
 	// the store has been restored from a backup. It is called by one goroutine at a time, must not
 	// block and may be nil.
 	OnEra func(era uint64, restored bool)
+	// LateBy returns how long a message that this VM reads now may have waited because the VM was paused. It may be nil.
+	LateBy func() time.Duration
 	// OnEvacuation is called when a data centre is evacuated or an evacuation is lifted, before OnChange and with the
 	// same conditions as OnEra.
 	OnEvacuation func(dataCentre string, lifted bool)
@@ -91,6 +93,9 @@
 	if o.OnEvacuation == nil {
 		o.OnEvacuation = func(string, bool) {}
 	}
+	if o.LateBy == nil {
+		o.LateBy = func() time.Duration { return 0 }
+	}
 	return &State{opts: o}
 }
 
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -128,7 +128,7 @@
 	p.State = activeconfig.New(activeconfig.Options{
 		Self: self.VM, Clock: p.clock, Log: log.Named("inforce"), Decode: platform.Decode, OnChange: p.applyChange,
 		EndpointTTL: missedHeartbeats * s.HeartbeatPeriod, ReregisterTime: reregisterTime, OnEra: p.enterEra,
-		OnEvacuation: p.countEvacuation,
+		OnEvacuation: p.countEvacuation, LateBy: func() time.Duration { return p.running.LateBy(p.clock.Now()) },
 	})
 	if platform.SetTable != nil {
 		platform.SetTable(p.State)
