connpool: send over a new connection if a kept one closed during the wait

A request that waits for its acceptance on a kept connection, for up to a second, met the end of that connection if the endpoint closed it meanwhile, as endpoints do with idle ones. The request then counted as one that may have been run. The connection is now examined after the wait, and before the endpoint is asked; the request waits anew on a new connection.

TestConnectionClosedWhileARequestWaits failed before, in both cases (unexpected EOF).

--- a/internal/connpool/accept.go
+++ b/internal/connpool/accept.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"time"
+
+	"github.com/fulmartide/fulmartide/internal/tcpconn"
 )
 
 // Conn is a connection on which a request is about to be sent.
@@ -26,6 +28,9 @@
 // bytes. The connection cannot be used any more if it fails.
 func (o *Conn) Ask(ctx context.Context, r *Request, maxBody int64) (status int, body []byte, err error) {
 	o.broken = true
+	if tcpconn.Readable(o.c.nc) {
+		return 0, nil, errNotSent // the endpoint has closed it meanwhile
+	}
 	resp, err := o.c.roundTrip(ctx, r)
 	if err != nil {
 		return 0, nil, err
@@ -60,6 +65,10 @@
 			return nil, &Error{Err: err}
 		}
 		c.lifetime = r.Lifetime
+		if tcpconn.Readable(c.nc) {
+			c.close()
+			return nil, errNotSent // the endpoint has closed it meanwhile
+		}
 	}
 	return c.roundTrip(ctx, r)
 }
--- a/internal/connpool/await_test.go
+++ b/internal/connpool/await_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,3 +48,37 @@
 		t.Errorf("%d requests arrived, %d awaited", n, awaited)
 	}
 }
+
+// TestConnectionClosedWhileARequestWaits guards against requests that fail because the endpoint closed a kept connection while they
+// awaited their acceptance on it.
+func TestConnectionClosedWhileARequestWaits(t *testing.T) {
+	var kept atomic.Pointer[net.Conn]
+	s := startServer(t, func(_ int, r *http.Request, c net.Conn) bool {
+		kept.Store(&c)
+		_, err := io.WriteString(c, response(r.Header.Get("X-Id"), "x"))
+		return err == nil
+	})
+	p := connpool.New(nil)
+	defer p.Close()
+	for _, asks := range []bool{false, true} {
+		if _, err := get(t, p, s.request("GET")); err != nil {
+			t.Fatal(err)
+		}
+		waits := s.requestWithID("GET", "2")
+		awaited := 0
+		waits.Await = func(ctx context.Context, on *connpool.Conn) error {
+			if awaited++; awaited > 1 {
+				return nil
+			}
+			_ = (*kept.Load()).Close()
+			if !asks {
+				return nil
+			}
+			_, _, err := on.Ask(ctx, s.request("GET"), 1)
+			return err
+		}
+		if _, err := get(t, p, waits); err != nil || awaited != 2 {
+			t.Errorf("asks: %t, error %v, awaited on %d connections", asks, err, awaited)
+		}
+	}
+}
