dispatch: a cut says that the retry budget was used up when the retry was counted again

What callers saw: nothing; operators would read another obstacle in "response cut off" when the last look finds no retry left.

Cause: recountRetry did not set budgetUsedUp, by which the line names its obstacle. Found by reading; no test shows it.

--- a/internal/dispatch/lastlook.go
+++ b/internal/dispatch/lastlook.go
@@ -61,7 +61,8 @@
 		return true
 	}
 	f.returnRetry()
-	return f.spendRetry()
+	f.budgetUsedUp = !f.spendRetry()
+	return !f.budgetUsedUp
 }
 
 // spendRetry deducts one retry, which the next send that arrives uses up.
