admission: each VM keeps to its own part of the retry budget, and borrows by grants

Callers saw nothing; endpoints got more repeats in 10 s than are allowed. Cause: Retries.Remaining gave each VM all that the VMs together had left, by what it had heard of the others. Within the time that news takes each one used it. A VM that restarted had 0.4 of its part of the slack again, and the whole ratio, however often it did.

Change: a VM uses the ratio of its own calls and its share of the slack, less its retries, which needs no news. It asks up to three VMs for more before its part is used up. The giver deducts at once and counts it for the window and 1.25 s; the asker may use it for 1 s from before the request was sent. So no delay makes two VMs use the same part. In the first 11.75 s after a start that is not the first one of the fleet only 0.08 of the ratio and, growing, 0.28 of the part of the slack are used, so that restarts in a series fit beside 0.9 and 0.7 before them. The share counts VMs that were removed or left for 10 minutes; before the registry was listed it is 0. VMs of the build before are told no calls, and as retries the whole part of the slack in each window, which leaves them their own part. Retries leave the window after 41 of 40 buckets: they left up to 0.25 s early.

"another send" names what is left, what was borrowed and what is counted; fulmartide_retry_grants and _requests count grants.

Tests: TestRetriesStayWithinTheBudgetHoweverLateNewsIs; TestFormerBuildExceedsTheBudgetWithLateNews keeps the model honest; TestCallsAtFewVMsUseTheBudgetOfAll wants 0.9 of what the code before sent with news after 10 ms. TestDirectPeersShareBudget presumed that a VM uses what others have by hearsay; TestVMsShareBudget wants the same 35 of 35, none and 15 with grants. TestReturnedRetryIsNotCountedTwice compared a total that is no longer kept; it wants that a returned retry is used once. TestReload counts calls, as a VM that starts has no slack.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -21,8 +21,13 @@
 	// directShare is the last FleetShares.DirectShare. Before SetFleetShares is called, it is an
 	// estimate based on the assumed number of VMs.
 	directShare float64
-	plans       *Plans
-	retries     *Retries
+	// slackShare is the last FleetShares.SlackShare.
+	slackShare float64
+	plans      *Plans
+	retries    *Retries
+
+	// retriesShort signals that retries are to be asked for; see Retries.Need. It has capacity one.
+	retriesShort chan struct{}
 }
 
 // PlanOptions configure the accounting of plans.
@@ -41,9 +46,12 @@
 	if onCount == nil {
 		onCount = func(CounterKey, int64) {}
 	}
-	directShare := 1 / float64(max(1, vms))
+	directShare, slackShare := 1/float64(max(1, vms)), 0.0
+	if vms <= 1 {
+		slackShare = 1 // there are no others to be found
+	}
 	return &Controller{
-		clock: c, onCount: onCount, directShare: directShare,
+		clock: c, onCount: onCount, directShare: directShare, slackShare: slackShare, retriesShort: make(chan struct{}, 1),
 		overload: overload.NewController(c, directShare, func(class string, total int64) { onCount(CounterKey{RankedCalls, class}, total) }),
 		plans:    NewPlans(c.Now(), plans.Window, plans.LoweringDelay, plans.Slack), retries: NewRetries(c.Now(), b),
 	}
@@ -62,6 +70,9 @@
 	// DirectShare is the share of the fleet's VMs that are this VM or a direct peer of it. Direct
 	// peers exchange every update immediately.
 	DirectShare float64
+	// SlackShare is this VM's share of the VMs that may be serving or may have served in the last window of the retry budget. It is 0 as
+	// long as they are not known.
+	SlackShare float64
 	// LiveShare is the reachable share of the fleet, including this VM, and UnnoticedFor the time for
 	// which a VM may be unreachable before it counts as such; see Plans.SetLiveShare.
 	LiveShare    float64
@@ -76,7 +87,7 @@
 	c.overload.SetDirectShare(p.DirectShare)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.directShare = p.DirectShare
+	c.directShare, c.slackShare = p.DirectShare, p.SlackShare
 	c.plans.SetLiveShare(c.clock.Now(), p.LiveShare, p.UnnoticedFor)
 	c.plans.SetRemainderShare(p.RemainderShare)
 }
@@ -136,7 +147,8 @@
 	c.plans.Refund(c.clock.Now(), w.Name, cost)
 }
 
-// AddFromPeer adds what another VM counted since its last report.
+// AddFromPeer adds what another VM counted since its last report. Calls and retries, which only VMs of former builds count,
+// do not matter: each VM keeps to its own part of the retry budget.
 func (c *Controller) AddFromPeer(key CounterKey, n int64) {
 	if key.Kind == RankedCalls {
 		c.overload.AddFromPeer(key.Name, n)
@@ -144,14 +156,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
-	switch key.Kind {
-	case AdmittedTokens:
-		c.plans.AddFromPeer(now, key.Name, n)
-	case ServiceCalls:
-		c.retries.AddFromPeer(now, key.Name, int(n), 0)
-	case ServiceRetries:
-		c.retries.AddFromPeer(now, key.Name, 0, int(n))
+	if key.Kind == AdmittedTokens {
+		c.plans.AddFromPeer(c.clock.Now(), key.Name, n)
 	}
 }
 
@@ -240,40 +246,7 @@
 	defer c.mu.Unlock()
 	out := map[CounterKey]int64{}
 	c.plans.ownTotals(out)
-	c.retries.ownTotals(out)
+	c.retries.ownTotals(c.clock.Now(), c.slackShare, out)
 	c.overload.Totals(func(class string, total int64) { out[CounterKey{RankedCalls, class}] = total })
 	return out
 }
-
-// CountCall counts a caller's call to a service.
-func (c *Controller) CountCall(service string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.onCount(CounterKey{ServiceCalls, service}, c.retries.CountCall(c.clock.Now(), service))
-}
-
-// RetryLeft reports whether the budget has capacity for a retry of a call to a service now.
-func (c *Controller) RetryLeft(service string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.retries.Remaining(c.clock.Now(), service, c.directShare) >= 1
-}
-
-// ReturnRetry gives back a retry that was counted at spentAt and not sent.
-func (c *Controller) ReturnRetry(service string, spentAt clock.Instant) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.retries.Return(c.clock.Now(), spentAt, service)
-}
-
-// SpendRetry counts a retry of a call to a service if the budget has capacity for it and for
-// reserve more.
-func (c *Controller) SpendRetry(service string, reserve float64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	total, ok := c.retries.Spend(c.clock.Now(), service, c.directShare, reserve)
-	if ok {
-		c.onCount(CounterKey{ServiceRetries, service}, total)
-	}
-	return ok
-}
--- a/internal/admission/retries.go
+++ b/internal/admission/retries.go
@@ -16,37 +16,50 @@
 }
 
 const (
-	// retryBuckets is the number of buckets of a window. A bucket leaves the window as a whole.
+	// retryBuckets is the number of buckets of a window. A bucket leaves the window as a whole: calls no later than a window
+	// after they came, retries no earlier than a window after they were sent.
 	retryBuckets = 40
-	// usableSlack is the fraction of the fleet's slack that is used. startSlack is the fraction of
-	// it that a VM uses in the first window after its start, because it does not know how many
-	// retries it sent before: those before and after the restart together stay within the slack.
+	// usableSlack is the fraction of the fleet's slack that is used, usableRatio that of the ratio, because calls and their retries
+	// leave the window at different times.
 	usableSlack = 0.7
-	startSlack  = 0.4
-	// usableRatio is the fraction of the ratio that is used, because calls and their retries leave
-	// the window at different times.
 	usableRatio = 0.9
+	// startSlack is the fraction of the slack, startRatio that of the ratio, that a VM uses in the first startBuckets after its start, because it
+	// does not know how many retries it sent before. The slack becomes available evenly over that time. So retries before the first of
+	// several restarts and after them together stay within the slack and the ratio.
+	startSlack = 0.28
+	startRatio = 0.08
+	// retryLeave, grantLeave and startBuckets are the buckets for which a retry, a granted part and a start count.
+	retryLeave   = retryBuckets + 1
+	grantLeave   = retryLeave + grantLifeBuckets + 1
+	startBuckets = grantLeave + 1
 )
 
-// Retries counts the calls and retries of each service, by this VM and by its direct peers, which
-// report theirs immediately. These VMs keep to the ratio of their own calls and to their share of
-// the slack, so the bound for the whole fleet holds without messages between VMs that cannot reach
-// each other. Retries is not safe for concurrent use.
+// Retries counts the calls and retries of each service by this VM. The VM keeps to its own part, the ratio of its own calls and a share
+// of the slack, and to what other VMs have granted it of theirs. So the bound for the whole fleet holds however
+// late VMs hear of each other. Retries is not safe for concurrent use.
 type Retries struct {
 	budget    RetryBudget
 	startedAt clock.Instant
-	services  map[string]*retryWindow
+	// firstStart is set if no retries were sent before the start.
+	firstStart bool
+	services   map[string]*retryWindow
+	totals     GrantTotals
 }
 
 type retryWindow struct {
-	calls, retries [retryBuckets]int
-	bucket         int64
-	sumCalls       int
-	sumRetries     int
-	// ownCalls and ownRetries are the totals of this VM since its start.
-	ownCalls, ownRetries int64
+	// calls and retries hold what leaves the window at the begin of each bucket. Retries include granted parts.
+	calls, retries       [startBuckets]float64
+	sumCalls, sumRetries float64
+	bucket               int64
+	// demand is the number of retries that were wanted in the last buckets, sent or not.
+	demand [grantLifeBuckets]int
 	// returned is the number of retries in the current bucket that were counted and not sent.
 	returned int
+	credits  []credit
+	askedAt  clock.Instant
+	// announced is what former builds are told; see ownTotals.
+	announced   float64
+	announcedAt clock.Instant
 }
 
 // NewRetries returns the Retries of a VM that starts now.
@@ -64,68 +77,87 @@
 		w = &retryWindow{bucket: bucket}
 		r.services[service] = w
 	}
-	if w.bucket < bucket {
-		w.returned = 0
+	w.advance(bucket)
+	return w
+}
+
+// advance drops what has left the window.
+func (w *retryWindow) advance(bucket int64) {
+	if bucket <= w.bucket {
+		return
 	}
-	for ; w.bucket < bucket && w.sumCalls+w.sumRetries > 0; w.bucket++ {
-		i := (w.bucket + 1) % retryBuckets
+	w.returned = 0
+	if bucket-w.bucket >= startBuckets {
+		clear(w.calls[:])
+		clear(w.retries[:])
+		clear(w.demand[:])
+		w.sumCalls, w.sumRetries, w.bucket = 0, 0, bucket
+		return
+	}
+	for w.bucket < bucket {
+		w.bucket++
+		i := w.bucket % startBuckets
 		w.sumCalls -= w.calls[i]
 		w.sumRetries -= w.retries[i]
 		w.calls[i], w.retries[i] = 0, 0
+		w.demand[w.bucket%grantLifeBuckets] = 0
 	}
-	w.bucket = max(w.bucket, bucket)
-	return w
 }
 
-func (w *retryWindow) add(calls, retries int) {
-	w.calls[w.bucket%retryBuckets] += calls
-	w.sumCalls += calls
-	w.retries[w.bucket%retryBuckets] += retries
-	w.sumRetries += retries
+// addRetries counts retries until the given number of buckets have begun.
+func (w *retryWindow) addRetries(n float64, leave int64) {
+	w.retries[(w.bucket+leave)%startBuckets] += n
+	w.sumRetries += n
 }
 
-// CountCall counts a caller's call to a service and returns this VM's total.
-func (r *Retries) CountCall(now clock.Instant, service string) (total int64) {
+// CountCall counts a caller's call to a service.
+func (r *Retries) CountCall(now clock.Instant, service string) {
 	w := r.window(now, service)
-	w.add(1, 0)
-	w.ownCalls++
-	return w.ownCalls
+	w.calls[(w.bucket+retryBuckets)%startBuckets]++
+	w.sumCalls++
 }
 
-// AddFromPeer adds calls and retries of another VM to a service.
-func (r *Retries) AddFromPeer(now clock.Instant, service string, calls, retries int) {
-	r.window(now, service).add(calls, retries)
+// part returns the part of the budget that belongs to this VM for its calls in the window. share is its share of the fleet.
+func (r *Retries) part(now clock.Instant, calls, share float64) float64 {
+	ratio, slack := usableRatio, usableSlack
+	start := r.budget.Window / retryBuckets * startBuckets
+	if lived := now.Sub(r.startedAt); !r.firstStart && lived < start {
+		ratio, slack = startRatio, startSlack*float64(lived)/float64(start)
+	}
+	return ratio*r.budget.Ratio*calls + slack*share*r.budget.Slack
+}
+
+// own returns what is left of this VM's own part. It is negative if the part has shrunk since it was used.
+func (r *Retries) own(now clock.Instant, w *retryWindow, share float64) float64 {
+	return r.part(now, w.sumCalls, share) - w.sumRetries
 }
 
-// Remaining returns the number of retries that this VM and its direct peers may still send. share
-// is their share of the fleet's VMs.
+// Remaining returns the number of retries that this VM may send now. share is its share of the fleet's VMs.
 func (r *Retries) Remaining(now clock.Instant, service string, share float64) float64 {
 	w := r.window(now, service)
-	slack := usableSlack * r.budget.Slack * share
-	if now.Sub(r.startedAt) < r.budget.Window {
-		slack *= startSlack
-	}
-	return usableRatio*r.budget.Ratio*float64(w.sumCalls) + slack - float64(w.sumRetries)
+	return max(0, r.own(now, w, share)) + w.borrowed(now)
 }
 
-// Spend counts a retry if the budget has capacity for it and returns this VM's total. reserve is
-// the number of retries that must remain for more urgent uses.
-func (r *Retries) Spend(now clock.Instant, service string, share, reserve float64) (total int64, ok bool) {
+// Spend counts a retry if the budget has capacity for it. reserve is the number of retries that must remain for more
+// urgent uses.
+func (r *Retries) Spend(now clock.Instant, service string, share, reserve float64) bool {
 	w := r.window(now, service)
+	w.demand[w.bucket%grantLifeBuckets]++
 	if w.returned > 0 {
 		w.returned--
-		return w.ownRetries, true
+		return true
 	}
 	if r.Remaining(now, service, share) < 1+reserve {
-		return 0, false
+		return false
+	}
+	if n := 1 - r.useCredits(now, w, 1); n > 0 {
+		w.addRetries(n, retryLeave)
 	}
-	w.add(0, 1)
-	w.ownRetries++
-	return w.ownRetries, true
+	return true
 }
 
-// Return gives back a retry that was counted at spentAt and not sent. The next one in the same bucket takes its place, so that
-// totals that other VMs were told never decrease. Nothing is given back once that bucket has passed.
+// Return gives back a retry that was counted at spentAt and not sent. The next one in the same bucket takes its place.
+// Nothing is given back once that bucket has passed.
 func (r *Retries) Return(now, spentAt clock.Instant, service string) {
 	if w := r.window(now, service); r.bucket(spentAt) == w.bucket {
 		w.returned++
@@ -136,9 +168,18 @@
 	return int64(now) / (int64(r.budget.Window) / retryBuckets)
 }
 
-// ownTotals adds the counters of this VM since its start to out.
-func (r *Retries) ownTotals(out map[CounterKey]int64) {
+// ownTotals adds the counters that VMs of former builds read. Such a VM uses the ratio of all calls and the slack of all VMs that it hears,
+// less the retries that it hears of. It is told no calls, and as retries the part of the slack of this VM in
+// each window, whether used or not. So it is left with its own part, however late this arrives.
+func (r *Retries) ownTotals(now clock.Instant, share float64, out map[CounterKey]int64) {
+	part := usableSlack * r.budget.Slack * share
 	for name, w := range r.services {
-		out[CounterKey{ServiceCalls, name}], out[CounterKey{ServiceRetries, name}] = w.ownCalls, w.ownRetries
+		if w.announced == 0 {
+			w.announced = part
+		} else {
+			w.announced += part * float64(now.Sub(w.announcedAt)) / float64(r.budget.Window)
+		}
+		w.announcedAt = now
+		out[CounterKey{ServiceRetries, name}] = int64(w.announced) + 1
 	}
 }
--- a/internal/admission/retries_test.go
+++ b/internal/admission/retries_test.go
@@ -37,7 +37,7 @@
 			if rapid.Bool().Draw(t, "call") {
 				r.CountCall(now, "s")
 				calls = append(calls, now)
-			} else if _, ok := r.Spend(now, "s", 1/float64(vms), 0); ok {
+			} else if r.Spend(now, "s", 1/float64(vms), 0) {
 				retries = append(retries, now)
 			}
 			w := budget.Window
@@ -53,7 +53,7 @@
 	r := NewRetries(at(-60*time.Second), RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 10})
 	spent := 0
 	for {
-		if _, ok := r.Spend(at(0), "s", 1, 3); !ok {
+		if !r.Spend(at(0), "s", 1, 3) {
 			break
 		}
 		spent++
@@ -61,14 +61,14 @@
 	if spent != 4 {
 		t.Errorf("%d retries were allowed; want 4, as 3 of the 7 usable ones are reserved", spent)
 	}
-	if _, ok := r.Spend(at(0), "s", 1, 0); !ok {
+	if !r.Spend(at(0), "s", 1, 0) {
 		t.Error("the reserved retries were rejected without a reserve")
 	}
 }
 
-// TestDirectPeersShareBudget checks that one VM may use the share of its direct peers, that the
-// peers account for it, and that VMs that restart and lose their counts stay within the slack.
-func TestDirectPeersShareBudget(t *testing.T) {
+// TestVMsShareBudget checks that one VM may use the parts of all others once they have granted them, that these
+// account for it, and that VMs that restart and lose their counts stay within the slack.
+func TestVMsShareBudget(t *testing.T) {
 	budget := RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}
 	const vms = 4
 	fleet := make([]*Retries, vms)
@@ -76,17 +76,16 @@
 		fleet[i] = NewRetries(at(-60*time.Second), budget)
 	}
 	spend := func(i int, now clock.Instant) int {
-		n := 0
-		for ; ; n++ {
-			if _, ok := fleet[i].Spend(now, "s", 1, 0); !ok {
-				return n
-			}
-			for j := range fleet {
-				if j != i {
-					fleet[j].AddFromPeer(now, "s", 0, 1)
-				}
+		for j := range fleet {
+			if j != i {
+				fleet[i].AddGrant(now, now, "s", fleet[j].Grant(now, "s", 1.0/vms, budget.Slack))
 			}
 		}
+		n := 0
+		for fleet[i].Spend(now, "s", 1.0/vms, 0) {
+			n++
+		}
+		return n
 	}
 	if got, want := spend(0, at(0)), int(usableSlack*budget.Slack); got != want {
 		t.Errorf("one VM sent %d retries, want %d", got, want)
@@ -110,16 +109,19 @@
 	budget := RetryBudget{Window: 10 * time.Second, Slack: 5}
 	now := clock.Instant(time.Minute)
 	r := NewRetries(0, budget)
-	spend := func(at clock.Instant) (total int64, ok bool) { return r.Spend(at, "s", 1, 0) }
+	spend := func(at clock.Instant) bool { return r.Spend(at, "s", 1, 0) }
 	for range 3 { // 0.7 of the slack
 		spend(now)
 	}
 	r.Return(now, now, "s")
-	if total, ok := spend(now); total != 3 || !ok {
-		t.Errorf("after a return: total %d, allowed %v, want 3 and allowed", total, ok)
+	if !spend(now) {
+		t.Error("a retry was not allowed after one was returned")
+	}
+	if spend(now) {
+		t.Error("a returned retry was given out twice")
 	}
 	r.Return(now, now, "s")
-	if _, ok := spend(now.Add(time.Second)); ok {
+	if spend(now.Add(time.Second)) {
 		t.Error("a returned retry takes the place of one that is sent in another part of the window")
 	}
 }
@@ -130,7 +132,7 @@
 	budget := RetryBudget{Window: 10 * time.Second, Slack: 5}
 	now := clock.Instant(time.Minute)
 	r := NewRetries(0, budget)
-	spend := func(at clock.Instant) bool { _, ok := r.Spend(at, "s", 1, 0); return ok }
+	spend := func(at clock.Instant) bool { return r.Spend(at, "s", 1, 0) }
 	spend(now)
 	later := now.Add(budget.Window + time.Second)
 	r.Return(later, now, "s")
--- a/internal/dispatch/cut_test.go
+++ b/internal/dispatch/cut_test.go
@@ -54,7 +54,7 @@
 			r.Body, r.EventStream = io.NopCloser(io.MultiReader(strings.NewReader(events(1, 1)), rest)), true
 			return r, nil
 		}}
-		gate := admission.NewController(now, f.budget, admission.PlanOptions{Window: 8 * time.Second}, 1, nil)
+		gate := newTestGate(now, f.budget)
 		d := newTestDispatcher(now, cfg, s, b, func(o *dispatch.Options) { o.Admission, o.Metrics = gate, f.set })
 		call := newCall(path)
 		call.ArrivedAt = now.Now()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -237,7 +237,10 @@
 func (f *inflightCall) consumeRetryBudget(why string) bool {
 	ok := f.dispatcher.opts.Admission.SpendRetry(f.call.Service.Name, 0)
 	f.budgetUsedUp = !ok
-	f.log.Info("another send", zap.String("why", why), zap.Bool("allowed", ok), zap.Int("sends", f.sends), zap.Int("runs", f.runs))
+	left := f.dispatcher.opts.Admission.RetryState(f.call.Service.Name)
+	f.log.Info("another send", zap.String("why", why), zap.Bool("allowed", ok), zap.Int("sends", f.sends), zap.Int("runs", f.runs),
+		zap.Float64("own_left", left.Own), zap.Float64("borrowed", left.Borrowed), zap.Float64("window_calls", left.Calls),
+		zap.Float64("window_retries", left.Retries), zap.Float64("slack_share", left.Share))
 	return ok
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -181,13 +181,20 @@
 // testRetryBudget is the retry budget of test dispatchers.
 var testRetryBudget = admission.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 52}
 
+// newTestGate returns the admission of the only VM of a fleet that starts for the first time.
+func newTestGate(now clock.Clock, b admission.RetryBudget) *admission.Controller {
+	gate := admission.NewController(now, b, admission.PlanOptions{Window: 8 * time.Second}, 1, nil)
+	gate.SetFirstStart()
+	return gate
+}
+
 // newTestDispatcher returns a Dispatcher of the only VM of a fleet. change, which may be nil, changes its options.
 func newTestDispatcher(
 	now clock.Clock, cfg *traffic.Configuration, s *schedule.Scheduler, b backend.Client, change func(*dispatch.Options),
 ) *dispatch.Dispatcher {
 	o := dispatch.Options{
 		Clock: now, Configuration: func() *traffic.Configuration { return cfg }, Scheduler: s, Backend: b,
-		Admission: admission.NewController(now, testRetryBudget, admission.PlanOptions{Window: 8 * time.Second}, 1, nil),
+		Admission: newTestGate(now, testRetryBudget),
 		Log:       zap.NewNop(), Metrics: metrics.NewSet(), Seed: 1,
 	}
 	if change != nil {
@@ -212,7 +219,7 @@
 		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7})
 		s.UpdateEndpoints(testEndpoints(), cfg.Services)
 		time.Sleep(time.Minute) // the first windows of the controller include time before its start
-		gate := admission.NewController(now, testRetryBudget, admission.PlanOptions{Window: 8 * time.Second}, 1, nil)
+		gate := newTestGate(now, testRetryBudget)
 		time.Sleep(time.Minute) // from here on the controller knows the usage in its whole windows
 		d := newTestDispatcher(now, cfg, s, f, func(o *dispatch.Options) { o.Admission = gate })
 		ctx, stop := context.WithCancel(t.Context())
--- a/internal/dispatch/outcome_test.go
+++ b/internal/dispatch/outcome_test.go
@@ -45,7 +45,7 @@
 		}})
 		s.UpdateEndpoints(testEndpoints(), cfg.Services)
 		budget := admission.RetryBudget{Window: 10 * time.Second, Slack: retrySlack}
-		gate := admission.NewController(now, budget, admission.PlanOptions{Window: 8 * time.Second}, 1, nil)
+		gate := newTestGate(now, budget)
 		time.Sleep(time.Minute)
 		d := newTestDispatcher(now, cfg, s, f, func(o *dispatch.Options) { o.Admission = gate })
 		f.begin()
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -105,7 +105,7 @@
 		s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7})
 		s.UpdateEndpoints(list, cfg.Services)
 		budget := admission.RetryBudget{Window: 10 * time.Second, Slack: slack}
-		gate := admission.NewController(now, budget, admission.PlanOptions{Window: 8 * time.Second}, 1, nil)
+		gate := newTestGate(now, budget)
 		time.Sleep(time.Minute)
 		d := newTestDispatcher(now, cfg, s, f, func(o *dispatch.Options) { o.Admission = gate })
 		ctx, stop := context.WithCancel(t.Context())
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -64,4 +64,6 @@
 	KindForward Kind = 28
 	// KindOpenStreams carries the open streams of a VM to the one that keeps them in the store.
 	KindOpenStreams Kind = 29
+	// KindRetryGrant asks a VM for a part of its retry budget.
+	KindRetryGrant Kind = 30
 )
--- a/internal/relay/services.go
+++ b/internal/relay/services.go
@@ -53,9 +53,11 @@
 	f.scheduler = schedule.New(schedule.Options{Clock: o.Clock, DataCentre: o.DataCentre, Seed: uint64(o.Self.Incarnation)})
 	budget := admission.RetryBudget{Ratio: serviceRetryRatio, Window: serviceRetryWindow, Slack: serviceRetrySlack}
 	// The controller counts the calls of this VM only, as in a fleet of one VM, and reports no counters.
+	gate := admission.NewController(o.Clock, budget, admission.PlanOptions{Window: serviceRetryWindow}, 1, nil)
+	gate.SetFirstStart() // the budget is that of one process
 	f.dispatcher = dispatch.New(dispatch.Options{
 		Clock: o.Clock, Scheduler: f.scheduler, Backend: &endpoint.PlainClient{Pool: f.pool}, Log: o.Log, Metrics: s.metrics,
-		Admission: admission.NewController(o.Clock, budget, admission.PlanOptions{Window: serviceRetryWindow}, 1, nil),
+		Admission: gate,
 		Seed:      uint64(o.Self.Incarnation),
 	})
 	return f
--- a/internal/statesync/digest_test.go
+++ b/internal/statesync/digest_test.go
@@ -121,6 +121,10 @@
 func (n *node) AdoptWindow(admission.WindowState)                      {}
 func (n *node) OwnTotals() map[admission.CounterKey]int64              { return nil }
 func (n *node) SetFleetShares(admission.FleetShares)                   {}
+func (n *node) RetriesShort() <-chan struct{}                          { return nil }
+func (n *node) TakeRetryNeeds() []admission.RetryNeed                  { return nil }
+func (n *node) GrantRetries(string, float64) float64                   { return 0 }
+func (n *node) AddRetryGrant(string, float64, clock.Instant)           {}
 func (n *node) Versions() []traffic.DocumentVersion                    { return []traffic.DocumentVersion{{Number: 1}} }
 
 func (n *node) NeedsVersion(int, traffic.DocumentVersion) bool { return false }
--- a/internal/statesync/handlers.go
+++ b/internal/statesync/handlers.go
@@ -61,7 +61,7 @@
 func (s *Service) applyMemberChange(hb *heartbeat, c memberChange) {
 	s.mu.Lock()
 	known, live := s.members.size()
-	shares := s.members.fleetShares()
+	shares := s.members.fleetShares(s.listed)
 	s.mu.Unlock()
 	s.opts.Log.Info("vm heard", zap.Stringer("vm", hb.From.VM), zap.Bool("joined", c.joined), zap.Bool("recovered", c.recovered),
 		zap.Bool("leaving", hb.Leaving), zap.Stringer("replaces", c.replaced), zap.Int("known", known), zap.Int("heard", live))
--- a/internal/statesync/oldbuild_test.go
+++ b/internal/statesync/oldbuild_test.go
@@ -40,6 +40,8 @@
 		{&originQuery{}, 1},
 		{&originReply{}, 2},
 		{&originStateQuery{}, -1},
+		{&retryRequest{}, 2},
+		{&retryGrant{}, 1},
 		{&ident.VM{}, 2},
 		{&schedule.Work{}, 2},
 		{&schedule.Limit{}, 3},
--- a/internal/statesync/ports.go
+++ b/internal/statesync/ports.go
@@ -58,6 +58,7 @@
 // Plans receives the counters that other VMs keep for plans and the retry budget, and reports
 // those of this VM.
 type Plans interface {
+	RetryBudget
 	// AddFromPeer receives how far a counter of another VM has grown since that VM's previous report.
 	AddFromPeer(c admission.CounterKey, n int64)
 	// OwnTotals returns the counters of this VM since it started.
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -76,8 +76,10 @@
 	fetching  map[int]bool
 	// fetchingQuarantine is set while the state of another VM's quarantine is requested.
 	fetchingQuarantine bool
-	ctx                context.Context
-	wg                 sync.WaitGroup
+	// refusedRetries holds the VMs that granted no retries, with the time.
+	refusedRetries map[netip.AddrPort]clock.Instant
+	ctx            context.Context
+	wg             sync.WaitGroup
 }
 
 const (
@@ -117,6 +119,7 @@
 		membersAdded: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1),
 		members: newMemberTable(o.Self), changes: newChanges(), remoteRepeats: map[string]int{}, counters: map[admission.CounterKey]int64{},
 		queues: map[netip.AddrPort]*sendQueue{}, fetching: map[int]bool{},
+		refusedRetries: map[netip.AddrPort]clock.Instant{},
 	}
 	peer.HandleOneWay(o.Transport, peer.KindHeartbeat, s.onHeartbeat)
 	peer.HandleOneWay(o.Transport, peer.KindWork, s.onUpdate)
@@ -131,6 +134,7 @@
 	peer.Handle(o.Transport, peer.KindStreamOrigin, s.onOriginQuery)
 	peer.Handle(o.Transport, peer.KindStreamOriginState, s.onOriginStateQuery)
 	peer.HandleOneWay(o.Transport, peer.KindOpenStreams, s.onOpenStreams)
+	peer.Handle(o.Transport, peer.KindRetryGrant, s.onRetryRequest)
 	return s
 }
 
@@ -187,6 +191,7 @@
 	s.wg.Go(func() { s.digestLoop(ctx) })
 	s.wg.Go(func() { s.adoptWindow(ctx) })
 	s.wg.Go(func() { s.adoptOrigins(ctx) })
+	s.wg.Go(func() { s.borrowRetries(ctx) })
 	s.heartbeatLoop(ctx)
 	s.wg.Wait()
 }
@@ -280,7 +285,7 @@
 	}
 	unresponsive, removed := s.members.expire(s.opts.Clock.Now())
 	known, live := s.members.size()
-	shares := s.members.fleetShares()
+	shares := s.members.fleetShares(s.listed)
 	order, self := s.members.directOrder()
 	parts := s.members.subsets()
 	fleet, complete := s.members.fleet(), s.listed || s.opts.Clock.Now().Sub(s.startedAt) > removeAfter
--- a/internal/statesync/shares.go
+++ b/internal/statesync/shares.go
@@ -14,18 +14,29 @@
 	return known, live
 }
 
-// fleetShares returns the shares of the fleet that plans and the retry budget depend on.
-func (t *memberTable) fleetShares() admission.FleetShares {
+// fleetShares returns the shares of the fleet that plans and the retry budget depend on. listed is set once the registry has been listed:
+// before, other VMs may be serving that are not known.
+func (t *memberTable) fleetShares(listed bool) admission.FleetShares {
 	unnoticed, remote := t.heartbeatTimeouts()
 	if t.large() {
 		unnoticed = max(unnoticed, remote)
 	}
 	return admission.FleetShares{
 		DirectShare: t.directShare(), RemainderShare: t.remainderShare(),
-		LiveShare: t.liveShare(), UnnoticedFor: unnoticed,
+		LiveShare: t.liveShare(), UnnoticedFor: unnoticed, SlackShare: t.slackShare(listed),
 	}
 }
 
+// slackShare returns the share of one VM among those that may be serving. It counts those that were removed or left
+// for formerRetention, which is longer than any window of the retry budget: they may be behind a partition, or their
+// last retries in the window.
+func (t *memberTable) slackShare(listed bool) float64 {
+	if !listed {
+		return 0
+	}
+	return 1 / float64(len(t.fleet())+1)
+}
+
 // directShare returns the fraction of the known VMs that are live direct peers, including this VM.
 func (t *memberTable) directShare() float64 {
 	n := 1
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -94,6 +94,10 @@
 	p.transport = peer.New(peer.Options{Self: self.VM, Advertise: s.Peers, Log: log.Named("peer")})
 	p.admission = admission.NewController(p.clock, s.RetryBudget, s.Plans, initialVMs,
 		func(c admission.CounterKey, total int64) { p.stateSync.CounterChanged(c, total) })
+	if s.FirstStart {
+		p.admission.SetFirstStart()
+	}
+	p.observeRetryGrants()
 	p.scheduler = schedule.New(schedule.Options{
 		Clock: p.clock, DataCentre: s.DataCentre, Seed: uint64(incarnation),
 		OnWorkChange: func(seq uint64, id traffic.EndpointID, dataCentre string, w schedule.Work) {
--- a/internal/vmserver/vmserver_test.go
+++ b/internal/vmserver/vmserver_test.go
@@ -89,7 +89,10 @@
 	reload <- syscall.SIGHUP
 	results <- fault.New(fault.Malformed, "correct the settings", "invalid settings")
 	reload <- syscall.SIGHUP // accepted once the first one has been handled
-	// The VM's share of the slack allows less than one retry; the negative reserve makes up for it.
+	// A VM that starts may send less than one retry for its calls; the negative reserve makes up for it.
+	for range 10 {
+		p.admission.CountCall("s")
+	}
 	if !p.admission.SpendRetry("s", -0.9) {
 		t.Error("the failed reload changed the retry budget")
 	}
