--- a/internal/admission/counter.go
+++ b/internal/admission/counter.go
@@ -7,9 +7,9 @@
 const (
 	// AdmittedTokens counts the tokens admitted for a workspace.
 	AdmittedTokens CounterKind = iota
-	// ServiceCalls counts callers' calls to a service.
+	// ServiceCalls counts callers' calls to a service. Only VMs of former builds tell it.
 	ServiceCalls
-	// ServiceRetries counts retries to a service.
+	// ServiceRetries counts retries to a service. This build tells it only for VMs of former builds; see Retries.ownTotals.
 	ServiceRetries
 	// RankedCalls counts the calls of a class, while the calls to its service have different ranks. The name is that of an
 	// overload.Class. VMs of older builds ignore it.
