dispatch: prefills that are not free count against the retry budget

Callers' engines got more repeats than the retry budget allows. The first prefill that an engine accepts is free, others are not: one that an engine rejected was counted only if the call was tried again, and a stream that went on with a new prefill and a new decode was counted as one retry.

A prefill is now settled by its outcome. Once one has counted, those under way are held against what is left for a window, and a call whose prefill finds nothing left is prefilled by its decode engine. So the arrivals that count stay within what the VM may send.

--- a/internal/admission/retries.go
+++ b/internal/admission/retries.go
@@ -60,6 +60,9 @@
 	returned int
 	credits  []credit
 	askedAt  clock.Instant
+	// held is the number of prefills under way, prefillCountedAt when one was last counted as a retry, 0 for never.
+	held             int
+	prefillCountedAt clock.Instant
 	// announced is what former builds are told; see ownTotals.
 	announced   float64
 	announcedAt clock.Instant
@@ -132,7 +135,7 @@
 
 // own returns what is left of this VM's own part. It is negative if the part has shrunk since it was used.
 func (r *Retries) own(now clock.Instant, w *retryWindow, share float64) float64 {
-	return r.part(now, w.sumCalls, share) - w.sumRetries
+	return r.part(now, w.sumCalls, share) - w.sumRetries - w.heldPrefills(now, r.budget)
 }
 
 // Remaining returns the number of retries that this VM may send now. share is its share of the fleet's VMs.
--- a/internal/admission/retrycontrol.go
+++ b/internal/admission/retrycontrol.go
@@ -93,3 +93,23 @@
 	defer c.mu.Unlock()
 	return c.retries.totals
 }
+
+// HoldPrefill holds a retry for a prefill of a service that is about to be sent. It returns false if the prefill must not be sent, as
+// prefills were counted as retries lately and the budget has no capacity for another one.
+func (c *Controller) HoldPrefill(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	ok := c.retries.HoldPrefill(now, service, c.slackShare)
+	c.signalNeed(now, service)
+	return ok
+}
+
+// SettlePrefill ends the hold of a prefill, which counts as a retry if counts is set.
+func (c *Controller) SettlePrefill(service string, counts bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	c.retries.SettlePrefill(now, service, counts)
+	c.signalNeed(now, service)
+}
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -45,7 +45,9 @@
 	*inflightCall
 	prefills int
 	decodes  int
-	stream   *eventStream
+	// prefilled is set once an engine has accepted a prefill of the call.
+	prefilled bool
+	stream    *eventStream
 	// failedEngines holds the engines that failed during this call.
 	failedEngines []traffic.EndpointID
 	// prefix is the parts of the prompt that engines may hold.
@@ -98,6 +100,10 @@
 	if g.mayHaveRun && (!g.call.Route.Retryable() || g.runs >= max(1, g.call.Route.MaxAttempts)) {
 		return false
 	}
+	if g.sends == 0 { // the call has reached no decode engine, and prefills are counted by themselves
+		g.log.Info("another prefill", zap.Error(err), zap.Int("prefills", g.prefills))
+		return true
+	}
 	return g.consumeRetryBudget(err.Error())
 }
 
@@ -114,6 +120,10 @@
 	if err != nil {
 		return &attemptError{err: err, final: true}
 	}
+	if prefill != nil && !g.holdPrefill() {
+		prefill.Release()
+		prefill = nil
+	}
 	if prefill == nil {
 		return g.runOnOneEngine(ctx, decode)
 	}
@@ -223,6 +233,7 @@
 	defer claim.Release()
 	if err := g.startSend(claim); err != nil {
 		g.prefills++
+		g.settlePrefill(claim, err)
 		return backend.Handle{}, err
 	}
 	start := g.dispatcher.opts.Clock.Now()
@@ -230,8 +241,8 @@
 	defer cancel(nil)
 	timer := g.startPrefillTimer(claim, decode, cancel)
 	h, err := g.dispatcher.opts.Backend.Prefill(stageCtx, g.newRequest(claim))
-	g.recordSend(claim, err)
 	g.next = timer.Stop()
+	g.settlePrefill(claim, err)
 	claim.RecordLoad(h.Load)
 	took := g.dispatcher.opts.Clock.Now().Sub(start)
 	if connected(err) {
