connpool: a connection on which a question was answered is used without another check

Streams did not go on while the store was away, although the endpoint named its start time: the last look took the new connection, which had carried the question, for a kept one whose idle time is over.

--- a/internal/connpool/accept.go
+++ b/internal/connpool/accept.go
@@ -45,6 +45,8 @@
 		return 0, nil, errNotKeptOpen
 	}
 	o.broken = false
+	o.c.checkedAt = time.Now()
+	o.c.idleUntil = o.c.checkedAt.Add(resp.idleTimeout)
 	return resp.Status, body, nil
 }
 
