--- a/internal/connpool/await_test.go
+++ b/internal/connpool/await_test.go
@@ -82,3 +82,22 @@
 		}
 	}
 }
+
+// TestNewConnectionCarriesARequestAfterAnAnswer guards against requests that are never sent because the new connection on which another
+// one was answered first counts as expired.
+func TestNewConnectionCarriesARequestAfterAnAnswer(t *testing.T) {
+	s := startServer(t, func(_ int, r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, response(r.Header.Get("X-Id"), "x"))
+		return err == nil
+	})
+	p := connpool.New(nil)
+	defer p.Close()
+	r := s.request("GET")
+	r.Await = func(ctx context.Context, on *connpool.Conn) error {
+		_, _, err := on.Ask(ctx, s.requestWithID("GET", "0"), 1)
+		return err
+	}
+	if _, err := get(t, p, r); err != nil || s.requests.Load() != 2 || s.accepted.Load() != 1 {
+		t.Errorf("error %v, %d requests arrived on %d connections", err, s.requests.Load(), s.accepted.Load())
+	}
+}
