connpool: a question on a connection does not hide the request before it

A connection that carried the first attempt of a request is not used for the second one, as a late copy of the first answer bears the same id. A question to the endpoint replaced the id that the connection remembered; if the stream that was to go on was then not sent on it, the second attempt could take the connection and such a copy as its answer. A question, which has no id, now leaves the remembered id.

--- a/internal/connpool/accept.go
+++ b/internal/connpool/accept.go
@@ -28,6 +28,7 @@
 // bytes. The connection cannot be used any more if it fails.
 func (o *Conn) Ask(ctx context.Context, r *Request, maxBody int64) (status int, body []byte, err error) {
 	o.broken = true
+	lastID := o.c.lastID
 	if tcpconn.Readable(o.c.nc) {
 		return 0, nil, errNotSent // the endpoint has closed it meanwhile
 	}
@@ -47,6 +48,7 @@
 	o.broken = false
 	o.c.checkedAt = time.Now()
 	o.c.idleUntil = o.c.checkedAt.Add(resp.idleTimeout)
+	o.c.lastID = lastID // a late copy of its response may still follow
 	return resp.Status, body, nil
 }
 
--- a/internal/connpool/await_test.go
+++ b/internal/connpool/await_test.go
@@ -101,3 +101,31 @@
 		t.Errorf("error %v, %d requests arrived on %d connections", err, s.requests.Load(), s.accepted.Load())
 	}
 }
+
+// TestSecondAttemptHasAnotherConnectionAfterAQuestion guards against a late copy of the answer to the first attempt of a request that is
+// taken for the answer to the second one, on a connection on which another request was answered between them.
+func TestSecondAttemptHasAnotherConnectionAfterAQuestion(t *testing.T) {
+	s := startServer(t, func(_ int, r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, response(r.Header.Get("X-Id"), "x"))
+		return err == nil
+	})
+	p := connpool.New(nil)
+	defer p.Close()
+	if _, err := get(t, p, s.request("GET")); err != nil {
+		t.Fatal(err)
+	}
+	errNotAccepted := errors.New("not accepted")
+	other := s.requestWithID("GET", "2")
+	other.Await = func(ctx context.Context, on *connpool.Conn) error {
+		if _, _, err := on.Ask(ctx, s.requestWithID("GET", "0"), 1); err != nil {
+			t.Error(err)
+		}
+		return errNotAccepted
+	}
+	if _, err := get(t, p, other); !errors.Is(err, errNotAccepted) {
+		t.Fatal(err)
+	}
+	if _, err := get(t, p, s.request("GET")); err != nil || s.accepted.Load() != 2 {
+		t.Errorf("error %v, two attempts used %d connections", err, s.accepted.Load())
+	}
+}
