activeconfig: a read that a pause of the VM cut off is repeated at once

A VM that was paused while its read of the store was under way sent requests by its table from before the pause. The time of the read (1.5 s) ran out in the pause, so it failed, which counted as a failure of the store: the next read followed after 0.25 to 0.5 s, or 4 s at VMs beyond the sixth, and requests for a read were refused meanwhile, whereas requests wait for news for 0.3 s.

A read that fails when the VM has just been paused is now repeated at once, a single time until one succeeds, and is not counted as a failure. The test passes, and bounds the reads of a store that is away.

--- a/internal/activeconfig/refresher.go
+++ b/internal/activeconfig/refresher.go
@@ -78,6 +78,8 @@
 	// failures is the number of consecutive failed reads.
 	failures  int
 	storeLost bool
+	// repeated is set if the last read that failed was repeated at once.
+	repeated bool
 	// configReadVersion is the version of the store at the last read of the configuration.
 	configReadVersion traffic.DocumentVersion
 }
@@ -93,9 +95,11 @@
 			r.failures++
 			switch {
 			case err == nil:
-				r.failures = 0
+				r.failures, r.repeated = 0, false
 			case unreadable(err):
 				pause = primaryReadAge
+			case !r.repeated && r.State.opts.LateBy() > 0: // a pause of this VM may have used up the time of the read
+				r.failures, r.repeated, pause = 0, true, 0
 			default:
 				pause = r.retryPause()
 			}
