dispatch: an endpoint of unknown lifetime is not reported as dead

While the store was away, a stream that was held back as it was not known whether its endpoint had started again counted as one for which there was no connection: the VM told the others that the endpoint was dead, and all avoided it for new calls too. One call that was resumed took three of five engines out of use in TestEngineOfUnknownLifetimeIsNotDead, which failed before ("decode3 is told to have outcome dead", "2 of 5 engines are usable").

Cause: each error of a send of which no byte was written says that there is no path. Through another VM only the text of the error arrives, so that path still counts as lost.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -112,6 +112,10 @@
 	Connect(ctx context.Context, e traffic.Endpoint) error
 }
 
+// ErrHeldBack is wrapped in errors of calls that were not sent although there may be a path to the endpoint: it is not known to be the
+// one that the call is for.
+var ErrHeldBack = errors.New("not sent to this endpoint")
+
 // SendError reports a call that failed without a usable response.
 type SendError struct {
 	// Sent is set if any byte of the call may have reached the endpoint.
--- a/internal/dispatch/lastlook.go
+++ b/internal/dispatch/lastlook.go
@@ -24,7 +24,7 @@
 
 func refusedLate(err error) bool {
 	var late *lateRefusal
-	return errors.As(err, &late)
+	return errors.As(err, &late) || errors.Is(err, backend.ErrHeldBack)
 }
 
 // endsCall reports whether a send failed in a way that no other attempt may follow: before it was sent the time of the call was
--- a/internal/dispatch/outcome_test.go
+++ b/internal/dispatch/outcome_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -64,3 +65,33 @@
 		}
 	})
 }
+
+// TestEngineOfUnknownLifetimeIsNotDead guards against engines that all VMs avoid because a VM held back a stream that was to go on there, as
+// it was not known whether the engine has started again.
+func TestEngineOfUnknownLifetimeIsNotDead(t *testing.T) {
+	for _, path := range []string{streamPath, resumablePath} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakeBackend{run: func(int, context.Context, backend.Request) (*backend.Response, error) {
+				return nil, &backend.SendError{Err: fmt.Errorf("wrapped: %w", backend.ErrHeldBack)}
+			}}
+			now, cfg := clock.NewMonotonic(), testConfiguration()
+			s := schedule.New(schedule.Options{Clock: now, DataCentre: "a", Seed: 7, OnFailure: func(id traffic.EndpointID, _ string, o schedule.Outcome) {
+				t.Errorf("%s: %s is told to have outcome %v", path, id.Name, o)
+			}})
+			s.UpdateEndpoints(testEndpoints(), cfg.Services)
+			d := newTestDispatcher(now, cfg, s, f, nil)
+			time.Sleep(time.Minute)
+			usable, _ := s.Usable("engines")
+			call := newCall(path)
+			call.Tokens = &traffic.Tokens{Prompt: 50, MaxOutput: 5}
+			call.ArrivedAt = now.Now()
+			call.Deadline = call.ArrivedAt.Add(5 * time.Second)
+			if err := d.Serve(t.Context(), call, &recordingSink{}); err == nil {
+				t.Errorf("%s: no error", path)
+			}
+			if n, _ := s.Usable("engines"); n != usable || f.count("run") == 0 {
+				t.Errorf("%s: %d of %d engines are usable after %d tries", path, n, usable, f.count("run"))
+			}
+		})
+	}
+}
