forward: a request that another VM held back does not lose the path through it

A VM without a path of its own to an endpoint gave up the path through another VM each time that this one held a request back in its last look, for example as the endpoint asked for a pause, or as the lifetime was not known: the reply was the same as that for an endpoint without a connection.

The reply names it by a status beside the error, which VMs of former builds do not read: the codec lets no field be added (tried: "number of fields in array-encoded struct has changed"). The sender wraps backend.ErrHeldBack, as for its own last look.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -81,8 +80,8 @@
 	if err := readMessage(in, &out); err != nil {
 		return nil, failure(via, "await the outcome", true, err)
 	}
-	if out.Error != "" {
-		return nil, failure(via, "outcome", out.Sent, errors.New(out.Error))
+	if err := out.failure(); err != nil {
+		return nil, failure(via, "outcome", out.Sent, err)
 	}
 	return &out, nil
 }
--- a/internal/forward/lastlook_test.go
+++ b/internal/forward/lastlook_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/connpool"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -26,6 +27,9 @@
 		if err == nil || connpool.MayHaveSent(err) || at == "sender" && !errors.Is(err, errEnded) {
 			t.Errorf("held back at the %s: error %v, sent %v", at, err, connpool.MayHaveSent(err))
 		}
+		if at == "receiver" && !errors.Is(err, backend.ErrHeldBack) {
+			t.Errorf("held back at the %s: error %v tells of an endpoint without a path", at, err)
+		}
 	}
 }
 
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/connpool"
@@ -137,7 +138,7 @@
 	resp, err := s.send(ctx, nc, h, body, arrivedAt)
 	s.log(from, h, resp, err)
 	if err != nil {
-		s.reply(nc, from, &outcome{Error: err.Error(), Sent: connpool.MayHaveSent(err)})
+		s.reply(nc, from, failedOutcome(err))
 		return
 	}
 	defer func() { _ = resp.Close() }()
@@ -191,7 +192,10 @@
 		if s.opts.LastLook == nil {
 			return nil
 		}
-		return s.opts.LastLook(h.Endpoint)
+		if err := s.opts.LastLook(h.Endpoint); err != nil {
+			return fmt.Errorf("%w: %w", backend.ErrHeldBack, err)
+		}
+		return nil
 	}
 	return s.opts.Send(ctx, endpoint, r)
 }
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -11,10 +11,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/codec"
+	"github.com/fulmartide/fulmartide/internal/connpool"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -59,12 +62,36 @@
 	Error string
 	Sent  bool
 
+	// Status is statusHeldBack beside an Error if the other VM held the request back. VMs of former builds do not read it then.
 	Status    int
 	Header    map[string][]string
 	Length    int64
 	Delimited bool
 }
 
+// statusHeldBack says that a request was held back, which says nothing about the path to the endpoint.
+const statusHeldBack = http.StatusMisdirectedRequest
+
+// failedOutcome returns the reply to a request without a response.
+func failedOutcome(err error) *outcome {
+	o := &outcome{Error: err.Error(), Sent: connpool.MayHaveSent(err)}
+	if errors.Is(err, backend.ErrHeldBack) {
+		o.Status = statusHeldBack
+	}
+	return o
+}
+
+// failure returns why there is no response, nil if there is one.
+func (o *outcome) failure() error {
+	switch {
+	case o.Error == "":
+		return nil
+	case o.Status == statusHeldBack:
+		return fmt.Errorf("%w: %s", backend.ErrHeldBack, o.Error)
+	}
+	return errors.New(o.Error)
+}
+
 var (
 	errTooLarge = fault.New(fault.TooLarge, "run the same release on all VMs", "a message from another VM exceeds the maximum size")
 	errBroken   = fmt.Errorf("the endpoint broke off its response to another VM: %w", io.ErrUnexpectedEOF)
