platform, ending: find out and log what became of an endpoint after a response without a length

What callers saw: streams that end as complete before their last piece, and no line that says whether the endpoint was alive at their ends.

After such an end the endpoint is now asked for its report, on a kept connection if there is one. Package ending decides what the answer says of the process. What callers get is unchanged: the evidence is not acted on yet. A response to HEAD, which has no body, counts as delimited.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/fulmartide/fulmartide/internal/ending"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -72,6 +73,9 @@
 	// Delimited is set if the endpoint marks the end of the body. Otherwise the body ends with the
 	// connection, and a truncated one may look complete.
 	Delimited bool
+	// End returns, after the end of a body that is not delimited, what was found out about the endpoint, empty if nothing was
+	// asked. It may be nil.
+	End func() ending.Evidence
 	// EventStream is set if the body is a series of events, each of which ends with an empty line.
 	EventStream bool
 	// Rejected is set if the endpoint states that it did not run the call and will not run it.
@@ -80,6 +84,14 @@
 	Load *Load
 }
 
+// EndEvidence returns what was found out about the endpoint at the end of a body, empty if nothing was asked.
+func (r *Response) EndEvidence() ending.Evidence {
+	if r == nil || r.End == nil {
+		return ""
+	}
+	return r.End()
+}
+
 // Notice is what an endpoint says about itself in any response.
 type Notice struct {
 	// Leaving is set if the endpoint takes no new calls any more.
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -104,6 +104,7 @@
 	}
 	c.requests++
 	c.lastID = r.id()
+	sentAt := time.Now()
 	stopCancel := context.AfterFunc(ctx, c.close)
 	written := make(chan writeResult, 1)
 	c.write(r, written)
@@ -120,6 +121,10 @@
 		return nil, &Error{Sent: true, Err: err}
 	}
 	out := newResponse(c, resp, written, stopCancel)
+	if r.CheckEnd != nil && !out.Delimited {
+		out.EndChecked = true
+		out.body = NewEndCheckedReader(ctx, out.body, End{SentAt: sentAt, Status: resp.StatusCode, Header: resp.Header}, r.CheckEnd)
+	}
 	if r.Alone || c.unnamed > 0 {
 		out.idleTimeout = 0
 	}
@@ -259,13 +264,15 @@
 	// Delimited is set if a length or chunks mark the end of the body. Otherwise it ends with the
 	// connection.
 	Delimited bool
+	// EndChecked is set if the end of a body that is not delimited is checked.
+	EndChecked bool
 	// Unnamed is the number of responses that were read and did not name the request.
 	Unnamed int
 	// Opened is when the connection was open.
 	Opened time.Time
 
 	conn        *conn
-	body        io.ReadCloser
+	body        io.Reader
 	written     chan writeResult
 	stopCancel  func() bool
 	bodyRead    bool
@@ -275,7 +282,7 @@
 func newResponse(c *conn, resp *http.Response, written chan writeResult, stopCancel func() bool) *Response {
 	r := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody,
 		Unnamed:   c.unnamed, Opened: c.opened,
 		conn: c, body: resp.Body, written: written, stopCancel: stopCancel,
 	}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -65,6 +65,9 @@
 	ArrivedAt time.Time
 	// Alone is set if the request gets a connection of its own, before and after which no other request is sent.
 	Alone bool
+	// CheckEnd, if not nil, is called at the end of a body that neither a length nor chunks delimit. The body ends with its error
+	// instead if it fails. ctx is that of the request.
+	CheckEnd func(ctx context.Context, end End) error
 }
 
 // id returns the id that the response must repeat, empty if there is none.
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -13,6 +13,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
+	"github.com/fulmartide/fulmartide/internal/ending"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/schedule"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -229,12 +230,15 @@
 
 // recordOutcome logs the outcome of an attempt and reports it to the scheduler.
 func (f *inflightCall) recordOutcome(ctx context.Context, claim *schedule.Claim, resp *response, err error) {
-	status := 0
+	status, delimited, end := 0, false, ending.Evidence("")
+	if resp != nil {
+		delimited, end = resp.reply.Delimited, resp.reply.EndEvidence()
+	}
 	if resp != nil && err == nil {
 		status = resp.reply.Status
 	}
-	f.failureLog(err).Info("tried", zap.String("endpoint", claim.Endpoint.ID.Name), zap.Int("status", status),
-		zap.Bool("may_have_run", err == nil || backend.MayHaveRun(err)), zap.Duration("elapsed", f.elapsed()), zap.Error(err))
+	f.failureLog(err).Info("tried", zap.String("endpoint", claim.Endpoint.ID.Name), zap.Int("status", status), zap.Bool("delimited", delimited),
+		zap.String("end", string(end)), zap.Bool("may_have_run", err == nil || backend.MayHaveRun(err)), zap.Duration("elapsed", f.elapsed()), zap.Error(err))
 	if err == nil {
 		f.recordAnswer()
 	}
--- /dev/null
+++ b/internal/ending/ending.go
@@ -0,0 +1,85 @@
+// Package ending decides whether the end of a connection is the end of the response on it. A response may come with neither a
+// length nor chunks and end with its connection, and the kernel of an endpoint whose process was killed ends its connections in
+// the same way. Such an end is believed only if the process is known to have lived beyond it.
+package ending
+
+import (
+	"errors"
+	"fmt"
+	"io"
+)
+
+// Observation is what an endpoint answered to a question that was sent after the end of a response.
+type Observation struct {
+	// Answered is set if there was an answer, Misdirected if that came from another instance than the expected one.
+	Answered, Misdirected bool
+	// SameProcess is set if the answer came on a connection that was open before the request of the response was sent. The process
+	// that answered the request had accepted that connection as well.
+	SameProcess bool
+	// StartedAt is the start time that the answer names, nil if it names none.
+	StartedAt *int64
+	// Refused is set if the endpoint's address refused a connection.
+	Refused bool
+}
+
+// Evidence is what is known of an endpoint's process after the end of a response.
+type Evidence string
+
+// Values of Evidence.
+const (
+	// Outlived means that the process that sent the response lived beyond its end.
+	Outlived Evidence = "outlived"
+	// SameInstance means that a process of the same instance, which names no start time, answered after the end.
+	SameInstance Evidence = "same_instance"
+	// Replaced means that another process answered, Refused that the address refuses connections.
+	Replaced Evidence = "replaced"
+	Refused  Evidence = "refused"
+	// Empty means that nothing preceded the end of a series of events.
+	Empty Evidence = "empty"
+	// Unknown means that there was no answer in time.
+	Unknown Evidence = "unknown"
+)
+
+// Judge returns the evidence of an observation. startedAt is the start time of the endpoint that the request was sent to, as it
+// was known before.
+func Judge(o Observation, startedAt int64) Evidence {
+	switch {
+	case o.Refused:
+		return Refused
+	case !o.Answered:
+		return Unknown
+	case o.Misdirected:
+		return Replaced
+	case o.SameProcess:
+		return Outlived
+	case o.StartedAt == nil:
+		return SameInstance
+	case *o.StartedAt == startedAt:
+		return Outlived
+	}
+	return Replaced
+}
+
+// Whole reports whether the end of the connection is believed to be the end of the response.
+func (e Evidence) Whole() bool { return e == Outlived || e == SameInstance }
+
+// Errors of responses whose end is not believed.
+var (
+	// errEnded wraps the error of a response that was cut off, as the process is gone.
+	errEnded    = fmt.Errorf("the endpoint's process ended with its response: %w", io.ErrUnexpectedEOF)
+	errEmpty    = errors.New("the engine closed the connection before the first event of its stream")
+	errUnproven = errors.New("it is not known whether the endpoint's process lived beyond the end of its response")
+)
+
+// Err returns the error of a response that ended with its connection, nil if it is whole.
+func (e Evidence) Err() error {
+	switch {
+	case e.Whole():
+		return nil
+	case e == Replaced || e == Refused:
+		return errEnded
+	case e == Empty:
+		return errEmpty
+	}
+	return errUnproven
+}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/fulmartide/fulmartide/internal/connpool"
 	"github.com/fulmartide/fulmartide/internal/peer"
@@ -31,7 +32,7 @@
 	Header http.Header
 	// Length is the length of the body, -1 if unknown.
 	Length int64
-	// Delimited is set if the endpoint marked the end of the body.
+	// Delimited is set if the endpoint marked the end of the body, or the other VM has checked it.
 	Delimited bool
 	Body      io.ReadCloser
 }
@@ -51,9 +52,14 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
 	in := bufio.NewReader(nc)
+	sentAt := time.Now()
 	out, err := exchange(nc, in, via, endpoint, r)
 	if err == nil {
 		body := &responseBody{Reader: &bodyReader{r: in}, nc: nc, stop: stop}
+		if r.CheckEnd != nil && !out.Delimited { // the other VM, of a former build, has not checked it
+			end := connpool.End{SentAt: sentAt, Status: out.Status, Header: out.Header}
+			body.Reader = connpool.NewEndCheckedReader(ctx, body.Reader, end, r.CheckEnd)
+		}
 		return &Response{Status: out.Status, Header: out.Header, Length: out.Length, Delimited: out.Delimited, Body: body}, nil
 	}
 	stop()
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -63,9 +63,10 @@
 	Sent  bool
 
 	// Status is statusHeldBack beside an Error if the other VM held the request back. VMs of former builds do not read it then.
-	Status    int
-	Header    map[string][]string
-	Length    int64
+	Status int
+	Header map[string][]string
+	Length int64
+	// Delimited is set if the endpoint marks the end of the body, or if this VM checks the end.
 	Delimited bool
 }
 
