origin, platform: a new stream is recorded once its version is known

Callers saw streams with events of two software versions. A new stream was recorded at the version of its endpoint's entry although its connection may lead to a later lifetime of the endpoint, with another version, which the table does not show yet. When it broke off it went on at the version of the former entry.

A record now stays open until a read of the store by this VM that began after the connection was open lists the entry, or the endpoint names the start time of the entry after that. Endpoints are registered before they accept connections, so that either excludes a later lifetime. An open record is neither told nor stored, and its stream continues nowhere, also not at the only version: the caller waits for the evidence for up to 1 s and gets 503, not run, or the response is broken off. A VM that is asked says that the record is open in a field that the build before does not read, and the asking VM then does not use the only version. Streams over connections that are known are recorded at once.

The model TestStreamsNeverContinueAtAnotherVersion has engines that are back with another version; it fails if such streams are recorded at once.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -78,6 +78,8 @@
 	Rejected bool
 	// Load is nil if the endpoint does not report its load.
 	Load *Load
+	// Lifetime is nil if the response is known to come from the lifetime of the endpoint's entry.
+	Lifetime LifetimeEvidence
 }
 
 // Notice is what an endpoint says about itself in any response.
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -263,6 +263,8 @@
 	Unnamed int
 	// Opened is when the connection was open.
 	Opened time.Time
+	// Lifetime is that for which a request was last accepted on the connection, 0 if none was.
+	Lifetime int64
 
 	conn        *conn
 	body        io.ReadCloser
@@ -276,7 +278,7 @@
 	r := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-		Unnamed:   c.unnamed, Opened: c.opened,
+		Unnamed:   c.unnamed, Opened: c.opened, Lifetime: c.lifetime,
 		conn: c, body: resp.Body, written: written, stopCancel: stopCancel,
 	}
 	if r.Delimited && !resp.Close {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -179,6 +179,8 @@
 	sentTo traffic.Endpoint
 	// origin is where the stream of the call began, nil if it has not begun.
 	origin *traffic.StreamOrigin
+	// lifetime is evidence of the version in origin, nil if that is known.
+	lifetime backend.LifetimeEvidence
 	// trialPart is the quarantined part of the prompt, or the quarantined request, that this call tries, empty if none.
 	trialPart string
 	// planUse is the part of its workspace's plan that was used when the call was admitted.
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -116,6 +116,9 @@
 // attempt claims the engines, runs the prefill if the service has prefill engines, and streams the
 // response of the decode.
 func (g *generation) attempt(ctx context.Context) error {
+	if err := g.confirmOrigin(ctx); err != nil {
+		return &attemptError{err: err, final: true}
+	}
 	prefill, decode, err := g.takePlaces(ctx)
 	if err != nil {
 		return &attemptError{err: err, final: true}
--- a/internal/dispatch/origin.go
+++ b/internal/dispatch/origin.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/origin"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -64,14 +66,48 @@
 	return &f.origin.Version
 }
 
-// recordOrigin records where the stream of the call began, before the first event of the call is delivered.
-func (f *inflightCall) recordOrigin() {
+// recordOrigin records where the stream of the call began, before the first event of the call is delivered. lifetime is nil if the
+// response is known to come from the lifetime of its endpoint's entry.
+func (f *inflightCall) recordOrigin(lifetime backend.LifetimeEvidence) {
 	if f.responseStarted && f.origin != nil || f.call.Route.Kind != traffic.Stream || !f.call.Route.Resumable {
 		return
 	}
-	if f.origin == nil {
-		o := f.sentTo.Origin()
-		f.origin = &o
+	left := f.call.Deadline.Sub(f.dispatcher.opts.Clock.Now())
+	if f.origin != nil {
+		f.dispatcher.opts.Origins.Began(f.streamKey(), *f.origin, left)
+		return
+	}
+	o := f.sentTo.Origin()
+	f.origin, f.lifetime = &o, lifetime
+	f.log.Info("stream begins", zap.String("endpoint", f.sentTo.ID.Name), zap.Int64("born", f.sentTo.ID.StartedAt),
+		zap.String("software", o.Version), zap.Bool("lifetime_known", lifetime == nil))
+	if lifetime == nil {
+		f.dispatcher.opts.Origins.Began(f.streamKey(), o, left)
+		return
+	}
+	f.dispatcher.opts.Origins.BeganOpen(f.streamKey(), o, left, lifetime, f.log)
+}
+
+// maxLifetimeWait bounds the wait until it is known which version began a stream that goes on within its response: a read of the
+// store, and if that does not come the answer of the endpoint.
+const maxLifetimeWait = time.Second
+
+var errVersionUnknown = errors.New("it is not known which software version began the stream")
+
+// confirmOrigin waits until it is known which version began the stream, if another endpoint is to continue the response.
+func (f *inflightCall) confirmOrigin(ctx context.Context) error {
+	if f.lifetime == nil || !f.responseStarted {
+		return nil
 	}
-	f.dispatcher.opts.Origins.Began(f.streamKey(), *f.origin, f.call.Deadline.Sub(f.dispatcher.opts.Clock.Now()))
+	began := f.dispatcher.opts.Clock.Now()
+	waitCtx, cancel := context.WithTimeout(ctx, maxLifetimeWait)
+	defer cancel()
+	outcome := backend.AwaitLifetime(waitCtx, f.lifetime)
+	f.log.Info("stream goes on in its response", zap.String("software", f.origin.Version), zap.String("lifetime", string(outcome)),
+		zap.Duration("waited", f.dispatcher.opts.Clock.Now().Sub(began)))
+	if !outcome.Confirmed() {
+		return &backend.SendError{Sent: true, Err: errVersionUnknown}
+	}
+	f.lifetime = nil
+	return nil
 }
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -295,7 +295,7 @@
 func (f *inflightCall) startResponse(reply *backend.Response, length int64, body *readAhead, beginning []byte) error {
 	f.responseStarted = true
 	if reply.EventStream {
-		f.recordOrigin()
+		f.recordOrigin(reply.Lifetime)
 	}
 	if err := f.sink.WriteHeader(reply.Status, reply.Header, length); err != nil {
 		return callerWriteError(err)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -105,7 +105,7 @@
 
 func (s *eventStream) write(reply *backend.Response, body *readAhead, p []byte) error {
 	if reply.EventStream {
-		s.inflight.recordOrigin()
+		s.inflight.recordOrigin(reply.Lifetime)
 	}
 	if !s.inflight.responseStarted {
 		s.inflight.responseStarted = true
--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -126,11 +126,16 @@
 		c.opts.Metrics.GetOrCreateCounter(`fulmartide_stream_origins_dropped_total`).Inc()
 	}
 	if !sole {
-		c.opts.Share([]Record{rec})
-		c.opts.OnOpen()
+		c.tell(rec)
 	}
 }
 
+// tell tells other VMs of a stream of this VM whose origin does not go without saying.
+func (c *Controller) tell(rec Record) {
+	c.opts.Share([]Record{rec})
+	c.opts.OnOpen()
+}
+
 // Ended removes the record of a stream that its caller has received to the end.
 func (c *Controller) Ended(k Key) {
 	c.mu.Lock()
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -37,6 +37,12 @@
 // Find finds the origin of a stream that a caller resumes. service is the one that its calls go to now, left the time
 // until the caller's deadline. If this VM does not know the origin, it asks other VMs and the store.
 func (c *Controller) Find(ctx context.Context, k Key, service string, left time.Duration) (traffic.StreamOrigin, Source) {
+	awaitCtx, cancelAwait := context.WithTimeout(ctx, min(maxOpenWait, left/findFraction))
+	open := c.Await(awaitCtx, k)
+	cancelAwait()
+	if open {
+		return traffic.StreamOrigin{}, Unknown // no other VM knows more
+	}
 	o, source := c.findHere(k, service)
 	if source == FromVersions {
 		o, source = c.findHereAnew(ctx, k, service, left)
@@ -78,7 +84,10 @@
 	defer c.mu.Unlock()
 	now := c.opts.Clock.Now()
 	if e, ok := c.records.find(now, k); ok && k != 0 {
-		if e.stored {
+		switch {
+		case e.unsettled:
+			return traffic.StreamOrigin{}, Unknown
+		case e.stored:
 			return e.origin, FromStore
 		}
 		return e.origin, FromRecord
@@ -124,12 +133,15 @@
 	return traffic.StreamOrigin{}, Unknown
 }
 
-// Lookup returns the origin of a stream of which this VM has a record.
+// Lookup returns the origin of a stream of which this VM has a settled record.
 func (c *Controller) Lookup(k Key) (traffic.StreamOrigin, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e, ok := c.records.find(c.opts.Clock.Now(), k)
-	return e.origin, ok
+	if !ok || e.unsettled {
+		return traffic.StreamOrigin{}, false
+	}
+	return e.origin, true
 }
 
 // knowsOrigins reports whether a stream of which this VM has no record began at the only version of its service, if there
--- a/internal/origin/fleet_test.go
+++ b/internal/origin/fleet_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
+	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
@@ -98,6 +99,11 @@
 		if vm == nil || vm == from {
 			continue
 		}
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		if vm.Await(ended, k) {
+			from.MarkUnsettled(k)
+		}
 		if o, ok := vm.Lookup(k); ok {
 			return o, true
 		}
@@ -122,6 +128,19 @@
 	return call
 }
 
+// beginAgain begins a stream at an engine that the table of a VM shows with a version, and which may be back under its id with another
+// one since.
+func (f *fleet) beginAgain(vm *fleetVM, shown, truly string) (call string) {
+	call = fmt.Sprint("call", len(f.began))
+	f.began[call] = traffic.StreamOrigin{Service: testService, Version: truly}
+	e := &fakeEvidence{outcome: backend.LifetimeListed}
+	if shown != truly {
+		e.outcome = backend.LifetimeGone
+	}
+	vm.beganOpen(NewKey("w", call), traffic.StreamOrigin{Service: testService, Version: shown}, 10*time.Second, e, zap.NewNop())
+	return call
+}
+
 func newFleet(vms int, versions ...string) *fleet {
 	f := &fleet{clock: manualClock{clock.Instant(time.Hour)}, vms: make([]*fleetVM, vms), listed: versions, began: map[string]traffic.StreamOrigin{}}
 	f.streams = newStreamObjects(&f.clock)
@@ -171,6 +190,18 @@
 				calls = append(calls, f.begin(vm, rapid.SampledFrom(vm.listed).Draw(t, "version")))
 				endedAt = append(endedAt, f.clock.now)
 			},
+			"begin at an engine that may be back": func(t *rapid.T) {
+				_, vm := vmAt(t)
+				shown, truly := rapid.SampledFrom(vm.listed).Draw(t, "shown"), rapid.SampledFrom(f.listed).Draw(t, "version")
+				calls = append(calls, f.beginAgain(vm, shown, truly))
+				endedAt = append(endedAt, f.clock.now)
+			},
+			"look for evidence": func(t *rapid.T) {
+				_, vm := vmAt(t)
+				if len(calls) > 0 {
+					vm.look(NewKey("w", calls[len(calls)-1]), false)
+				}
+			},
 			"restart": func(t *rapid.T) {
 				i, _ := vmAt(t)
 				f.vms[i] = nil
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -60,6 +60,10 @@
 	own bool
 	// stored is set if this VM has the record from the store.
 	stored bool
+	// unsettled is set while it is not known whether the stream began at origin, or if that cannot be known any more. Then it does
+	// not continue. open is the evidence that this VM awaits, nil if it awaits none.
+	unsettled bool
+	open      *openOrigin
 }
 
 // records holds the records that this VM knows. It does no I/O.
@@ -71,7 +75,7 @@
 }
 
 // add stores a record and reports whether there was room for it. A stream has one origin, so a record of it is not
-// replaced; it only may be needed longer.
+// replaced unless it is unsettled; it only may be needed longer.
 func (r *records) add(now clock.Instant, rec Record, own bool) bool {
 	r.sweep(now)
 	e, known := r.entries[rec.Key]
@@ -79,7 +83,9 @@
 		if len(r.entries) >= maxRecords {
 			return false
 		}
-		e.origin = rec.Origin
+	}
+	if !known || e.unsettled {
+		e.origin, e.unsettled, e.open = rec.Origin, false, nil
 	}
 	if own && !e.own {
 		e.own = true
@@ -104,6 +110,17 @@
 	return ok
 }
 
+// addUnsettled stores that the origin of a stream is not settled, unless it is known, and reports whether it is stored.
+func (r *records) addUnsettled(now clock.Instant, rec Record, open *openOrigin) bool {
+	if _, known := r.entries[rec.Key]; known || !r.add(now, rec, open != nil) {
+		return false
+	}
+	e := r.entries[rec.Key]
+	e.unsettled, e.open = true, open
+	r.entries[rec.Key] = e
+	return true
+}
+
 func (r *records) find(now clock.Instant, k Key) (e entry, ok bool) {
 	e, ok = r.entries[k]
 	return e, ok && now.Before(e.until)
@@ -114,22 +131,22 @@
 	delete(r.own, k)
 }
 
-// listOwn returns the records of streams of this VM whose origin matches.
+// listOwn returns the settled records of streams of this VM whose origin matches.
 func (r *records) listOwn(now clock.Instant, match func(traffic.StreamOrigin) bool) []Record {
 	var out []Record
 	for k := range r.own {
-		if e, ok := r.find(now, k); ok && match(e.origin) {
+		if e, ok := r.find(now, k); ok && !e.unsettled && match(e.origin) {
 			out = append(out, Record{Key: k, Origin: e.origin, Left: e.until.Sub(now)})
 		}
 	}
 	return out
 }
 
-// list returns the records that match.
+// list returns the settled records that match.
 func (r *records) list(now clock.Instant, match func(entry) bool) []Record {
 	var out []Record
 	for k, e := range r.entries {
-		if now.Before(e.until) && match(e) {
+		if now.Before(e.until) && !e.unsettled && match(e) {
 			out = append(out, Record{Key: k, Origin: e.origin, Left: e.until.Sub(now)})
 		}
 	}
--- /dev/null
+++ b/internal/origin/unsettled_test.go
@@ -0,0 +1,128 @@
+package origin
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/backend"
+	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// fakeEvidence is evidence whose outcome is there once it is sought, or stays open.
+type fakeEvidence struct {
+	outcome backend.LifetimeOutcome
+	sought  atomic.Bool
+}
+
+func (e *fakeEvidence) Look() backend.LifetimeOutcome {
+	if !e.sought.Load() {
+		return backend.LifetimeOpen
+	}
+	return e.outcome
+}
+
+func (e *fakeEvidence) Seek() { e.sought.Store(true) }
+
+// TestUnsettledStreamDoesNotContinue guards against streams that go on at the version of an entry, which also is the only one of the
+// service, although it is not known that the entry is that of the engine that began them.
+func TestUnsettledStreamDoesNotContinue(t *testing.T) {
+	v1, v2 := traffic.StreamOrigin{Service: testService, Version: "v1"}, traffic.StreamOrigin{Service: testService, Version: "v2"}
+	k := NewKey("w", "call")
+	for _, tc := range []struct {
+		name    string
+		listed  []string
+		outcome backend.LifetimeOutcome
+		source  Source
+	}{
+		{"one version, listed", []string{"v1"}, backend.LifetimeListed, FromRecord},
+		{"one version, reported", []string{"v1"}, backend.LifetimeReported, FromRecord},
+		{"one version, open", []string{"v1"}, backend.LifetimeOpen, Unknown},
+		{"one version, gone", []string{"v1"}, backend.LifetimeGone, Unknown},
+		{"two versions, listed", []string{"v1", "v2"}, backend.LifetimeListed, FromRecord},
+		{"two versions, other", []string{"v1", "v2"}, backend.LifetimeOther, Unknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var told []Record
+			c := NewController(Options{
+				Clock: clock.NewMonotonic(), Log: zap.NewNop(), Metrics: metrics.NewSet(), FirstStart: true, Share: func(list []Record) { told = append(told, list...) },
+			})
+			c.SetEndpoints(endpointsOf(tc.listed))
+			c.beganOpen(k, v1, time.Minute, &fakeEvidence{outcome: tc.outcome}, zap.NewNop())
+			if _, known := c.Lookup(k); known || len(told) > 0 || len(c.openStreams()) > 0 || len(c.State().Records) > 0 {
+				t.Error("an unsettled record is told to others")
+			}
+			o, source := c.Find(t.Context(), k, testService, 100*time.Millisecond)
+			if source != tc.source || source != Unknown && o != v1 {
+				t.Errorf("origin %v from %s, want from %s", o, source, tc.source)
+			}
+			if want := source != Unknown && len(tc.listed) > 1; (len(told) == 1) != want || (len(c.openStreams()) == 1) != want {
+				t.Errorf("%d records told and %d to be stored", len(told), len(c.openStreams()))
+			}
+			if c.AddRecords([]Record{{Key: k, Origin: v2, Left: time.Minute}}); source == Unknown {
+				if o, known := c.Lookup(k); !known || o != v2 {
+					t.Errorf("a settled record of another VM is not taken: %v", o)
+				}
+			}
+		})
+	}
+}
+
+// TestStreamThatIsUnsettledAtAnotherVMDoesNotContinue guards against streams that go on at the only version that a VM knows, although
+// the VM at which they began does not know theirs.
+func TestStreamThatIsUnsettledAtAnotherVMDoesNotContinue(t *testing.T) {
+	var c *Controller
+	c = NewController(Options{
+		Clock: clock.NewMonotonic(), Log: zap.NewNop(), Metrics: metrics.NewSet(), FirstStart: true,
+		Ask: func(_ context.Context, k Key) (traffic.StreamOrigin, bool) {
+			c.MarkUnsettled(k)
+			return traffic.StreamOrigin{}, false
+		},
+	})
+	c.SetEndpoints(endpointsOf([]string{"v1"}))
+	k := NewKey("w", "call")
+	if o, source := c.Find(t.Context(), k, testService, time.Minute); source != Unknown {
+		t.Errorf("the stream goes on at %v by %s", o, source)
+	}
+	if c.Await(t.Context(), k) {
+		t.Error("this VM names the stream as one of its own")
+	}
+	v2 := traffic.StreamOrigin{Service: testService, Version: "v2"}
+	c.AddRecords([]Record{{Key: k, Origin: v2, Left: time.Minute}})
+	if o, source := c.Find(t.Context(), k, testService, time.Minute); source != FromRecord || o != v2 {
+		t.Errorf("origin %v by %s once it is settled", o, source)
+	}
+}
+
+// TestRecordsAreSettledWithoutACaller guards against records that are not told to other VMs before their stream is resumed, and
+// against reads of the store for streams that end soon and need none.
+func TestRecordsAreSettledWithoutACaller(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		listed []string
+		age    time.Duration
+		sought bool
+	}{
+		{"several versions", []string{"v1", "v2"}, 0, true},
+		{"one version, short stream", []string{"v1"}, openSeekAge / 2, false},
+		{"one version, long stream", []string{"v1"}, openSeekAge, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := &manualClock{clock.Instant(time.Hour)}
+			c := NewController(Options{Clock: now, Log: zap.NewNop(), Metrics: metrics.NewSet(), FirstStart: true})
+			c.SetEndpoints(endpointsOf(tc.listed))
+			e := &fakeEvidence{outcome: backend.LifetimeListed}
+			k := NewKey("w", "call")
+			c.beganOpen(k, traffic.StreamOrigin{Service: testService, Version: "v1"}, time.Minute, e, zap.NewNop())
+			now.now = now.now.Add(tc.age)
+			if open := c.look(k, false); open == tc.sought || e.sought.Load() != tc.sought {
+				t.Errorf("open %v, evidence sought %v", open, e.sought.Load())
+			}
+		})
+	}
+}
--- a/internal/statesync/origins.go
+++ b/internal/statesync/origins.go
@@ -28,7 +28,11 @@
 	localHolders  = 3
 	remoteHolders = 1
 	// originTimeout bounds the question where a stream began, originStateTimeout that for all that a VM knows.
-	originTimeout      = 250 * time.Millisecond
+	originTimeout = 250 * time.Millisecond
+	// unsettledWait is how long the answer to that question waits for a record that is not settled, maxOriginTurns how often VMs
+	// are asked while one says so.
+	unsettledWait      = 150 * time.Millisecond
+	maxOriginTurns     = 4
 	originStateTimeout = 500 * time.Millisecond
 	// The pause between two such questions doubles from minOriginStatePause to maxOriginStatePause.
 	minOriginStatePause = 200 * time.Millisecond
@@ -41,6 +45,10 @@
 type Origins interface {
 	// Lookup returns the origin of a stream of which this VM has a record.
 	Lookup(k origin.Key) (traffic.StreamOrigin, bool)
+	// Await waits until the record of a stream that began at this VM is settled, and reports whether it is not when ctx ends.
+	Await(ctx context.Context, k origin.Key) (unsettled bool)
+	// MarkUnsettled receives that another VM does not know yet where a stream began.
+	MarkUnsettled(k origin.Key)
 	// AddRecords receives records of another VM.
 	AddRecords(list []origin.Record)
 	// State returns all that this VM knows, Merge receives that of another VM.
@@ -73,10 +81,15 @@
 	//lint:ignore U1000 the codec reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Known  bool
+	Known bool
+	// Origin is not empty although the origin is not known if the stream began at the VM and that is still open. A VM of the
+	// build before reads it as not known.
 	Origin traffic.StreamOrigin
 }
 
+// unsettledOrigin is the origin of a stream that began at the replying VM, which does not know its version.
+var unsettledOrigin = traffic.StreamOrigin{Service: "unsettled"}
+
 // originStateQuery asks for all that the receiver knows of the origins of streams.
 type originStateQuery struct{}
 
@@ -139,11 +152,27 @@
 	s.opts.Origins.AddRecords(m.List)
 }
 
-// AskOrigin asks the VMs that keep the origin of a stream, and returns the first answer.
+// AskOrigin asks the VMs that keep the origin of a stream, and returns the first answer. It asks again while one of them waits for
+// the evidence itself.
 func (s *Service) AskOrigin(ctx context.Context, k origin.Key) (traffic.StreamOrigin, bool) {
 	s.mu.Lock()
 	holders := s.members.originHolders(k)
 	s.mu.Unlock()
+	for range maxOriginTurns {
+		reply := s.askHolders(ctx, holders, k)
+		if reply.Known {
+			return reply.Origin, true
+		}
+		if reply.Origin != unsettledOrigin {
+			break
+		}
+		s.opts.Origins.MarkUnsettled(k)
+	}
+	return traffic.StreamOrigin{}, false
+}
+
+// askHolders returns the first answer that names the origin of a stream, or else one that says that it is not settled.
+func (s *Service) askHolders(ctx context.Context, holders []netip.AddrPort, k origin.Key) originReply {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	replies := make(chan *originReply, len(holders))
@@ -157,15 +186,25 @@
 			replies <- reply
 		}()
 	}
+	var out originReply
 	for range holders {
-		if reply := <-replies; reply.Known {
-			return reply.Origin, true
+		reply := <-replies
+		if reply.Known {
+			return *reply
+		}
+		if reply.Origin == unsettledOrigin {
+			out = *reply
 		}
 	}
-	return traffic.StreamOrigin{}, false
+	return out
 }
 
-func (s *Service) onOriginQuery(_ context.Context, _ ident.VM, q *originQuery) (*originReply, error) {
+func (s *Service) onOriginQuery(ctx context.Context, _ ident.VM, q *originQuery) (*originReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, unsettledWait)
+	defer cancel()
+	if s.opts.Origins.Await(ctx, q.Key) {
+		return &originReply{Origin: unsettledOrigin}, nil
+	}
 	o, known := s.opts.Origins.Lookup(q.Key)
 	return &originReply{Known: known, Origin: o}, nil
 }
