origin: unsettled records are stored with their endpoint

Records of new streams were stored once their version was known, after a read of the store requested for each. When all VMs ended meanwhile their streams were refused, and the reads were a third of all calls to the store.

A VM that is told of it finds the evidence itself when the stream is taken up: a read of the store that begins later and lists the endpoint, or the endpoint's answer, as it was told after the connection was open. The build before takes the version for one that no endpoint has and refuses the stream, 503, not run. A VM that is up tells others only settled records. Without a caller evidence is sought once a record is 1 s old, or at once if the endpoint is leaving; before that a regular read may have brought it.

The model TestStreamsNeverContinueAtAnotherVersion covers it: streams begin over new connections to engines that may be back with another version, all VMs may end, and what is stored is settled by its reader.

--- a/internal/dispatch/origin.go
+++ b/internal/dispatch/origin.go
@@ -85,7 +85,7 @@
 		f.dispatcher.opts.Origins.Began(f.streamKey(), o, left)
 		return
 	}
-	f.dispatcher.opts.Origins.BeganOpen(f.streamKey(), o, left, lifetime, f.log)
+	f.dispatcher.opts.Origins.BeganOpen(f.streamKey(), f.sentTo, left, lifetime, f.log)
 }
 
 // maxLifetimeWait bounds the wait until it is known which version began a stream that goes on within its response: a read of the
--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/traffic"
@@ -33,6 +34,9 @@
 	OnOpen func()
 	// Reload loads the stored records again, unless that was done within the last second. It is nil if none are stored.
 	Reload func(context.Context)
+	// Evidence returns evidence of whether an endpoint's connections that were open at a time lead to the lifetime of its entry. It may be
+	// nil.
+	Evidence func(e traffic.Endpoint, opened time.Time) backend.LifetimeEvidence
 	// FirstStart is set if the whole fleet starts for the first time, so that no stream began before.
 	FirstStart bool
 }
@@ -48,6 +52,9 @@
 	records  records
 	versions versions
 	recorder recorder
+	// endpoints are those that are listed, leaving those of them that are leaving.
+	endpoints []traffic.Endpoint
+	leaving   map[traffic.EndpointID]bool
 	// isLoaded is set once loaded is closed, hasVersions once versionsLoaded is.
 	isLoaded, hasVersions bool
 }
@@ -87,11 +94,12 @@
 func (c *Controller) SetEndpoints(endpoints []traffic.Endpoint) {
 	c.mu.Lock()
 	now := c.opts.Clock.Now()
+	c.endpoints, c.leaving = endpoints, leavingOf(endpoints)
 	added, removed := c.versions.observe(now, endpoints)
 	var own []Record
 	if len(added) > 0 {
 		own = c.records.list(now, func(e entry) bool {
-			return e.own && slices.ContainsFunc(added, func(o traffic.StreamOrigin) bool { return o.Service == e.origin.Service })
+			return e.own && !e.unsettled && slices.ContainsFunc(added, func(o traffic.StreamOrigin) bool { return o.Service == e.origin.Service })
 		})
 	}
 	c.mu.Unlock()
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -61,6 +61,7 @@
 	}
 	if k != 0 && c.opts.Reload != nil && ctx.Err() == nil {
 		c.opts.Reload(ctx)
+		c.Await(ctx, k)
 	}
 	return c.findHere(k, service)
 }
--- a/internal/origin/fleet_test.go
+++ b/internal/origin/fleet_test.go
@@ -1,8 +1,10 @@
 package origin
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,8 +25,8 @@
 
 func endpointsOf(versions []string) []traffic.Endpoint {
 	var out []traffic.Endpoint
-	for i, v := range versions {
-		out = append(out, traffic.Endpoint{ID: traffic.EndpointID{Name: fmt.Sprint(v, i)}, Service: testService, SoftwareVersion: v})
+	for _, v := range versions {
+		out = append(out, traffic.Endpoint{ID: traffic.EndpointID{Name: v}, Service: testService, SoftwareVersion: v})
 	}
 	return out
 }
@@ -60,6 +62,9 @@
 		Clock: &f.clock, Log: zap.NewNop(), Metrics: metrics.NewSet(), Reload: func(ctx context.Context) { vm.keeper.Reload(ctx) },
 		Share: func(list []Record) { f.share(vm, list) },
 		Ask:   func(_ context.Context, k Key) (traffic.StreamOrigin, bool) { return f.ask(vm, k) },
+		Evidence: func(e traffic.Endpoint, _ time.Time) backend.LifetimeEvidence {
+			return &storeEvidence{fleet: f, version: e.SoftwareVersion}
+		},
 	})
 	vm.keeper = f.streams.keeper(f, i, vm.Controller)
 	for _, other := range f.vms {
@@ -128,16 +133,34 @@
 	return call
 }
 
-// beginAgain begins a stream at an engine that the table of a VM shows with a version, and which may be back under its id with another
-// one since.
-func (f *fleet) beginAgain(vm *fleetVM, shown, truly string) (call string) {
+// storeEvidence is that of a VM that reads the store on request: it finds an engine for as long as it is not back under its id.
+type storeEvidence struct {
+	fleet   *fleet
+	version string
+	outcome backend.LifetimeOutcome
+}
+
+func (e *storeEvidence) Look() backend.LifetimeOutcome {
+	return cmp.Or(e.outcome, backend.LifetimeOpen)
+}
+
+func (e *storeEvidence) Seek() {
+	e.outcome = backend.LifetimeGone
+	if slices.Contains(e.fleet.listed, e.version) {
+		e.outcome = backend.LifetimeListed
+	}
+}
+
+// beginOver begins a stream over a new connection to an engine in the table of a VM. It is truly at another version if the engine is
+// back under its id since.
+func (f *fleet) beginOver(vm *fleetVM, shown, since string) (call string) {
+	truly := shown
+	if !slices.Contains(f.listed, shown) {
+		truly = since
+	}
 	call = fmt.Sprint("call", len(f.began))
 	f.began[call] = traffic.StreamOrigin{Service: testService, Version: truly}
-	e := &fakeEvidence{outcome: backend.LifetimeListed}
-	if shown != truly {
-		e.outcome = backend.LifetimeGone
-	}
-	vm.beganOpen(NewKey("w", call), traffic.StreamOrigin{Service: testService, Version: shown}, 10*time.Second, e, zap.NewNop())
+	vm.beganOpen(NewKey("w", call), endpointsOf([]string{shown})[0], 10*time.Second, &storeEvidence{fleet: f, version: shown}, zap.NewNop())
 	return call
 }
 
@@ -190,10 +213,10 @@
 				calls = append(calls, f.begin(vm, rapid.SampledFrom(vm.listed).Draw(t, "version")))
 				endedAt = append(endedAt, f.clock.now)
 			},
-			"begin at an engine that may be back": func(t *rapid.T) {
+			"begin over a new connection": func(t *rapid.T) {
 				_, vm := vmAt(t)
-				shown, truly := rapid.SampledFrom(vm.listed).Draw(t, "shown"), rapid.SampledFrom(f.listed).Draw(t, "version")
-				calls = append(calls, f.beginAgain(vm, shown, truly))
+				shown, since := rapid.SampledFrom(vm.listed).Draw(t, "shown"), rapid.SampledFrom(f.listed).Draw(t, "since")
+				calls = append(calls, f.beginOver(vm, shown, since))
 				endedAt = append(endedAt, f.clock.now)
 			},
 			"look for evidence": func(t *rapid.T) {
--- a/internal/origin/open.go
+++ b/internal/origin/open.go
@@ -18,7 +18,10 @@
 // service are listed or were within the last minute, and for as long as the record lives if only another one is left. c.mu
 // must be held as long as the function is used.
 func (c *Controller) neededAt(now clock.Instant) func(traffic.StreamOrigin) bool {
-	return func(o traffic.StreamOrigin) bool { return c.versions.hasOther(now, o) }
+	return func(told traffic.StreamOrigin) bool {
+		o, _, _ := parseOrigin(told)
+		return c.versions.hasOther(now, o)
+	}
 }
 
 // ReceiveSnapshot receives the open streams of a VM, for which this one is the recorder.
--- /dev/null
+++ b/internal/origin/openrecord.go
@@ -0,0 +1,34 @@
+package origin
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// openMark begins the version of an unsettled record in snapshots and in the store, and separates its parts. The build before takes it for
+// a version that no endpoint has, and refuses the stream.
+const openMark = "\x01"
+
+// openOriginOf returns the origin of an unsettled record as it is told and stored: its version names the endpoint whose lifetime is
+// not known as well.
+func openOriginOf(o traffic.StreamOrigin, id traffic.EndpointID) traffic.StreamOrigin {
+	o.Version = openMark + strconv.FormatInt(id.StartedAt, 10) + openMark + id.Name + openMark + o.Version
+	return o
+}
+
+// parseOrigin returns the origin of a record that was told or stored. open is set if it is unsettled, id is the endpoint then.
+func parseOrigin(told traffic.StreamOrigin) (o traffic.StreamOrigin, id traffic.EndpointID, open bool) {
+	raw, marked := strings.CutPrefix(told.Version, openMark)
+	parts := strings.SplitN(raw, openMark, 3)
+	if !marked || len(parts) < 3 {
+		return told, id, false
+	}
+	born, err := strconv.ParseInt(parts[0], 10, 64)
+	if err != nil {
+		return told, id, false
+	}
+	told.Version = parts[2]
+	return told, traffic.EndpointID{Name: parts[1], StartedAt: born}, true
+}
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -61,9 +61,21 @@
 	// stored is set if this VM has the record from the store.
 	stored bool
 	// unsettled is set while it is not known whether the stream began at origin, or if that cannot be known any more. Then it does
-	// not continue. open is the evidence that this VM awaits, nil if it awaits none.
+	// not continue. open is the evidence that this VM awaits, nil if it awaits none. endpoint is the entry that origin is of, empty
+	// if this VM was not told it.
 	unsettled bool
 	open      *openOrigin
+	endpoint  traffic.EndpointID
+	// toldAt is when this VM was told of an unsettled record.
+	toldAt time.Time
+}
+
+// told returns the origin as it is told to the recorder. ok is false if nothing can be told.
+func (e *entry) told() (o traffic.StreamOrigin, ok bool) {
+	if !e.unsettled {
+		return e.origin, true
+	}
+	return openOriginOf(e.origin, e.endpoint), e.open != nil
 }
 
 // records holds the records that this VM knows. It does no I/O.
@@ -79,13 +91,14 @@
 func (r *records) add(now clock.Instant, rec Record, own bool) bool {
 	r.sweep(now)
 	e, known := r.entries[rec.Key]
-	if !known {
-		if len(r.entries) >= maxRecords {
-			return false
-		}
+	if !known && len(r.entries) >= maxRecords {
+		return false
 	}
-	if !known || e.unsettled {
-		e.origin, e.unsettled, e.open = rec.Origin, false, nil
+	if o, id, open := parseOrigin(rec.Origin); !known || e.unsettled && !open || e.unsettled && e.endpoint.Name == "" {
+		e.origin, e.endpoint, e.unsettled, e.open = o, id, open, nil
+		if open {
+			e.toldAt = time.Now()
+		}
 	}
 	if own && !e.own {
 		e.own = true
@@ -111,12 +124,12 @@
 }
 
 // addUnsettled stores that the origin of a stream is not settled, unless it is known, and reports whether it is stored.
-func (r *records) addUnsettled(now clock.Instant, rec Record, open *openOrigin) bool {
+func (r *records) addUnsettled(now clock.Instant, rec Record, id traffic.EndpointID, open *openOrigin) bool {
 	if _, known := r.entries[rec.Key]; known || !r.add(now, rec, open != nil) {
 		return false
 	}
 	e := r.entries[rec.Key]
-	e.unsettled, e.open = true, open
+	e.unsettled, e.open, e.endpoint = true, open, id
 	r.entries[rec.Key] = e
 	return true
 }
@@ -131,12 +144,14 @@
 	delete(r.own, k)
 }
 
-// listOwn returns the settled records of streams of this VM whose origin matches.
+// listOwn returns the records of streams of this VM whose origin matches.
 func (r *records) listOwn(now clock.Instant, match func(traffic.StreamOrigin) bool) []Record {
 	var out []Record
 	for k := range r.own {
-		if e, ok := r.find(now, k); ok && !e.unsettled && match(e.origin) {
-			out = append(out, Record{Key: k, Origin: e.origin, Left: e.until.Sub(now)})
+		e, ok := r.find(now, k)
+		o, mayTell := e.told()
+		if ok && mayTell && match(e.origin) {
+			out = append(out, Record{Key: k, Origin: o, Left: e.until.Sub(now)})
 		}
 	}
 	return out
--- a/internal/origin/recorder.go
+++ b/internal/origin/recorder.go
@@ -101,8 +101,8 @@
 			continue
 		}
 		for k, held := range s.records {
-			if left := held.until.Sub(now); left > max(0, all[k].Left) && needed(held.origin) {
-				all[k] = Record{Key: k, Origin: held.origin, Left: left}
+			if left := held.until.Sub(now); left > 0 && needed(held.origin) {
+				all[k] = preferred(all[k], Record{Key: k, Origin: held.origin, Left: left})
 			}
 		}
 	}
@@ -114,6 +114,16 @@
 	return list[:n], len(list) - n
 }
 
+// preferred returns which of two records of a stream is stored: a settled one, or else the one that is needed longer.
+func preferred(a, b Record) Record {
+	_, _, aOpen := parseOrigin(a.Origin)
+	_, _, bOpen := parseOrigin(b.Origin)
+	if a.Left > 0 && (bOpen && !aOpen || aOpen == bOpen && a.Left >= b.Left) {
+		return a
+	}
+	return b
+}
+
 // MaxStored returns how many of the first records can be stored.
 func MaxStored(list []Record) int {
 	origins, size := map[traffic.StreamOrigin]bool{}, 0
--- a/internal/origin/unsettled.go
+++ b/internal/origin/unsettled.go
@@ -12,14 +12,14 @@
 )
 
 // The version of a new stream is that of its endpoint's entry, once it is known that the endpoint had not started again under its id.
-// Until then the record is unsettled: it is neither told to other VMs nor stored, and the stream does not continue, also not at the only
-// version.
+// Until then the record is unsettled, and the stream does not continue, also not at the only version. The recorder stores it with the
+// endpoint: a VM that knows it from there can find the evidence itself, as it was told after the stream began.
 const (
 	// openPoll is the time between two looks at the evidence for a record.
 	openPoll = 50 * time.Millisecond
-	// openSeekAge is the age of a record from which on evidence is sought although the service has one version: most streams have ended
-	// by then, and a later read may not list an endpoint that has ended meanwhile.
-	openSeekAge = 2 * time.Second
+	// openSeekAge is the age of a record from which on evidence is sought although nobody waits for it: many streams have ended by
+	// then, and a later read may not list an endpoint that has ended meanwhile. It is sought at once if the endpoint is leaving.
+	openSeekAge = time.Second
 	// maxOpenWait bounds the wait for evidence when a stream is resumed.
 	maxOpenWait = time.Second
 )
@@ -33,20 +33,26 @@
 
 // BeganOpen is as Began, for a stream of which it is not known yet whether it began at the lifetime of its endpoint that the entry
 // describes. log names the request.
-func (c *Controller) BeganOpen(k Key, o traffic.StreamOrigin, left time.Duration, evidence backend.LifetimeEvidence, log *zap.Logger) {
-	if c.beganOpen(k, o, left, evidence, log) {
+func (c *Controller) BeganOpen(k Key, e traffic.Endpoint, left time.Duration, evidence backend.LifetimeEvidence, log *zap.Logger) {
+	if c.beganOpen(k, e, left, evidence, log) {
 		go c.settle(k)
 	}
 }
 
-func (c *Controller) beganOpen(k Key, o traffic.StreamOrigin, left time.Duration, evidence backend.LifetimeEvidence, log *zap.Logger) bool {
+func (c *Controller) beganOpen(k Key, e traffic.Endpoint, left time.Duration, evidence backend.LifetimeEvidence, log *zap.Logger) bool {
 	if k == 0 {
 		return false
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	now := c.opts.Clock.Now()
-	return c.records.addUnsettled(now, Record{Key: k, Origin: o, Left: left + resumeWindow}, &openOrigin{evidence: evidence, log: log, began: now})
+	rec := Record{Key: k, Origin: e.Origin(), Left: left + resumeWindow}
+	added := c.records.addUnsettled(now, rec, e.ID, &openOrigin{evidence: evidence, log: log, began: now})
+	told := added && c.versions.hasOther(now, rec.Origin)
+	c.mu.Unlock()
+	if told {
+		c.opts.OnOpen()
+	}
+	return added
 }
 
 // settle awaits the evidence for a record until there is some, or the record is not needed any more.
@@ -56,18 +62,21 @@
 	}
 }
 
-// look reports whether a record still awaits evidence. It seeks evidence if the record is wanted now, or will be.
+// look reports whether a record still awaits evidence. It seeks evidence if the record is wanted now, or is old.
 func (c *Controller) look(k Key, wanted bool) bool {
 	c.mu.Lock()
 	now := c.opts.Clock.Now()
+	if wanted {
+		c.awaitToldRecord(now, k)
+	}
 	e, known := c.records.find(now, k)
-	seek := known && (wanted || c.versions.hasOther(now, e.origin) || e.open != nil && now.Sub(e.open.began) >= openSeekAge)
+	wanted = wanted || c.leaving[e.endpoint]
 	c.mu.Unlock()
 	if !known || e.open == nil {
 		return false
 	}
 	outcome := e.open.evidence.Look()
-	if outcome == backend.LifetimeOpen && seek {
+	if outcome == backend.LifetimeOpen && (wanted || now.Sub(e.open.began) >= openSeekAge) {
 		e.open.evidence.Seek()
 		outcome = e.open.evidence.Look()
 	}
@@ -78,6 +87,21 @@
 	return false
 }
 
+// awaitToldRecord makes an unsettled record that this VM was told await evidence, if its endpoint is listed. c.mu must be held.
+func (c *Controller) awaitToldRecord(now clock.Instant, k Key) {
+	e, known := c.records.find(now, k)
+	if !known || !e.unsettled || e.own || e.open != nil || c.opts.Evidence == nil {
+		return
+	}
+	for _, listed := range c.endpoints {
+		if listed.ID == e.endpoint && listed.Origin() == e.origin {
+			e.open = &openOrigin{evidence: c.opts.Evidence(listed, e.toldAt), log: c.opts.Log, began: now}
+			c.records.entries[k] = e
+			return
+		}
+	}
+}
+
 // record records the evidence for a record.
 func (c *Controller) record(k Key, open *openOrigin, outcome backend.LifetimeOutcome) {
 	c.mu.Lock()
@@ -91,7 +115,7 @@
 	c.records.entries[k] = e
 	_, sole := c.versions.sole(now, e.origin.Service)
 	c.mu.Unlock()
-	if outcome.Confirmed() && !sole {
+	if outcome.Confirmed() && e.own && !sole {
 		c.tell(Record{Key: k, Origin: e.origin, Left: e.until.Sub(now)})
 	}
 	c.opts.Metrics.GetOrCreateCounter(`fulmartide_new_stream_lifetimes_total{outcome="` + string(outcome) + `"}`).Inc()
@@ -119,5 +143,16 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.records.addUnsettled(c.opts.Clock.Now(), Record{Key: k, Left: resumeWindow}, nil)
+	c.records.addUnsettled(c.opts.Clock.Now(), Record{Key: k, Left: resumeWindow}, traffic.EndpointID{}, nil)
+}
+
+// leavingOf returns the endpoints that are leaving.
+func leavingOf(endpoints []traffic.Endpoint) map[traffic.EndpointID]bool {
+	out := map[traffic.EndpointID]bool{}
+	for i := range endpoints {
+		if endpoints[i].Leaving {
+			out[endpoints[i].ID] = true
+		}
+	}
+	return out
 }
--- a/internal/origin/unsettled_test.go
+++ b/internal/origin/unsettled_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+	"pgregory.net/rapid"
 
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/clock"
@@ -53,10 +54,15 @@
 				Clock: clock.NewMonotonic(), Log: zap.NewNop(), Metrics: metrics.NewSet(), FirstStart: true, Share: func(list []Record) { told = append(told, list...) },
 			})
 			c.SetEndpoints(endpointsOf(tc.listed))
-			c.beganOpen(k, v1, time.Minute, &fakeEvidence{outcome: tc.outcome}, zap.NewNop())
-			if _, known := c.Lookup(k); known || len(told) > 0 || len(c.openStreams()) > 0 || len(c.State().Records) > 0 {
+			c.beganOpen(k, endpointsOf([]string{"v1"})[0], time.Minute, &fakeEvidence{outcome: tc.outcome}, zap.NewNop())
+			if _, known := c.Lookup(k); known || len(told) > 0 || len(c.State().Records) > 0 {
 				t.Error("an unsettled record is told to others")
 			}
+			for _, rec := range c.openStreams() {
+				if _, _, open := parseOrigin(rec.Origin); !open {
+					t.Errorf("an unsettled record is stored as one of %v", rec.Origin)
+				}
+			}
 			o, source := c.Find(t.Context(), k, testService, 100*time.Millisecond)
 			if source != tc.source || source != Unknown && o != v1 {
 				t.Errorf("origin %v from %s, want from %s", o, source, tc.source)
@@ -103,14 +109,17 @@
 // against reads of the store for streams that end soon and need none.
 func TestRecordsAreSettledWithoutACaller(t *testing.T) {
 	for _, tc := range []struct {
-		name   string
-		listed []string
-		age    time.Duration
-		sought bool
+		name    string
+		listed  []string
+		age     time.Duration
+		leaving bool
+		sought  bool
 	}{
-		{"several versions", []string{"v1", "v2"}, 0, true},
-		{"one version, short stream", []string{"v1"}, openSeekAge / 2, false},
-		{"one version, long stream", []string{"v1"}, openSeekAge, true},
+		{"several versions, short stream", []string{"v1", "v2"}, openSeekAge / 2, false, false},
+		{"several versions, long stream", []string{"v1", "v2"}, openSeekAge, false, true},
+		{"one version, short stream", []string{"v1"}, openSeekAge / 2, false, false},
+		{"one version, long stream", []string{"v1"}, openSeekAge, false, true},
+		{"engine that leaves", []string{"v1"}, 0, true, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			now := &manualClock{clock.Instant(time.Hour)}
@@ -118,11 +127,81 @@
 			c.SetEndpoints(endpointsOf(tc.listed))
 			e := &fakeEvidence{outcome: backend.LifetimeListed}
 			k := NewKey("w", "call")
-			c.beganOpen(k, traffic.StreamOrigin{Service: testService, Version: "v1"}, time.Minute, e, zap.NewNop())
+			c.beganOpen(k, endpointsOf([]string{"v1"})[0], time.Minute, e, zap.NewNop())
 			now.now = now.now.Add(tc.age)
+			listed := endpointsOf(tc.listed)
+			listed[0].Leaving = tc.leaving
+			c.SetEndpoints(listed)
 			if open := c.look(k, false); open == tc.sought || e.sought.Load() != tc.sought {
 				t.Errorf("open %v, evidence sought %v", open, e.sought.Load())
 			}
 		})
 	}
 }
+
+// TestStoredUnsettledRecordIsSettledByItsReader guards against streams that go on at the version of a stored record although its
+// endpoint may have started again, and against refusing all those that began shortly before their VM ended.
+func TestStoredUnsettledRecordIsSettledByItsReader(t *testing.T) {
+	v1 := traffic.StreamOrigin{Service: testService, Version: "v1"}
+	engine := endpointsOf([]string{"v1"})[0]
+	for _, tc := range []struct {
+		name    string
+		id      traffic.EndpointID
+		outcome backend.LifetimeOutcome
+		source  Source
+	}{
+		{"listed since", engine.ID, backend.LifetimeListed, FromRecord},
+		{"gone since", engine.ID, backend.LifetimeGone, Unknown},
+		{"not found in time", engine.ID, backend.LifetimeOpen, Unknown},
+		{"back under its id", traffic.EndpointID{Name: "v1", StartedAt: 1}, backend.LifetimeListed, Unknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			before := time.Now()
+			c := NewController(Options{
+				Clock: clock.NewMonotonic(), Log: zap.NewNop(), Metrics: metrics.NewSet(), FirstStart: true,
+				Evidence: func(e traffic.Endpoint, opened time.Time) backend.LifetimeEvidence {
+					if opened.Before(before) || e.ID != engine.ID {
+						t.Errorf("evidence of %v as of %v", e.ID, opened)
+					}
+					return &fakeEvidence{outcome: tc.outcome}
+				},
+			})
+			c.SetEndpoints(endpointsOf([]string{"v1", "v2"}))
+			k := NewKey("w", "call")
+			c.addStored([]Record{{Key: k, Origin: openOriginOf(v1, tc.id), Left: time.Minute}})
+			o, source := c.Find(t.Context(), k, testService, 100*time.Millisecond)
+			if (source == Unknown) != (tc.source == Unknown) || source != Unknown && o != v1 {
+				t.Errorf("origin %v from %s", o, source)
+			}
+		})
+	}
+}
+
+// TestOpenOrigins guards against unsettled records that are read as settled ones, and the other way round.
+func TestOpenOrigins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.StringMatching(`[ -~]{0,12}`)
+		o := traffic.StreamOrigin{Service: names.Draw(t, "service"), Version: names.Draw(t, "version")}
+		id := traffic.EndpointID{Name: names.Draw(t, "name"), StartedAt: rapid.Int64().Draw(t, "born")}
+		if got, _, open := parseOrigin(o); open || got != o {
+			t.Errorf("%v is read as %v, open: %v", o, got, open)
+		}
+		if got, gotID, open := parseOrigin(openOriginOf(o, id)); !open || got != o || gotID != id {
+			t.Errorf("%v of %v is read as %v of %v, open: %v", o, id, got, gotID, open)
+		}
+	})
+}
+
+// TestSettledRecordIsStoredBeforeAnUnsettledOne guards against streams that are refused although one VM knows their version.
+func TestSettledRecordIsStoredBeforeAnUnsettledOne(t *testing.T) {
+	o := traffic.StreamOrigin{Service: testService, Version: "v1"}
+	settled, open := Record{Key: 1, Origin: o, Left: time.Second}, Record{Key: 1, Origin: openOriginOf(o, traffic.EndpointID{Name: "e"}), Left: time.Minute}
+	longer := Record{Key: 1, Origin: o, Left: 2 * time.Second}
+	for _, tc := range []struct{ a, b, want Record }{
+		{settled, open, settled}, {open, settled, settled}, {settled, longer, longer}, {longer, settled, longer}, {Record{}, open, open},
+	} {
+		if got := preferred(tc.a, tc.b); got != tc.want {
+			t.Errorf("%v and %v: %v", tc.a, tc.b, got)
+		}
+	}
+}
--- a/internal/vmserver/platform.go
+++ b/internal/vmserver/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/fulmartide/fulmartide/internal/activeconfig"
 	"github.com/fulmartide/fulmartide/internal/admission"
@@ -41,6 +42,9 @@
 	SetForwarder func(*forward.Client)
 	// SendForwarded sends a request of another VM to an endpoint over a connection of this one.
 	SendForwarded func(context.Context, traffic.Endpoint, *connpool.Request) (*connpool.Response, error)
+	// LifetimeEvidence returns evidence of whether connections to an endpoint that were open at a time lead to the lifetime of its entry. It
+	// may be nil.
+	LifetimeEvidence func(e traffic.Endpoint, opened time.Time) backend.LifetimeEvidence
 	// SweepIdleConnections closes idle connections to endpoints until ctx ends.
 	SweepIdleConnections func(ctx context.Context)
 	// Decode parses a configuration as operators write it.
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -164,6 +164,7 @@
 		Ask: func(ctx context.Context, k origin.Key) (traffic.StreamOrigin, bool) {
 			return p.stateSync.AskOrigin(ctx, k)
 		},
+		Evidence:   p.platform.LifetimeEvidence,
 		Reread:     func(ctx context.Context) bool { return p.State.Reread(ctx) },
 		OnVersions: func() { p.versionKeeper.Changed() },
 		OnOpen:     func() { p.streamKeeper.Changed() },
