--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -82,6 +82,8 @@
 	Rejected bool
 	// Load is nil if the endpoint does not report its load.
 	Load *Load
+	// Lifetime is nil if the response is known to come from the lifetime of the endpoint's entry.
+	Lifetime LifetimeEvidence
 }
 
 // EndEvidence returns what was found out about the endpoint at the end of a body, empty if nothing was asked.
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -60,6 +60,22 @@
 	own bool
 	// stored is set if this VM has the record from the store.
 	stored bool
+	// unsettled is set while it is not known whether the stream began at origin, or if that cannot be known any more. Then it does
+	// not continue. open is the evidence that this VM awaits, nil if it awaits none. endpoint is the entry that origin is of, empty
+	// if this VM was not told it.
+	unsettled bool
+	open      *openOrigin
+	endpoint  traffic.EndpointID
+	// toldAt is when this VM was told of an unsettled record.
+	toldAt time.Time
+}
+
+// told returns the origin as it is told to the recorder. ok is false if nothing can be told.
+func (e *entry) told() (o traffic.StreamOrigin, ok bool) {
+	if !e.unsettled {
+		return e.origin, true
+	}
+	return openOriginOf(e.origin, e.endpoint), e.open != nil
 }
 
 // records holds the records that this VM knows. It does no I/O.
@@ -71,15 +87,18 @@
 }
 
 // add stores a record and reports whether there was room for it. A stream has one origin, so a record of it is not
-// replaced; it only may be needed longer.
+// replaced unless it is unsettled; it only may be needed longer.
 func (r *records) add(now clock.Instant, rec Record, own bool) bool {
 	r.sweep(now)
 	e, known := r.entries[rec.Key]
-	if !known {
-		if len(r.entries) >= maxRecords {
-			return false
+	if !known && len(r.entries) >= maxRecords {
+		return false
+	}
+	if o, id, open := parseOrigin(rec.Origin); !known || e.unsettled && !open || e.unsettled && e.endpoint.Name == "" {
+		e.origin, e.endpoint, e.unsettled, e.open = o, id, open, nil
+		if open {
+			e.toldAt = time.Now()
 		}
-		e.origin = rec.Origin
 	}
 	if own && !e.own {
 		e.own = true
@@ -104,6 +123,17 @@
 	return ok
 }
 
+// addUnsettled stores that the origin of a stream is not settled, unless it is known, and reports whether it is stored.
+func (r *records) addUnsettled(now clock.Instant, rec Record, id traffic.EndpointID, open *openOrigin) bool {
+	if _, known := r.entries[rec.Key]; known || !r.add(now, rec, open != nil) {
+		return false
+	}
+	e := r.entries[rec.Key]
+	e.unsettled, e.open, e.endpoint = true, open, id
+	r.entries[rec.Key] = e
+	return true
+}
+
 func (r *records) find(now clock.Instant, k Key) (e entry, ok bool) {
 	e, ok = r.entries[k]
 	return e, ok && now.Before(e.until)
@@ -118,18 +148,20 @@
 func (r *records) listOwn(now clock.Instant, match func(traffic.StreamOrigin) bool) []Record {
 	var out []Record
 	for k := range r.own {
-		if e, ok := r.find(now, k); ok && match(e.origin) {
-			out = append(out, Record{Key: k, Origin: e.origin, Left: e.until.Sub(now)})
+		e, ok := r.find(now, k)
+		o, mayTell := e.told()
+		if ok && mayTell && match(e.origin) {
+			out = append(out, Record{Key: k, Origin: o, Left: e.until.Sub(now)})
 		}
 	}
 	return out
 }
 
-// list returns the records that match.
+// list returns the settled records that match.
 func (r *records) list(now clock.Instant, match func(entry) bool) []Record {
 	var out []Record
 	for k, e := range r.entries {
-		if now.Before(e.until) && match(e) {
+		if now.Before(e.until) && !e.unsettled && match(e) {
 			out = append(out, Record{Key: k, Origin: e.origin, Left: e.until.Sub(now)})
 		}
 	}
