callerconn: a cut response to HTTP/1.0 ends with a reset

A caller of HTTP/1.0 took a stream that was cut off for a complete one: its response has neither a length nor chunks and ends with its connection, which net/http closes in order when the handler aborts, as the kernel does when the process is killed. Streams of callers of HTTP/1.1 have chunks and end without the last one.

The connection of such a request now has a linger time of 0 until its handler has returned, so that closing it, also by the end of the process, resets it.

--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -156,7 +156,14 @@
 				zap.Duration("handler_started_after_close", began.Sub(closed.at)), zap.Duration("handler_ran", time.Since(began)))
 		}
 	}()
+	whole := c.resetUnlessWhole(r)
+	defer func() {
+		if !w.began { // the answer to a panic follows
+			whole()
+		}
+	}()
 	next.ServeHTTP(w, r)
+	whole()
 }
 
 func (s *Server) track(nc net.Conn) *conn {
