callerconn: a response that is cut off resets the connection of a caller with HTTP/1.0

What callers saw: a caller with HTTP/1.0 gets responses of unknown length without chunks, so a cut one ended in order, as a complete one does.

Cause: net/http closes the connection of an aborted handler in order; only with chunks or a length does that show.

Evidence: TestResponseThatIsCutDoesNotLookComplete read the cut response without an error before this change.

Why this works: the linger time of such a connection is set to 0 before net/http closes it, which resets it.

--- a/internal/callerconn/panic.go
+++ b/internal/callerconn/panic.go
@@ -53,12 +53,14 @@
 		return
 	}
 	if cause == http.ErrAbortHandler {
+		markAborted(r)
 		panic(cause)
 	}
 	s.panics.Inc()
 	s.opts.Log.Error("call panicked", zap.String("request", s.opts.RequestID(r.Header)), zap.Bool("started", w.began),
 		zap.String("panic", fmt.Sprint(cause)), zap.ByteString("stack", debug.Stack()))
 	if w.began {
+		markAborted(r)
 		panic(http.ErrAbortHandler)
 	}
 	h := w.Header()
