--- a/test/faultproxy/proxy.go
+++ b/test/faultproxy/proxy.go
@@ -80,11 +80,12 @@
 // Shut closes the listener and the existing connections, as the end of a process does. New connections are refused
 // until Reopen.
 func (p *Proxy) Shut() {
-	p.closeListener()
+	p.CloseListener()
 	p.CloseConnections()
 }
 
-func (p *Proxy) closeListener() {
+// CloseListener makes new connections be refused until Reopen.
+func (p *Proxy) CloseListener() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.listener.Close()
@@ -161,7 +162,7 @@
 // Close stops the proxy and closes all its connections.
 func (p *Proxy) Close() {
 	p.stop()
-	p.closeListener()
+	p.CloseListener()
 	p.CloseConnections()
 	p.done.Wait()
 }
