dispatch: events that do not follow the last one are not passed on

What callers saw: events twice, left out or joined from another run (rule ORDER), if an engine that is to continue a stream after Last-Event-Id begins anew or goes on elsewhere.

Cause: what follows a continuation was passed on whatever its numbers are.

Why this works: within one response an event whose numeric id is at or below the last delivered one, also the one that the caller named, ends the attempt as a fault of the engine, and so does a continuation that does not begin with the next id while the two or more ids before were consecutive. Ids are otherwise only known to increase, as an event may contain several tokens, so gaps within a run are not judged, and ids that are no numbers are not checked. Another engine continues the stream if the route allows it.

Two fakes of tests sent ids that the protocol rules out, and now keep to it: serveVersions' engine began with id 1 after Last-Event-Id 1, and timedBody sent ids 1 to 3 a hundred times, where the caller now must get ids 1 to 300 once each.

--- a/internal/dispatch/readahead_test.go
+++ b/internal/dispatch/readahead_test.go
@@ -44,11 +44,12 @@
 }
 
 // timedBody is a body that arrives in pieces, 20 ms apart, and notes when it was read to its end. Its connection breaks if
-// the request is cancelled or nothing is read for 5 s.
+// the request is cancelled or nothing is read for 5 s. A piece is three events of a stream if piece is empty.
 type timedBody struct {
 	ctx      context.Context
 	pieces   int
 	piece    string
+	events   int
 	lastRead time.Time
 	ended    time.Time
 	cutOff   bool
@@ -73,7 +74,11 @@
 	case <-b.ctx.Done():
 		return 0, context.Cause(b.ctx)
 	case <-time.After(20 * time.Millisecond):
-		return copy(p, b.piece), nil
+		if b.piece != "" {
+			return copy(p, b.piece), nil
+		}
+		b.events += 3
+		return copy(p, events(b.events-2, b.events)), nil
 	}
 }
 
@@ -124,11 +129,11 @@
 func TestResponseToSlowCallerIsReadInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const pieces = 100
-		body := &timedBody{pieces: pieces, piece: events(1, 3)}
+		body := &timedBody{pieces: pieces}
 		sink := &slowSink{pause: 6 * time.Second, aborted: make(chan struct{})}
 		begin := time.Now()
 		_, err := serveSlow(t, streamPath, body, sink)
-		if err != nil || sink.body.String() != strings.Repeat(events(1, 3), pieces) {
+		if err != nil || sink.body.String() != events(1, 3*pieces) {
 			t.Errorf("error %v, %d bytes", err, sink.body.Len())
 		}
 		if took := body.ended.Sub(begin); body.cutOff || took > 3*time.Second {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 
+	"go.uber.org/zap"
+
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/fault"
@@ -19,6 +21,8 @@
 	// Last-Event-Id.
 	lastID string
 	events int
+	// order is the order of the events that the caller has received.
+	order eventOrder
 	// eventsBefore is the number of events before the latest response.
 	eventsBefore int
 	// startRecorded is set once the latest response is known to have got past its beginning.
@@ -30,7 +34,7 @@
 }
 
 func newEventStream(f *inflightCall) *eventStream {
-	return &eventStream{inflight: f, lastID: f.call.LastEventID}
+	return &eventStream{inflight: f, lastID: f.call.LastEventID, order: newEventOrder(f.call.LastEventID)}
 }
 
 const (
@@ -49,6 +53,7 @@
 // beginResponse prepares for the next response.
 func (s *eventStream) beginResponse() {
 	s.eventsBefore, s.trailing, s.startRecorded, s.begunAt, s.readBy = s.events, 0, false, 0, 0
+	s.order.beginResponse()
 }
 
 // forward reads a response to its end from body and delivers each event as it arrives. The header is sent with the
@@ -61,12 +66,10 @@
 		n, err := body.Read(buf)
 		if n > 0 {
 			unfinished := received.write(buf[:n])
-			if events := received.events(); len(events) > 0 {
-				if writeErr := s.write(reply, body, events); writeErr != nil {
-					return writeErr
-				}
-				received.discardEvents()
+			if err := s.deliver(reply, body, received.events()); err != nil {
+				return err
 			}
+			received.discardEvents()
 			if unfinished > maxEventBytes {
 				return &backend.SendError{Sent: true, Err: errEventTooLarge}
 			}
@@ -81,6 +84,26 @@
 	}
 }
 
+// deliver delivers complete events as far as they are in order.
+func (s *eventStream) deliver(reply *backend.Response, body *readAhead, events []byte) error {
+	inOrder, orderErr := events, error(nil)
+	if reply.EventStream {
+		inOrder, orderErr = s.order.accept(events)
+	}
+	if len(inOrder) > 0 {
+		if err := s.write(reply, body, inOrder); err != nil {
+			return err
+		}
+	}
+	if orderErr == nil {
+		return nil
+	}
+	s.inflight.log.Warn("events out of order", zap.String("endpoint", s.inflight.sentTo.ID.Name), zap.String("last", s.lastID), zap.Int("events", s.events),
+		zap.Int("events_before", s.eventsBefore), zap.Error(orderErr))
+	s.inflight.dispatcher.opts.Metrics.GetOrCreateCounter(`fulmartide_event_order_faults_total`).Inc()
+	return &backend.SendError{Sent: true, Err: orderErr}
+}
+
 // readError returns the error of an attempt whose response could not be read.
 func readError(err error) error {
 	if isFinal(err) {
--- a/internal/dispatch/version_test.go
+++ b/internal/dispatch/version_test.go
@@ -76,8 +76,11 @@
 // serveVersions serves a resumable stream among endpoints, to whose entries change may be made, and returns what the
 // backend received. The call is one that resumes a stream if o is set.
 func serveVersions(t *testing.T, seed uint64, endpoints traffic.Endpoints, o *traffic.StreamOrigin) (f *fakeBackend, took time.Duration, err error) {
-	f = &fakeBackend{run: func(int, context.Context, backend.Request) (*backend.Response, error) {
+	f = &fakeBackend{run: func(_ int, _ context.Context, req backend.Request) (*backend.Response, error) {
 		r := reply(200, events(1, 3))
+		if req.LastEventID == "1" {
+			r = reply(200, events(2, 3))
+		}
 		r.EventStream, r.Delimited = true, true
 		return r, nil
 	}}
