--- a/test/faultproxy/proxy.go
+++ b/test/faultproxy/proxy.go
@@ -50,6 +50,8 @@
 	delay       time.Duration
 	modeChanged chan struct{}
 	links       map[*link]struct{}
+	// refuses returns whether new connections of a client are reset, nil if none are.
+	refuses func(client net.Addr) bool
 }
 
 // link is a client connection with its connection to the target.
@@ -118,6 +120,13 @@
 	p.modeChanged = make(chan struct{})
 }
 
+// RefuseClients makes the proxy reset the new connections of some clients.
+func (p *Proxy) RefuseClients(refuses func(client net.Addr) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refuses = refuses
+}
+
 // SetDelay delays each direction by d.
 func (p *Proxy) SetDelay(d time.Duration) {
 	p.mu.Lock()
@@ -181,9 +190,9 @@
 	defer p.done.Done()
 	defer client.Close()
 	p.mu.Lock()
-	mode, addr := p.mode, p.target
+	mode, addr, refuses := p.mode, p.target, p.refuses
 	p.mu.Unlock()
-	if mode == Refuse {
+	if mode == Refuse || refuses != nil && refuses(client.RemoteAddr()) {
 		_ = client.(*net.TCPConn).SetLinger(0)
 		return
 	}
