dispatch: a stream stays at its engine after a pause of its VM

After a pause of a VM of longer than the time after which a stream without progress goes on elsewhere (1.5 s and its route's pause), streams went on at another engine although their engines had written all the time: the stall timer fires as soon as the process runs again, often before the events that lie unread in the socket are read. Nothing was lost or came twice, as the bytes of an ended attempt are dropped and the next one goes on after the last event that was delivered; but sound runs were ended, their prompts read again, retries spent and the engines counted as silent to other calls.

A silence timer that fires over 0.1 s late was held up with its process. It now fires once more 0.1 s later, in which what has arrived is read; a stream that made progress is not silent then.

--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -13,6 +13,10 @@
 // successorPeriod is the time between two searches for a successor while an endpoint stays silent.
 const successorPeriod = 100 * time.Millisecond
 
+// maxTimerDelay is how late a timer of this process may fire. One that is later was held up by a pause of the process, in which the
+// endpoint may have sent what is still unread.
+const maxTimerDelay = successorPeriod
+
 // silenceOptions configure a silenceTimer.
 type silenceOptions struct {
 	// at is where the attempt runs.
@@ -112,6 +116,18 @@
 	t.timer.Reset(d)
 }
 
+// heldUp reports whether the timer fires so late that the process was not running. It then fires again after successorPeriod, in which
+// what has arrived meanwhile is read.
+func (t *silenceTimer) heldUp() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.silentLocked() || time.Since(t.expires) < maxTimerDelay {
+		return false
+	}
+	t.startLocked(successorPeriod)
+	return true
+}
+
 // silent returns how often something was received so far, and whether the attempt is in progress and nothing was received
 // in time.
 func (t *silenceTimer) silent() (received int, silent bool) {
@@ -126,6 +142,9 @@
 
 // expire replaces the attempt, or tries again after successorPeriod.
 func (t *silenceTimer) expire() {
+	if t.heldUp() {
+		return
+	}
 	received, silent := t.silent()
 	if !silent {
 		return
