--- a/internal/origin/unsettled.go
+++ b/internal/origin/unsettled.go
@@ -15,8 +15,11 @@
 // Until then the record is unsettled, and the stream does not continue, also not at the only version. The recorder stores it with the
 // endpoint: a VM that knows it from there can find the evidence itself, as it was told after the stream began.
 const (
-	// openPoll is the time between two looks at the evidence for a record.
-	openPoll = 50 * time.Millisecond
+	// openPoll is the time between two looks at the evidence for a record. It grows by a fraction, whose inverse is openPollGrowth, up to
+	// maxOpenPoll, which is less than the time between two reads of the store.
+	openPoll       = 50 * time.Millisecond
+	openPollGrowth = 16
+	maxOpenPoll    = 500 * time.Millisecond
 	// openSeekAge is the age of a record from which on evidence is sought although nobody waits for it: many streams have ended by
 	// then, and a later read may not list an endpoint that has ended meanwhile. It is sought at once if the endpoint is leaving.
 	openSeekAge = time.Second
@@ -57,8 +60,8 @@
 
 // settle awaits the evidence for a record until there is some, or the record is not needed any more.
 func (c *Controller) settle(k Key) {
-	for c.look(k, false) {
-		time.Sleep(openPoll)
+	for pause := openPoll; c.look(k, false); pause = min(pause+pause/openPollGrowth, maxOpenPoll) {
+		time.Sleep(pause)
 	}
 }
 
