--- a/internal/dispatch/origin.go
+++ b/internal/dispatch/origin.go
@@ -82,6 +82,7 @@
 	f.log.Info("stream begins", zap.String("endpoint", f.sentTo.ID.Name), zap.Int64("born", f.sentTo.ID.StartedAt),
 		zap.String("software", o.Version), zap.Bool("lifetime_known", lifetime == nil))
 	if lifetime == nil {
+		f.dispatcher.opts.Metrics.GetOrCreateCounter(`fulmartide_new_stream_lifetimes_total{outcome="known"}`).Inc()
 		f.dispatcher.opts.Origins.Began(f.streamKey(), o, left)
 		return
 	}
