ending: an engine that ends before its first event counts as crashed

Since the end of a connection is checked, a stream without a length or chunks that ends before its first event fails with ending's error for it instead of errStreamEmpty of the dispatcher. crashed in internal/dispatch/quarantine.go does not know that error, so the quarantine no longer learned of a prompt or request that ends engines between the header and the first event of such a stream. The error now wraps io.ErrUnexpectedEOF, as the one of a process that is known to be gone does.

TestEngineThatEndsBeforeItsFirstEventCountsAsCrashed fails on ("empty: crashed false, want true") and passes with this change.

--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -65,9 +65,9 @@
 
 // Errors of responses whose end is not believed.
 var (
-	// errEnded wraps the error of a response that was cut off, as the process is gone.
+	// errEnded wraps the error of a response that was cut off, as the process is gone, errEmpty as the engine aborted it.
 	errEnded    = fmt.Errorf("the endpoint's process ended with its response: %w", io.ErrUnexpectedEOF)
-	errEmpty    = errors.New("the engine closed the connection before the first event of its stream")
+	errEmpty    = fmt.Errorf("the engine closed the connection before the first event of its stream: %w", io.ErrUnexpectedEOF)
 	errUnproven = errors.New("it is not known whether the endpoint's process lived beyond the end of its response")
 )
 
