ending: a failed report does not show that a response is whole

A response without a length or chunks counted as whole (evidence same_instance) if the question after its end was answered on a new connection with 500, 503 or 429 and no start time. The process that answers so may be the next one under the id, for instance one that is still starting, so that the cut response of a killed engine looked complete. Such an answer now shows nothing unless it names the start time or came on a connection that was open before the request; the endpoint is asked again, up to four times as after no answer. A 404 still counts as an endpoint without reports.

--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -13,6 +13,8 @@
 type Observation struct {
 	// Answered is set if there was an answer, Misdirected if that came from another instance than the expected one.
 	Answered, Misdirected bool
+	// Failed is set if the endpoint refused or failed the question, so that a start time may be missing that it has.
+	Failed bool
 	// SameProcess is set if the answer came on a connection that was open before the request of the response was sent. The process
 	// that answered the request had accepted that connection as well.
 	SameProcess bool
@@ -52,6 +54,8 @@
 		return Replaced
 	case o.SameProcess:
 		return Outlived
+	case o.StartedAt == nil && o.Failed:
+		return Unknown
 	case o.StartedAt == nil:
 		return SameInstance
 	case *o.StartedAt == startedAt:
