--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -13,6 +13,8 @@
 type Observation struct {
 	// Answered is set if there was an answer, Misdirected if that came from another instance than the expected one.
 	Answered, Misdirected bool
+	// Failed is set if the endpoint refused or failed the question, so that a start time may be missing that it has.
+	Failed bool
 	// SameProcess is set if the answer came on a connection that was open before the request of the response was sent. The process
 	// that answered the request had accepted that connection as well.
 	SameProcess bool
@@ -52,6 +54,8 @@
 		return Replaced
 	case o.SameProcess:
 		return Outlived
+	case o.StartedAt == nil && o.Failed:
+		return Unknown
 	case o.StartedAt == nil:
 		return SameInstance
 	case *o.StartedAt == startedAt:
@@ -65,9 +69,9 @@
 
 // Errors of responses whose end is not believed.
 var (
-	// errEnded wraps the error of a response that was cut off, as the process is gone.
+	// errEnded wraps the error of a response that was cut off, as the process is gone, errEmpty as the engine aborted it.
 	errEnded    = fmt.Errorf("the endpoint's process ended with its response: %w", io.ErrUnexpectedEOF)
-	errEmpty    = errors.New("the engine closed the connection before the first event of its stream")
+	errEmpty    = fmt.Errorf("the engine closed the connection before the first event of its stream: %w", io.ErrUnexpectedEOF)
 	errUnproven = errors.New("it is not known whether the endpoint's process lived beyond the end of its response")
 )
 
