--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,12 @@
 # The packages that take longest come first, so that they do not run on their own at the end.
 SLOWEST = ./platform ./test/integration ./internal/limiter
 
+# These tests bound the memory of processes, so they run apart from other load and one at a time.
+ALONE = ./test/clients
+
 test:
-	go test -race -timeout 300s -skip '$(SKIP)' $(SLOWEST) ./...
+	go test -race -timeout 300s -skip '$(SKIP)' $(SLOWEST) $$(go list ./... | grep -v /test/clients$$)
+	go test -timeout 120s -skip '$(SKIP)' $(ALONE)
 
 fmt:
 	go tool gofumpt -w cmd internal measure platform test
