connbudget: one budget for memory and number of the connections that others open

When the budget is used up, the largest unfinished head is closed, then the connection that has waited longest; connections with a call in progress are never closed. Closed connections are counted by listener and reason, and logged once a second.

--- /dev/null
+++ b/internal/connbudget/budget.go
@@ -0,0 +1,195 @@
+// Package connbudget bounds the memory and the number of the connections that others open to this process. All listeners share one
+// budget. A connection reserves memory before what it has sent is parsed; when the budget is used up, connections without a call in
+// progress are closed to make room, never others.
+package connbudget
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+const (
+	// ConnectionBytes is what a connection holds beside the data that it has sent: two goroutine stacks, its buffers and its state.
+	ConnectionBytes = 16 << 10
+	// smallBytes is what a connection may hold without being closed before those that have waited longer.
+	smallBytes = ConnectionBytes + 16<<10
+	// endingShare is the part of the connections, as its inverse, that may be on their way to their end beyond the limit.
+	endingShare = 8
+	// logPeriod is the time between two log lines of one reason.
+	logPeriod = time.Second
+)
+
+// Reasons for which connections are closed, as label of fulmartide_connections_closed_total.
+const (
+	reasonMemory      = "memory"
+	reasonConnections = "connections"
+)
+
+// Options configures a Budget.
+type Options struct {
+	// Bytes bounds the memory of all connections, Connections their number.
+	Bytes       int64
+	Connections int
+	Log         *zap.Logger
+	Metrics     *metrics.Set
+}
+
+// Budget bounds the memory and the number of connections. It is safe for concurrent use.
+type Budget struct {
+	opts Options
+
+	mu       sync.Mutex
+	used     int64
+	accounts map[*Account]struct{}
+	// ending is the number of accounts that have been told to end.
+	ending int
+	logged map[string]logState
+}
+
+// logState is when a reason was logged last and how many connections have been closed for it since.
+type logState struct {
+	at      time.Time
+	skipped int
+}
+
+// New returns a budget and adds its metrics to o.Metrics.
+func New(o Options) *Budget {
+	b := &Budget{opts: o, accounts: map[*Account]struct{}{}, logged: map[string]logState{}}
+	o.Metrics.GetOrCreateGauge(`fulmartide_connection_bytes`, func() float64 { return float64(b.Used()) })
+	o.Metrics.GetOrCreateGauge(`fulmartide_connections`, func() float64 {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return float64(len(b.accounts))
+	})
+	return b
+}
+
+// Used returns the reserved memory in bytes.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Reserve takes n bytes that belong to no connection and reports whether there was room for them.
+func (b *Budget) Reserve(n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.makeRoom(n, nil) {
+		return false
+	}
+	b.used += n
+	return true
+}
+
+// Release gives back n bytes of Reserve.
+func (b *Budget) Release(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= n
+}
+
+// Open returns the account of a new connection of a listener, nil if there is no room for it. evict is called at most once, to end the
+// connection; it must not block nor call the budget. The account is waiting.
+func (b *Budget) Open(listener string, evict func()) *Account {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := &Account{budget: b, listener: listener, evict: evict, waiting: true, since: time.Now()}
+	if !b.admit(a) || !b.makeRoom(ConnectionBytes, a) {
+		return nil
+	}
+	b.used += ConnectionBytes
+	a.held = ConnectionBytes
+	b.accounts[a] = struct{}{}
+	return a
+}
+
+// admit makes room for one more connection and reports whether there is. b.mu must be held.
+func (b *Budget) admit(a *Account) bool {
+	if len(b.accounts)-b.ending < b.opts.Connections {
+		return true
+	}
+	victim := b.longestWaiting(a)
+	if victim == nil || b.ending > b.opts.Connections/endingShare {
+		b.note(a.listener, reasonConnections, a)
+		return false
+	}
+	b.end(victim, reasonConnections)
+	return true
+}
+
+// makeRoom ends connections until n bytes are left for the account a, which is nil for none. It reports false if that account is the
+// one to refuse. b.mu must be held.
+func (b *Budget) makeRoom(n int64, a *Account) bool {
+	for b.used+n > b.opts.Bytes {
+		victim := b.victim(n, a)
+		if victim == nil {
+			b.note(a.name(), reasonMemory, a)
+			return false
+		}
+		b.end(victim, reasonMemory)
+	}
+	return true
+}
+
+// victim returns the connection to end for n more bytes of a, nil if a is to be refused: the largest one as long as it is not
+// small, else the one that has waited longest. b.mu must be held.
+func (b *Budget) victim(n int64, a *Account) *Account {
+	var largest *Account
+	most := int64(smallBytes)
+	if a != nil {
+		most = max(most, a.held+n)
+	}
+	for v := range b.accounts {
+		if v != a && v.endable() && v.held > most {
+			largest, most = v, v.held
+		}
+	}
+	if largest != nil || a != nil && a.waiting && a.held+n > smallBytes {
+		return largest
+	}
+	return b.longestWaiting(a)
+}
+
+// longestWaiting returns the connection other than a that has waited longest, nil if none waits. b.mu must be held.
+func (b *Budget) longestWaiting(a *Account) *Account {
+	var longest *Account
+	for v := range b.accounts {
+		if v != a && v.endable() && (longest == nil || v.since.Before(longest.since)) {
+			longest = v
+		}
+	}
+	return longest
+}
+
+// end ends a connection. Its memory counts as free: its goroutine returns at once. b.mu must be held.
+func (b *Budget) end(a *Account, reason string) {
+	b.note(a.listener, reason, a)
+	b.used -= a.held
+	a.held, a.ended = 0, true
+	b.ending++
+	a.evict()
+}
+
+// note counts and logs that a connection is refused or ended. b.mu must be held.
+func (b *Budget) note(listener, reason string, a *Account) {
+	b.opts.Metrics.GetOrCreateCounter(`fulmartide_connections_closed_total{listener="` + listener + `",reason="` + reason + `"}`).Inc()
+	s, now := b.logged[listener+reason], time.Now()
+	if now.Sub(s.at) < logPeriod {
+		s.skipped++
+		b.logged[listener+reason] = s
+		return
+	}
+	b.logged[listener+reason] = logState{at: now}
+	fields := []zap.Field{
+		zap.String("listener", listener), zap.String("reason", reason), zap.Int("others_since_last_line", s.skipped), zap.Int64("used", b.used),
+		zap.Int64("limit", b.opts.Bytes), zap.Int("connections", len(b.accounts)), zap.Int("connection_limit", b.opts.Connections),
+	}
+	if a != nil {
+		fields = append(fields, zap.Int64("held", a.held), zap.Duration("waiting", now.Sub(a.since)))
+	}
+	b.opts.Log.Warn("connection closed for want of room", fields...)
+}
