connbudget: connections that may end while a body arrives, and ends that are undone

A request that has arrived before its connection has ended is served; evict reports whether the connection is closed already, so that those whose last answer has been sent give their place back at once. Calls in progress leave a quarter of the memory to new connections.

--- a/internal/connbudget/account.go
+++ b/internal/connbudget/account.go
@@ -6,12 +6,16 @@
 type Account struct {
 	budget   *Budget
 	listener string
-	evict    func()
+	evict    func() (closed bool)
 
 	// held is the reserved memory in bytes, waiting is set while the connection has no call in progress, since is when that began.
 	held    int64
 	waiting bool
-	since   time.Time
+	// base is the part of held that stays as long as the connection.
+	base int64
+	// parsed is set once Serve has been called for a request.
+	parsed bool
+	since  time.Time
 	// ended is set once evict has been called, closed once the connection is gone.
 	ended, closed bool
 }
@@ -23,6 +27,9 @@
 	return a.listener
 }
 
+// data returns what the connection holds for the time being. The budget's mu must be held.
+func (a *Account) data() int64 { return a.held - a.base }
+
 // endable reports whether the connection may be ended. The budget's mu must be held.
 func (a *Account) endable() bool { return a.waiting && !a.ended }
 
@@ -53,24 +60,69 @@
 	a.held -= n
 }
 
-// Reset gives back all but ConnectionBytes, when a request has been answered.
-func (a *Account) Reset() {
+// Raise takes n more bytes for as long as the connection lasts, and reports whether there was room.
+func (a *Account) Raise(n int64) bool {
+	if !a.Reserve(n) {
+		return false
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.base += n
+	return true
+}
+
+// Keep gives back all but what the connection holds for as long as it lasts and n bytes.
+func (a *Account) Keep(n int64) {
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
-	a.release(max(0, a.held-ConnectionBytes))
+	a.release(max(0, a.held-a.base-n))
 }
 
 // Wait notes that the connection has no call in progress from now on, and may be ended to make room.
-func (a *Account) Wait() { a.setWaiting(true) }
+func (a *Account) Wait() {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.waiting, a.parsed, a.since = true, false, time.Now()
+}
+
+// Receive notes that a request has begun to arrive. If the connection has been told to end, that no longer holds: the caller must then undo
+// what evict has done. Receive reports whether it must.
+func (a *Account) Receive() (undo bool) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.waiting, a.parsed, a.since = true, false, time.Now()
+	return a.resume()
+}
 
-// Serve notes that a call is in progress, so that the connection is not ended. It reports false if it has been told to end before.
-func (a *Account) Serve() bool { return a.setWaiting(false) }
+// MayEnd notes that the call of the request that is served has not begun, as its body still arrives, or is over, so that the connection
+// may be ended. It counts as waiting since Serve was called first.
+func (a *Account) MayEnd() {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.waiting = true
+}
 
-func (a *Account) setWaiting(waiting bool) bool {
+// Serve notes that a call is in progress, so that the connection is not ended. It reports the same as Receive.
+func (a *Account) Serve() (undo bool) {
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
-	a.waiting, a.since = waiting, time.Now()
-	return !a.ended
+	if !a.parsed {
+		a.since = time.Now()
+	}
+	a.waiting, a.parsed = false, true
+	return a.resume()
+}
+
+// resume makes a connection go on that has been told to end, and reports whether it had been. The budget's mu must be held.
+func (a *Account) resume() bool {
+	if !a.ended || a.closed {
+		return false
+	}
+	a.ended = false
+	a.budget.ending--
+	a.held = a.base
+	a.budget.used += a.held
+	return true
 }
 
 // Close gives back what is held. It may be called more than once.
--- a/internal/connbudget/budget.go
+++ b/internal/connbudget/budget.go
@@ -14,10 +14,13 @@
 const (
 	// ConnectionBytes is what a connection holds beside the data that it has sent: two goroutine stacks, its buffers and its state.
 	ConnectionBytes = 16 << 10
-	// smallBytes is what a connection may hold without being closed before those that have waited longer.
-	smallBytes = ConnectionBytes + 16<<10
-	// endingShare is the part of the connections, as its inverse, that may be on their way to their end beyond the limit.
-	endingShare = 8
+	// smallBytes is what a connection may hold for data without being closed before those that have waited longer.
+	smallBytes = 64 << 10
+	// endingShare is the part of the connections, as its inverse, that may be on their way to their end beyond the limit. net/http takes up
+	// to half a second to close a connection whose request it has refused.
+	endingShare = 2
+	// headShare is the part of the memory, as its inverse, that calls in progress leave to new connections and their heads.
+	headShare = 4
 	// logPeriod is the time between two log lines of one reason.
 	logPeriod = time.Second
 )
@@ -92,17 +95,17 @@
 	b.used -= n
 }
 
-// Open returns the account of a new connection of a listener, nil if there is no room for it. evict is called at most once, to end the
-// connection; it must not block nor call the budget. The account is waiting.
-func (b *Budget) Open(listener string, evict func()) *Account {
+// Open returns the account of a new connection of a listener, nil if there is no room for it. evict ends the connection; it
+// must not block nor call the budget, and reports whether the connection is closed already. The account is waiting.
+func (b *Budget) Open(listener string, evict func() (closed bool)) *Account {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := &Account{budget: b, listener: listener, evict: evict, waiting: true, since: time.Now()}
-	if !b.admit(a) || !b.makeRoom(ConnectionBytes, a) {
+	if !b.admit(a) || !b.makeRoom(ConnectionBytes, a) { // less than smallBytes
 		return nil
 	}
 	b.used += ConnectionBytes
-	a.held = ConnectionBytes
+	a.held, a.base = ConnectionBytes, ConnectionBytes
 	b.accounts[a] = struct{}{}
 	return a
 }
@@ -124,7 +127,11 @@
 // makeRoom ends connections until n bytes are left for the account a, which is nil for none. It reports false if that account is the
 // one to refuse. b.mu must be held.
 func (b *Budget) makeRoom(n int64, a *Account) bool {
-	for b.used+n > b.opts.Bytes {
+	limit := b.opts.Bytes
+	if a != nil && !a.waiting {
+		limit -= limit / headShare
+	}
+	for b.used+n > limit {
 		victim := b.victim(n, a)
 		if victim == nil {
 			b.note(a.name(), reasonMemory, a)
@@ -141,14 +148,14 @@
 	var largest *Account
 	most := int64(smallBytes)
 	if a != nil {
-		most = max(most, a.held+n)
+		most = max(most, a.data()+n)
 	}
 	for v := range b.accounts {
-		if v != a && v.endable() && v.held > most {
-			largest, most = v, v.held
+		if v != a && v.endable() && v.data() > most {
+			largest, most = v, v.data()
 		}
 	}
-	if largest != nil || a != nil && a.waiting && a.held+n > smallBytes {
+	if largest != nil || a != nil && a.waiting && a.data()+n > smallBytes {
 		return largest
 	}
 	return b.longestWaiting(a)
@@ -170,8 +177,12 @@
 	b.note(a.listener, reason, a)
 	b.used -= a.held
 	a.held, a.ended = 0, true
+	if a.evict() {
+		a.closed = true
+		delete(b.accounts, a)
+		return
+	}
 	b.ending++
-	a.evict()
 }
 
 // note counts and logs that a connection is refused or ended. b.mu must be held.
--- a/internal/connbudget/listener.go
+++ b/internal/connbudget/listener.go
@@ -21,7 +21,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if a := l.budget.Open(l.name, func() { _ = nc.Close() }); a != nil {
+		if a := l.budget.Open(l.name, func() bool { return nc.Close() == nil }); a != nil {
 			return &Conn{Conn: nc, Account: a}, nil
 		}
 		_ = nc.Close() // the other side sees the end
