callerconn, vmserver, daemon: what all connections of HTTP hold is bounded before it is read

What callers saw: in a trial, clients that send heads without end ended a process, which ran out of memory.

Cause: each connection had a limit (256 KiB, four times limits.header_bytes, or the 1 MiB of net/http at the ready, metrics and operator addresses), all together had none; a head of short lines takes about 16 times its bytes. Connections were accepted up to the last descriptor.

Now all listeners of HTTP share one budget (a fifth of the memory, half of the descriptors). A connection reserves what a piece of a head will cost before net/http parses it. When there is no room, the largest unfinished head ends, then the connection that has waited longest, never one with a call in progress. Heads are read up to the limit in force and 8 KiB, then 431; HTTP/2 has bounded streams and windows; a head's time counts from its first byte. limits.memory_mib (default 64) is new in the settings file; the heap limit follows it.

--- a/cmd/fulmartided/main.go
+++ b/cmd/fulmartided/main.go
@@ -74,7 +74,7 @@
 	if args.Check {
 		return 0
 	}
-	setMemoryPolicy()
+	setMemoryPolicy(s.Limits.MemoryMiB << 20)
 	reload := daemon.Reload{Signals: hangups, Path: args.Settings, LogLevel: level}
 	if err := daemon.Run(ctx, s, reload, logging.New(os.Stderr, level)); err != nil {
 		return reportError(err, exitError)
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/fulmartide/fulmartide/internal/connbudget"
 	"github.com/fulmartide/fulmartide/internal/tcpconn"
 )
 
@@ -33,6 +35,12 @@
 type conn struct {
 	net.Conn
 	server *Server
+	// account is what the connection holds of the process's memory for connections.
+	account *connbudget.Account
+	// evicted is set while the connection is to end in favour of others.
+	evicted atomic.Bool
+	// writeEnded is set once the last response has been sent: what is left is to give the caller time to read it.
+	writeEnded atomic.Bool
 
 	mu    sync.Mutex
 	state state
@@ -53,6 +61,13 @@
 	receivingSince time.Time
 	lastRead       time.Time
 	closed         *closeRecord
+	// handled is set while a connection of HTTP/1 is in state serving and the handler has ended.
+	handled bool
+	// bodyEnded is set if the connection was ended in favour of others while the body of the current request arrived. The handler
+	// gets the error, and its answer is sent.
+	bodyEnded bool
+	// headBytes is how much of a request that is received has been read.
+	headBytes int64
 }
 
 // closeRecord is what was known of a connection when this process closed it.
@@ -66,15 +81,20 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
-		n, err := c.Conn.Read(p)
+		n, err := c.read(p)
 		timedOut := n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
 		if timedOut && c.readsRequest() {
 			n, err = c.readArrived(p, err)
+		} else if timedOut && len(p) == backgroundReadSize && c.undoEviction() {
+			continue
 		} else if n == 0 && !timedOut {
 			c.setPeerEnded()
 		}
 		if n > 0 {
 			c.received(len(p))
+			if refusal := c.countHead(p[:n]); refusal != nil {
+				return 0, refusal
+			}
 		}
 		if n > 0 || !errors.Is(err, errWaitOn) {
 			return n, err
@@ -96,6 +116,10 @@
 // that says so, or errWaitOn.
 func (c *conn) readArrived(p []byte, timeout error) (int, error) {
 	c.mu.Lock()
+	if c.state == receiving && c.evicted.Load() {
+		c.mu.Unlock()
+		return 0, timeout
+	}
 	waitsOn, idle, look := c.waitsOn(), c.state == awaiting && (c.interrupted || !c.fresh), tcpconn.ReadArrived
 	if !waitsOn && !c.tls {
 		// A request that arrives after the look, before net/http closes the connection, would be lost.
@@ -152,7 +176,10 @@
 
 // startReceiving notes that the next request has begun to arrive. c.mu must be held.
 func (c *conn) startReceiving() {
-	c.state, c.receivingSince = receiving, time.Now()
+	c.state, c.receivingSince, c.headBytes = receiving, time.Now(), 0
+	if c.account.Receive() {
+		c.evicted.Store(false)
+	}
 	_ = c.applyDeadline() // a connection without deadlines fails in the next Read
 }
 
@@ -183,13 +210,30 @@
 		if limit := c.server.idleLimit(); limit > 0 {
 			t = c.idleSince.Add(limit)
 		}
-	case c.state == receiving && t.IsZero():
-		// net/http sets the deadline of the header only once it has read the first four bytes.
-		if limit := c.server.http.ReadHeaderTimeout; limit > 0 {
-			t = c.receivingSince.Add(limit)
-		}
+	case c.state == receiving:
+		t = c.headDeadline()
 	}
-	return c.Conn.SetReadDeadline(t)
+	err := c.Conn.SetReadDeadline(t)
+	if !c.interrupted && c.due() { // evicted meanwhile
+		c.interrupted = true
+		return c.Conn.SetReadDeadline(past)
+	}
+	return err
+}
+
+// headDeadline returns the read deadline of a header, which counts from its first byte. net/http sets one only once it has read four
+// bytes, and then begins anew. The first bytes of a connection with TLS are the handshake, which has a deadline of its own. c.mu must be
+// held.
+func (c *conn) headDeadline() time.Time {
+	limit := c.server.http.ReadHeaderTimeout
+	if limit <= 0 || c.fresh && c.server.encrypted && !c.deadline.IsZero() {
+		return c.deadline
+	}
+	t := c.receivingSince.Add(limit)
+	if !c.deadline.IsZero() && c.deadline.Before(t) {
+		return c.deadline
+	}
+	return t
 }
 
 // past is a read deadline that interrupts Read.
@@ -197,7 +241,13 @@
 
 // due reports whether the phase of the server ends the connection in its state. c.mu must be held.
 func (c *conn) due() bool {
-	if c.multiplexed || c.state == serving {
+	if c.state == serving {
+		return c.bodyEnded
+	}
+	if c.evicted.Load() {
+		return true
+	}
+	if c.multiplexed {
 		return false
 	}
 	p := c.server.phaseNow()
@@ -227,16 +277,23 @@
 		c.closed = &closeRecord{at: time.Now(), lastRead: c.lastRead, state: c.state, phase: c.server.phaseNow()}
 	}
 	c.mu.Unlock()
+	c.account.Close()
 	return c.Conn.Close()
 }
 
 // CloseWrite closes the sending side. net/http uses it so that a response to a request that was not read to its end is not
 // lost by a reset.
 func (c *conn) CloseWrite() error {
+	var err error
 	if cw, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return cw.CloseWrite()
+		err = cw.CloseWrite()
 	}
-	return nil
+	c.writeEnded.Store(true)
+	if c.evicted.Load() {
+		c.account.Close()
+		return c.Conn.Close()
+	}
+	return err
 }
 
 // closeRecord returns what was known when this process closed the connection, nil if it has not or if the caller has left before.
@@ -263,8 +320,14 @@
 	defer c.mu.Unlock()
 	t, ok := nc.(*tls.Conn)
 	c.tls = ok
-	c.multiplexed = ok && t.ConnectionState().NegotiatedProtocol == "h2"
-	c.state, c.fresh = s, false
+	if !c.multiplexed && ok && t.ConnectionState().NegotiatedProtocol == protocolHTTP2 {
+		c.multiplexed = true
+		if !c.account.Raise(http2ConnBytes) {
+			c.evict()
+		}
+	}
+	c.state, c.fresh, c.handled, c.bodyEnded = s, false, false, false
+	c.followState()
 	if s == awaiting {
 		c.idleSince = time.Now()
 		if c.early {
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -21,14 +21,19 @@
 	return &listener{DrainingListener: tcpconn.NewDrainingListener(ln), server: s, closed: make(chan struct{})}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections for which there is no room.
 func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.DrainingListener.Accept()
-	if err != nil {
-		l.closeOnce.Do(func() { close(l.closed) })
-		return nil, err
+	for {
+		nc, err := l.DrainingListener.Accept()
+		if err != nil {
+			l.closeOnce.Do(func() { close(l.closed) })
+			return nil, err
+		}
+		if c := l.server.track(nc); c != nil {
+			return c, nil
+		}
+		_ = nc.Close() // no request has been read
 	}
-	return l.server.track(nc), nil
 }
 
 // stop accepts the connections that are established and closes the listener, at the latest when ctx ends.
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -15,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/connbudget"
 	"github.com/fulmartide/fulmartide/internal/tcpconn"
 )
 
@@ -26,8 +28,13 @@
 	MaxIdleTime time.Duration
 	// RequestID returns the id of a request for logs. It may be nil.
 	RequestID func(http.Header) string
-	Log       *zap.Logger
-	Metrics   *metrics.Set
+	// HeadLimit returns the size in bytes of the largest head that is read without TLS. It may be nil; net/http has a limit of its own.
+	HeadLimit func() int64
+	// Budget bounds what connections hold, nil for no bound. Name is that of the listener in its logs and metrics.
+	Budget  *connbudget.Budget
+	Name    string
+	Log     *zap.Logger
+	Metrics *metrics.Set
 }
 
 // Server is an HTTP server that loses no request when connections are ended. Its connections must be served with Serve,
@@ -35,11 +42,16 @@
 type Server struct {
 	http *http.Server
 	opts Options
+	// encrypted is set if connections use TLS. net/http gives its server a TLS configuration in any case.
+	encrypted bool
 	// cut counts the requests whose connection was closed by the server before they were answered.
 	cut *metrics.Counter
 	// panics counts the requests whose handler panicked.
 	panics *metrics.Counter
-	phase  atomic.Int32
+	// headsRefused counts the requests whose head was larger than the limit.
+	headsRefused *metrics.Counter
+
+	phase atomic.Int32
 
 	// served is closed when the server has its listener.
 	served chan struct{}
@@ -60,10 +72,14 @@
 	if o.IdleTimeout == nil {
 		o.IdleTimeout = func() time.Duration { return 0 }
 	}
+	if o.Budget == nil {
+		o.Budget = connbudget.New(connbudget.Options{Bytes: math.MaxInt64, Connections: math.MaxInt, Log: o.Log, Metrics: metrics.NewSet()})
+	}
 	s := &Server{
-		http: base, opts: o, conns: map[*conn]struct{}{}, served: make(chan struct{}), ended: make(chan struct{}, 1),
-		cut:    o.Metrics.GetOrCreateCounter(`fulmartide_requests_cut_by_this_vm_total`),
-		panics: o.Metrics.GetOrCreateCounter(`fulmartide_call_panics_total`),
+		http: base, opts: o, encrypted: base.TLSConfig != nil, conns: map[*conn]struct{}{}, served: make(chan struct{}), ended: make(chan struct{}, 1),
+		cut:          o.Metrics.GetOrCreateCounter(`fulmartide_requests_cut_by_this_vm_total`),
+		panics:       o.Metrics.GetOrCreateCounter(`fulmartide_call_panics_total`),
+		headsRefused: o.Metrics.GetOrCreateCounter(`fulmartide_heads_refused_total{listener="` + o.Name + `"}`),
 	}
 	next := base.Handler
 	base.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serveRequest(next, w, r) })
@@ -102,7 +118,7 @@
 	s.mu.Unlock()
 	close(s.served)
 	var err error
-	if s.http.TLSConfig != nil {
+	if s.encrypted {
 		err = s.http.ServeTLS(l, "", "")
 	} else {
 		err = s.http.Serve(l)
@@ -146,6 +162,12 @@
 		next.ServeHTTP(w, r)
 		return
 	}
+	release := c.reserve(r)
+	if release == nil {
+		s.refuse(w, r)
+		return
+	}
+	defer release()
 	began := time.Now()
 	defer func() {
 		if closed := c.closeRecord(); closed != nil {
@@ -159,8 +181,17 @@
 	next.ServeHTTP(w, r)
 }
 
+// track returns the tracked connection on nc, nil if there is no room for it.
 func (s *Server) track(nc net.Conn) *conn {
 	c := &conn{Conn: nc, server: s, fresh: true}
+	c.account = s.opts.Budget.Open(s.opts.Name, c.evict)
+	if c.account == nil {
+		return nil
+	}
+	if s.encrypted && !c.account.Raise(tlsConnBytes) {
+		c.account.Close()
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/fulmartide/fulmartide/internal/callerconn"
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/configuration"
+	"github.com/fulmartide/fulmartide/internal/connbudget"
 	"github.com/fulmartide/fulmartide/internal/endpoint"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
@@ -40,21 +41,23 @@
 	clock    clock.Clock
 	self     membership.Member
 
-	listeners  listeners
-	transport  *peer.Transport
-	counter    *frameCounter
-	platform   *objectstore.HTTPClient
-	membership *membership.Service
-	config     *configuration.Service
-	keys       *keys.Service
-	limiter    *limiter.Service
-	placer     *placement.Service
-	ledger     *ledger.Service
-	relay      *relay.Server
-	sweep      *sweep.Service
-	queries    http.Handler
-	dialer     *endpoint.HTTPDialer
-	warmUpDone atomic.Bool
+	listeners listeners
+	// connections bounds what the connections hold that others open to this process.
+	connections *connbudget.Budget
+	transport   *peer.Transport
+	counter     *frameCounter
+	platform    *objectstore.HTTPClient
+	membership  *membership.Service
+	config      *configuration.Service
+	keys        *keys.Service
+	limiter     *limiter.Service
+	placer      *placement.Service
+	ledger      *ledger.Service
+	relay       *relay.Server
+	sweep       *sweep.Service
+	queries     http.Handler
+	dialer      *endpoint.HTTPDialer
+	warmUpDone  atomic.Bool
 
 	services   sync.WaitGroup // goroutines of serviceLoops
 	background sync.WaitGroup // all other goroutines
@@ -123,6 +126,7 @@
 		Self: d.self.VM, DataCentre: d.self.DataCentre, Limits: d.settings.Limits, Configuration: d.config.Current, Keys: d.keys,
 		Limiter: d.limiter, Placer: d.placer, Ledger: d.ledger, Dialer: dialer, Clock: d.clock, Log: d.log.Named("relay"),
 	})
+	d.connections = d.newConnectionBudget()
 	d.sweep = sweep.New(sweep.Options{
 		Self: d.self, Directory: d.membership, Transport: d.transport, Dialer: dialer, Configuration: d.config.Current,
 		Clock: d.clock, Log: d.log.Named("sweep"), IsLive: d.relay.IsLive, IsLiveAt: d.relay.IsLiveAt,
@@ -159,8 +163,8 @@
 	}
 	d.background.Go(func() { d.warmUp(servicesCtx) })
 	operator := d.operatorServer()
-	d.background.Go(func() { _ = operator.Serve(d.listeners.operator) })
-	d.background.Go(func() { serveCallers(callers, d.listeners.callers) })
+	d.background.Go(func() { serve(operator, d.listeners.operator) })
+	d.background.Go(func() { serve(callers, d.listeners.callers) })
 	d.log.Info("listening",
 		zap.String("vm", d.self.VM.String()),
 		zap.String("data_centre", d.self.DataCentre),
@@ -186,7 +190,7 @@
 // stop reports this VM as not ready and serves on while callers may not know it, announces that this VM is
 // leaving, drains requests, hands over the state that this VM owns, and stops the services. It returns the number
 // of interrupted requests.
-func (d *daemon) stop(callers *callerconn.Server, operator *http.Server, stopServices context.CancelFunc) int {
+func (d *daemon) stop(callers *callerconn.Server, operator *callerconn.Server, stopServices context.CancelFunc) int {
 	d.log.Info("stopping", zap.Duration("notice", d.settings.NoticeTime()), zap.Duration("drain", d.settings.DrainTimeout()))
 	d.relay.AnnounceStop()
 	time.Sleep(d.settings.NoticeTime())
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/callerconn"
+	"github.com/fulmartide/fulmartide/internal/connbudget"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/settings"
 	"github.com/fulmartide/fulmartide/internal/tcpconn"
@@ -45,9 +46,13 @@
 	headerTimeout = 5 * time.Second
 	// readTimeout is the timeout for reading an entire request.
 	readTimeout = 30 * time.Second
-	// headerLimitFactor makes net/http accept headers of several times the configured limit, so that
-	// the relay can reject headers over the limit with its own error response.
-	headerLimitFactor = 4
+	// headerRoom makes net/http accept heads that are larger than the configured limit, which is one of headers alone, so that
+	// the relay can reject them with its own error response.
+	headerRoom = 16 << 10
+	// operatorHeaderBytes bounds the headers of requests of operators, scrapes and checks.
+	operatorHeaderBytes = 16 << 10
+	// connectionMemoryFraction is the part of the memory limit that connections and the heads of requests may take, as its inverse.
+	connectionMemoryFraction = 5
 	// maxIdleTime is the time after which idle connections of callers are closed.
 	maxIdleTime = 2 * time.Minute
 )
@@ -58,17 +63,28 @@
 		return nil, err
 	}
 	log := d.log.Named("callers")
+	headLimit := d.settings.Limits.HeaderBytes + headerRoom
 	return callerconn.New(&http.Server{
 		Handler:           d.relay,
 		TLSConfig:         cfg,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
-		MaxHeaderBytes:    headerLimitFactor * d.settings.Limits.HeaderBytes,
+		MaxHeaderBytes:    headLimit,
+		HTTP2:             callerconn.HTTP2(),
 		ErrorLog:          zap.NewStdLog(log),
-	}, callerconn.Options{MaxIdleTime: maxIdleTime, Log: log, Metrics: d.relay.Metrics()}), nil
+	}, callerconn.Options{
+		HeadLimit: func() int64 { return int64(headLimit) }, MaxIdleTime: maxIdleTime, Budget: d.connections, Name: "callers", Log: log, Metrics: d.relay.Metrics(),
+	}), nil
 }
 
-func serveCallers(s *callerconn.Server, ln net.Listener) {
+func (d *daemon) newConnectionBudget() *connbudget.Budget {
+	return connbudget.New(connbudget.Options{
+		Bytes: d.settings.Limits.MemoryMiB << 20 / connectionMemoryFraction, Connections: connbudget.Connections(0),
+		Log: d.log.Named("connections"), Metrics: d.relay.Metrics(),
+	})
+}
+
+func serve(s *callerconn.Server, ln net.Listener) {
 	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		panic(err)
 	}
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -5,14 +5,16 @@
 	"net/http/pprof"
 
 	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
 
+	"github.com/fulmartide/fulmartide/internal/callerconn"
 	"github.com/fulmartide/fulmartide/internal/membership"
 	"github.com/fulmartide/fulmartide/internal/operator/command"
 	"github.com/fulmartide/fulmartide/internal/operator/query"
 	"github.com/fulmartide/fulmartide/internal/relay"
 )
 
-func (d *daemon) operatorServer() *http.Server {
+func (d *daemon) operatorServer() *callerconn.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", d.ready)
@@ -21,7 +23,12 @@
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.Handle("/operator/command/", command.NewHandler(command.Deps{Configuration: d.config, Keys: d.keys, Log: d.log.Named("operator")}))
 	mux.Handle("/operator/query/", d.queries)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	log := d.log.Named("operator")
+	return callerconn.New(&http.Server{
+		Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: operatorHeaderBytes, ErrorLog: zap.NewStdLog(log),
+	}, callerconn.Options{
+		HeadLimit: func() int64 { return operatorHeaderBytes }, MaxIdleTime: maxIdleTime, Budget: d.connections, Name: "operator", Log: log, Metrics: d.relay.Metrics(),
+	})
 }
 
 func (d *daemon) queryHandler() http.Handler {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -105,6 +105,8 @@
 	PromptTokens int64 `toml:"prompt_tokens"`
 	// Requests is the maximum number of concurrent requests. Default 4096.
 	Requests int `toml:"requests"`
+	// MemoryMiB is the memory of the VM that the process may use. Default 64.
+	MemoryMiB int64 `toml:"memory_mib"`
 }
 
 // Log configures the process log.
@@ -126,7 +128,7 @@
 func Defaults() Settings {
 	return Settings{
 		Platform: Platform{TimeoutMillis: 1000},
-		Limits:   Limits{BodyBytes: 1 << 20, HeaderBytes: 32 << 10, PromptTokens: 65536, Requests: 4096},
+		Limits:   Limits{BodyBytes: 1 << 20, HeaderBytes: 32 << 10, PromptTokens: 65536, Requests: 4096, MemoryMiB: 64},
 		Log:      Log{Level: "info"},
 		Stop:     Stop{NoticeSeconds: 3, DrainSeconds: 30},
 		Policy:   Policy{Placement: "predictive", Limiter: "pooled"},
@@ -255,6 +257,7 @@
 	add(s.Limits.HeaderBytes <= 0, "limits.header_bytes", "must be positive", "set a positive number of bytes, such as 32768")
 	add(s.Limits.PromptTokens <= 0, "limits.prompt_tokens", "must be positive", "set a positive number of tokens, such as 65536")
 	add(s.Limits.Requests <= 0, "limits.requests", "must be positive", "set a positive number of requests, such as 4096")
+	add(s.Limits.MemoryMiB <= 0, "limits.memory_mib", "must be positive", "set a positive number of MiB, such as 64")
 	add(!slices.Contains(placements, s.Policy.Placement), "policy.placement", "not a known policy", "set one of "+strings.Join(placements, ", "))
 	add(!slices.Contains(limiters, s.Policy.Limiter), "policy.limiter", "not a known policy", "set one of "+strings.Join(limiters, ", "))
 	add(s.Stop.NoticeSeconds < 0, "stop.notice_seconds", "must not be negative", "set a number of seconds, such as 3")
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -17,6 +17,7 @@
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/callerconn"
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/connbudget"
 	"github.com/fulmartide/fulmartide/internal/dispatch"
 	"github.com/fulmartide/fulmartide/internal/forward"
 	"github.com/fulmartide/fulmartide/internal/ident"
@@ -59,6 +60,9 @@
 	quarantineKeeper, versionKeeper *storekeeper.Keeper
 	streamKeeper                    *origin.StreamKeeper
 
+	// connections bounds what the connections hold that others open to this process.
+	connections *connbudget.Budget
+
 	recorder *admission.Recorder
 	// regions checks the home regions of configurations.
 	regions regionCheck
@@ -91,6 +95,7 @@
 // New returns a Process whose components are not running yet.
 func New(s Settings, platform Platform, log *zap.Logger, set *metrics.Set) *Process {
 	p := &Process{settings: s, platform: platform, log: log, set: set, regions: newRegionCheck(s.Regions)}
+	p.connections = p.newConnectionBudget()
 	incarnation := ident.Incarnation(time.Now().UnixNano())
 	self := statesync.Member{VM: ident.VM{Name: s.VMName, Incarnation: incarnation}, Address: s.Peers, DataCentre: s.DataCentre}
 	p.transport = peer.New(peer.Options{Self: self.VM, Advertise: s.Peers, Log: log.Named("peer")})
--- a/internal/vmserver/serve.go
+++ b/internal/vmserver/serve.go
@@ -25,8 +25,7 @@
 	headerTimeout = 10 * time.Second
 	// maxIdleTime bounds the idle time of callers' connections where the configuration sets no timeout.
 	maxIdleTime = 90 * time.Second
-	// maxHeaderBytes bounds the size of headers that are read before the limit of the
-	// configuration is checked.
+	// maxHeaderBytes bounds the size of headers whatever the configuration allows.
 	maxHeaderBytes = 256 << 10
 )
 
@@ -48,15 +47,9 @@
 	for _, task := range []func(context.Context){p.stateSync.Run, p.reach.Run, p.refresher.Run, p.rebalancer.Run, p.platform.SweepIdleConnections, p.dispatch.Run, p.quarantineKeeper.Run, p.versionKeeper.Run, p.streamKeeper.Run, p.recorder.Run, p.watchPauses} {
 		p.wg.Go(func() { task(tasksCtx) })
 	}
-	p.callers = callerconn.New(&http.Server{
-		Handler: p.Handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(p.log.Named("http")),
-	}, callerconn.Options{
-		IdleTimeout: p.idleTimeout, MaxIdleTime: maxIdleTime, RequestID: p.platform.RequestID, Log: p.log.Named("callers"), Metrics: p.set,
-	})
-	ready := &http.Server{Handler: p.readyHandler(), ReadHeaderTimeout: headerTimeout}
-	metricsServer := &http.Server{Handler: p.metricsHandler(), ReadHeaderTimeout: headerTimeout}
+	ready, metricsServer := p.buildServers()
 	for _, l := range []struct {
-		server interface{ Serve(net.Listener) error }
+		server *callerconn.Server
 		addr   netip.AddrPort
 	}{{p.callers, p.settings.Callers}, {ready, p.settings.Ready}, {metricsServer, p.settings.Metrics}} {
 		ln, err := listen(ctx, l.addr)
@@ -116,7 +109,7 @@
 	return ln, fault.Wrap(err, fault.Unavailable, "stop the process that uses the address, or change the address in the settings", "listen on "+addr.String())
 }
 
-func (p *Process) serve(s interface{ Serve(net.Listener) error }, ln net.Listener) {
+func (p *Process) serve(s *callerconn.Server, ln net.Listener) {
 	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		p.log.Error("could not serve", zap.Stringer("address", ln.Addr()), zap.Error(err))
 	}
--- a/internal/vmserver/settings.go
+++ b/internal/vmserver/settings.go
@@ -19,6 +19,8 @@
 	FirstStart bool
 	// MemoryBytes is the memory limit above which the process is killed.
 	MemoryBytes int64
+	// Descriptors is the number of descriptors that sockets may use, 0 for the limit of the process.
+	Descriptors int
 	// HeartbeatPeriod is the time between two heartbeats of an endpoint.
 	HeartbeatPeriod time.Duration
 	// GraceTime is the time between SIGTERM and SIGKILL.
