peer: count connections of other VMs and refusals by reason

Connections of strangers were visible only at the log level debug. fulmartide_peer_connections and fulmartide_peer_refusals_total say how many there are and why some were closed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,7 +87,7 @@
 		PeerAddress: addrOf(ls.peers),
 		State:       membership.Alive,
 	}
-	d.transport = peer.New(peer.Options{Self: d.self.VM, TLS: mutual, Log: log.Named("peer"), CountFrame: d.counter.count})
+	d.transport = peer.New(peer.Options{Self: d.self.VM, TLS: mutual, Log: log.Named("peer"), Metrics: d.counter.set, CountFrame: d.counter.count})
 	d.platform = objectstore.NewHTTPClient(netip.MustParseAddrPort(s.Platform.Address), time.Duration(s.Platform.TimeoutMillis)*time.Millisecond)
 	d.createServices()
 	return d, nil
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/codec"
@@ -61,6 +62,8 @@
 	TLS *tls.Config
 	// Log is the logger; nil disables logging.
 	Log *zap.Logger
+	// Metrics receives the metrics of connections; nil means none.
+	Metrics *metrics.Set
 	// CountFrame is called with the size of each frame sent or received. It may be nil.
 	CountFrame func(sent bool, kind Kind, bytes int)
 }
@@ -104,9 +107,12 @@
 	if o.CountFrame == nil {
 		o.CountFrame = func(bool, Kind, int) {}
 	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	draining, drain := context.WithCancel(ctx)
-	return &Transport{
+	t := &Transport{
 		opts:     o,
 		handlers: map[Kind]Handler{},
 		streams:  map[Kind]StreamHandler{},
@@ -120,6 +126,8 @@
 		draining: draining,
 		drain:    drain,
 	}
+	t.observeConnections()
+	return t
 }
 
 // Handle registers the handler of a kind. It must be called before Serve.
@@ -150,6 +158,7 @@
 			if t.draining.Err() != nil {
 				return nil
 			}
+			t.refused(reasonAccept)
 			return err
 		}
 		t.accept(nc)
@@ -201,6 +210,7 @@
 		err = nc.SetReadDeadline(time.Time{})
 	}
 	if err != nil {
+		t.refused(reasonFirstFrame)
 		t.opts.Log.Debug("accepted connection closed", zap.Stringer("remote", nc.RemoteAddr()), zap.Error(err))
 		t.forget(nc)
 		return
