forward: headers and bodies of requests of other VMs take from the memory as they arrive

Callers saw: a process of 64 MiB held 306 MiB after 200 requests of other VMs whose headers were 256 KiB of short lines. Cause: a header was allocated as its length announced and decoded outside any budget, into many times its bytes; a body was allocated as announced. Fix: both take from the memory for bodies as their bytes arrive, the header also an estimate of its decoded form. A quarter of that memory is kept for callers.

--- a/internal/codec/scan.go
+++ b/internal/codec/scan.go
@@ -23,7 +23,7 @@
 
 const (
 	// valueCost is the estimated memory of a decoded value besides its bytes.
-	valueCost = 32
+	valueCost = 64
 	// emptyCost is that of a nil or an empty map in a long list, which may stand for a structure.
 	emptyCost = 256
 	// longList is the length from which a list holds elements of one kind, and not the fields of a structure.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -15,6 +15,7 @@
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/bodybuffer"
 	"github.com/fulmartide/fulmartide/internal/clock"
+	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/connpool"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
@@ -27,6 +28,9 @@
 	// maxConcurrent is the maximum number of requests of other VMs that a VM sends at a time. Further ones are refused,
 	// so that a data centre without a path does not take others down.
 	maxConcurrent = 128
+	// callersFraction is the part of the memory for bodies that is kept from requests of other VMs, as its inverse, so that callers are
+	// served while strangers send such requests.
+	callersFraction = 4
 	// requestTimeout is the maximum time in which a request must arrive.
 	requestTimeout = 2 * time.Second
 )
@@ -41,7 +45,7 @@
 	LastLook func(id traffic.EndpointID) error
 	// Send sends a request over a connection of this VM.
 	Send func(context.Context, traffic.Endpoint, *connpool.Request) (*connpool.Response, error)
-	// Bodies is the memory for the bodies of requests.
+	// Bodies is the memory for the bodies of requests, of which headers take as well.
 	Bodies  *bodybuffer.Budget
 	Log     *zap.Logger
 	Metrics *metrics.Set
@@ -57,6 +61,8 @@
 
 // NewServer returns a Server and registers it with the transport.
 func NewServer(t *peer.Transport, o ServerOptions) *Server {
+	limit := o.Bodies.Limit()
+	o.Bodies = o.Bodies.Part(limit-limit/callersFraction, o.Metrics, "forwarded")
 	s := &Server{opts: o, slots: make(chan struct{}, maxConcurrent)}
 	t.HandleStream(peer.KindForward, s.serve)
 	return s
@@ -120,7 +126,8 @@
 	body := s.opts.Bodies.NewBody()
 	defer body.Release()
 	in := bufio.NewReader(nc)
-	h, arrivedAt, err := s.readRequest(nc, in, body)
+	h, held, arrivedAt, err := s.readRequest(nc, in, body)
+	defer func() { s.opts.Bodies.Return(held) }()
 	if err != nil {
 		s.log(from, h, nil, fmt.Errorf("read the request: %w", err))
 		body.Release()
@@ -150,29 +157,52 @@
 	}
 }
 
-// readRequest reads a request. arrivedAt is when its header arrived at this VM, which may be long before it was read.
-func (s *Server) readRequest(nc net.Conn, in io.Reader, body *bodybuffer.Body) (h *requestHeader, arrivedAt time.Time, err error) {
+// readRequest reads a request. held is the memory that its header takes, which is to be returned, and arrivedAt when it arrived at this
+// VM, which may be long before it was read.
+func (s *Server) readRequest(nc net.Conn, in io.Reader, body *bodybuffer.Body) (h *requestHeader, held int, arrivedAt time.Time, err error) {
 	h = &requestHeader{}
 	if err := nc.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
-		return h, arrivedAt, err
+		return h, 0, arrivedAt, err
 	}
-	if err := readMessage(in, h); err != nil {
-		return h, arrivedAt, err
+	if held, err = s.readHeader(in, h); err != nil {
+		return h, held, arrivedAt, err
 	}
 	arrivedAt = time.Now().Add(-tcpconn.SinceReceived(nc))
 	if h.BodyBytes < 0 || h.BodyBytes > maxBodyBytes || !h.HasBody && h.BodyBytes > 0 {
-		return h, arrivedAt, errTooLarge
-	}
-	if err := body.Reserve(h.BodyBytes); err != nil {
-		return h, arrivedAt, err
+		return h, held, arrivedAt, errTooLarge
 	}
 	if err := body.Read(io.LimitReader(in, int64(h.BodyBytes)), maxBodyBytes); err != nil {
-		return h, arrivedAt, err
+		return h, held, arrivedAt, err
 	}
 	if len(body.Bytes()) < h.BodyBytes {
-		return h, arrivedAt, io.ErrUnexpectedEOF
+		return h, held, arrivedAt, io.ErrUnexpectedEOF
+	}
+	return h, held, arrivedAt, nc.SetReadDeadline(time.Time{})
+}
+
+// readHeader reads the header of a request within the memory of forwarded requests, and returns what it takes of it.
+func (s *Server) readHeader(in io.Reader, h *requestHeader) (held int, err error) {
+	n, err := readLength(in)
+	if err != nil {
+		return 0, err
+	}
+	if n > maxHeaderBytes {
+		return 0, errTooLarge
+	}
+	raw := s.opts.Bodies.NewBody()
+	defer raw.Release()
+	if err := raw.Read(io.LimitReader(in, int64(n)), maxHeaderBytes); err != nil {
+		return 0, err
+	}
+	if len(raw.Bytes()) < int(n) {
+		return 0, io.ErrUnexpectedEOF
+	}
+	// A header of short lines takes many times its bytes when it is decoded.
+	held = len(raw.Bytes()) + codec.DecodedBytes(raw.Bytes())
+	if !s.opts.Bodies.Take(held) {
+		return 0, bodybuffer.ErrBudgetUsedUp
 	}
-	return h, arrivedAt, nc.SetReadDeadline(time.Time{})
+	return held, codec.Unmarshal(raw.Bytes(), h)
 }
 
 // send sends a request to its endpoint. Its errors are of type *connpool.Error.
