peer: bound what strangers hold at the address for other VMs

Callers saw: a process of 64 MiB held 419 MiB after 100 connections with a frame of 4 MiB each, before or after a hello, 69 MiB after 6,000 idle connections, and 124 MiB after 20 connections that read no replies; with 256 descriptors 400 connections left none for callers, and the listener for other VMs ended for good. Cause: what one connection may hold was bounded, all connections together were not: frames were allocated as announced, connections and queued replies had no bound, and an accept that failed ended the listener. Fix: the first frame is a hello or a stream of at most 1 KiB; larger frames take from one budget as their bytes arrive, and the one that began first gives way; calls in progress and queued replies take from it as well. The number of accepted connections is bounded in all, by address and without a first frame; silent ones give way. A failed accept is tried again. Log lines that strangers cause are limited to one per second and kind, and counted.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/tcpconn"
@@ -44,7 +42,9 @@
 	// if none was.
 	oneWaySince time.Time
 	lastUsed    time.Time
-	remote      ident.VM
+	// lastReceived is when the last frame was received.
+	lastReceived time.Time
+	remote       ident.VM
 }
 
 func newConn(t *Transport, nc net.Conn) *conn {
@@ -58,7 +58,7 @@
 		onClose:  func() {},
 		pending:  map[uint64]chan *frame{},
 		serving:  map[uint64]context.CancelFunc{},
-		lastUsed: now,
+		lastUsed: now, lastReceived: now,
 	}
 	return c
 }
@@ -248,6 +248,7 @@
 
 func (c *conn) writeLoop() {
 	defer c.t.wg.Done()
+	defer c.discardQueued()
 	w := bufio.NewWriter(c.nc)
 	var buffered int64
 	for {
@@ -256,6 +257,7 @@
 			return
 		case f := <-c.outbox:
 			err := c.write(w, f)
+			c.release(f)
 			buffered++
 			if w.Buffered() == 0 {
 				c.unsent.Add(-buffered)
@@ -323,25 +325,28 @@
 
 func (c *conn) readLoop() {
 	defer c.t.wg.Done()
-	r := bufio.NewReader(c.nc)
+	in := receiver{c: c, r: bufio.NewReader(c.nc)}
 	for {
-		f, n, err := readFrame(r)
+		f, n, err := in.next()
 		if err != nil {
 			c.close(fault.Wrap(err, fault.Unavailable, "retry or use another VM", "peer read", fault.WithExecution(fault.ExecutionUnknown)))
 			return
 		}
 		c.t.opts.CountFrame(false, f.Kind, n)
 		c.mu.Lock()
-		c.awaitingSince, c.oneWaySince = time.Time{}, time.Time{}
+		c.awaitingSince, c.oneWaySince, c.lastReceived = time.Time{}, time.Time{}, time.Now()
 		if f.Type == frameCall || f.Type == frameOneWay {
 			c.lastUsed = time.Now()
 		}
 		c.mu.Unlock()
-		c.dispatch(f)
+		if !c.dispatch(f) {
+			c.release(f)
+		}
 	}
 }
 
-func (c *conn) dispatch(f *frame) {
+// dispatch handles a frame. It returns true if the frame is handled on and releases its memory later.
+func (c *conn) dispatch(f *frame) (continues bool) {
 	switch f.Type {
 	case frameHello:
 		c.receiveHello(f)
@@ -354,7 +359,7 @@
 			reply <- f
 		}
 	case frameCall, frameOneWay:
-		c.serve(f)
+		return c.serve(f)
 	case frameCancel:
 		c.mu.Lock()
 		cancel := c.serving[f.ID]
@@ -366,32 +371,38 @@
 		_ = c.enqueue(&frame{Type: framePong})
 	case framePong:
 	}
+	return false
 }
 
-func (c *conn) serve(f *frame) {
+func (c *conn) serve(f *frame) (continues bool) {
 	h := c.t.handlers[f.Kind]
 	if h == nil {
 		c.reply(f, nil, fault.New(fault.NotFound, "run the same release on all VMs", "no handler for this message kind"))
-		return
+		return false
 	}
 	if f.Type == frameOneWay && c.t.inOrder[f.Kind] {
-		c.mu.Lock()
-		remote := c.remote
-		c.mu.Unlock()
-		if _, err := c.t.handle(c.t.ctx, h, f, remote); err != nil {
-			c.t.opts.Log.Warn("peer message not handled", zap.Uint8("kind", uint8(f.Kind)), zap.Stringer("vm", remote), zap.Error(err))
+		err := error(errNoMemory)
+		if c.admit(f, 0) {
+			_, err = c.t.handle(c.t.ctx, h, f, c.remoteVM())
 		}
-		return
+		if err != nil {
+			c.logUnhandled(f, err)
+		}
+		return false
 	}
 	if f.Type == frameCall && c.t.draining.Err() != nil {
 		c.reply(f, nil, errStopping)
-		return
+		return false
+	}
+	if !c.admit(f, callCost) {
+		c.reply(f, nil, errNoMemory)
+		return false
 	}
 	select {
 	case c.t.inbound <- struct{}{}:
 	default:
 		c.reply(f, nil, fault.New(fault.Overloaded, "retry later or use another VM", "too many concurrent calls"))
-		return
+		return false
 	}
 	ctx, cancel := c.serveContext(f)
 	c.mu.Lock()
@@ -407,12 +418,14 @@
 		defer c.t.addActive(-1)
 		defer func() { <-c.t.inbound }()
 		out, err := c.t.handle(ctx, h, f, remote)
+		c.release(f)
 		c.mu.Lock()
 		delete(c.serving, f.ID)
 		c.mu.Unlock()
 		cancel()
 		c.reply(f, out, err)
 	}()
+	return true
 }
 
 func (c *conn) serveContext(f *frame) (context.Context, context.CancelFunc) {
@@ -431,5 +444,5 @@
 		d := fault.DetailOf(err)
 		r.Fault = &d
 	}
-	_ = c.enqueue(r)
+	c.enqueueReply(r)
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -48,6 +48,8 @@
 	// Body is the message and the values that follow it; former builds read the message only.
 	Body msgpack.RawMessage
 
+	// held is the memory that a received frame or a queued reply has taken.
+	held int
 	// encoded is the encoded frame if it is sent on several connections.
 	encoded []byte
 }
@@ -74,21 +76,31 @@
 
 const nilByte = 0xc0
 
-func readFrame(r io.Reader) (*frame, int, error) {
-	var head [lengthBytes]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
+// readFrame reads a frame of at most maxBytes.
+func readFrame(r io.Reader, maxBytes int) (*frame, int, error) {
+	n, err := readLength(r, maxBytes)
+	if err != nil {
 		return nil, 0, err
 	}
-	n := binary.BigEndian.Uint32(head[:])
-	if n > MaxFrameBytes {
-		return nil, 0, fmt.Errorf("frame of %d bytes exceeds the limit of %d", n, MaxFrameBytes)
-	}
 	body := make([]byte, n)
 	if _, err := io.ReadFull(r, body); err != nil {
 		return nil, 0, err
 	}
 	f, err := decodeFrame(body)
-	return f, int(n) + lengthBytes, err
+	return f, n + lengthBytes, err
+}
+
+// readLength reads the length of a frame of at most maxBytes.
+func readLength(r io.Reader, maxBytes int) (int, error) {
+	var head [lengthBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > uint32(maxBytes) {
+		return 0, fmt.Errorf("frame of %d bytes exceeds the limit of %d", n, maxBytes)
+	}
+	return int(n), nil
 }
 
 func decodeFrame(body []byte) (*frame, error) {
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -26,7 +26,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		reread, _, err := readFrame(bytes.NewReader(out))
+		reread, _, err := readFrame(bytes.NewReader(out), MaxFrameBytes)
 		if err != nil || reread.Type != got.Type || reread.ID != got.ID || !reflect.DeepEqual(reread.From, got.From) {
 			t.Fatalf("round trip of %+v returned %+v, %v", got, reread, err)
 		}
--- /dev/null
+++ b/internal/peer/limits.go
@@ -0,0 +1,46 @@
+package peer
+
+import "syscall"
+
+// Limits bound what other VMs, and strangers that reach the address for other VMs, make this process hold.
+type Limits struct {
+	// Connections is the maximum number of accepted connections, PerAddress that of those from one remote address.
+	Connections, PerAddress int
+	// FrameBytes is the memory for frames that are read, handled or answered.
+	FrameBytes int
+}
+
+const (
+	// bytesPerConnection is the part of the memory of a process for each connection that it may accept. A connection takes about a
+	// sixth of it.
+	bytesPerConnection = 64 << 10
+	// frameFraction is the part of the memory of a process that frames may take, as its inverse.
+	frameFraction = 8
+	// descriptorFraction is the part of the descriptors that connections of other VMs may take, as its inverse.
+	descriptorFraction = 2
+	// minConnections is the maximum number of connections of a process with little memory.
+	minConnections = 32
+)
+
+// LimitsFor returns the limits of a process with memoryBytes of memory that may open the given number of descriptors. A fleet of 400
+// VMs needs 399 connections and 128 streams at each VM, and as many again for a moment while VMs are replaced; 64 MiB allow 1,024. Fleets
+// behind one address, as in tests, stay within three quarters of them.
+func LimitsFor(memoryBytes int64, descriptors uint64) Limits {
+	connections := max(minConnections, min(int(memoryBytes/bytesPerConnection), int(min(descriptors, 1<<20)/descriptorFraction)))
+	return Limits{Connections: connections, PerAddress: connections * 3 / 4, FrameBytes: max(2*MaxFrameBytes, int(memoryBytes/frameFraction))}
+}
+
+// Descriptors returns the number of descriptors that this process may open.
+func Descriptors() uint64 {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return defaultDescriptors
+	}
+	return limit.Cur
+}
+
+const (
+	// defaultMemoryBytes and defaultDescriptors are assumed where the limits of the process are not known.
+	defaultMemoryBytes = 64 << 20
+	defaultDescriptors = 1024
+)
--- /dev/null
+++ b/internal/peer/receive.go
@@ -0,0 +1,181 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmartide/fulmartide/internal/codec"
+	"github.com/fulmartide/fulmartide/internal/fault"
+)
+
+const (
+	// maxFirstFrameBytes is the maximum size of the first frame of an accepted connection: the sender's name and address.
+	maxFirstFrameBytes = 1 << 10
+	// smallFrameBytes is the size of frames that take nothing from the memory while they are read: the memory of their connection
+	// is bounded by the number of connections.
+	smallFrameBytes = 4 << 10
+	// frameTimeout is the maximum time from the first byte of a frame to its last one. VMs send a frame at once.
+	frameTimeout = 10 * time.Second
+	// callCost is the memory of a call that is being handled, besides its frame.
+	callCost = 2 << 10
+)
+
+// receiver reads the frames of a connection after the first one.
+type receiver struct {
+	c *conn
+	r *bufio.Reader
+}
+
+// next reads the next frame, waiting without limit for its first byte. n is its size. Its memory is held until it is given back.
+func (v *receiver) next() (f *frame, n int, err error) {
+	if _, err := v.r.Peek(1); err != nil {
+		return nil, 0, err
+	}
+	if !v.c.dialed && !v.arrived() {
+		if err := v.c.nc.SetReadDeadline(time.Now().Add(frameTimeout)); err != nil {
+			return nil, 0, err
+		}
+		defer func() {
+			if err == nil {
+				err = v.c.nc.SetReadDeadline(time.Time{})
+			}
+		}()
+	}
+	n, err = readLength(v.r, MaxFrameBytes)
+	if err != nil {
+		return nil, 0, err
+	}
+	body, held, err := v.body(n)
+	if err != nil {
+		return nil, 0, err
+	}
+	f, err = decodeFrame(body)
+	if err != nil {
+		v.c.t.memory.give(held)
+		return nil, 0, err
+	}
+	f.held = held
+	return f, n + lengthBytes, nil
+}
+
+// arrived reports whether the next frame is in the buffer.
+func (v *receiver) arrived() bool {
+	if v.r.Buffered() < lengthBytes {
+		return false
+	}
+	head, err := v.r.Peek(lengthBytes)
+	return err == nil && uint64(v.r.Buffered()) >= lengthBytes+uint64(binary.BigEndian.Uint32(head))
+}
+
+// body reads n bytes. It allocates memory as they arrive, and returns how much of it is held.
+func (v *receiver) body(n int) (body []byte, held int, err error) {
+	body = make([]byte, min(n, smallFrameBytes))
+	if _, err := io.ReadFull(v.r, body); err != nil || n <= smallFrameBytes {
+		return body, 0, err
+	}
+	t := v.c.t
+	reading := t.memory.begin(func() { v.c.close(errNoMemory) })
+	for len(body) < n {
+		size := min(2*len(body), n)
+		if !reading.grow(size) {
+			t.refused(reasonMemory)
+			reading.fail()
+			return nil, 0, errNoMemory
+		}
+		grown := make([]byte, size)
+		read := copy(grown, body)
+		if read > smallFrameBytes {
+			reading.shrink(read)
+		}
+		body = grown
+		if _, err := io.ReadFull(v.r, body[read:]); err != nil {
+			reading.fail()
+			return nil, 0, err
+		}
+	}
+	return body, reading.complete(), nil
+}
+
+var (
+	errNoMemory = fault.New(fault.Overloaded, "retry later or use another VM", "the memory for messages of other VMs is used up")
+	errNoHello  = fault.New(fault.Malformed, "run the same release on all VMs", "the first frame of a connection is not a hello")
+)
+
+// admit takes the memory that a received message needs while it is handled, and adds it to what its frame holds.
+func (c *conn) admit(f *frame, cost int) bool {
+	if len(f.Body) > smallFrameBytes {
+		cost += codec.DecodedBytes(f.Body)
+	}
+	if !c.t.memory.take(cost) {
+		c.t.refused(reasonMemory)
+		return false
+	}
+	f.held += cost
+	return true
+}
+
+// release returns what a frame holds.
+func (c *conn) release(f *frame) {
+	if f.held == 0 {
+		return // a broadcast, which several connections send, holds nothing
+	}
+	c.t.memory.give(f.held)
+	f.held = 0
+}
+
+// enqueueReply queues a reply, which takes from the memory until it is written. A reply for which there is no room is replaced by an
+// error; if there is none for that either, the connection is closed, as the other side does not read.
+func (c *conn) enqueueReply(r *frame) {
+	if !c.holdReply(r) {
+		c.t.refused(reasonReplies)
+		d := fault.DetailOf(errNoMemory)
+		r.Body, r.Fault = nil, &d
+		if !c.holdReply(r) {
+			c.close(errNoMemory)
+			return
+		}
+	}
+	if c.enqueue(r) != nil {
+		c.release(r)
+		return
+	}
+	if c.ended() {
+		c.discardQueued()
+	}
+}
+
+func (c *conn) holdReply(r *frame) bool {
+	n := len(r.Body) + replyCost
+	if !c.t.memory.take(n) {
+		return false
+	}
+	r.held = n
+	return true
+}
+
+// replyCost is the memory of a queued reply besides its body.
+const replyCost = 256
+
+// discardQueued returns the memory of the frames that are queued on a connection that has ended.
+func (c *conn) discardQueued() {
+	for {
+		select {
+		case f := <-c.outbox:
+			c.release(f)
+		default:
+			return
+		}
+	}
+}
+
+// logUnhandled logs that a one-way message was not handled.
+func (c *conn) logUnhandled(f *frame, err error) {
+	c.t.refused(reasonMessage)
+	if c.t.messageLog.due() {
+		c.t.opts.Log.Warn("peer message not handled", zap.Uint8("kind", uint8(f.Kind)), zap.Stringer("vm", c.remoteVM()), zap.Error(err))
+	}
+}
--- a/internal/peer/shared.go
+++ b/internal/peer/shared.go
@@ -43,7 +43,10 @@
 	c.mu.Unlock()
 	var h hello
 	if err := codec.Unmarshal(f.Body, &h); err != nil {
-		c.t.opts.Log.Warn("first frame of a peer connection not decoded; the connection is not shared", zap.Stringer("vm", *f.From), zap.Error(err))
+		c.t.refused(reasonHello)
+		if c.t.helloLog.due() {
+			c.t.opts.Log.Warn("first frame of a peer connection not decoded; the connection is not shared", zap.Stringer("vm", *f.From), zap.Error(err))
+		}
 		return
 	}
 	if !h.Address.IsValid() || c.dialed {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -58,8 +58,11 @@
 	defer t.forget(nc)
 	h := t.streams[first.Kind]
 	if h == nil || first.From == nil {
-		t.opts.Log.Warn("stream of another vm refused", zap.Uint8("kind", uint8(first.Kind)), zap.Stringer("remote", nc.RemoteAddr()),
-			zap.String("remedy", "run the same release on all VMs"))
+		t.refused(reasonStream)
+		if t.streamLog.due() {
+			t.opts.Log.Warn("stream of another vm refused", zap.Uint8("kind", uint8(first.Kind)), zap.Stringer("remote", nc.RemoteAddr()),
+				zap.String("remedy", "run the same release on all VMs"))
+		}
 		return
 	}
 	defer t.recoverPanic(first.Kind, *first.From, nil)
--- a/internal/peer/trailer_test.go
+++ b/internal/peer/trailer_test.go
@@ -17,7 +17,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		got, n, err := readFrame(bytes.NewReader(raw))
+		got, n, err := readFrame(bytes.NewReader(raw), MaxFrameBytes)
 		if err != nil || n != len(raw) || got.Kind != sent.Kind || !bytes.Equal(got.Body, sent.Body) {
 			t.Errorf("sent %q, got %+v, error %v", sent.Body, got, err)
 		}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -7,6 +7,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"maps"
@@ -62,6 +63,10 @@
 	TLS *tls.Config
 	// Log is the logger; nil disables logging.
 	Log *zap.Logger
+	// Limits bound connections and frames; those left 0 are taken from LimitsFor with 64 MiB of memory.
+	Limits Limits
+	// Budget is the memory of the process of which frames take a part; nil means that there is no other bound.
+	Budget Budget
 	// Metrics receives the metrics of connections; nil means none.
 	Metrics *metrics.Set
 	// CountFrame is called with the size of each frame sent or received. It may be nil.
@@ -77,12 +82,19 @@
 	inOrder map[Kind]bool
 	inbound chan struct{}
 	nextID  atomic.Uint64
+	memory  *memory
+	// unnamed is the number of accepted connections whose first frame has not come.
+	unnamed atomic.Int64
+	// boundLog, helloLog, streamLog and messageLog limit log lines that other VMs or strangers cause.
+	boundLog, helloLog, streamLog, messageLog logLimit
 
 	mu sync.Mutex
 	// conns holds the connections for messages to other VMs, by address: dialed ones, and accepted ones
 	// that are shared.
 	conns    map[netip.AddrPort]*conn
-	accepted map[net.Conn]struct{}
+	accepted map[net.Conn]*guest
+	// perAddress is the number of accepted connections by remote address.
+	perAddress map[netip.Addr]int
 	// open holds the connections that are in use, dialed or accepted. keepAlive is set once
 	// keepAliveLoop runs.
 	open      map[*conn]struct{}
@@ -110,23 +122,30 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
+	defaults := LimitsFor(defaultMemoryBytes, Descriptors())
+	o.Limits.Connections = cmp.Or(o.Limits.Connections, defaults.Connections)
+	o.Limits.PerAddress = cmp.Or(o.Limits.PerAddress, defaults.PerAddress)
+	o.Limits.FrameBytes = cmp.Or(o.Limits.FrameBytes, defaults.FrameBytes)
 	ctx, cancel := context.WithCancel(context.Background())
 	draining, drain := context.WithCancel(ctx)
 	t := &Transport{
-		opts:     o,
-		handlers: map[Kind]Handler{},
-		streams:  map[Kind]StreamHandler{},
-		inOrder:  map[Kind]bool{},
-		inbound:  make(chan struct{}, MaxInboundCalls),
-		conns:    map[netip.AddrPort]*conn{},
-		accepted: map[net.Conn]struct{}{},
-		open:     map[*conn]struct{}{},
-		ctx:      ctx,
-		cancel:   cancel,
-		draining: draining,
-		drain:    drain,
+		opts:       o,
+		handlers:   map[Kind]Handler{},
+		streams:    map[Kind]StreamHandler{},
+		inOrder:    map[Kind]bool{},
+		inbound:    make(chan struct{}, MaxInboundCalls),
+		conns:      map[netip.AddrPort]*conn{},
+		accepted:   map[net.Conn]*guest{},
+		perAddress: map[netip.Addr]int{},
+		memory:     newMemory(o.Limits.FrameBytes, o.Budget),
+		open:       map[*conn]struct{}{},
+		ctx:        ctx,
+		cancel:     cancel,
+		draining:   draining,
+		drain:      drain,
 	}
 	t.observeConnections()
+	t.observeMemory()
 	return t
 }
 
@@ -153,15 +172,16 @@
 	defer context.AfterFunc(t.draining, draining.Drain)()
 	defer context.AfterFunc(t.ctx, func() { _ = draining.Close() })()
 	for {
+		t.awaitRoom(t.ctx)
 		nc, err := ln.Accept()
-		if err != nil {
-			if t.draining.Err() != nil {
-				return nil
-			}
-			t.refused(reasonAccept)
+		switch {
+		case err == nil:
+			t.accept(nc)
+		case t.draining.Err() != nil:
+			return nil
+		case !t.retryAccept(err):
 			return err
 		}
-		t.accept(nc)
 	}
 }
 
@@ -184,31 +204,39 @@
 }
 
 func (t *Transport) accept(nc net.Conn) {
+	admitted, givesWay := t.startAccepting(nc)
+	if !admitted {
+		_ = nc.Close()
+	}
+	if givesWay != nil {
+		t.refused(reasonSilent)
+		givesWay.close(fault.Wrap(errGivesWay, fault.Unavailable, "none needed: the next call dials again", "peer connection"))
+	}
+	if !admitted || givesWay != nil {
+		t.warnFull("bound on connections of other vms met", errTooMany)
+	}
+}
+
+// startAccepting reads the first frame of an accepted connection in a goroutine, if there is room for the connection.
+func (t *Transport) startAccepting(nc net.Conn) (admitted bool, givesWay *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
-		_ = nc.Close()
-		return
+		return false, nil
 	}
-	t.accepted[nc] = struct{}{}
-	t.active++
-	t.wg.Add(1)
-	go t.receiveFirst(nc)
+	if admitted, givesWay = t.admitGuest(nc); admitted {
+		t.active++
+		t.wg.Add(1)
+		go t.receiveFirst(nc)
+	}
+	return admitted, givesWay
 }
 
 // receiveFirst reads the first frame of an accepted connection, which says whether it carries messages or a stream.
 func (t *Transport) receiveFirst(nc net.Conn) {
 	defer t.wg.Done()
 	defer t.addActive(-1)
-	err := nc.SetReadDeadline(time.Now().Add(InactivityTimeout))
-	var first *frame
-	n := 0
-	if err == nil {
-		first, n, err = readFrame(nc)
-	}
-	if err == nil {
-		err = nc.SetReadDeadline(time.Time{})
-	}
+	first, n, err := readFirst(nc)
 	if err != nil {
 		t.refused(reasonFirstFrame)
 		t.opts.Log.Debug("accepted connection closed", zap.Stringer("remote", nc.RemoteAddr()), zap.Error(err))
@@ -217,31 +245,52 @@
 	}
 	t.opts.CountFrame(false, first.Kind, n)
 	if first.Type == frameStream {
+		t.name(nc, nil)
 		t.serveStream(nc, first)
 		return
 	}
 	t.startAccepted(nc, first)
 }
 
+// readFirst reads a first frame, which says who the sender is.
+func readFirst(nc net.Conn) (first *frame, n int, err error) {
+	limit := time.Now().Add(InactivityTimeout)
+	if err := nc.SetReadDeadline(limit); err != nil {
+		return nil, 0, err
+	}
+	if err := nc.SetWriteDeadline(limit); err != nil { // a TLS handshake writes, too
+		return nil, 0, err
+	}
+	first, n, err = readFrame(nc, maxFirstFrameBytes)
+	if err != nil {
+		return nil, n, err
+	}
+	if first.From == nil || first.Type != frameHello && first.Type != frameStream {
+		return nil, n, errNoHello
+	}
+	return first, n, nc.SetDeadline(time.Time{})
+}
+
 // forget closes an accepted connection.
 func (t *Transport) forget(nc net.Conn) {
 	_ = nc.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.accepted, nc)
+	t.forgetGuest(nc)
 }
 
 func (t *Transport) startAccepted(nc net.Conn, first *frame) {
 	c := newConn(t, nc)
 	c.onClose = func() {
 		t.mu.Lock()
-		delete(t.accepted, nc)
+		t.forgetGuest(nc)
 		delete(t.open, c)
 		if t.conns[c.addr] == c {
 			delete(t.conns, c.addr)
 		}
 		t.mu.Unlock()
 	}
+	t.name(nc, c)
 	t.opened(c)
 	c.start()
 	c.dispatch(first)
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -93,7 +93,10 @@
 	p := &Process{settings: s, platform: platform, log: log, set: set, regions: newRegionCheck(s.Regions)}
 	incarnation := ident.Incarnation(time.Now().UnixNano())
 	self := statesync.Member{VM: ident.VM{Name: s.VMName, Incarnation: incarnation}, Address: s.Peers, DataCentre: s.DataCentre}
-	p.transport = peer.New(peer.Options{Self: self.VM, Advertise: s.Peers, Log: log.Named("peer"), Metrics: set})
+	p.transport = peer.New(peer.Options{
+		Self: self.VM, Advertise: s.Peers, Log: log.Named("peer"), Metrics: set,
+		Limits: peer.LimitsFor(s.MemoryBytes, peer.Descriptors()),
+	})
 	p.admission = admission.NewController(p.clock, s.RetryBudget, s.Plans, initialVMs,
 		func(c admission.CounterKey, total int64) { p.stateSync.CounterChanged(c, total) })
 	if s.FirstStart {
