dispatch: events that have not arrived whole take from the memory for bodies

Cause: each stream buffers up to 1 MiB of an unfinished event outside the budget. Fix: what goes beyond 16 KiB a stream is taken from the budget before it is read in; if there is no room the attempt ends as one whose event is too large.

--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -55,11 +55,16 @@
 // first event, so until then another endpoint can still run the call.
 func (s *eventStream) forward(reply *backend.Response, body *readAhead) error {
 	var received eventBuffer
+	memory := eventMemory{budget: s.inflight.dispatcher.opts.Bodies}
+	defer memory.release()
 	defer func() { s.trailing = len(received.rest()) }()
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
+			if memoryErr := memory.makeRoom(&received, n); memoryErr != nil {
+				return &backend.SendError{Sent: true, Err: memoryErr}
+			}
 			unfinished := received.write(buf[:n])
 			if events := received.events(); len(events) > 0 {
 				if writeErr := s.write(reply, body, events); writeErr != nil {
