--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -16,15 +16,15 @@
 	bytesPerConnection = 64 << 10
 	// frameFraction is the part of the memory of a process that frames may take, as its inverse.
 	frameFraction = 8
-	// descriptorFraction is the part of the descriptors that connections of other VMs may take, as its inverse.
-	descriptorFraction = 2
+	// descriptorFraction is the part of the descriptors that connections of other VMs may take, as its inverse. Callers may take half.
+	descriptorFraction = 4
 	// minConnections is the maximum number of connections of a process with little memory.
 	minConnections = 32
 )
 
 // LimitsFor returns the limits of a process with memoryBytes of memory that may open the given number of descriptors. A fleet of 400
-// VMs needs 399 connections and 128 streams at each VM, and as many again for a moment while VMs are replaced; 64 MiB allow 1,024. Fleets
-// behind one address, as in tests, stay within three quarters of them.
+// VMs needs 399 connections and 128 streams at each VM, and as many again for a moment while VMs are replaced; 64 MiB allow
+// 1,024 if there are 4,096 descriptors. Fleets behind one address, as in tests, stay within three quarters of them.
 func LimitsFor(memoryBytes int64, descriptors uint64) Limits {
 	connections := max(minConnections, min(int(memoryBytes/bytesPerConnection), int(min(descriptors, 1<<20)/descriptorFraction)))
 	return Limits{Connections: connections, PerAddress: connections * 3 / 4, FrameBytes: max(2*MaxFrameBytes, int(memoryBytes/frameFraction))}
