--- a/internal/peer/memory.go
+++ b/internal/peer/memory.go
@@ -32,7 +32,10 @@
 	memory *memory
 	// abandon closes the connection. It is called without locks.
 	abandon func()
-	held    int
+	// buffer holds what has arrived, if it takes from the memory.
+	buffer []byte
+	// whole is set once the frame has arrived whole, so that it is not given up any more.
+	whole bool
 	// abandoned is set once the frame has been given up in favour of others.
 	abandoned bool
 }
@@ -91,15 +94,41 @@
 	return r
 }
 
-// grow takes n bytes for more of the frame. If there is no room, the frames that began first are given up, as a VM of the fleet sends
-// its frames at once and a stranger may not end one. It reports whether the frame may go on.
-func (r *reading) grow(n int) bool {
+// grow returns a buffer of n bytes that begins with what has arrived. If there is no memory, the frames that began first
+// are given up, as a VM of the fleet sends its frames at once and a stranger may not end one. It returns nil if r is the one to give up.
+func (r *reading) grow(arrived []byte, n int) []byte {
+	if !r.take(n) {
+		return nil
+	}
+	larger := make([]byte, n)
+	copy(larger, arrived)
+	r.memory.mu.Lock()
+	defer r.memory.mu.Unlock()
+	r.giveBack()
+	r.buffer = larger
+	return larger
+}
+
+// take takes n bytes, which are to be given back.
+func (r *reading) take(n int) bool {
+	r.memory.mu.Lock()
+	defer r.memory.mu.Unlock()
+	return r.reserve(n)
+}
+
+// takeForBody takes n bytes for what is decoded from the frame, which has arrived whole and is not given up any more.
+func (r *reading) takeForBody(n int) bool {
+	r.memory.mu.Lock()
+	defer r.memory.mu.Unlock()
+	r.whole = true
+	return r.reserve(n)
+}
+
+// reserve takes n bytes, for which other readings may be given up. The memory's mutex must be held.
+func (r *reading) reserve(n int) bool {
 	m := r.memory
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	for !r.abandoned {
 		if m.takeLocked(n) {
-			r.held += n
 			return true
 		}
 		oldest, givenUp := m.oldest()
@@ -117,12 +146,21 @@
 	return false
 }
 
+// giveBack returns the buffer and its memory. The memory's mutex must be held.
+func (r *reading) giveBack() {
+	if r.buffer == nil {
+		return
+	}
+	r.memory.giveLocked(len(r.buffer))
+	r.buffer = nil
+}
+
 // oldest returns the reading that began first and holds memory, nil if there is none. givenUp is set if one that was given up has
 // not returned its memory yet.
 func (m *memory) oldest() (oldest *reading, givenUp bool) {
 	for _, r := range m.readings {
 		switch {
-		case r.held == 0:
+		case r.buffer == nil || r.whole && !r.abandoned:
 		case r.abandoned:
 			return oldest, true
 		case oldest == nil:
@@ -132,33 +170,12 @@
 	return oldest, false
 }
 
-// shrink returns n bytes.
-func (r *reading) shrink(n int) {
-	r.memory.mu.Lock()
-	defer r.memory.mu.Unlock()
-	r.held -= n
-	r.memory.giveLocked(n)
-}
-
-// complete ends the reading of a frame that has arrived whole. What it holds, which is returned, is to be given back later.
-func (r *reading) complete() (held int) {
-	r.memory.mu.Lock()
-	defer r.memory.mu.Unlock()
-	r.remove()
-	return r.held
-}
-
-// fail ends the reading of a frame that does not arrive whole.
-func (r *reading) fail() {
-	r.memory.mu.Lock()
-	defer r.memory.mu.Unlock()
-	r.remove()
-	r.memory.giveLocked(r.held)
-}
-
-// remove removes r from the readings. The memory's mutex must be held.
-func (r *reading) remove() {
+// end ends the reading. Nothing may refer to its buffer any more.
+func (r *reading) end() {
 	m := r.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.readings = slices.DeleteFunc(m.readings, func(other *reading) bool { return other == r })
+	r.giveBack()
 	m.returned.Broadcast() // one that waited for r looks again
 }
--- a/internal/peer/receive.go
+++ b/internal/peer/receive.go
@@ -49,17 +49,8 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	body, held, err := v.body(n)
-	if err != nil {
-		return nil, 0, err
-	}
-	f, err = decodeFrame(body)
-	if err != nil {
-		v.c.t.memory.give(held)
-		return nil, 0, err
-	}
-	f.held = held
-	return f, n + lengthBytes, nil
+	f, err = v.frame(n)
+	return f, n + lengthBytes, err
 }
 
 // arrived reports whether the next frame is in the buffer.
@@ -71,33 +62,39 @@
 	return err == nil && uint64(v.r.Buffered()) >= lengthBytes+uint64(binary.BigEndian.Uint32(head))
 }
 
-// body reads n bytes. It allocates memory as they arrive, and returns how much of it is held.
-func (v *receiver) body(n int) (body []byte, held int, err error) {
-	body = make([]byte, min(n, smallFrameBytes))
-	if _, err := io.ReadFull(v.r, body); err != nil || n <= smallFrameBytes {
-		return body, 0, err
+// frame reads a frame of n bytes. It takes memory as they arrive, and the frame holds what its body needs.
+func (v *receiver) frame(n int) (*frame, error) {
+	body := make([]byte, min(n, smallFrameBytes))
+	if _, err := io.ReadFull(v.r, body); err != nil {
+		return nil, err
 	}
-	t := v.c.t
-	reading := t.memory.begin(func() { v.c.close(errNoMemory) })
+	if n <= smallFrameBytes {
+		return decodeFrame(body)
+	}
+	m := v.c.t.memory
+	reading := m.begin(func() { v.c.close(errNoMemory) })
+	defer reading.end()
 	for len(body) < n {
-		size := min(2*len(body), n)
-		if !reading.grow(size) {
-			t.refused(reasonMemory)
-			reading.fail()
-			return nil, 0, errNoMemory
-		}
-		grown := make([]byte, size)
-		read := copy(grown, body)
-		if read > smallFrameBytes {
-			reading.shrink(read)
+		read := len(body)
+		if body = reading.grow(body, min(2*read, n)); body == nil {
+			v.c.t.refused(reasonMemory)
+			return nil, errNoMemory
 		}
-		body = grown
 		if _, err := io.ReadFull(v.r, body[read:]); err != nil {
-			reading.fail()
-			return nil, 0, err
+			return nil, err
 		}
 	}
-	return body, reading.complete(), nil
+	if !reading.takeForBody(n) {
+		v.c.t.refused(reasonMemory)
+		return nil, errNoMemory
+	}
+	f, err := decodeFrame(body)
+	if err != nil {
+		m.give(n)
+		return nil, err
+	}
+	f.held = n // its body is a copy
+	return f, nil
 }
 
 var (
