--- a/internal/peer/memory.go
+++ b/internal/peer/memory.go
@@ -9,7 +9,6 @@
 // arrive, not for what its length announces.
 type memory struct {
 	limit int
-	whole Budget
 
 	mu   sync.Mutex
 	used int
@@ -19,14 +18,6 @@
 	readings []*reading
 }
 
-// Budget is a bound on the memory of the whole process, of which frames of other VMs take a part. It is safe for concurrent use.
-type Budget interface {
-	// Reserve takes n bytes and reports whether there is room for them.
-	Reserve(n int64) bool
-	// Release returns n bytes.
-	Release(n int64)
-}
-
 // reading is a frame that has arrived in part.
 type reading struct {
 	memory *memory
@@ -40,8 +31,8 @@
 	abandoned bool
 }
 
-func newMemory(limit int, whole Budget) *memory {
-	m := &memory{limit: limit, whole: whole}
+func newMemory(limit int) *memory {
+	m := &memory{limit: limit}
 	m.returned.L = &m.mu
 	return m
 }
@@ -54,7 +45,7 @@
 }
 
 func (m *memory) takeLocked(n int) bool {
-	if m.used+n > m.limit || m.whole != nil && !m.whole.Reserve(int64(n)) {
+	if m.used+n > m.limit {
 		return false
 	}
 	m.used += n
@@ -73,9 +64,6 @@
 
 func (m *memory) giveLocked(n int) {
 	m.used -= n
-	if m.whole != nil {
-		m.whole.Release(int64(n))
-	}
 	m.returned.Broadcast()
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -65,8 +65,6 @@
 	Log *zap.Logger
 	// Limits bound connections and frames; those left 0 are taken from LimitsFor with 64 MiB of memory.
 	Limits Limits
-	// Budget is the memory of the process of which frames take a part; nil means that there is no other bound.
-	Budget Budget
 	// Metrics receives the metrics of connections; nil means none.
 	Metrics *metrics.Set
 	// CountFrame is called with the size of each frame sent or received. It may be nil.
@@ -137,7 +135,7 @@
 		conns:      map[netip.AddrPort]*conn{},
 		accepted:   map[net.Conn]*guest{},
 		perAddress: map[netip.Addr]int{},
-		memory:     newMemory(o.Limits.FrameBytes, o.Budget),
+		memory:     newMemory(o.Limits.FrameBytes),
 		open:       map[*conn]struct{}{},
 		ctx:        ctx,
 		cancel:     cancel,
