--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/fulmartide/fulmartide/internal/membership"
+	"github.com/fulmartide/fulmartide/internal/operator/api"
 	"github.com/fulmartide/fulmartide/internal/operator/command"
 	"github.com/fulmartide/fulmartide/internal/operator/query"
 	"github.com/fulmartide/fulmartide/internal/relay"
@@ -17,13 +18,20 @@
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", d.ready)
 	mux.HandleFunc("GET /metrics", d.writeMetrics)
-	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
-	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.Handle("GET /debug/pprof/", profiles())
 	mux.Handle("/operator/command/", command.NewHandler(command.Deps{Configuration: d.config, Keys: d.keys, Log: d.log.Named("operator")}))
 	mux.Handle("/operator/query/", d.queries)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
+// profiles serves one profile at a time: each may take as much memory as all stacks or the heap's records.
+func profiles() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	return api.Limited(mux, 1)
+}
+
 func (d *daemon) queryHandler() http.Handler {
 	return query.NewHandler(query.Deps{
 		Self: d.self, Directory: d.membership, Configuration: d.config, Keys: d.keys, Limiter: d.limiter,
--- a/internal/operator/api/respond.go
+++ b/internal/operator/api/respond.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/fulmartide/fulmartide/internal/fault"
@@ -58,7 +57,9 @@
 func CommandHandler[Req, Resp any](do func(ctx context.Context, req *Req) (*Resp, error)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var req Req
-		if err := decodeRequest(http.MaxBytesReader(w, r.Body, MaxBodyBytes), &req); err != nil {
+		raw, release, err := readBody(w, r)
+		defer release()
+		if err := decodeRequest(raw, err, &req); err != nil {
 			WriteResponse(w, nil, err)
 			return
 		}
@@ -67,14 +68,15 @@
 	})
 }
 
-// decodeRequest decodes a single JSON value and rejects unknown keys.
-func decodeRequest(r io.Reader, out any) error {
-	raw, err := io.ReadAll(r)
+// decodeRequest decodes a single JSON value and rejects unknown keys. err is the error of reading it.
+func decodeRequest(raw []byte, err error, out any) error {
 	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
+	switch {
+	case errors.As(err, &tooLong):
 		return fault.New(fault.TooLarge, "send a smaller request", "request exceeds the size limit")
-	}
-	if err != nil {
+	case errors.Is(err, errBusy):
+		return err
+	case err != nil:
 		return fault.Wrap(err, fault.Malformed, "send the request again", "read request")
 	}
 	dec := json.NewDecoder(bytes.NewReader(raw))
--- a/internal/operator/query/handler.go
+++ b/internal/operator/query/handler.go
@@ -85,7 +85,7 @@
 	mux.Handle("GET "+api.PathEndpoints, api.QueryHandler(h.endpoints))
 	mux.Handle("GET "+api.PathExplain, api.QueryHandler(h.explain))
 	mux.HandleFunc("/", api.NotFound)
-	return mux
+	return api.LimitedQueries(mux)
 }
 
 type handler struct{ deps Deps }
