connpool: response headers of short lines are not read to their end

An endpoint's header was bounded in bytes only; 64 KiB of short lines take many times that once net/http has parsed them, on each connection. No more is read after 1,000 lines. Evidence: TestHeaderOfManyLinesIsNotRead; 2,000 lines were accepted before. Not played with real processes.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -58,17 +58,18 @@
 
 var errHeaderTooLarge = errors.New("the endpoint's response header exceeds the maximum size")
 
-// limitedReader fails with errHeaderTooLarge once remaining bytes have been read.
+// limitedReader fails with errHeaderTooLarge once remaining bytes have been read, or too many lines of a header.
 type limitedReader struct {
 	r         io.Reader
 	remaining int64
+	head      headLines
 	// lastRead is when data was read last. A response may be delivered to a slow caller long after it has been read.
 	lastRead time.Time
 }
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
+	if l.remaining <= 0 || l.remaining != noLimit && l.head.tooMany() {
 		return 0, errHeaderTooLarge
 	}
 	p = p[:min(int64(len(p)), l.remaining)]
@@ -78,6 +79,7 @@
 	}
 	if l.remaining != noLimit {
 		l.remaining -= int64(n)
+		l.head.add(p[:n])
 	}
 	return n, err
 }
@@ -224,7 +226,7 @@
 func (c *conn) readHeader(r *Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	for range maxResponseReads {
-		c.in.remaining = maxHeaderBytes
+		c.in.remaining, c.in.head = maxHeaderBytes, headLines{}
 		resp, err := http.ReadResponse(c.br, req)
 		c.in.remaining = noLimit
 		if err != nil {
