peer: calls count what they take, and are not run for a connection that reads no replies

Cause: a call was counted with 2 KiB, but its goroutine has a stack of 8 KiB; and calls were run whose replies had no room, which made garbage faster than a collector without processor time collects it. Fix: 8 KiB, and no call is run while 512 KiB of replies are queued on its connection.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -25,10 +25,12 @@
 	nc     net.Conn
 	outbox chan *frame
 	// unsent is the number of frames that have been queued and not written.
-	unsent  atomic.Int64
-	ready   chan struct{}
-	done    chan struct{}
-	onClose func()
+	unsent atomic.Int64
+	// replyBytes is the size of the replies that are queued.
+	replyBytes atomic.Int64
+	ready      chan struct{}
+	done       chan struct{}
+	onClose    func()
 
 	mu      sync.Mutex
 	err     error
@@ -257,7 +259,7 @@
 			return
 		case f := <-c.outbox:
 			err := c.write(w, f)
-			c.release(f)
+			c.releaseQueued(f)
 			buffered++
 			if w.Buffered() == 0 {
 				c.unsent.Add(-buffered)
@@ -417,7 +419,7 @@
 		defer c.t.wg.Done()
 		defer c.t.addActive(-1)
 		defer func() { <-c.t.inbound }()
-		out, err := c.t.handle(ctx, h, f, remote)
+		out, err := c.handleCall(ctx, h, f, remote)
 		c.release(f)
 		c.mu.Lock()
 		delete(c.serving, f.ID)
--- a/internal/peer/receive.go
+++ b/internal/peer/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"io"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/fulmartide/fulmartide/internal/codec"
 	"github.com/fulmartide/fulmartide/internal/fault"
+	"github.com/fulmartide/fulmartide/internal/ident"
 )
 
 const (
@@ -20,8 +22,8 @@
 	smallFrameBytes = 4 << 10
 	// frameTimeout is the maximum time from the first byte of a frame to its last one. VMs send a frame at once.
 	frameTimeout = 10 * time.Second
-	// callCost is the memory of a call that is being handled, besides its frame.
-	callCost = 2 << 10
+	// callCost is the memory of a call that is being handled, besides its frame: mostly the stack of its goroutine.
+	callCost = 8 << 10
 )
 
 // receiver reads the frames of a connection after the first one.
@@ -137,7 +139,7 @@
 		}
 	}
 	if c.enqueue(r) != nil {
-		c.release(r)
+		c.releaseQueued(r)
 		return
 	}
 	if c.ended() {
@@ -151,9 +153,31 @@
 		return false
 	}
 	r.held = n
+	c.replyBytes.Add(int64(n))
 	return true
 }
 
+// releaseQueued returns what a queued frame holds.
+func (c *conn) releaseQueued(f *frame) {
+	if f.held > 0 {
+		c.replyBytes.Add(-int64(f.held))
+		c.release(f)
+	}
+}
+
+// handleCall runs the handler of a call or a one-way message, unless replies are queued for a connection that is not read: to run it
+// would only make garbage, faster than it is collected.
+func (c *conn) handleCall(ctx context.Context, h Handler, f *frame, from ident.VM) ([]byte, error) {
+	if c.replyBytes.Load() > maxQueuedReplyBytes {
+		c.t.refused(reasonReplies)
+		return nil, errNoMemory
+	}
+	return c.t.handle(ctx, h, f, from)
+}
+
+// maxQueuedReplyBytes is the size of the replies queued on a connection from which no more calls are run.
+const maxQueuedReplyBytes = 512 << 10
+
 // replyCost is the memory of a queued reply besides its body.
 const replyCost = 256
 
@@ -162,7 +186,7 @@
 	for {
 		select {
 		case f := <-c.outbox:
-			c.release(f)
+			c.releaseQueued(f)
 		default:
 			return
 		}
