--- a/test/clients/process_test.go
+++ b/test/clients/process_test.go
@@ -11,6 +11,7 @@
 	"encoding/pem"
 	"fmt"
 	"math/big"
+	mathrand "math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -186,17 +187,15 @@
 	return n >> 10
 }
 
-// freePorts returns the first of n consecutive free ports.
+// freePorts returns the first of n consecutive free ports. They lie below those that the kernel gives to outgoing connections, which
+// could otherwise take one before the process listens on it.
 func freePorts(t *testing.T, n int) int {
 	t.Helper()
+	const lowest, highest = 20000, 32000
 	for {
-		first, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		held := []net.Listener{first}
-		for i := 1; i < n; i++ {
+		port := lowest + mathrand.IntN(highest-lowest)
+		var held []net.Listener
+		for i := range n {
 			ln, err := net.Listen("tcp", loopback(port+i))
 			if err != nil {
 				break
