--- a/internal/callerconn/budget.go
+++ b/internal/callerconn/budget.go
@@ -142,7 +142,7 @@
 // answer from the caller.
 func (c *conn) refuseHead() {
 	c.server.headsRefused.Inc()
-	const text = "too_large: the headers are too large\nrun: not_executed\nremedy: send smaller headers\n"
+	const text = "too_large: the headers are too large\nrun: not_run\nremedy: send smaller headers\n"
 	answer := "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: " +
 		strconv.Itoa(len(text)) + "\r\n\r\n" + text
 	end := time.Now().Add(refusalTime)
@@ -203,5 +203,5 @@
 	w.Header().Set("Retry-After", strconv.Itoa(refusalRetryAfter))
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(http.StatusServiceUnavailable)
-	_, _ = io.WriteString(w, "overloaded: no memory for the request\nrun: not_executed\nremedy: retry after the stated time\n")
+	_, _ = io.WriteString(w, "overloaded: no memory for the request\nrun: not_run\nremedy: retry after the stated time\n")
 }
