dispatch: a whole stream is not broken off because its engine has ended

Callers of a route whose engines answer without a length or chunks saw a whole stream broken off after its last event if the engine ended right after it, as one does that leaves. The address refuses the question at the end, so another engine is to continue; that has nothing to add, answers with an empty stream, and was taken for one that failed, as were all others until the call had no attempts left. In chunks the same empty response was accepted. The end of an empty response that continues a stream is now checked like any other, and accepted if the engine's process lived beyond it.

--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -94,7 +94,7 @@
 	if reply.EventStream && len(bytes.Trim(rest, "\r\n")) > 0 {
 		return &backend.SendError{Sent: true, Err: errStreamTruncated}
 	}
-	if reply.EventStream && !reply.Delimited && s.events == s.eventsBefore {
+	if reply.EventStream && !reply.Delimited && s.events == s.eventsBefore && !s.nothingFollows(reply) {
 		return &backend.SendError{Sent: true, Err: errStreamEmpty}
 	}
 	if len(rest) == 0 && s.inflight.responseStarted {
@@ -103,6 +103,11 @@
 	return s.write(reply, body, rest)
 }
 
+// nothingFollows reports whether an engine that was to continue the stream is known to have ended its response without an event.
+func (s *eventStream) nothingFollows(reply *backend.Response) bool {
+	return s.lastID != "" && reply.EndEvidence().Whole()
+}
+
 func (s *eventStream) write(reply *backend.Response, body *readAhead, p []byte) error {
 	if reply.EventStream {
 		s.inflight.recordOrigin(reply.Lifetime)
