origin: settled records are stored again, evidence is sought at once beside another version

When all VMs ended and an engine left meanwhile, its streams were refused although their version had been settled before: the store had their records as open, and nothing made the recorder write them again. TestSettledRecordIsStoredAgain covers the first part.

--- a/internal/origin/openrecord.go
+++ b/internal/origin/openrecord.go
@@ -32,3 +32,19 @@
 	told.Version = parts[2]
 	return told, traffic.EndpointID{Name: parts[1], StartedAt: born}, true
 }
+
+func isOpen(rec Record) bool {
+	_, _, open := parseOrigin(rec.Origin)
+	return open
+}
+
+// openKeys returns the keys of the unsettled records.
+func openKeys(list []Record) map[Key]bool {
+	out := map[Key]bool{}
+	for _, rec := range list {
+		if isOpen(rec) {
+			out[rec.Key] = true
+		}
+	}
+	return out
+}
--- a/internal/origin/recorder.go
+++ b/internal/origin/recorder.go
@@ -30,6 +30,8 @@
 	// be an object.
 	written map[Key]clock.Instant
 	exists  bool
+	// writtenOpen are the keys of the unsettled records among these.
+	writtenOpen map[Key]bool
 }
 
 // heldSnapshot is the last snapshot of a VM.
@@ -89,6 +91,7 @@
 			r.written[rec.Key] = now.Add(rec.Left)
 		}
 	}
+	r.writtenOpen = openKeys(list)
 }
 
 // union returns the records of all snapshots whose origin is needed, with the longest needed first. Those beyond the
@@ -116,8 +119,7 @@
 
 // preferred returns which of two records of a stream is stored: a settled one, or else the one that is needed longer.
 func preferred(a, b Record) Record {
-	_, _, aOpen := parseOrigin(a.Origin)
-	_, _, bOpen := parseOrigin(b.Origin)
+	aOpen, bOpen := isOpen(a), isOpen(b)
 	if a.Left > 0 && (bOpen && !aOpen || aOpen == bOpen && a.Left >= b.Left) {
 		return a
 	}
@@ -158,7 +160,8 @@
 		return storeNothing
 	}
 	for _, rec := range union {
-		if until, ok := r.written[rec.Key]; !ok || now.Add(rec.Left).Sub(until) > rewriteMargin {
+		until, ok := r.written[rec.Key]
+		if !ok || now.Add(rec.Left).Sub(until) > rewriteMargin || r.writtenOpen[rec.Key] && !isOpen(rec) {
 			return storeWrite
 		}
 	}
@@ -174,6 +177,7 @@
 	for _, rec := range list {
 		r.written[rec.Key] = now.Add(rec.Left)
 	}
+	r.writtenOpen = openKeys(list)
 }
 
 // removed is called after the object was removed.
--- a/internal/origin/snapshot.go
+++ b/internal/origin/snapshot.go
@@ -81,7 +81,9 @@
 type reporter struct {
 	seq uint64
 	// keys and to are the streams and the receiver of the last snapshot, sentAt is its time.
-	keys   []Key
+	keys []Key
+	// open is the number of unsettled records among the streams.
+	open   int
 	to     netip.AddrPort
 	sentAt clock.Instant
 }
@@ -95,11 +97,12 @@
 		keys = append(keys, rec.Key)
 	}
 	slices.Sort(keys)
-	changed := !slices.Equal(keys, r.keys) || len(keys) > 0 && to != r.to
+	unsettled := len(openKeys(open))
+	changed := !slices.Equal(keys, r.keys) || unsettled != r.open || len(keys) > 0 && to != r.to
 	if !changed && (len(keys) == 0 || now.Sub(r.sentAt) < reportRepeatPeriod) {
 		return Snapshot{}, false
 	}
 	r.seq++
-	r.keys, r.to, r.sentAt = keys, to, now
+	r.keys, r.open, r.to, r.sentAt = keys, unsettled, to, now
 	return newSnapshot(r.seq, open), true
 }
--- a/internal/origin/unsettled.go
+++ b/internal/origin/unsettled.go
@@ -21,7 +21,8 @@
 	openPollGrowth = 16
 	maxOpenPoll    = 500 * time.Millisecond
 	// openSeekAge is the age of a record from which on evidence is sought although nobody waits for it: many streams have ended by
-	// then, and a later read may not list an endpoint that has ended meanwhile. It is sought at once if the endpoint is leaving.
+	// then, and a later read may not list an endpoint that has ended meanwhile. It is sought at once if the endpoint is leaving, or the
+	// service has several versions: if all VMs end, and the endpoint too, only a settled record tells which one.
 	openSeekAge = time.Second
 	// maxOpenWait bounds the wait for evidence when a stream is resumed.
 	maxOpenWait = time.Second
@@ -73,7 +74,7 @@
 		c.awaitToldRecord(now, k)
 	}
 	e, known := c.records.find(now, k)
-	wanted = wanted || c.leaving[e.endpoint]
+	wanted = wanted || c.leaving[e.endpoint] || known && c.versions.hasOther(now, e.origin)
 	c.mu.Unlock()
 	if !known || e.open == nil {
 		return false
--- a/internal/origin/unsettled_test.go
+++ b/internal/origin/unsettled_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -115,8 +116,7 @@
 		leaving bool
 		sought  bool
 	}{
-		{"several versions, short stream", []string{"v1", "v2"}, openSeekAge / 2, false, false},
-		{"several versions, long stream", []string{"v1", "v2"}, openSeekAge, false, true},
+		{"several versions", []string{"v1", "v2"}, 0, false, true},
 		{"one version, short stream", []string{"v1"}, openSeekAge / 2, false, false},
 		{"one version, long stream", []string{"v1"}, openSeekAge, false, true},
 		{"engine that leaves", []string{"v1"}, 0, true, true},
@@ -205,3 +205,33 @@
 		}
 	}
 }
+
+// TestSettledRecordIsStoredAgain guards against refusing streams whose engine ended with all VMs, as the store has their records as
+// unsettled although they were settled long before.
+func TestSettledRecordIsStoredAgain(t *testing.T) {
+	o := traffic.StreamOrigin{Service: testService, Version: "v1"}
+	settled, open := Record{Key: 1, Origin: o, Left: time.Minute}, Record{Key: 1, Origin: openOriginOf(o, traffic.EndpointID{Name: "e"}), Left: time.Minute}
+	now := clock.Instant(time.Hour)
+	var r recorder
+	r.wrote(now, []Record{open})
+	if got := r.action(now, []Record{open}); got != storeNothing {
+		t.Errorf("action %d for what is stored", got)
+	}
+	if got := r.action(now, []Record{settled}); got != storeWrite {
+		t.Errorf("action %d for a record that was settled", got)
+	}
+	r.wrote(now, []Record{settled})
+	if got := r.action(now, []Record{settled}); got != storeNothing {
+		t.Errorf("action %d for a settled record that is stored", got)
+	}
+	var report reporter
+	to := netip.MustParseAddrPort("127.0.0.1:1")
+	for i, tc := range []struct {
+		rec Record
+		due bool
+	}{{open, true}, {open, false}, {settled, true}, {settled, false}} {
+		if _, due := report.next(now, []Record{tc.rec}, to); due != tc.due {
+			t.Errorf("report %d is due: %v", i, due)
+		}
+	}
+}
