callerconn: a request with TLS that was parsed before its connection ended in favour of others is served

Between the parsing of a request and its handler a connection may be told to end; the handler undoes it. Without TLS the read of net/http beside the handler then goes on; with TLS it failed, and the request counted as one whose caller had left. Seen in a review of the code, not in a run.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -85,8 +85,8 @@
 		timedOut := n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
 		if timedOut && c.readsRequest() {
 			n, err = c.readArrived(p, err)
-		} else if timedOut && len(p) == backgroundReadSize && c.undoEviction() {
-			continue
+		} else if timedOut && (len(p) == backgroundReadSize || c.server.encrypted) && c.undoEviction() {
+			continue // the connection was to end after its request had been parsed
 		} else if n == 0 && !timedOut {
 			c.setPeerEnded()
 		}
