--- a/internal/peer/memory_test.go
+++ b/internal/peer/memory_test.go
@@ -39,7 +39,7 @@
 
 // Guards against limits that the VMs of the largest fleet meet: 400 VMs behind one address, each with a connection, and 128 streams.
 func TestLimitsLeaveRoomForTheLargestFleet(t *testing.T) {
-	l := LimitsFor(64<<20, 20000)
+	l := LimitsFor(64<<20, 2048)
 	if need := 399 + 128; l.PerAddress < need || l.Connections < need+399 {
 		t.Errorf("limits %+v, want %d connections from one address and %d in all", l, need, need+399)
 	}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmartide/fulmartide/internal/codec"
+	"github.com/fulmartide/fulmartide/internal/connbudget"
 	"github.com/fulmartide/fulmartide/internal/fault"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/tcpconn"
@@ -120,7 +121,7 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	defaults := LimitsFor(defaultMemoryBytes, Descriptors())
+	defaults := LimitsFor(defaultMemoryBytes, connbudget.Connections(0))
 	o.Limits.Connections = cmp.Or(o.Limits.Connections, defaults.Connections)
 	o.Limits.PerAddress = cmp.Or(o.Limits.PerAddress, defaults.PerAddress)
 	o.Limits.FrameBytes = cmp.Or(o.Limits.FrameBytes, defaults.FrameBytes)
--- a/test/clients/process_test.go
+++ b/test/clients/process_test.go
@@ -187,11 +187,10 @@
 	return n >> 10
 }
 
-// freePorts returns the first of n consecutive free ports. They lie below those that the kernel gives to outgoing connections, which
-// could otherwise take one before the process listens on it.
+// freePorts returns the first of n consecutive free ports, below those that the kernel gives to outgoing connections.
 func freePorts(t *testing.T, n int) int {
 	t.Helper()
-	const lowest, highest = 20000, 32000
+	const lowest, highest = 20000, 30000
 	for {
 		port := lowest + mathrand.IntN(highest-lowest)
 		var held []net.Listener
