--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -90,7 +90,10 @@
 		PeerAddress: addrOf(ls.peers),
 		State:       membership.Alive,
 	}
-	d.transport = peer.New(peer.Options{Self: d.self.VM, TLS: mutual, Log: log.Named("peer"), Metrics: d.counter.set, CountFrame: d.counter.count})
+	d.transport = peer.New(peer.Options{
+		Self: d.self.VM, TLS: mutual, Log: log.Named("peer"), Metrics: d.counter.set, CountFrame: d.counter.count,
+		Limits: peer.LimitsFor(s.Limits.MemoryMiB<<20, connbudget.Connections(0)),
+	})
 	d.platform = objectstore.NewHTTPClient(netip.MustParseAddrPort(s.Platform.Address), time.Duration(s.Platform.TimeoutMillis)*time.Millisecond)
 	d.createServices()
 	return d, nil
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -100,7 +100,7 @@
 	self := statesync.Member{VM: ident.VM{Name: s.VMName, Incarnation: incarnation}, Address: s.Peers, DataCentre: s.DataCentre}
 	p.transport = peer.New(peer.Options{
 		Self: self.VM, Advertise: s.Peers, Log: log.Named("peer"), Metrics: set,
-		Limits: peer.LimitsFor(s.MemoryBytes, peer.Descriptors()),
+		Limits: peer.LimitsFor(s.MemoryBytes, connbudget.Connections(s.Descriptors)),
 	})
 	p.admission = admission.NewController(p.clock, s.RetryBudget, s.Plans, initialVMs,
 		func(c admission.CounterKey, total int64) { p.stateSync.CounterChanged(c, total) })
