dispatch: a call waits for other VMs' answers about lost paths beyond its limit for engine memory

Callers of a VM that has just lost its paths got 503 ("this VM has lost its path to the endpoints") with 8 of 9 s left, while two other VMs reached all endpoints: 39 of 40 calls in TestCallsAtAVMWithoutAPathToEndpointsAreServed/silent, the first stream each time. Cause, by the log of the call: its second prefill engine timed out 753 ms after its arrival. At that moment the path counts as lost, and the other VMs are asked; they answered within 1 ms. The call may wait for that, but not beyond its limit for engine memory (0.6 of the latency target after its arrival), which had passed. The retry budget of a VM that starts only made the first try longer, so that the limit was reached. Now the answers are awaited for 0.4 s from when they were first found missing, whatever the limit; reach gives the other VMs 0.35 s.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -31,7 +31,8 @@
 
 // place claims an endpoint. If all endpoints are full or none is available, it waits until maxElapsed
 // has passed since the call arrived. It does not wait if every available endpoint has been tried
-// already, or if it is known that none takes calls by then. While the ranks of the service's calls differ, capacity that
+// already, or if it is known that none takes calls by then. If other VMs have been asked whether they reach the endpoints, it waits
+// for their answers also beyond maxElapsed. While the ranks of the service's calls differ, capacity that
 // is short is divided by rank, and calls wait only if that is of use.
 func (f *inflightCall) place(ctx context.Context, request *schedule.Request, maxElapsed time.Duration) (*schedule.Claim, error) {
 	claim, err := f.findPlace(ctx, request, maxElapsed)
@@ -49,7 +50,7 @@
 	}
 	var entry *schedule.QueueEntry
 	var turn *turn
-	waited := false
+	waited, awaitsVMs := false, false
 	for {
 		freed := s.CapacityFreed()
 		claim, err := s.Place(request, entry)
@@ -66,6 +67,10 @@
 				maxElapsed = f.elapsed() + turn.wait.Limit
 			}
 		}
+		if schedule.AwaitsVMs(err) && !awaitsVMs {
+			awaitsVMs = true
+			maxElapsed = max(maxElapsed, f.elapsed()+vmAnswerTime)
+		}
 		if wait := maxElapsed - f.elapsed(); !f.mayWait(request, err, wait) {
 			turn.end(false)
 			if turn != nil && fault.Is(err, fault.Overloaded) {
@@ -114,6 +119,9 @@
 		zap.Bool("waited", waited), zap.Duration("retry_after", fault.DetailOf(err).RetryAfter), zap.Error(err))
 }
 
+// vmAnswerTime is how long a call waits for other VMs to say whether they reach its endpoints. It is a little more than they are given.
+const vmAnswerTime = 400 * time.Millisecond
+
 // capacityRecheckInterval limits one wait for a release, because capacity can also become available
 // as time passes, which is not signalled.
 const capacityRecheckInterval = 50 * time.Millisecond
