--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 # These tests bound the memory of processes, so they run apart from other load and one at a time.
 ALONE = ./test/clients
-ALONE_PLATFORM = ^TestPeerCrowd
+ALONE_PLATFORM = ^Test(Peer|Caller)Crowd
 
 test:
 	go test -race -timeout 300s -skip '$(SKIP)|$(ALONE_PLATFORM)' $(SLOWEST) $$(go list ./... | grep -v /test/clients$$)
