--- a/internal/connbudget/descriptors.go
+++ b/internal/connbudget/descriptors.go
@@ -21,5 +21,5 @@
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &files); err == nil {
 		limit = min(limit, files.Cur)
 	}
-	return int(limit / descriptorShare)
+	return max(1, int(limit/descriptorShare))
 }
