statesync: a mark that a VM of the build before passes on is no version

A VM of the build before that loaded an unsettled record from the store answers the question for its origin with the marked version. The asking VM then looked for endpoints of that version, and there are none. Such an answer now counts as one of a record that is not settled, and the question is asked again. TestUnsettledRecordOfAFormerVMIsNoVersion fails without the change (the stream began at "\x5cx017\x5cx01e\x5cx01v1") and passes with it (2 of 2, -race).

--- a/internal/origin/openrecord.go
+++ b/internal/origin/openrecord.go
@@ -33,8 +33,11 @@
 	return told, traffic.EndpointID{Name: parts[1], StartedAt: born}, true
 }
 
-func isOpen(rec Record) bool {
-	_, _, open := parseOrigin(rec.Origin)
+func isOpen(rec Record) bool { return IsUnsettled(rec.Origin) }
+
+// IsUnsettled reports whether an origin that a VM told is that of an unsettled record. A VM of the build before passes it on as it was stored.
+func IsUnsettled(told traffic.StreamOrigin) bool {
+	_, _, open := parseOrigin(told)
 	return open
 }
 
--- a/internal/statesync/origins.go
+++ b/internal/statesync/origins.go
@@ -189,12 +189,12 @@
 	var out originReply
 	for range holders {
 		reply := <-replies
-		if reply.Known {
+		switch {
+		case reply.Known && origin.IsUnsettled(reply.Origin), reply.Origin == unsettledOrigin:
+			out = originReply{Origin: unsettledOrigin}
+		case reply.Known:
 			return *reply
 		}
-		if reply.Origin == unsettledOrigin {
-			out = *reply
-		}
 	}
 	return out
 }
--- a/internal/statesync/origins_test.go
+++ b/internal/statesync/origins_test.go
@@ -1,6 +1,7 @@
 package statesync
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -13,6 +14,7 @@
 	"github.com/fulmartide/fulmartide/internal/clock"
 	"github.com/fulmartide/fulmartide/internal/ident"
 	"github.com/fulmartide/fulmartide/internal/origin"
+	"github.com/fulmartide/fulmartide/internal/peer"
 	"github.com/fulmartide/fulmartide/internal/traffic"
 )
 
@@ -85,3 +87,31 @@
 		}
 	}
 }
+
+// formerOrigins answers as a VM of the build before that has loaded an unsettled record from the store.
+type formerOrigins struct{ *origin.Controller }
+
+func (formerOrigins) Await(context.Context, origin.Key) bool { return false }
+
+func (formerOrigins) Lookup(origin.Key) (traffic.StreamOrigin, bool) {
+	return traffic.StreamOrigin{Service: "s", Version: "\x017\x01e\x01v1"}, true
+}
+
+// TestUnsettledRecordOfAFormerVMIsNoVersion guards against streams that are sent to no endpoint, or wait in vain, as their version is taken
+// from a record whose mark a VM of the build before passes on.
+func TestUnsettledRecordOfAFormerVMIsNoVersion(t *testing.T) {
+	members, listeners := listenAsTwo(t)
+	former := newNode()
+	former.Service = New(Options{
+		Self: members[0], Clock: clock.BootTime{}, Transport: peer.New(peer.Options{Self: members[0].VM}), Registry: former, Work: former, Plans: former,
+		Documents: former, Quarantine: newQuarantine(), Origins: formerOrigins{newOrigins()}, Log: zap.NewNop(),
+	})
+	runNode(t, former, listeners[0])
+	this := startNodeWith(t, members[1], listeners[1], members[:1], newQuarantine())
+	if o, ok := this.AskOrigin(t.Context(), 3); ok {
+		t.Errorf("the stream began at %q", o)
+	}
+	if known := this.opts.Origins.(*origin.Controller); known.Await(t.Context(), 3) {
+		t.Error("this VM names the stream as one of its own")
+	}
+}
