connbudget: connections whose ends are undone stay within the limits

What clients cause: a request that arrives when its connection is told to end undoes the end. admit looked only at the number that is still ending, so each undone end made room for one connection more, and resume counted the connection's base only, so that the head of its request was not counted any more.

--- a/internal/callerconn/budget.go
+++ b/internal/callerconn/budget.go
@@ -171,7 +171,10 @@
 	head := connbudget.ParsedHeadBytes(r)
 	if r.ProtoMajor < 2 {
 		c.setHandled(false)
-		c.account.Keep(head)
+		if !c.account.Hold(head) {
+			c.setHandled(true)
+			return nil
+		}
 		// The memory is given back when the connection awaits its next request. An end reaches readers only, not the answer.
 		return func() { c.setHandled(true) }
 	}
--- a/internal/connbudget/account.go
+++ b/internal/connbudget/account.go
@@ -78,6 +78,25 @@
 	a.release(max(0, a.held-a.base-n))
 }
 
+// Hold makes n the bytes that the connection holds besides those that it holds as long as it lasts, and reports whether there was room. An end
+// that was undone has given back what a head took; it is taken again here.
+func (a *Account) Hold(n int64) bool {
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	more := n - a.data()
+	if more <= 0 {
+		a.release(-more)
+		return true
+	}
+	if a.ended || a.closed || !b.makeRoom(more, a) {
+		return false
+	}
+	b.used += more
+	a.held += more
+	return true
+}
+
 // Wait notes that the connection has no call in progress from now on, and may be ended to make room.
 func (a *Account) Wait() {
 	a.budget.mu.Lock()
--- a/internal/connbudget/budget.go
+++ b/internal/connbudget/budget.go
@@ -16,8 +16,8 @@
 	ConnectionBytes = 16 << 10
 	// smallBytes is what a connection may hold for data without being closed before those that have waited longer.
 	smallBytes = 64 << 10
-	// endingShare is the part of the connections, as its inverse, that may be on their way to their end beyond the limit. net/http takes up
-	// to half a second to close a connection whose request it has refused.
+	// endingShare is the part of the connections, as its inverse, that may be open beyond the limit: on their way to their end, as net/http takes
+	// up to half a second to close a connection whose request it has refused, or with a request that has undone their end.
 	endingShare = 2
 	// headShare is the part of the memory, as its inverse, that calls in progress leave to new connections and their heads.
 	headShare = 4
@@ -116,7 +116,7 @@
 		return true
 	}
 	victim := b.longestWaiting(a)
-	if victim == nil || b.ending > b.opts.Connections/endingShare {
+	if victim == nil || len(b.accounts) >= b.opts.Connections+max(1, b.opts.Connections/endingShare) {
 		b.note(a.listener, reasonConnections, a)
 		return false
 	}
