Makefile: run test/clients although its own files are unchanged

The tests build the daemon with a command, so the cache of test results does not know its sources: go test ./test/clients printed (cached) after a change of internal/connbudget.

--- a/Makefile
+++ b/Makefile
@@ -17,11 +17,12 @@
 SLOWEST = ./platform ./test/integration ./internal/limiter
 
 # These tests bound the memory of processes, so they run apart from other load and one at a time.
+# They build the daemon themselves, so that the cache of results does not notice its changes.
 ALONE = ./test/clients
 
 test:
 	go test -race -timeout 300s -skip '$(SKIP)' $(SLOWEST) $$(go list ./... | grep -v /test/clients$$)
-	go test -timeout 120s -skip '$(SKIP)' $(ALONE)
+	go test -count=1 -timeout 120s -skip '$(SKIP)' $(ALONE)
 
 fmt:
 	go tool gofumpt -w cmd internal measure platform test
