callerconn: slow readers of scrapes keep callers out no more

What callers saw: a crowd that reads answers of the metrics address slowly, 1 KiB in 100 ms, kept every connection in a call in progress for as long as it liked. All listeners share one budget, so callers of the same process were refused by a reset.

Cause: the budget ends no connection with a call in progress, and the answer of a check has no time limit. TCP_USER_TIMEOUT ends only connections that read nothing.

Connections of readiness checks, scrapes and operators' GET requests may be closed at once in favour of others, also while an answer is written. At the bound of open connections one is told to end besides refusing the new one, so that there is room for the next. Calls in progress are not closed, as before.

--- a/internal/callerconn/budget.go
+++ b/internal/callerconn/budget.go
@@ -76,7 +76,7 @@
 // while it is locked.
 func (c *conn) evict() (closed bool) {
 	c.evicted.Store(true)
-	if c.writeEnded.Load() {
+	if c.writeEnded.Load() || c.mayCut.Load() {
 		return c.Conn.Close() == nil
 	}
 	_ = c.Conn.SetReadDeadline(past) // fails if the connection has ended
@@ -85,6 +85,7 @@
 
 // followState tells the account of the connection's new state. c.mu must be held.
 func (c *conn) followState() {
+	c.mayCut.Store(false)
 	if c.state == serving {
 		// Else the handler does, so that a connection whose request was malformed and that net/http keeps for a while may be ended.
 		if c.multiplexed {
@@ -175,6 +176,10 @@
 			c.setHandled(true)
 			return nil
 		}
+		if cut := c.server.opts.MayCut; cut != nil && cut(r) {
+			c.mayCut.Store(true)
+			c.account.MayEnd()
+		}
 		// The memory is given back when the connection awaits its next request. An end reaches readers only, not the answer.
 		return func() { c.setHandled(true) }
 	}
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -39,6 +39,8 @@
 	account *connbudget.Account
 	// evicted is set while the connection is to end in favour of others.
 	evicted atomic.Bool
+	// mayCut is set while a request is served whose connection may be closed at once; see Options.MayCut.
+	mayCut atomic.Bool
 	// writeEnded is set once the last response has been sent: what is left is to give the caller time to read it.
 	writeEnded atomic.Bool
 
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -30,6 +30,9 @@
 	RequestID func(http.Header) string
 	// HeadLimit returns the size in bytes of the largest head that is read without TLS. It may be nil; net/http has a limit of its own.
 	HeadLimit func() int64
+	// MayCut reports whether the connection of a request may be closed in favour of others while the request is served or its answer is
+	// written. It may be nil.
+	MayCut func(*http.Request) bool
 	// Budget bounds what connections hold, nil for no bound. Name is that of the listener in its logs and metrics.
 	Budget  *connbudget.Budget
 	Name    string
--- a/internal/connbudget/budget.go
+++ b/internal/connbudget/budget.go
@@ -116,11 +116,13 @@
 		return true
 	}
 	victim := b.longestWaiting(a)
+	if victim != nil {
+		b.end(victim, reasonConnections)
+	}
 	if victim == nil || len(b.accounts) >= b.opts.Connections+max(1, b.opts.Connections/endingShare) {
 		b.note(a.listener, reasonConnections, a)
 		return false
 	}
-	b.end(victim, reasonConnections)
 	return true
 }
 
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -27,7 +27,7 @@
 	return callerconn.New(&http.Server{
 		Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: operatorHeaderBytes, ErrorLog: zap.NewStdLog(log),
 	}, callerconn.Options{
-		HeadLimit: func() int64 { return operatorHeaderBytes }, MaxIdleTime: maxIdleTime, Budget: d.connections, Name: "operator", Log: log, Metrics: d.relay.Metrics(),
+		HeadLimit: func() int64 { return operatorHeaderBytes }, MayCut: func(r *http.Request) bool { return r.Method == http.MethodGet }, MaxIdleTime: maxIdleTime, Budget: d.connections, Name: "operator", Log: log, Metrics: d.relay.Metrics(),
 	})
 }
 
--- a/internal/vmserver/servers.go
+++ b/internal/vmserver/servers.go
@@ -39,11 +39,12 @@
 	return p.checkServer("ready", p.readyHandler()), p.checkServer("metrics", p.metricsHandler())
 }
 
-// checkServer creates a server for small requests.
+// checkServer creates a server for small requests. Their clients may read an answer slowly without end and repeat the request, so that their
+// connections may be closed while it is written.
 func (p *Process) checkServer(name string, h http.Handler) *callerconn.Server {
 	return callerconn.New(&http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, MaxHeaderBytes: checkHeaderBytes, ErrorLog: zap.NewStdLog(p.log.Named("http")),
-	}, callerconn.Options{HeadLimit: func() int64 { return checkHeaderBytes }, MaxIdleTime: maxIdleTime, Budget: p.connections, Name: name, Log: p.log.Named(name), Metrics: p.set})
+	}, callerconn.Options{HeadLimit: func() int64 { return checkHeaderBytes }, MayCut: func(*http.Request) bool { return true }, MaxIdleTime: maxIdleTime, Budget: p.connections, Name: name, Log: p.log.Named(name), Metrics: p.set})
 }
 
 // headLimit returns the size of the largest head that is read.
