connbudget: undone ends leave room for connections on their way to their end

With the bound on all open connections alone, connections whose ends were undone filled it, and a run of test/clients refused the ordinary request of three cases (line_without_end and slow_bodies at callers, target_without_end at ready, platform form, load 18) by a reset. At an undo another connection that may end is told to, if more than a quarter of the limit goes on beyond it. One run of the whole of test/clients passed afterwards.

--- a/internal/connbudget/account.go
+++ b/internal/connbudget/account.go
@@ -132,7 +132,8 @@
 	return a.resume()
 }
 
-// resume makes a connection go on that has been told to end, and reports whether it had been. The budget's mu must be held.
+// resume makes a connection go on that has been told to end, and reports whether it had been. Another one ends in its place if there
+// are many of them. The budget's mu must be held.
 func (a *Account) resume() bool {
 	if !a.ended || a.closed {
 		return false
@@ -141,6 +142,7 @@
 	a.budget.ending--
 	a.held = a.base
 	a.budget.used += a.held
+	a.budget.shrink(a)
 	return true
 }
 
--- a/internal/connbudget/budget.go
+++ b/internal/connbudget/budget.go
@@ -19,6 +19,8 @@
 	// endingShare is the part of the connections, as its inverse, that may be open beyond the limit: on their way to their end, as net/http takes
 	// up to half a second to close a connection whose request it has refused, or with a request that has undone their end.
 	endingShare = 2
+	// undoneShare is the part of the connections, as its inverse, that may go on beyond the limit as their end was undone.
+	undoneShare = 4
 	// headShare is the part of the memory, as its inverse, that calls in progress leave to new connections and their heads.
 	headShare = 4
 	// logPeriod is the time between two log lines of one reason.
@@ -126,6 +128,17 @@
 	return true
 }
 
+// shrink ends a connection other than a if ends that were undone leave too little room for connections on their way to their end. b.mu must
+// be held.
+func (b *Budget) shrink(a *Account) {
+	if len(b.accounts)-b.ending <= b.opts.Connections+max(1, b.opts.Connections/undoneShare) {
+		return
+	}
+	if victim := b.longestWaiting(a); victim != nil {
+		b.end(victim, reasonConnections)
+	}
+}
+
 // makeRoom ends connections until n bytes are left for the account a, which is nil for none. It reports false if that account is the
 // one to refuse. b.mu must be held.
 func (b *Budget) makeRoom(n int64, a *Account) bool {
