--- a/internal/origin/fleet_test.go
+++ b/internal/origin/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,6 +34,8 @@
 
 // fleet is a model of several VMs, each with its own table of endpoints, and the store.
 type fleet struct {
+	// mu is held by questions to other VMs and by all changes of the model: a question may outlast the search that it belongs to.
+	mu    sync.Mutex
 	clock manualClock
 	vms   []*fleetVM
 	// listed are the versions that are listed now.
@@ -99,7 +102,18 @@
 	}
 }
 
+// locked returns an action during which no VM answers a question.
+func (f *fleet) locked(action func(*rapid.T)) func(*rapid.T) {
+	return func(t *rapid.T) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		action(t)
+	}
+}
+
 func (f *fleet) ask(from *fleetVM, k Key) (traffic.StreamOrigin, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, vm := range f.vms {
 		if vm == nil || vm == from {
 			continue
@@ -187,7 +201,7 @@
 			i := rapid.IntRange(0, len(f.vms)-1).Draw(t, "vm")
 			return i, f.vms[i]
 		}
-		t.Repeat(map[string]func(*rapid.T){
+		actions := map[string]func(*rapid.T){
 			"release": func(*rapid.T) {
 				released++
 				f.listed = append(f.listed, fmt.Sprint("v", released))
@@ -257,15 +271,19 @@
 					f.start(i)
 				}
 			},
-			"resume": func(t *rapid.T) {
-				_, vm := vmAt(t)
-				f.refresh(vm)
-				call := max(0, len(calls)-1-rapid.IntRange(0, 4).Draw(t, "back"))
-				if call < len(calls) && f.clock.now.Sub(endedAt[call]) < resumeWindow {
-					f.resume(t, vm, calls[call])
-				}
-			},
-		})
+		}
+		for name, action := range actions {
+			actions[name] = f.locked(action)
+		}
+		actions["resume"] = func(t *rapid.T) { // asks other VMs
+			_, vm := vmAt(t)
+			f.locked(func(*rapid.T) { f.refresh(vm) })(t)
+			call := max(0, len(calls)-1-rapid.IntRange(0, 4).Draw(t, "back"))
+			if call < len(calls) && f.clock.now.Sub(endedAt[call]) < resumeWindow {
+				f.resume(t, vm, calls[call])
+			}
+		}
+		t.Repeat(actions)
 	})
 }
 
