--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,18 @@
 ALONE = ./test/clients
 ALONE_PLATFORM = ^Test(Peer|Caller)Crowd
 
+# The draws of erratic endpoints wait most of the time, one after the other, so they run beside the other tests.
+ERRATIC = ^TestCallersGetWholeAnswersOrNoneFromErraticEndpoints$$
+
+.PHONY: test-erratic test-others
+test-erratic:
+	go test -race -timeout 300s -skip '$(SKIP)' -run '$(ERRATIC)' ./platform
+
+test-others:
+	go test -race -timeout 300s -skip '$(SKIP)|$(ALONE_PLATFORM)|$(ERRATIC)' $(SLOWEST) $$(go list ./... | grep -v /test/clients$$)
+
 test:
-	go test -race -timeout 300s -skip '$(SKIP)|$(ALONE_PLATFORM)' $(SLOWEST) $$(go list ./... | grep -v /test/clients$$)
+	$(MAKE) -j2 test-others test-erratic
 	go test -count=1 -timeout 120s -skip '$(SKIP)' $(ALONE)
 	go test -count=1 -timeout 120s -skip '$(SKIP)' -run '$(ALONE_PLATFORM)' ./platform
 
