--- a/internal/connbudget/account.go
+++ b/internal/connbudget/account.go
@@ -20,13 +20,6 @@
 	ended, closed bool
 }
 
-func (a *Account) name() string {
-	if a == nil {
-		return "peers"
-	}
-	return a.listener
-}
-
 // data returns what the connection holds for the time being. The budget's mu must be held.
 func (a *Account) data() int64 { return a.held - a.base }
 
--- a/internal/connbudget/budget.go
+++ b/internal/connbudget/budget.go
@@ -79,24 +79,6 @@
 	return b.used
 }
 
-// Reserve takes n bytes that belong to no connection and reports whether there was room for them.
-func (b *Budget) Reserve(n int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.makeRoom(n, nil) {
-		return false
-	}
-	b.used += n
-	return true
-}
-
-// Release gives back n bytes of Reserve.
-func (b *Budget) Release(n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.used -= n
-}
-
 // Open returns the account of a new connection of a listener, nil if there is no room for it. evict ends the connection; it
 // must not block nor call the budget, and reports whether the connection is closed already. The account is waiting.
 func (b *Budget) Open(listener string, evict func() (closed bool)) *Account {
@@ -122,7 +104,7 @@
 		b.end(victim, reasonConnections)
 	}
 	if victim == nil || len(b.accounts) >= b.opts.Connections+max(1, b.opts.Connections/endingShare) {
-		b.note(a.listener, reasonConnections, a)
+		b.note(a, reasonConnections)
 		return false
 	}
 	return true
@@ -139,17 +121,17 @@
 	}
 }
 
-// makeRoom ends connections until n bytes are left for the account a, which is nil for none. It reports false if that account is the
-// one to refuse. b.mu must be held.
+// makeRoom ends connections until n bytes are left for the account a. It reports false if that account is the one to refuse. b.mu must be
+// held.
 func (b *Budget) makeRoom(n int64, a *Account) bool {
 	limit := b.opts.Bytes
-	if a != nil && !a.waiting {
+	if !a.waiting {
 		limit -= limit / headShare
 	}
 	for b.used+n > limit {
 		victim := b.victim(n, a)
 		if victim == nil {
-			b.note(a.name(), reasonMemory, a)
+			b.note(a, reasonMemory)
 			return false
 		}
 		b.end(victim, reasonMemory)
@@ -161,16 +143,13 @@
 // small, else the one that has waited longest. b.mu must be held.
 func (b *Budget) victim(n int64, a *Account) *Account {
 	var largest *Account
-	most := int64(smallBytes)
-	if a != nil {
-		most = max(most, a.data()+n)
-	}
+	most := max(smallBytes, a.data()+n)
 	for v := range b.accounts {
 		if v != a && v.endable() && v.data() > most {
 			largest, most = v, v.data()
 		}
 	}
-	if largest != nil || a != nil && a.waiting && a.data()+n > smallBytes {
+	if largest != nil || a.waiting && a.data()+n > smallBytes {
 		return largest
 	}
 	return b.longestWaiting(a)
@@ -189,7 +168,7 @@
 
 // end ends a connection. Its memory counts as free: its goroutine returns at once. b.mu must be held.
 func (b *Budget) end(a *Account, reason string) {
-	b.note(a.listener, reason, a)
+	b.note(a, reason)
 	b.used -= a.held
 	a.held, a.ended = 0, true
 	if a.evict() {
@@ -201,7 +180,8 @@
 }
 
 // note counts and logs that a connection is refused or ended. b.mu must be held.
-func (b *Budget) note(listener, reason string, a *Account) {
+func (b *Budget) note(a *Account, reason string) {
+	listener := a.listener
 	b.opts.Metrics.GetOrCreateCounter(`fulmartide_connections_closed_total{listener="` + listener + `",reason="` + reason + `"}`).Inc()
 	s, now := b.logged[listener+reason], time.Now()
 	if now.Sub(s.at) < logPeriod {
@@ -213,9 +193,7 @@
 	fields := []zap.Field{
 		zap.String("listener", listener), zap.String("reason", reason), zap.Int("others_since_last_line", s.skipped), zap.Int64("used", b.used),
 		zap.Int64("limit", b.opts.Bytes), zap.Int("connections", len(b.accounts)), zap.Int("connection_limit", b.opts.Connections),
-	}
-	if a != nil {
-		fields = append(fields, zap.Int64("held", a.held), zap.Duration("waiting", now.Sub(a.since)))
+		zap.Int64("held", a.held), zap.Duration("waiting", now.Sub(a.since)),
 	}
 	b.opts.Log.Warn("connection closed for want of room", fields...)
 }
