lifetime: only what an endpoint says of itself tells which process accepted a connection

Callers got streams joined from two software versions: an engine that starts again under its id accepts connections before its entry is written, and streams of its former start went on there, or new ones were recorded at the version of the former entry.

Cause: a connection that was open before a read of the store found the entry counted as one to the process of the entry. That holds only if endpoints register before they accept connections, which the protocol does not promise.

Change: a listing is no evidence any more, for resumptions, kept connections and open records of new streams. The endpoint is asked on the connection, or after the connection was open on any other one; an answer to any request over a known connection confirms later ones, which costs nothing.

--- a/internal/backend/lifetime.go
+++ b/internal/backend/lifetime.go
@@ -15,23 +15,22 @@
 const (
 	// LifetimeOpen means that it is not known yet.
 	LifetimeOpen LifetimeOutcome = "open"
-	// LifetimeListed means that the store listed the entry after the connection was open, LifetimeReported that the endpoint
-	// named the start time of the entry after that.
-	LifetimeListed   LifetimeOutcome = "listed"
+	// LifetimeReported means that the endpoint named the start time of the entry after the connection was open.
 	LifetimeReported LifetimeOutcome = "reported"
-	// LifetimeGone means that the table lacks the entry and LifetimeOther that the endpoint has started again, before it was known.
+	// LifetimeGone means that the table lacks the entry and the endpoint does not answer, LifetimeOther that it has started again,
+	// before it was known.
 	LifetimeGone  LifetimeOutcome = "not listed"
 	LifetimeOther LifetimeOutcome = "other start time"
 )
 
 // Confirmed reports whether the response came from the lifetime of the entry.
-func (o LifetimeOutcome) Confirmed() bool { return o == LifetimeListed || o == LifetimeReported }
+func (o LifetimeOutcome) Confirmed() bool { return o == LifetimeReported }
 
 // LifetimeEvidence is what is known of the lifetime that a response came from. It is safe for concurrent use.
 type LifetimeEvidence interface {
 	// Look returns what is known now.
 	Look() LifetimeOutcome
-	// Seek asks for what is missing, the store or the endpoint, and does not wait for it. It may be called often.
+	// Seek asks the endpoint and does not wait for its answer. It may be called often.
 	Seek()
 }
 
--- a/internal/dispatch/lifetime_test.go
+++ b/internal/dispatch/lifetime_test.go
@@ -37,12 +37,12 @@
 		after   int32
 		goesOn  bool
 	}{
-		{"known before it is sought", backend.LifetimeListed, 0, true},
-		{"listed after a while", backend.LifetimeListed, 5, true},
+		{"known before it is sought", backend.LifetimeReported, 0, true},
+		{"listed after a while", backend.LifetimeReported, 5, true},
 		{"reported after a while", backend.LifetimeReported, 5, true},
 		{"gone", backend.LifetimeGone, 1, false},
 		{"started again", backend.LifetimeOther, 1, false},
-		{"open", backend.LifetimeListed, 1 << 20, false},
+		{"open", backend.LifetimeReported, 1 << 20, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			e := &soughtEvidence{outcome: tc.outcome}
--- a/internal/dispatch/origin.go
+++ b/internal/dispatch/origin.go
@@ -89,8 +89,7 @@
 	f.dispatcher.opts.Origins.BeganOpen(f.streamKey(), f.sentTo, left, lifetime, f.log)
 }
 
-// maxLifetimeWait bounds the wait until it is known which version began a stream that goes on within its response: a read of the
-// store, and if that does not come the answer of the endpoint.
+// maxLifetimeWait bounds the wait for the answer of the endpoint that tells which version began a stream that goes on within its response.
 const maxLifetimeWait = time.Second
 
 var errVersionUnknown = errors.New("it is not known which software version began the stream")
--- /dev/null
+++ b/internal/lifetime/lifetime.go
@@ -0,0 +1,155 @@
+// Package lifetime decides whether a connection to an endpoint leads to the process that the endpoint's entry describes. An endpoint may
+// start again under its id with another software version, and accept connections long before its entry says so. Only what a process
+// says of itself tells which one accepted a connection; that an entry is listed does not.
+package lifetime
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fulmartide/fulmartide/internal/backend"
+	"github.com/fulmartide/fulmartide/internal/traffic"
+)
+
+// Answer says what an endpoint answered to the question for its start time.
+type Answer string
+
+// Values of Answer.
+const (
+	// Same means that it named the start time of its entry, Other that it named another one, or is another instance.
+	Same  Answer = "reported"
+	Other Answer = "other start time"
+	// None means that there was no answer, or one that names no start time.
+	None Answer = "not known"
+)
+
+// Report is the outcome of one question to an endpoint.
+type Report struct {
+	// SentAt is when the question was sent, ReceivedAt when its outcome was known.
+	SentAt, ReceivedAt time.Time
+	Answer             Answer
+	// StartedAt is the start time that the endpoint named, nil if it named none.
+	StartedAt *int64
+}
+
+const (
+	// minPause is the time between two questions to an endpoint. It doubles with each question without an answer, maxDoublings times
+	// at most.
+	minPause     = 200 * time.Millisecond
+	maxDoublings = 7
+	// maxEndpoints is the number of endpoints from which on reports that are not needed any more are removed.
+	maxEndpoints = 1 << 12
+	// needed is the time after which what an endpoint said is removed unless it was asked again.
+	needed = time.Minute
+)
+
+// Said is what an endpoint has said of its start time.
+type Said struct {
+	// ConfirmedAt is when the last question was sent that it answered with the start time of its entry, or the last request that it
+	// answered on a connection that is known to lead there.
+	ConfirmedAt time.Time
+	// other is set once it answered with another one, otherStart that one if it is known, and otherSince when that was first received.
+	other      bool
+	otherStart *int64
+	otherSince time.Time
+	// askedAt is when it was last asked, unanswered the number of questions without an answer since the last one.
+	askedAt    time.Time
+	unanswered int
+}
+
+// Outcome decides whether a connection that was open at a time leads to the lifetime of the entry. The request on it must have been sent
+// after the entry was read: the process of the entry had started by then, so that one that answers later with its start time lived all the
+// time in between, and accepted each connection that still served. listed says whether the table has the entry.
+func (s Said) Outcome(opened time.Time, listed bool) backend.LifetimeOutcome {
+	switch {
+	case s.ConfirmedAt.After(opened):
+		return backend.LifetimeReported
+	case s.other:
+		return backend.LifetimeOther
+	case !listed && s.unanswered > 0:
+		return backend.LifetimeGone
+	}
+	return backend.LifetimeOpen
+}
+
+// ServedBefore reports whether the process with a start time is known to have answered before a time, although the entry is of another.
+func (s Said) ServedBefore(startedAt int64, t time.Time) bool {
+	return s.otherStart != nil && *s.otherStart == startedAt && s.otherSince.Before(t)
+}
+
+// Reports holds what endpoints have said, by the ids that requests named. It is safe for concurrent use.
+type Reports struct {
+	mu sync.Mutex
+	of map[traffic.EndpointID]Said
+}
+
+// Of returns what an endpoint has said.
+func (r *Reports) Of(id traffic.EndpointID) Said {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.of[id]
+}
+
+// MayAsk reports whether an endpoint may be asked now, and records that it is.
+func (r *Reports) MayAsk(id traffic.EndpointID, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.of[id]
+	if !s.askedAt.IsZero() && now.Sub(s.askedAt) < minPause<<min(s.unanswered, maxDoublings) {
+		return false
+	}
+	s.askedAt = now
+	r.put(id, s, now)
+	return true
+}
+
+// Add records the outcome of a question.
+func (r *Reports) Add(id traffic.EndpointID, report Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.of[id]
+	s.askedAt = later(s.askedAt, report.SentAt)
+	switch report.Answer {
+	case Same:
+		s.unanswered, s.ConfirmedAt = 0, later(s.ConfirmedAt, report.SentAt)
+	case Other:
+		s.unanswered, s.other = 0, true
+		if report.StartedAt != nil && (s.otherStart == nil || *s.otherStart != *report.StartedAt) {
+			s.otherStart, s.otherSince = report.StartedAt, report.ReceivedAt
+		}
+	case None:
+		s.unanswered++
+	}
+	r.put(id, s, report.ReceivedAt)
+}
+
+// Confirm records that the process of an entry answered a request that was sent at a time.
+func (r *Reports) Confirm(id traffic.EndpointID, sentAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.of[id]
+	s.ConfirmedAt = later(s.ConfirmedAt, sentAt)
+	r.put(id, s, sentAt)
+}
+
+// put stores what an endpoint has said. r.mu must be held.
+func (r *Reports) put(id traffic.EndpointID, s Said, now time.Time) {
+	if r.of == nil {
+		r.of = map[traffic.EndpointID]Said{}
+	}
+	if len(r.of) >= maxEndpoints {
+		for other, said := range r.of {
+			if now.Sub(later(said.askedAt, said.ConfirmedAt)) > needed {
+				delete(r.of, other)
+			}
+		}
+	}
+	r.of[id] = s
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/origin/fleet_test.go
+++ b/internal/origin/fleet_test.go
@@ -161,7 +161,7 @@
 func (e *storeEvidence) Seek() {
 	e.outcome = backend.LifetimeGone
 	if slices.Contains(e.fleet.listed, e.version) {
-		e.outcome = backend.LifetimeListed
+		e.outcome = backend.LifetimeReported
 	}
 }
 
--- a/internal/origin/unsettled.go
+++ b/internal/origin/unsettled.go
@@ -16,13 +16,12 @@
 // endpoint: a VM that knows it from there can find the evidence itself, as it was told after the stream began.
 const (
 	// openPoll is the time between two looks at the evidence for a record. It grows by a fraction, whose inverse is openPollGrowth, up to
-	// maxOpenPoll, which is less than the time between two reads of the store.
+	// maxOpenPoll.
 	openPoll       = 50 * time.Millisecond
 	openPollGrowth = 16
 	maxOpenPoll    = 500 * time.Millisecond
-	// openSeekAge is the age of a record from which on evidence is sought although nobody waits for it: many streams have ended by
-	// then, and a later read may not list an endpoint that has ended meanwhile. It is sought at once if the endpoint is leaving, or the
-	// service has several versions: if all VMs end, and the endpoint too, only a settled record tells which one.
+	// openSeekAge is the age of a record from which on evidence is sought again although nobody waits for it. It is sought at once if the
+	// endpoint is leaving, or the service has several versions: if all VMs end, and the endpoint too, only a settled record tells which one.
 	openSeekAge = time.Second
 	// maxOpenWait bounds the wait for evidence when a stream is resumed.
 	maxOpenWait = time.Second
--- a/internal/origin/unsettled_test.go
+++ b/internal/origin/unsettled_test.go
@@ -42,11 +42,11 @@
 		outcome backend.LifetimeOutcome
 		source  Source
 	}{
-		{"one version, listed", []string{"v1"}, backend.LifetimeListed, FromRecord},
+		{"one version, listed", []string{"v1"}, backend.LifetimeReported, FromRecord},
 		{"one version, reported", []string{"v1"}, backend.LifetimeReported, FromRecord},
 		{"one version, open", []string{"v1"}, backend.LifetimeOpen, Unknown},
 		{"one version, gone", []string{"v1"}, backend.LifetimeGone, Unknown},
-		{"two versions, listed", []string{"v1", "v2"}, backend.LifetimeListed, FromRecord},
+		{"two versions, listed", []string{"v1", "v2"}, backend.LifetimeReported, FromRecord},
 		{"two versions, other", []string{"v1", "v2"}, backend.LifetimeOther, Unknown},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -125,7 +125,7 @@
 			now := &manualClock{clock.Instant(time.Hour)}
 			c := NewController(Options{Clock: now, Log: zap.NewNop(), Metrics: metrics.NewSet(), FirstStart: true})
 			c.SetEndpoints(endpointsOf(tc.listed))
-			e := &fakeEvidence{outcome: backend.LifetimeListed}
+			e := &fakeEvidence{outcome: backend.LifetimeReported}
 			k := NewKey("w", "call")
 			c.beganOpen(k, endpointsOf([]string{"v1"})[0], time.Minute, e, zap.NewNop())
 			now.now = now.now.Add(tc.age)
@@ -150,10 +150,10 @@
 		outcome backend.LifetimeOutcome
 		source  Source
 	}{
-		{"listed since", engine.ID, backend.LifetimeListed, FromRecord},
+		{"listed since", engine.ID, backend.LifetimeReported, FromRecord},
 		{"gone since", engine.ID, backend.LifetimeGone, Unknown},
 		{"not found in time", engine.ID, backend.LifetimeOpen, Unknown},
-		{"back under its id", traffic.EndpointID{Name: "v1", StartedAt: 1}, backend.LifetimeListed, Unknown},
+		{"back under its id", traffic.EndpointID{Name: "v1", StartedAt: 1}, backend.LifetimeReported, Unknown},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			before := time.Now()
--- a/internal/statesync/unsettled_test.go
+++ b/internal/statesync/unsettled_test.go
@@ -19,7 +19,7 @@
 	if e.left.Load() > 0 {
 		return backend.LifetimeOpen
 	}
-	return backend.LifetimeListed
+	return backend.LifetimeReported
 }
 
 func (e *lateEvidence) Seek() { e.left.Add(-1) }
