ending: an answer without a start time does not vouch for the process of an entry that has one

A response without a length or chunks whose connection ended counted as whole if the endpoint answered a question on a new connection with 404, or with a report that names no start time, although its entry names one. Another process under its id answers like that too, so that callers could get the beginning of a response as a whole one.

Cause: the answer under the id was taken as the answer of the process. The protocol promises the start time in all that an endpoint says of itself, so one that has registered a start time and names none is not known. Such an end is now unknown, which counts as cut; an entry without a start time as before.

--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -31,7 +31,7 @@
 const (
 	// Outlived means that the process that sent the response lived beyond its end.
 	Outlived Evidence = "outlived"
-	// SameInstance means that a process of the same instance, which names no start time, answered after the end.
+	// SameInstance means that a process of the same instance, whose entry names no start time either, answered after the end.
 	SameInstance Evidence = "same_instance"
 	// Replaced means that another process answered, Refused that the address refuses connections.
 	Replaced Evidence = "replaced"
@@ -43,7 +43,7 @@
 )
 
 // Judge returns the evidence of an observation. startedAt is the start time of the endpoint that the request was sent to, as it
-// was known before.
+// was known before, 0 if its entry names none.
 func Judge(o Observation, startedAt int64) Evidence {
 	switch {
 	case o.Refused:
@@ -54,8 +54,8 @@
 		return Replaced
 	case o.SameProcess:
 		return Outlived
-	case o.StartedAt == nil && o.Failed:
-		return Unknown
+	case o.StartedAt == nil && (o.Failed || startedAt != 0):
+		return Unknown // the process of the entry would have named its start time
 	case o.StartedAt == nil:
 		return SameInstance
 	case *o.StartedAt == startedAt:
--- a/internal/ending/ending_test.go
+++ b/internal/ending/ending_test.go
@@ -19,7 +19,7 @@
 		{"answer on an older connection", Observation{Answered: true, SameProcess: true}, Outlived, true, false},
 		{"later lifetime that sent the response", Observation{Answered: true, SameProcess: true, StartedAt: &other}, Outlived, true, false},
 		{"same start time", Observation{Answered: true, StartedAt: &same}, Outlived, true, false},
-		{"no start time", Observation{Answered: true}, SameInstance, true, false},
+		{"no start time although the entry names one", Observation{Answered: true}, Unknown, false, false},
 		{"failed", Observation{Answered: true, Failed: true}, Unknown, false, false},
 		{"failed on an older connection", Observation{Answered: true, Failed: true, SameProcess: true}, Outlived, true, false},
 		{"failed, same start time", Observation{Answered: true, Failed: true, StartedAt: &same}, Outlived, true, false},
@@ -36,6 +36,9 @@
 			}
 		})
 	}
+	if got := Judge(Observation{Answered: true}, 0); got != SameInstance {
+		t.Errorf("no start time, the entry names none either: %s", got)
+	}
 	if Empty.Whole() || Empty.Err() == nil {
 		t.Error("a series of events without an event is whole")
 	}
--- a/test/erratic/behaviour.go
+++ b/test/erratic/behaviour.go
@@ -81,6 +81,8 @@
 	// a fraction of it.
 	Piece int
 	Cut   float64
+	// Body replaces the body of the answer unless it is empty.
+	Body string
 }
 
 // Names are the header names of the protocol that the endpoint speaks.
--- a/test/erratic/endpoint.go
+++ b/test/erratic/endpoint.go
@@ -131,7 +131,10 @@
 	case OnlyOther:
 		id = "another"
 	}
-	text := e.body(r.Header.Get(e.names.AttemptID))
+	text := b.Body
+	if text == "" {
+		text = e.body(r.Header.Get(e.names.AttemptID))
+	}
 	goesOn := e.send(&out, b, id, text)
 	if goesOn && b.Identity == Twice {
 		goesOn = e.send(&out, b, id, text)
