ending: a process that answered before the request lives on, whatever its entry says

Callers lost whole responses without a length or chunks of engines that had started again and were not registered yet: each one was cut as that of a replaced engine, for as long as the entry was missing.

Cause: the start time that the endpoint named after the end was compared with that of the entry only, which is of the former start. What an endpoint named in answers received before the request was sent shows as well that the same process sent the response.

--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -15,8 +15,8 @@
 	Answered, Misdirected bool
 	// Failed is set if the endpoint refused or failed the question, so that a start time may be missing that it has.
 	Failed bool
-	// SameProcess is set if the answer came on a connection that was open before the request of the response was sent. The process
-	// that answered the request had accepted that connection as well.
+	// SameProcess is set if the process that answered is known to have served the endpoint's address before the request of the response
+	// was sent: the answer came on a connection that was open by then, or names a start time that the endpoint had named by then.
 	SameProcess bool
 	// StartedAt is the start time that the answer names, nil if it names none.
 	StartedAt *int64
