origin: ask other VMs before the only version decides

Callers saw streams of two versions: an engine that is back under its id with another version, and not listed yet, began a stream. Its VM learned so from the engine and did not continue the stream. Taken up at another VM, the stream went on at the only version that the store lists.

Cause: the other VMs were asked only if the store could not be read. A read that finds one version was taken for a statement about all engines that accept connections, which an engine that registers late contradicts.

Before the only version decides, the other VMs are now asked beside the read of the store. One that knows the version, or knows that it is not known, decides. That costs a question and an answer for each VM that is asked, for streams that are taken up at a VM without a record of them, and at most the 0.5 s that the read may take.

--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -30,7 +30,7 @@
 	// time that it may take, as its inverse.
 	maxFindWait  = time.Second
 	findFraction = 4
-	// maxRereadWait bounds the wait for a read of the store before the only version decides.
+	// maxRereadWait bounds the wait for a read of the store, and for the answers of other VMs, before the only version decides.
 	maxRereadWait = 500 * time.Millisecond
 )
 
@@ -66,16 +66,22 @@
 	return c.findHere(k, service)
 }
 
-// findHereAnew finds an origin once this VM knows which versions are listed now: while it was paused, or heard nothing of the
-// store, a second one may have begun the stream. If the store cannot be read in time, the VMs that keep records are asked first.
+// findHereAnew finds an origin once this VM knows which versions are listed now, and whether another VM knows more of the stream: while
+// this VM was paused, or heard nothing of the store, a second version may have begun it, as may one that is not listed yet.
 func (c *Controller) findHereAnew(ctx context.Context, k Key, service string, left time.Duration) (traffic.StreamOrigin, Source) {
-	readCtx, cancel := context.WithTimeout(ctx, min(maxRereadWait, left/findFraction))
+	ctx, cancel := context.WithTimeout(ctx, min(maxRereadWait, left/findFraction))
 	defer cancel()
-	if !c.opts.Reread(readCtx) && k != 0 {
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		c.opts.Reread(ctx)
+	}()
+	if k != 0 {
 		if o, ok := c.opts.Ask(ctx, k); ok {
 			return o, FromVM
 		}
 	}
+	<-read
 	return c.findHere(k, service)
 }
 
--- a/internal/origin/find_test.go
+++ b/internal/origin/find_test.go
@@ -13,24 +13,29 @@
 )
 
 // TestOnlyVersionIsThatOfNow guards against streams that go on at the version that was the only one before the VM was paused,
-// although a second one, which it has not read yet, began them.
+// although a second one, which it has not read yet, began them, or although another VM does not know which one did.
 func TestOnlyVersionIsThatOfNow(t *testing.T) {
 	v1, v2 := traffic.StreamOrigin{Service: testService, Version: "v1"}, traffic.StreamOrigin{Service: testService, Version: "v2"}
+	none := traffic.StreamOrigin{}
 	endpoint := func(o traffic.StreamOrigin) traffic.Endpoint {
 		return traffic.Endpoint{ID: traffic.EndpointID{Name: o.Version}, Service: o.Service, SoftwareVersion: o.Version}
 	}
 	for _, tc := range []struct {
 		name string
-		// listed is what a read of the store finds, nil if it fails. told is what another VM says of the stream.
+		// listed is what a read of the store finds, nil if it fails. told is what another VM says of the stream, which is that it does
+		// not know its version if it is empty.
 		listed []traffic.Endpoint
 		told   *traffic.StreamOrigin
 		want   traffic.StreamOrigin
 		source Source
 	}{
 		{"still the only one", []traffic.Endpoint{endpoint(v1)}, nil, v1, FromVersions},
-		{"second version, no record", []traffic.Endpoint{endpoint(v1), endpoint(v2)}, nil, traffic.StreamOrigin{}, Unknown},
+		{"still the only one, unsettled at another VM", []traffic.Endpoint{endpoint(v1)}, &none, none, Unknown},
+		{"still the only one, record of another VM", []traffic.Endpoint{endpoint(v1)}, &v2, v2, FromVM},
+		{"second version, no record", []traffic.Endpoint{endpoint(v1), endpoint(v2)}, nil, none, Unknown},
 		{"second version, record of another VM", []traffic.Endpoint{endpoint(v1), endpoint(v2)}, &v2, v2, FromVM},
 		{"store away, record of another VM", nil, &v2, v2, FromVM},
+		{"store away, unsettled at another VM", nil, &none, none, Unknown},
 		{"store away, no record", nil, nil, v1, FromVersions},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -43,9 +48,13 @@
 					}
 					return tc.listed != nil
 				},
-				Ask: func(context.Context, Key) (o traffic.StreamOrigin, ok bool) {
-					if tc.told == nil {
-						return o, false
+				Ask: func(_ context.Context, k Key) (traffic.StreamOrigin, bool) {
+					switch {
+					case tc.told == nil:
+						return none, false
+					case *tc.told == none:
+						c.MarkUnsettled(k)
+						return none, false
 					}
 					return *tc.told, true
 				},
