origin: the only version does not decide while the store is away

Callers saw streams of two versions: while the store was away, an engine that was back under its id with another version began streams at a VM. That VM learned so from the engine, but was lost. Taken up at another VM, the streams went on at the only version that this VM had read.

Cause: without a record and without a read of the store, the versions that a VM knew counted as all there are. What is not known was taken for harmless.

A VM now counts the store as away once its table is older than 2 s, which regular reads of any VM prevent, and until 2 s after its return, in which endpoints may register again. Meanwhile the only version does not decide: without a record the stream is refused at once, as not run. So that sound streams of a lost VM go on, VMs tell each other where their streams began, with the message that they use beside several versions; a build before reads it as before. Streams of a VM that is up go on as before, as it is asked.

--- a/internal/activeconfig/listed.go
+++ b/internal/activeconfig/listed.go
@@ -89,3 +89,13 @@
 	s.readsOnRequest = mayRead
 	return mayRead && s.readRequested > s.ownRead.asOf
 }
+
+// maxRegularAge is an age of the table that it does not reach while a VM reads the store regularly and the others hear of it.
+const maxRegularAge = 2 * time.Second
+
+// StoreAway reports whether no VM that this one hears of has read the store for longer than the time between regular reads.
+func (s *State) StoreAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hasTable && s.age() > maxRegularAge
+}
--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -27,6 +27,8 @@
 	// Reread waits until this VM has read the listed endpoints from the store again, and returns false if it does not before the
 	// context ends. It may be nil.
 	Reread func(context.Context) bool
+	// StoreAway reports whether no VM has read the store for longer than the time between regular reads. It may be nil.
+	StoreAway func() bool
 	// OnVersions is called after the versions of services have changed. It must not block. It may be nil.
 	OnVersions func()
 	// OnOpen is called after the open streams of this VM, or the snapshots of others, may have changed. It must not block.
@@ -52,6 +54,7 @@
 	records  records
 	versions versions
 	recorder recorder
+	absence  storeAbsence
 	// endpoints are those that are listed, leaving those of them that are leaving.
 	endpoints []traffic.Endpoint
 	leaving   map[traffic.EndpointID]bool
@@ -70,6 +73,9 @@
 	if o.Reread == nil {
 		o.Reread = func(context.Context) bool { return false }
 	}
+	if o.StoreAway == nil {
+		o.StoreAway = func() bool { return false }
+	}
 	if o.OnVersions == nil {
 		o.OnVersions = func() {}
 	}
@@ -128,12 +134,12 @@
 	c.mu.Lock()
 	now := c.opts.Clock.Now()
 	stored := c.records.add(now, rec, true)
-	_, sole := c.versions.sole(now, o.Service)
+	follows := c.followsFromVersions(now, o)
 	c.mu.Unlock()
 	if !stored {
 		c.opts.Metrics.GetOrCreateCounter(`fulmartide_stream_origins_dropped_total`).Inc()
 	}
-	if !sole {
+	if !follows {
 		c.tell(rec)
 	}
 }
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -45,7 +45,9 @@
 	}
 	o, source := c.findHere(k, service)
 	if source == FromVersions {
-		o, source = c.findHereAnew(ctx, k, service, left)
+		if o, source = c.findHereAnew(ctx, k, service, left); source == FromVersions && !c.trustsVersions() {
+			return traffic.StreamOrigin{}, Unknown // no other VM knows more
+		}
 	}
 	if source != Unknown {
 		return o, source
@@ -63,7 +65,17 @@
 		c.opts.Reload(ctx)
 		c.Await(ctx, k)
 	}
-	return c.findHere(k, service)
+	return c.findTrusted(k, service)
+}
+
+// findTrusted is as findHere, except that the only version decides only if a version that this VM could not read of cannot have begun
+// the stream.
+func (c *Controller) findTrusted(k Key, service string) (traffic.StreamOrigin, Source) {
+	o, source := c.findHere(k, service)
+	if source == FromVersions && !c.trustsVersions() {
+		return traffic.StreamOrigin{}, Unknown
+	}
+	return o, source
 }
 
 // findHereAnew finds an origin once this VM knows which versions are listed now, and whether another VM knows more of the stream: while
@@ -133,7 +145,7 @@
 		case <-versionsLoaded:
 			versionsLoaded = nil
 		}
-		if o, source := c.findHere(k, service); source != Unknown {
+		if o, source := c.findTrusted(k, service); source != Unknown {
 			return o, source
 		}
 	}
--- a/internal/origin/streamkeeper.go
+++ b/internal/origin/streamkeeper.go
@@ -131,10 +131,11 @@
 	k.Changed()
 }
 
-// Run loads, sends and stores until ctx ends.
+// Run loads, sends and stores, and watches whether the store is away, until ctx ends.
 func (k *StreamKeeper) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { k.reportLoop(ctx) })
+	wg.Go(func() { k.opts.Controller.WatchStore(ctx) })
 	if !k.opts.FirstStart {
 		k.retry(ctx, "load", func() error { return k.load(ctx) })
 	}
--- a/internal/origin/unsettled.go
+++ b/internal/origin/unsettled.go
@@ -117,9 +117,9 @@
 	}
 	e.open, e.unsettled = nil, !outcome.Confirmed()
 	c.records.entries[k] = e
-	_, sole := c.versions.sole(now, e.origin.Service)
+	follows := c.followsFromVersions(now, e.origin)
 	c.mu.Unlock()
-	if outcome.Confirmed() && e.own && !sole {
+	if outcome.Confirmed() && e.own && !follows {
 		c.tell(Record{Key: k, Origin: e.origin, Left: e.until.Sub(now)})
 	}
 	c.opts.Metrics.GetOrCreateCounter(`fulmartide_new_stream_lifetimes_total{outcome="` + string(outcome) + `"}`).Inc()
--- a/internal/vmserver/process.go
+++ b/internal/vmserver/process.go
@@ -174,6 +174,7 @@
 		},
 		Evidence:   p.platform.LifetimeEvidence,
 		Reread:     func(ctx context.Context) bool { return p.State.Reread(ctx) },
+		StoreAway:  func() bool { return p.State.StoreAway() },
 		OnVersions: func() { p.versionKeeper.Changed() },
 		OnOpen:     func() { p.streamKeeper.Changed() },
 		Reload:     func(ctx context.Context) { p.streamKeeper.Reload(ctx) },
