origin: tell other VMs that the version of a stream cannot be known

Callers saw streams of two versions: an engine that was back under its id with another version, and not listed yet, began a stream. Its VM learned so from the engine, and was lost. Taken up at another VM, the stream went on at the only version that the store lists.

Cause: a VM that knows the version of a stream tells others, one that knows that it cannot be known kept that to itself. No record counted as nothing to know.

Such a record is now told to the VMs that keep records, which say so when they are asked, and to the recorder, which stores it also beside one version.

TestUnsettledStreamDoesNotContinue wanted that nothing is told of these streams. It now wants exactly one record that no VM takes for a version.

--- a/internal/origin/open.go
+++ b/internal/origin/open.go
@@ -15,12 +15,12 @@
 }
 
 // neededAt returns a function that reports whether records of an origin are stored. That is while other versions of the
-// service are listed or were within the last minute, and for as long as the record lives if only another one is left. c.mu
-// must be held as long as the function is used.
+// service are listed or were within the last minute, and for as long as the record lives if only another one is left, or if its version
+// cannot be known. c.mu must be held as long as the function is used.
 func (c *Controller) neededAt(now clock.Instant) func(traffic.StreamOrigin) bool {
 	return func(told traffic.StreamOrigin) bool {
 		o, _, _ := parseOrigin(told)
-		return c.versions.hasOther(now, o)
+		return isUnknowable(told) || c.versions.hasOther(now, o)
 	}
 }
 
--- a/internal/origin/openrecord.go
+++ b/internal/origin/openrecord.go
@@ -18,6 +18,18 @@
 	return o
 }
 
+// unknowableOriginOf returns the origin of an unsettled record as it is told and stored once it cannot be settled any more: no endpoint has
+// an empty name, so that no evidence is found.
+func unknowableOriginOf(o traffic.StreamOrigin) traffic.StreamOrigin {
+	return openOriginOf(o, traffic.EndpointID{})
+}
+
+// isUnknowable reports whether an origin that a VM told or stored is that of a record that cannot be settled any more.
+func isUnknowable(told traffic.StreamOrigin) bool {
+	_, id, open := parseOrigin(told)
+	return open && id.Name == ""
+}
+
 // parseOrigin returns the origin of a record that was told or stored. open is set if it is unsettled, id is the endpoint then.
 func parseOrigin(told traffic.StreamOrigin) (o traffic.StreamOrigin, id traffic.EndpointID, open bool) {
 	raw, marked := strings.CutPrefix(told.Version, openMark)
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -66,16 +66,21 @@
 	unsettled bool
 	open      *openOrigin
 	endpoint  traffic.EndpointID
+	// unknowable is set if the VM where the stream began has told that its origin cannot be known any more.
+	unknowable bool
 	// toldAt is when this VM was told of an unsettled record.
 	toldAt time.Time
 }
 
-// told returns the origin as it is told to the recorder. ok is false if nothing can be told.
-func (e *entry) told() (o traffic.StreamOrigin, ok bool) {
-	if !e.unsettled {
-		return e.origin, true
+// told returns the origin of a stream of this VM as it is told to the recorder.
+func (e *entry) told() traffic.StreamOrigin {
+	switch {
+	case !e.unsettled:
+		return e.origin
+	case e.open == nil:
+		return unknowableOriginOf(e.origin)
 	}
-	return openOriginOf(e.origin, e.endpoint), e.open != nil
+	return openOriginOf(e.origin, e.endpoint)
 }
 
 // records holds the records that this VM knows. It does no I/O.
@@ -94,8 +99,8 @@
 	if !known && len(r.entries) >= maxRecords {
 		return false
 	}
-	if o, id, open := parseOrigin(rec.Origin); !known || e.unsettled && !open || e.unsettled && e.endpoint.Name == "" {
-		e.origin, e.endpoint, e.unsettled, e.open = o, id, open, nil
+	if o, id, open := parseOrigin(rec.Origin); !known || e.mayReplace(rec.Origin) {
+		e.origin, e.endpoint, e.unsettled, e.open, e.unknowable = o, id, open, nil, isUnknowable(rec.Origin)
 		if open {
 			e.toldAt = time.Now()
 		}
@@ -112,6 +117,11 @@
 	return true
 }
 
+// mayReplace reports whether a record that another VM told, or the store had, says more than this one.
+func (e *entry) mayReplace(told traffic.StreamOrigin) bool {
+	return e.unsettled && (!IsUnsettled(told) || isUnknowable(told) || e.endpoint.Name == "" && !e.unknowable)
+}
+
 // addStored stores a record from the store and reports whether there was room for it.
 func (r *records) addStored(now clock.Instant, rec Record) bool {
 	_, known := r.entries[rec.Key]
@@ -144,13 +154,12 @@
 	delete(r.own, k)
 }
 
-// listOwn returns the records of streams of this VM whose origin matches.
+// listOwn returns the records of streams of this VM whose origin matches, as they are told to the recorder.
 func (r *records) listOwn(now clock.Instant, match func(traffic.StreamOrigin) bool) []Record {
 	var out []Record
 	for k := range r.own {
 		e, ok := r.find(now, k)
-		o, mayTell := e.told()
-		if ok && mayTell && match(e.origin) {
+		if o := e.told(); ok && match(o) {
 			out = append(out, Record{Key: k, Origin: o, Left: e.until.Sub(now)})
 		}
 	}
--- a/internal/origin/unsettled.go
+++ b/internal/origin/unsettled.go
@@ -119,15 +119,16 @@
 	c.records.entries[k] = e
 	follows := c.followsFromVersions(now, e.origin)
 	c.mu.Unlock()
-	if outcome.Confirmed() && e.own && !follows {
-		c.tell(Record{Key: k, Origin: e.origin, Left: e.until.Sub(now)})
+	if e.own && !(follows && outcome.Confirmed()) {
+		c.tell(Record{Key: k, Origin: e.told(), Left: e.until.Sub(now)})
 	}
 	c.opts.Metrics.GetOrCreateCounter(`fulmartide_new_stream_lifetimes_total{outcome="` + string(outcome) + `"}`).Inc()
 	open.log.Info("version of a new stream", zap.String("software", e.origin.Version), zap.Bool("settled", outcome.Confirmed()),
 		zap.String("lifetime", string(outcome)), zap.Duration("age", now.Sub(open.began)))
 }
 
-// Await waits until the record of a stream that began at this VM is settled, and reports whether it is not when ctx ends, or cannot be.
+// Await waits until the record of a stream that began at this VM is settled, and reports whether it is not when ctx ends, or cannot be,
+// also of a stream of another VM that has said so.
 func (c *Controller) Await(ctx context.Context, k Key) (unsettled bool) {
 	for c.look(k, true) {
 		if !clock.Sleep(ctx, openPoll) {
@@ -137,7 +138,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e, known := c.records.find(c.opts.Clock.Now(), k)
-	return known && e.own && e.unsettled
+	return known && e.unsettled && (e.own || e.unknowable)
 }
 
 // MarkUnsettled receives that another VM does not know yet where a stream began, so that it does not continue at the only version.
--- a/internal/origin/unsettled_test.go
+++ b/internal/origin/unsettled_test.go
@@ -68,8 +68,17 @@
 			if source != tc.source || source != Unknown && o != v1 {
 				t.Errorf("origin %v from %s, want from %s", o, source, tc.source)
 			}
-			if want := source != Unknown && len(tc.listed) > 1; (len(told) == 1) != want || (len(c.openStreams()) == 1) != want {
-				t.Errorf("%d records told and %d to be stored", len(told), len(c.openStreams()))
+			want := 0
+			if source != Unknown && len(tc.listed) > 1 || tc.outcome == backend.LifetimeGone || tc.outcome == backend.LifetimeOther {
+				want = 1
+			}
+			if len(told) != want || len(c.openStreams()) != want {
+				t.Errorf("%d records told and %d to be stored, want %d", len(told), len(c.openStreams()), want)
+			}
+			for _, rec := range append(told, c.openStreams()...) {
+				if isUnknowable(rec.Origin) != (source == Unknown) || source != Unknown && rec.Origin != v1 {
+					t.Errorf("%v told or to be stored of a stream whose origin is found by %s", rec.Origin, source)
+				}
 			}
 			if c.AddRecords([]Record{{Key: k, Origin: v2, Left: time.Minute}}); source == Unknown {
 				if o, known := c.Lookup(k); !known || o != v2 {
