dispatch: a continuation may begin with an event of several tokens

Callers lost the rest of resumable streams whose ids had followed each other ("1 2") if the next engine's first event held several tokens ("4"): the attempt was ended as one that leaves events out, and so was that of each further engine.

Cause: consecutive ids of two or more events were taken for a promise. The protocol only says that ids increase and that an event may contain several tokens.

The line "decoded" names the gap (id_gap).

--- a/internal/dispatch/eventorder.go
+++ b/internal/dispatch/eventorder.go
@@ -7,30 +7,19 @@
 )
 
 // eventOrder checks the numbers of the events that are delivered within one response to a caller. An engine that continues a stream
-// may begin anew, or go on elsewhere than asked, and its events would then be joined to those of another run. Events whose id is not
-// a number are not checked.
+// may begin anew, and its events would then be joined to those of another run. Numbers are only known to increase, as an event may
+// contain several tokens. Events whose id is not a number are not checked.
 type eventOrder struct {
 	// last is the number of the last event, if known is set.
 	last  uint64
 	known bool
-	// inRow is the number of events so far if each number followed the one before, otherwise irregular.
-	inRow int
-	// continues is set until the first event of a response that continues the stream after earlier events.
+	// continues is set until the first event of a response that continues the stream.
 	continues bool
+	// gap is how many numbers lie between the last event and the first one of the latest response, if that continues the stream.
+	gap uint64
 }
 
-const (
-	irregular = -1
-	// minInRow is the number of events from which the numbers of a stream count as consecutive. Numbers are only known to increase, as
-	// an event may contain several tokens.
-	minInRow = 2
-)
-
-// Errors of streams whose events are not in order.
-var (
-	errEventRepeated = errors.New("the engine sent an event that does not follow the last one")
-	errEventsMissing = errors.New("the engine left out events when it continued a stream")
-)
+var errEventRepeated = errors.New("the engine sent an event that does not follow the last one")
 
 // newEventOrder returns the order of a response that continues after lastID, empty if it begins at the start.
 func newEventOrder(lastID string) eventOrder {
@@ -39,7 +28,7 @@
 }
 
 // beginResponse prepares for the events of the next engine.
-func (o *eventOrder) beginResponse() { o.continues = o.inRow != 0 }
+func (o *eventOrder) beginResponse() { o.continues, o.gap = o.known, 0 }
 
 // accept returns the part of complete events that may be delivered, and an error if that is not all.
 func (o *eventOrder) accept(events []byte) ([]byte, error) {
@@ -67,19 +56,12 @@
 
 // next checks the number of the next event.
 func (o *eventOrder) next(id uint64) error {
-	continues := o.continues
-	o.continues = false
-	follows := id == o.last+1
-	switch {
-	case o.known && id <= o.last:
+	if o.known && id <= o.last {
 		return errEventRepeated
-	case o.known && continues && !follows && o.inRow >= minInRow:
-		return errEventsMissing
-	case o.known && o.inRow > 0 && !follows:
-		o.inRow = irregular
-	case o.inRow != irregular:
-		o.inRow++
 	}
-	o.last, o.known = id, true
+	if o.continues {
+		o.gap = id - o.last - 1
+	}
+	o.last, o.known, o.continues = id, true, false
 	return nil
 }
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -393,7 +393,7 @@
 	g.next = stall.Stop()
 	g.failureLog(err).Info("decoded", zap.String("endpoint", claim.Endpoint.ID.Name), zap.String("software", claim.Endpoint.SoftwareVersion), zap.String("after", req.LastEventID),
 		zap.Int("events", g.stream.events), zap.Bool("delimited", delimited), zap.String("end", string(reply.EndEvidence())), zap.Int("trailing", g.stream.trailing),
-		zap.Int("running", running), zap.Duration("elapsed", g.elapsed()), zap.Error(err))
+		zap.Uint64("id_gap", g.stream.order.gap), zap.Int("running", running), zap.Duration("elapsed", g.elapsed()), zap.Error(err))
 	if err == nil {
 		claim.RecordOutcome(schedule.Succeeded)
 		if reply.EventStream {
