lifetime: ask on each connection before its first generation

The protocol does not promise that a former process is gone when the next one accepts connections.

Change: a decode engine is asked for its start time on the connection itself before its first generation there. A stream that goes on is sent only to the lifetime of the entry, a new one whatever the answer says; its record is settled by it, and the start time of the sender is known at the end of a response without a length. A question that fails uses up the connection; the request is sent on another one, and is not asked for again soon. Where the connection did not tell, only later connections do. OpenedBefore and the confirmation by other answers are gone.

TestOnlyConnectionsOpenInTimeCarryARequest rested on the opening times; TestOnlyAcceptedConnectionsCarryARequest demands the acceptance on each connection.

--- a/internal/connpool/accept.go
+++ b/internal/connpool/accept.go
@@ -52,27 +52,34 @@
 	return resp.Status, body, nil
 }
 
+// SetLifetime records to which lifetime of the endpoint the connection leads.
+func (o *Conn) SetLifetime(lifetime int64) { o.c.lifetime = lifetime }
+
 // accepted reports whether a request need not wait for its acceptance on the connection.
 func (c *conn) accepted(r *Request) bool {
-	return r.Await == nil || c.opened.Before(r.OpenedBefore) || r.Lifetime != 0 && c.lifetime == r.Lifetime
+	return r.Await == nil || c.lifetime != 0 && (r.AnyLifetime || c.lifetime == r.Lifetime)
 }
 
 // send sends a request once it is accepted. A kept connection on which it is not accepted is kept for others.
 func (c *conn) send(ctx context.Context, r *Request) (*Response, error) {
-	if !c.accepted(r) {
-		on := &Conn{c: c}
-		if err := r.Await(ctx, on); err != nil {
-			c.release(on.broken)
-			if errors.Is(err, errNotSent) {
-				return nil, errNotSent
-			}
-			return nil, &Error{Err: err}
-		}
-		c.lifetime = r.Lifetime
-		if tcpconn.Readable(c.nc) {
-			c.close()
-			return nil, errNotSent // the endpoint has closed it meanwhile
+	if c.accepted(r) {
+		return c.roundTrip(ctx, r)
+	}
+	on := &Conn{c: c}
+	err := r.Await(ctx, on)
+	switch {
+	case err != nil:
+		c.release(on.broken)
+		if errors.Is(err, errNotSent) {
+			return nil, errNotSent
 		}
+		return nil, &Error{Err: err}
+	case on.broken:
+		c.close()
+		return nil, errSpent
+	case tcpconn.Readable(c.nc):
+		c.close()
+		return nil, errNotSent // the endpoint has closed it meanwhile
 	}
 	return c.roundTrip(ctx, r)
 }
--- a/internal/connpool/await_test.go
+++ b/internal/connpool/await_test.go
@@ -8,44 +8,77 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/fulmartide/fulmartide/internal/connpool"
 )
 
-// TestOnlyConnectionsOpenInTimeCarryARequest guards against a request that is sent over a kept connection which was opened too late,
-// or over a new one that its sender has not accepted.
-func TestOnlyConnectionsOpenInTimeCarryARequest(t *testing.T) {
+// TestOnlyAcceptedConnectionsCarryARequest guards against a request that is sent over a kept connection to another lifetime, or over one
+// that its sender has not accepted, whenever it was opened.
+func TestOnlyAcceptedConnectionsCarryARequest(t *testing.T) {
 	s := startServer(t, func(_ int, r *http.Request, c net.Conn) bool {
 		_, err := io.WriteString(c, response(r.Header.Get("X-Id"), "x"))
 		return err == nil
 	})
 	p := connpool.New(nil)
 	defer p.Close()
-	start := time.Now()
 	if _, err := get(t, p, s.request("GET")); err != nil {
 		t.Fatal(err)
 	}
 	errNotAccepted := errors.New("not accepted")
-	awaited := 0
-	late := s.requestWithID("GET", "2")
-	late.OpenedBefore = start
-	late.Await = func(_ context.Context, on *connpool.Conn) error {
-		awaited++
-		if on.Opened().Before(start) {
-			t.Errorf("opened %v before the pool was used", start.Sub(on.Opened()))
+	awaited, leadsTo := 0, int64(0)
+	send := func(id string, lifetime int64, any bool) error {
+		r := s.requestWithID("GET", id)
+		r.Lifetime, r.AnyLifetime = lifetime, any
+		r.Await = func(_ context.Context, on *connpool.Conn) error {
+			awaited++
+			if on.SetLifetime(leadsTo); leadsTo == 0 {
+				return errNotAccepted
+			}
+			return nil
 		}
-		return errNotAccepted
+		_, err := get(t, p, r)
+		return err
 	}
-	if _, err := get(t, p, late); !errors.Is(err, errNotAccepted) || connpool.MayHaveSent(err) {
+	if err := send("2", 7, false); !errors.Is(err, errNotAccepted) || connpool.MayHaveSent(err) {
 		t.Errorf("error %v", err)
 	}
-	late.OpenedBefore = time.Now()
-	if _, err := get(t, p, late); err != nil {
-		t.Errorf("error %v, although a kept connection was open in time", err)
+	leadsTo = 7
+	if err := errors.Join(send("3", 7, false), send("4", 7, false), send("5", 0, true)); err != nil || awaited != 2 {
+		t.Errorf("error %v, awaited %d times", err, awaited)
+	}
+	leadsTo = 0
+	if err := send("6", 8, false); !errors.Is(err, errNotAccepted) || awaited != 3 {
+		t.Errorf("error %v on a connection to another lifetime, awaited %d times", err, awaited)
+	}
+	if n := s.requests.Load(); n != 4 {
+		t.Errorf("%d requests arrived", n)
 	}
-	if n := s.requests.Load(); n != 2 || awaited != 1 {
-		t.Errorf("%d requests arrived, %d awaited", n, awaited)
+}
+
+// TestRequestIsSentOnAnotherConnectionAfterAFailedQuestion guards against requests that fail as an endpoint does not answer a question that
+// they can do without, and against questions without end.
+func TestRequestIsSentOnAnotherConnectionAfterAFailedQuestion(t *testing.T) {
+	s := startServer(t, func(_ int, r *http.Request, c net.Conn) bool {
+		if r.Header.Get("X-Id") == "0" {
+			return false
+		}
+		_, err := io.WriteString(c, response(r.Header.Get("X-Id"), "x"))
+		return err == nil
+	})
+	p := connpool.New(nil)
+	defer p.Close()
+	for _, questions := range []int{1, 1 << 10} {
+		asked := 0
+		r := s.requestWithID("GET", "2")
+		r.Await = func(ctx context.Context, on *connpool.Conn) error {
+			if asked++; asked <= questions {
+				_, _, _ = on.Ask(ctx, s.requestWithID("GET", "0"), 1)
+			}
+			return nil
+		}
+		if _, err := get(t, p, r); (err == nil) != (questions == 1) || err != nil && connpool.MayHaveSent(err) || asked > 3 {
+			t.Errorf("error %v after %d questions", err, asked)
+		}
 	}
 }
 
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -36,7 +36,7 @@
 	br        *bufio.Reader
 	opened    time.Time
 	idleUntil time.Time
-	// lifetime is that for which a request was last accepted on the connection, 0 if none was.
+	// lifetime is that of the endpoint to which the connection leads, 0 if it is not known.
 	lifetime int64
 	// checkedAt is when it was last checked whether the connection can be used again.
 	checkedAt time.Time
@@ -125,7 +125,7 @@
 	out := newResponse(c, resp, written, stopCancel)
 	if r.CheckEnd != nil && !out.Delimited {
 		out.EndChecked = true
-		out.body = NewEndCheckedReader(ctx, out.body, End{SentAt: sentAt, Status: resp.StatusCode, Header: resp.Header}, r.CheckEnd)
+		out.body = NewEndCheckedReader(ctx, out.body, End{SentAt: sentAt, Opened: c.opened, Lifetime: c.lifetime, Status: resp.StatusCode, Header: resp.Header}, r.CheckEnd)
 	}
 	if r.Alone || c.unnamed > 0 {
 		out.idleTimeout = 0
@@ -272,7 +272,7 @@
 	Unnamed int
 	// Opened is when the connection was open.
 	Opened time.Time
-	// Lifetime is that for which a request was last accepted on the connection, 0 if none was.
+	// Lifetime is that of the endpoint to which the connection leads, 0 if it is not known.
 	Lifetime int64
 
 	conn        *conn
--- a/internal/connpool/end.go
+++ b/internal/connpool/end.go
@@ -10,8 +10,11 @@
 
 // End describes the end of a body that neither a length nor chunks delimit.
 type End struct {
-	// SentAt is when the request was sent, Bytes the length of the body.
-	SentAt time.Time
+	// SentAt is when the request was sent, Opened when its connection was open, zero if that is another VM's.
+	SentAt, Opened time.Time
+	// Lifetime is that of the endpoint to which the connection leads, 0 if it is not known.
+	Lifetime int64
+	// Bytes is the length of the body.
 	Bytes  int64
 	Status int
 	Header http.Header
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -53,11 +54,12 @@
 	// IDHeader is the header with the id of the request that the endpoint repeats in its response. If it is empty, or the
 	// request has no id, any response is taken.
 	IDHeader string
-	// Await, if not nil, is called before the request is written to a connection; the request is not sent if it fails. It is
-	// not called for a connection that was open before OpenedBefore, or on which it succeeded before for the same Lifetime.
-	Await        func(ctx context.Context, on *Conn) error
-	OpenedBefore time.Time
-	Lifetime     int64
+	// Await, if not nil, is called before the request is written to a connection; the request is not sent if it fails. It is not called
+	// for a connection that is known to lead to Lifetime, or to any one if AnyLifetime is set. It may ask on the connection, and set what
+	// lifetime that leads to. If it succeeds although a question has used up the connection, the request is sent on another one.
+	Await       func(ctx context.Context, on *Conn) error
+	Lifetime    int64
+	AnyLifetime bool
 	// LastLook, if not nil, is called right before the first byte is written, once for each connection on which that is tried. It
 	// may change Header. The request is not sent if it fails; no byte is sent then.
 	LastLook func(ctx context.Context) error
@@ -121,6 +123,12 @@
 // errNotSent means that the kernel took no byte of a request.
 var errNotSent = errors.New("the connection was closed before the request was sent")
 
+// errSpent means that a question has used up a connection, after which the request may be sent on another one.
+var errSpent = fmt.Errorf("%w: a question on it has failed", errNotSent)
+
+// maxSpent is the number of new connections that questions may use up before a request is sent.
+const maxSpent = 1
+
 // Do sends a request and returns the response once its header has been read. If a reused connection takes no byte of the
 // request, it is sent on a new one. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
@@ -133,15 +141,20 @@
 	if cause := context.Cause(ctx); cause != nil {
 		return nil, &Error{Err: cause}
 	}
-	c, err := p.dial(ctx, r.Target)
-	if err != nil {
-		return nil, &Error{Err: err}
-	}
-	resp, err := c.send(ctx, r)
-	if errors.Is(err, errNotSent) {
-		err = &Error{Err: err}
+	for spent := 0; ; spent++ {
+		c, err := p.dial(ctx, r.Target)
+		if err != nil {
+			return nil, &Error{Err: err}
+		}
+		resp, err := c.send(ctx, r)
+		switch {
+		case errors.Is(err, errSpent) && spent < maxSpent && ctx.Err() == nil:
+			continue
+		case errors.Is(err, errNotSent):
+			err = &Error{Err: err}
+		}
+		return resp, err
 	}
-	return resp, err
 }
 
 // Connect opens a connection, which is kept for a later request. It fails if the endpoint does not accept it.
--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -9,17 +9,29 @@
 	"io"
 )
 
+// Sender is what is known of the process that sent a response.
+type Sender struct {
+	// StartedAt is the start time that it named on the connection of the response, 0 if it named none.
+	StartedAt int64
+	// EntryStartedAt is the start time of the endpoint's entry, 0 if that names none. The entry may be of another process.
+	EntryStartedAt int64
+}
+
 // Observation is what an endpoint answered to a question that was sent after the end of a response.
 type Observation struct {
 	// Answered is set if there was an answer, Misdirected if that came from another instance than the expected one.
 	Answered, Misdirected bool
 	// Failed is set if the endpoint refused or failed the question, so that a start time may be missing that it has.
 	Failed bool
-	// SameProcess is set if the process that answered is known to have served the endpoint's address before the request of the response
-	// was sent: the answer came on a connection that was open by then, or names a start time that the endpoint had named by then.
+	// SameProcess is set if the connection of the answer is known to lead to the process that sent the response.
 	SameProcess bool
-	// StartedAt is the start time that the answer names, nil if it names none.
+	// Later is set if the connection of the answer was opened after that of the response. An older one may lead to a former process that
+	// still serves it.
+	Later bool
+	// StartedAt is the start time that the answer names, nil if it names none. Accepted is set if that process is known to have accepted
+	// connections before that of the response was opened.
 	StartedAt *int64
+	Accepted  bool
 	// Refused is set if the endpoint's address refused a connection.
 	Refused bool
 }
@@ -42,9 +54,8 @@
 	Unknown Evidence = "unknown"
 )
 
-// Judge returns the evidence of an observation. startedAt is the start time of the endpoint that the request was sent to, as it
-// was known before, 0 if its entry names none.
-func Judge(o Observation, startedAt int64) Evidence {
+// Judge returns the evidence of an observation.
+func Judge(o Observation, sender Sender) Evidence {
 	switch {
 	case o.Refused:
 		return Refused
@@ -54,11 +65,22 @@
 		return Replaced
 	case o.SameProcess:
 		return Outlived
-	case o.StartedAt == nil && (o.Failed || startedAt != 0):
-		return Unknown // the process of the entry would have named its start time
+	case o.StartedAt == nil && (o.Failed || sender.EntryStartedAt != 0):
+		return Unknown // the process would have named its start time
 	case o.StartedAt == nil:
 		return SameInstance
-	case *o.StartedAt == startedAt:
+	}
+	return o.judgeNamed(sender)
+}
+
+// judgeNamed returns the evidence of an answer that names a start time.
+func (o *Observation) judgeNamed(sender Sender) Evidence {
+	switch {
+	case sender.StartedAt != 0 && *o.StartedAt == sender.StartedAt:
+		return Outlived
+	case !o.Later:
+		return Unknown
+	case sender.StartedAt == 0 && (*o.StartedAt == sender.EntryStartedAt || o.Accepted):
 		return Outlived
 	}
 	return Replaced
--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -47,7 +47,7 @@
 // is known of what it serves: a process that ended refuses connections.
 func (p *PlainClient) observeEnd(ctx context.Context, t connpool.Target) ending.Evidence {
 	err := p.Pool.Connect(ctx, t)
-	return ending.Judge(ending.Observation{Answered: err == nil, Refused: errors.Is(err, syscall.ECONNREFUSED)}, 0)
+	return ending.Judge(ending.Observation{Answered: err == nil, Refused: errors.Is(err, syscall.ECONNREFUSED)}, ending.Sender{})
 }
 
 var errNoPrefill = errors.New("plain services do not support prefill")
--- a/internal/lifetime/lifetime.go
+++ b/internal/lifetime/lifetime.go
@@ -25,8 +25,8 @@
 
 // Report is the outcome of one question to an endpoint.
 type Report struct {
-	// SentAt is when the question was sent, ReceivedAt when its outcome was known.
-	SentAt, ReceivedAt time.Time
+	// Opened is a time by which the connection of the answer was not open yet, or just open, ReceivedAt when the outcome was known.
+	Opened, ReceivedAt time.Time
 	Answer             Answer
 	// StartedAt is the start time that the endpoint named, nil if it named none.
 	StartedAt *int64
@@ -45,8 +45,7 @@
 
 // Said is what an endpoint has said of its start time.
 type Said struct {
-	// ConfirmedAt is when the last question was sent that it answered with the start time of its entry, or the last request that it
-	// answered on a connection that is known to lead there.
+	// ConfirmedAt is when the last connection was opened on which it named the start time of its entry.
 	ConfirmedAt time.Time
 	// other is set once it answered with another one, otherStart that one if it is known, and otherSince when that was first received.
 	other      bool
@@ -57,9 +56,9 @@
 	unanswered int
 }
 
-// Outcome decides whether a connection that was open at a time leads to the lifetime of the entry. The request on it must have been sent
-// after the entry was read: the process of the entry had started by then, so that one that answers later with its start time lived all the
-// time in between, and accepted each connection that still served. listed says whether the table has the entry.
+// Outcome decides whether a connection that was opened at a time leads to the lifetime of the entry, if it is not known from an answer on
+// it. One process accepts connections at a time, so that the process of the entry, which had started before the request was sent, accepted
+// the connection if it accepted a later one. listed says whether the table has the entry.
 func (s Said) Outcome(opened time.Time, listed bool) backend.LifetimeOutcome {
 	switch {
 	case s.ConfirmedAt.After(opened):
@@ -72,8 +71,9 @@
 	return backend.LifetimeOpen
 }
 
-// ServedBefore reports whether the process with a start time is known to have answered before a time, although the entry is of another.
-func (s Said) ServedBefore(startedAt int64, t time.Time) bool {
+// AcceptedBefore reports whether the process with a start time is known to have accepted connections before a time, although the entry is
+// of another.
+func (s Said) AcceptedBefore(startedAt int64, t time.Time) bool {
 	return s.otherStart != nil && *s.otherStart == startedAt && s.otherSince.Before(t)
 }
 
@@ -95,7 +95,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.of[id]
-	if !s.askedAt.IsZero() && now.Sub(s.askedAt) < minPause<<min(s.unanswered, maxDoublings) {
+	if !s.askedAt.IsZero() && now.Sub(s.askedAt) < s.pause() {
 		return false
 	}
 	s.askedAt = now
@@ -103,15 +103,24 @@
 	return true
 }
 
+// pause returns the time until the next question.
+func (s Said) pause() time.Duration { return minPause << min(s.unanswered, maxDoublings) }
+
+// Answers reports whether an endpoint may be asked by a request that waits for the answer: not soon after one that did not come.
+func (r *Reports) Answers(id traffic.EndpointID, now time.Time) bool {
+	s := r.Of(id)
+	return s.unanswered == 0 || now.Sub(s.askedAt) >= s.pause()
+}
+
 // Add records the outcome of a question.
 func (r *Reports) Add(id traffic.EndpointID, report Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.of[id]
-	s.askedAt = later(s.askedAt, report.SentAt)
+	s.askedAt = later(s.askedAt, report.ReceivedAt)
 	switch report.Answer {
 	case Same:
-		s.unanswered, s.ConfirmedAt = 0, later(s.ConfirmedAt, report.SentAt)
+		s.unanswered, s.ConfirmedAt = 0, later(s.ConfirmedAt, report.Opened)
 	case Other:
 		s.unanswered, s.other = 0, true
 		if report.StartedAt != nil && (s.otherStart == nil || *s.otherStart != *report.StartedAt) {
@@ -123,15 +132,6 @@
 	r.put(id, s, report.ReceivedAt)
 }
 
-// Confirm records that the process of an entry answered a request that was sent at a time.
-func (r *Reports) Confirm(id traffic.EndpointID, sentAt time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.of[id]
-	s.ConfirmedAt = later(s.ConfirmedAt, sentAt)
-	r.put(id, s, sentAt)
-}
-
 // put stores what an endpoint has said. r.mu must be held.
 func (r *Reports) put(id traffic.EndpointID, s Said, now time.Time) {
 	if r.of == nil {
@@ -139,7 +139,7 @@
 	}
 	if len(r.of) >= maxEndpoints {
 		for other, said := range r.of {
-			if now.Sub(later(said.askedAt, said.ConfirmedAt)) > needed {
+			if now.Sub(said.askedAt) > needed {
 				delete(r.of, other)
 			}
 		}
--- a/internal/lifetime/lifetime_test.go
+++ b/internal/lifetime/lifetime_test.go
@@ -41,32 +41,32 @@
 	}
 }
 
-// TestReportsOfAnEndpoint guards against answers that count for longer than they hold, and against a process that counts as one that
-// answered earlier than it did.
+// TestReportsOfAnEndpoint guards against answers that count for connections that were opened later, and against a process that counts as one
+// that accepted connections earlier than it did.
 func TestReportsOfAnEndpoint(t *testing.T) {
 	var r Reports
 	id, start := traffic.EndpointID{Name: "e", StartedAt: 7}, time.Now()
 	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
 	eight, nine := int64(8), int64(9)
-	r.Add(id, Report{SentAt: at(2), ReceivedAt: at(3), Answer: Same, StartedAt: &id.StartedAt})
-	r.Add(id, Report{SentAt: at(1), ReceivedAt: at(4), Answer: Same, StartedAt: &id.StartedAt})
+	r.Add(id, Report{Opened: at(2), ReceivedAt: at(3), Answer: Same, StartedAt: &id.StartedAt})
+	r.Add(id, Report{Opened: at(1), ReceivedAt: at(4), Answer: Same, StartedAt: &id.StartedAt})
 	if got := r.Of(id).ConfirmedAt; !got.Equal(at(2)) {
 		t.Errorf("confirmed at %v", got.Sub(start))
 	}
-	r.Add(id, Report{SentAt: at(4), ReceivedAt: at(5), Answer: Other})
-	r.Add(id, Report{SentAt: at(5), ReceivedAt: at(6), Answer: Other, StartedAt: &eight})
-	r.Add(id, Report{SentAt: at(7), ReceivedAt: at(8), Answer: Other, StartedAt: &eight})
+	r.Add(id, Report{Opened: at(4), ReceivedAt: at(5), Answer: Other})
+	r.Add(id, Report{Opened: at(5), ReceivedAt: at(6), Answer: Other, StartedAt: &eight})
+	r.Add(id, Report{Opened: at(7), ReceivedAt: at(8), Answer: Other, StartedAt: &eight})
 	for _, tc := range []struct {
 		startedAt int64
 		t         time.Time
 		want      bool
 	}{{8, at(7), true}, {8, at(6), false}, {9, at(7), false}, {7, at(7), false}} {
-		if got := r.Of(id).ServedBefore(tc.startedAt, tc.t); got != tc.want {
+		if got := r.Of(id).AcceptedBefore(tc.startedAt, tc.t); got != tc.want {
 			t.Errorf("start time %d before %v: %t", tc.startedAt, tc.t.Sub(start), got)
 		}
 	}
-	r.Add(id, Report{SentAt: at(9), ReceivedAt: at(10), Answer: Other, StartedAt: &nine})
-	if said := r.Of(id); said.ServedBefore(9, at(10)) || !said.ServedBefore(9, at(11)) || said.ServedBefore(8, at(11)) {
+	r.Add(id, Report{Opened: at(9), ReceivedAt: at(10), Answer: Other, StartedAt: &nine})
+	if said := r.Of(id); said.AcceptedBefore(9, at(10)) || !said.AcceptedBefore(9, at(11)) || said.AcceptedBefore(8, at(11)) {
 		t.Error("the time of a former process counts for a later one")
 	}
 }
@@ -79,13 +79,19 @@
 	for end := now.Add(2 * time.Minute); now.Before(end); now = now.Add(10 * time.Millisecond) {
 		if r.MayAsk(id, now) {
 			asked++
-			r.Add(id, Report{SentAt: now, ReceivedAt: now, Answer: None})
+			r.Add(id, Report{Opened: now, ReceivedAt: now, Answer: None})
 		}
 	}
 	if asked > 12 {
 		t.Errorf("asked %d times in two minutes without an answer", asked)
 	}
-	r.Add(id, Report{SentAt: now, ReceivedAt: now, Answer: Same})
+	if r.Answers(id, now) {
+		t.Error("a request waits for an answer that did not come lately")
+	}
+	r.Add(id, Report{Opened: now, ReceivedAt: now, Answer: Same})
+	if !r.Answers(id, now) {
+		t.Error("a request does not ask an endpoint that answers")
+	}
 	if r.MayAsk(id, now.Add(minPause-1)) || !r.MayAsk(id, now.Add(minPause)) {
 		t.Error("not asked a pause after an answer")
 	}
