lifetime: endpoints that limit or pause their requests are not asked beside them

An endpoint that names a limit of requests, or wants none for a while after a 503, got a question for its start time before the first generation on each new connection, and others for open records: up to twice the requests that it had allowed on new connections, without a permit.

Cause: questions were not tied to what endpoints say about themselves. Now a request does not wait for an answer there, and open records are asked about once in 4 s under a limit, and not during a pause.

TestEndpointsInNeedAreAskedLess fails without the change.

--- a/internal/lifetime/lifetime.go
+++ b/internal/lifetime/lifetime.go
@@ -37,6 +37,8 @@
 	// at most.
 	minPause     = 200 * time.Millisecond
 	maxDoublings = 7
+	// limitedPause is the time between two questions to an endpoint that limits its requests.
+	limitedPause = 4 * time.Second
 	// maxEndpoints is the number of endpoints from which on reports that are not needed any more are removed.
 	maxEndpoints = 1 << 12
 	// needed is the time after which what an endpoint said is removed unless it was asked again.
@@ -54,6 +56,9 @@
 	// askedAt is when it was last asked, unanswered the number of questions without an answer since the last one.
 	askedAt    time.Time
 	unanswered int
+	// limited is set while it names a limit of requests, pausedUntil is until when it wants none.
+	limited     bool
+	pausedUntil time.Time
 }
 
 // Outcome decides whether a connection that was opened at a time leads to the lifetime of the entry, if it is not known from an answer on
@@ -95,7 +100,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.of[id]
-	if !s.askedAt.IsZero() && now.Sub(s.askedAt) < s.pause() {
+	if !s.askedAt.IsZero() && now.Sub(s.askedAt) < s.pause() || now.Before(s.pausedUntil) {
 		return false
 	}
 	s.askedAt = now
@@ -104,12 +109,32 @@
 }
 
 // pause returns the time until the next question.
-func (s Said) pause() time.Duration { return minPause << min(s.unanswered, maxDoublings) }
+func (s Said) pause() time.Duration {
+	if s.limited {
+		return limitedPause
+	}
+	return minPause << min(s.unanswered, maxDoublings)
+}
 
-// Answers reports whether an endpoint may be asked by a request that waits for the answer: not soon after one that did not come.
+// Answers reports whether an endpoint may be asked by a request that waits for the answer: not soon after one that did not come, and not
+// while it limits its requests, as questions would add to them.
 func (r *Reports) Answers(id traffic.EndpointID, now time.Time) bool {
 	s := r.Of(id)
-	return s.unanswered == 0 || now.Sub(s.askedAt) >= s.pause()
+	return !s.limited && !now.Before(s.pausedUntil) && (s.unanswered == 0 || now.Sub(s.askedAt) >= s.pause())
+}
+
+// Hear records what an endpoint says about itself in a response: whether it limits its requests, and for how long it wants none.
+func (r *Reports) Hear(id traffic.EndpointID, limited bool, pause time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, known := r.of[id]
+	if !known && !limited && pause == 0 {
+		return
+	}
+	if s.limited = limited; pause > 0 {
+		s.pausedUntil = now.Add(pause)
+	}
+	r.put(id, s, now)
 }
 
 // Add records the outcome of a question.
--- a/internal/lifetime/lifetime_test.go
+++ b/internal/lifetime/lifetime_test.go
@@ -102,3 +102,30 @@
 		t.Errorf("%d endpoints are remembered", len(r.of))
 	}
 }
+
+// TestEndpointsInNeedAreAskedLess guards against questions that add to the requests of an endpoint which limits them, or wants none.
+func TestEndpointsInNeedAreAskedLess(t *testing.T) {
+	var r Reports
+	id, now := traffic.EndpointID{Name: "e"}, time.Now()
+	r.Hear(id, false, 3*time.Second, now)
+	if r.MayAsk(id, now.Add(2*time.Second)) || r.Answers(id, now.Add(2*time.Second)) || !r.MayAsk(id, now.Add(3*time.Second)) {
+		t.Error("asked during its pause, or not after it")
+	}
+	now = now.Add(time.Minute)
+	r.Hear(id, true, 0, now)
+	asked := 0
+	for i := range 4000 {
+		if at := now.Add(time.Duration(i) * time.Millisecond); r.Answers(id, at) {
+			t.Fatal("requests ask an endpoint that limits them")
+		} else if r.MayAsk(id, at) {
+			asked++
+			r.Add(id, Report{Opened: at, ReceivedAt: at, Answer: Same})
+		}
+	}
+	if asked > 1 {
+		t.Errorf("asked %d times in 4 s", asked)
+	}
+	if r.Hear(id, false, 0, now); !r.Answers(id, now.Add(time.Minute)) {
+		t.Error("not asked after the end of the limit")
+	}
+}
