--- a/internal/connpool/accept.go
+++ b/internal/connpool/accept.go
@@ -12,8 +12,8 @@
 // Conn is a connection on which a request is about to be sent.
 type Conn struct {
 	c *conn
-	// broken is set once the connection cannot carry the request any more.
-	broken bool
+	// asked is set once a question was sent on the connection, broken once that cannot carry the request any more.
+	asked, broken bool
 }
 
 // Opened returns when the connection was open.
@@ -27,7 +27,7 @@
 // Ask sends another request on the connection first and returns the status and the body of its response, of at most maxBody
 // bytes. The connection cannot be used any more if it fails.
 func (o *Conn) Ask(ctx context.Context, r *Request, maxBody int64) (status int, body []byte, err error) {
-	o.broken = true
+	o.asked, o.broken = true, true
 	lastID := o.c.lastID
 	if tcpconn.Readable(o.c.nc) {
 		return 0, nil, errNotSent // the endpoint has closed it meanwhile
@@ -77,6 +77,9 @@
 	case on.broken:
 		c.close()
 		return nil, errSpent
+	case tcpconn.Readable(c.nc) && on.asked:
+		c.close()
+		return nil, errSpent // the endpoint has closed it after its answer
 	case tcpconn.Readable(c.nc):
 		c.close()
 		return nil, errNotSent // the endpoint has closed it meanwhile
--- a/test/erratic/endpoint.go
+++ b/test/erratic/endpoint.go
@@ -53,12 +53,17 @@
 // Close closes the listener and all connections, and waits for their end.
 func (e *Endpoint) Close() {
 	_ = e.listener.Close()
+	e.CloseConnections()
+	e.wg.Wait()
+}
+
+// CloseConnections closes all connections, as the end of the process does.
+func (e *Endpoint) CloseConnections() {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	for c := range e.open {
 		_ = c.Close()
 	}
-	e.mu.Unlock()
-	e.wg.Wait()
 }
 
 func (e *Endpoint) accept() {
