platform: prompts of streams that go on are read at their version

A stream that goes on is sent over connections that are known to lead to the lifetime of its engine's entry. The prefill before it was not: it carries no Last-Event-Id, by which such requests were told. A prefill engine that was back under its id with another version, and not listed yet, read the prompt, and the decode engine of the stream's version fetched it. What two versions write doesn't fit together; the events themselves were of one version.

Requests now say whether the call continues a stream, and such prefills are bound as the decode is. Prefills of new streams cost nothing more.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -25,6 +25,8 @@
 	// LastEventID is the ID of the last event that the caller has received; the endpoint resumes the
 	// stream after it. Empty means from the start.
 	LastEventID string
+	// Continues is set if the call continues a stream, so that the software version of the endpoint's entry has to run it.
+	Continues bool
 	// Priority orders calls at the endpoint; 0 is the highest.
 	Priority int
 	// Ranked is set if the endpoint is to be told the priority: the call is a generation, and the calls to its service
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -24,7 +24,7 @@
 func (f *inflightCall) newRequest(claim *schedule.Claim) backend.Request {
 	return backend.Request{
 		Call: f.call, Endpoint: claim.Endpoint, Via: claim.Via, Timeout: f.remaining(),
-		Priority: f.call.Rank(), Ranked: f.call.Ranked(), LastEventID: f.call.LastEventID,
+		Priority: f.call.Rank(), Ranked: f.call.Ranked(), LastEventID: f.call.LastEventID, Continues: f.origin != nil,
 		LastLook: f.lastLook(claim),
 	}
 }
