origin: streams that callers do not name go on while the store is away

Callers whose streams broke off while the store was away were refused, as no VM can have a record of a stream that its caller does not name in Resumes, and the only version did not decide.

For them the only version decides as before.

--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -45,7 +45,7 @@
 	}
 	o, source := c.findHere(k, service)
 	if source == FromVersions {
-		if o, source = c.findHereAnew(ctx, k, service, left); source == FromVersions && !c.trustsVersions() {
+		if o, source = c.findHereAnew(ctx, k, service, left); source == FromVersions && !c.trustsVersions(k) {
 			return traffic.StreamOrigin{}, Unknown // no other VM knows more
 		}
 	}
@@ -72,7 +72,7 @@
 // the stream.
 func (c *Controller) findTrusted(k Key, service string) (traffic.StreamOrigin, Source) {
 	o, source := c.findHere(k, service)
-	if source == FromVersions && !c.trustsVersions() {
+	if source == FromVersions && !c.trustsVersions(k) {
 		return traffic.StreamOrigin{}, Unknown
 	}
 	return o, source
--- a/internal/origin/storeaway.go
+++ b/internal/origin/storeaway.go
@@ -64,8 +64,12 @@
 	}
 }
 
-// trustsVersions reports whether the only version of a service decides where its streams began.
-func (c *Controller) trustsVersions() bool {
+// trustsVersions reports whether the only version of a service decides where a stream began. It always does for callers that do not name
+// their stream, of which no VM can have a record: the protocol asks callers to name it, as only then its version can be told.
+func (c *Controller) trustsVersions(k Key) bool {
+	if k == 0 {
+		return true
+	}
 	c.CheckStore()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/origin/storeaway_test.go
+++ b/internal/origin/storeaway_test.go
@@ -33,7 +33,7 @@
 }
 
 // TestOnlyVersionDoesNotDecideWhileTheStoreIsAway guards against streams that go on at the only version that a VM has read, although one that
-// it could not read of may have begun them.
+// it could not read of may have begun them, and against refusing those that callers do not name.
 func TestOnlyVersionDoesNotDecideWhileTheStoreIsAway(t *testing.T) {
 	vm, k, recorded := newAwayVM(), NewKey("w", "call"), NewKey("w", "recorded")
 	v1 := traffic.StreamOrigin{Service: testService, Version: "v1"}
@@ -45,6 +45,9 @@
 		if o, source := vm.Find(t.Context(), recorded, testService, time.Minute); source != FromRecord || o != v1 {
 			t.Errorf("%s: origin %v of a record from %s", when, o, source)
 		}
+		if o, source := vm.Find(t.Context(), 0, testService, time.Minute); source != FromVersions || o != v1 {
+			t.Errorf("%s: origin %v of a stream without a name from %s", when, o, source)
+		}
 	}
 	vm.AddRecords([]Record{{Key: recorded, Origin: v1, Left: time.Minute}})
 	check("before", FromVersions)
