origin: streams of unknown versions are known after two losses in turn

Callers could see streams of two versions: a VM that knew that the version of a stream cannot be known was lost, and then the VM that it had told, or all VMs. A third VM that had started in between, or all after their start, continued the stream at the only version that is listed. A model found it; not seen in a fleet.

Cause: such a record was passed on by the VM where the stream began only. The state that a VM hands to one that starts left it out, as it did open records, and the recorder had it only if the first VM reported it before it was lost.

The state includes it now, and each VM that was told reports it to the recorder.

TestStreamOfUnknownVersionDoesNotContinueAfterItsVM fails in both parts without the change.

--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -165,13 +165,16 @@
 // AddRecords receives records of another VM.
 func (c *Controller) AddRecords(list []Record) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	now := c.opts.Clock.Now()
 	for _, rec := range list {
 		if !c.records.add(now, rec, false) {
 			c.opts.Metrics.GetOrCreateCounter(`fulmartide_stream_origins_dropped_total`).Inc()
 		}
 	}
+	c.mu.Unlock()
+	if slices.ContainsFunc(list, func(rec Record) bool { return isUnknowable(rec.Origin) }) {
+		c.opts.OnOpen() // they are reported to the recorder
+	}
 }
 
 // State is what a VM knows.
--- a/internal/origin/fleet_test.go
+++ b/internal/origin/fleet_test.go
@@ -45,6 +45,8 @@
 	// began is where streams truly began, by call.
 	began   map[string]traffic.StreamOrigin
 	storing bool
+	// away is set while the store is away.
+	away bool
 	// lossy makes VMs tell others nothing, so that only questions are answered.
 	lossy bool
 	// streams is what the store has of open streams.
@@ -63,8 +65,9 @@
 	vm := &fleetVM{}
 	vm.Controller = NewController(Options{
 		Clock: &f.clock, Log: zap.NewNop(), Metrics: metrics.NewSet(), Reload: func(ctx context.Context) { vm.keeper.Reload(ctx) },
-		Share: func(list []Record) { f.share(vm, list) },
-		Ask:   func(_ context.Context, k Key) (traffic.StreamOrigin, bool) { return f.ask(vm, k) },
+		Share:     func(list []Record) { f.share(vm, list) },
+		Ask:       func(_ context.Context, k Key) (traffic.StreamOrigin, bool) { return f.ask(vm, k) },
+		StoreAway: func() bool { return f.away },
 		Evidence: func(e traffic.Endpoint, _ time.Time) backend.LifetimeEvidence {
 			return &storeEvidence{fleet: f, version: e.SoftwareVersion}
 		},
@@ -87,6 +90,9 @@
 // refresh lets a VM read the table of endpoints. If storing is set, changed versions are stored with it, as the VM that
 // stores does before calls reach the endpoints of a new version.
 func (f *fleet) refresh(vm *fleetVM) {
+	if f.away {
+		return
+	}
 	vm.listed = append([]string(nil), f.listed...)
 	vm.SetEndpoints(endpointsOf(vm.listed))
 	if s := vm.State(); f.storing && s.Complete {
--- a/internal/origin/open.go
+++ b/internal/origin/open.go
@@ -11,7 +11,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.opts.Clock.Now()
-	return c.records.listOwn(now, c.neededAt(now))
+	return c.records.listReported(now, c.neededAt(now))
 }
 
 // neededAt returns a function that reports whether records of an origin are stored. That is while other versions of the
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -66,18 +66,18 @@
 	unsettled bool
 	open      *openOrigin
 	endpoint  traffic.EndpointID
-	// unknowable is set if the VM where the stream began has told that its origin cannot be known any more.
+	// unknowable is set if the origin cannot be known any more, as the VM where the stream began has found.
 	unknowable bool
 	// toldAt is when this VM was told of an unsettled record.
 	toldAt time.Time
 }
 
-// told returns the origin of a stream of this VM as it is told to the recorder.
+// told returns the origin as it is told to the recorder.
 func (e *entry) told() traffic.StreamOrigin {
 	switch {
 	case !e.unsettled:
 		return e.origin
-	case e.open == nil:
+	case e.unknowable:
 		return unknowableOriginOf(e.origin)
 	}
 	return openOriginOf(e.origin, e.endpoint)
@@ -86,9 +86,10 @@
 // records holds the records that this VM knows. It does no I/O.
 type records struct {
 	entries map[Key]entry
-	// own holds the keys of own entries, which are few among those that other VMs told.
-	own     map[Key]struct{}
-	sweepAt clock.Instant
+	// reported holds the keys of entries that are told to the recorder, which are few among those that other VMs told: own ones, and those whose
+	// origin cannot be known, as the VM that told them may be lost before the recorder has them.
+	reported map[Key]struct{}
+	sweepAt  clock.Instant
 }
 
 // add stores a record and reports whether there was room for it. A stream has one origin, so a record of it is not
@@ -105,12 +106,12 @@
 			e.toldAt = time.Now()
 		}
 	}
-	if own && !e.own {
-		e.own = true
-		if r.own == nil {
-			r.own = map[Key]struct{}{}
+	e.own = e.own || own
+	if e.own || e.unknowable {
+		if r.reported == nil {
+			r.reported = map[Key]struct{}{}
 		}
-		r.own[rec.Key] = struct{}{}
+		r.reported[rec.Key] = struct{}{}
 	}
 	e.until = max(e.until, now.Add(min(rec.Left, maxLeft)))
 	r.entries[rec.Key] = e
@@ -151,13 +152,13 @@
 
 func (r *records) remove(k Key) {
 	delete(r.entries, k)
-	delete(r.own, k)
+	delete(r.reported, k)
 }
 
-// listOwn returns the records of streams of this VM whose origin matches, as they are told to the recorder.
-func (r *records) listOwn(now clock.Instant, match func(traffic.StreamOrigin) bool) []Record {
+// listReported returns the records whose origin matches as they are told to the recorder.
+func (r *records) listReported(now clock.Instant, match func(traffic.StreamOrigin) bool) []Record {
 	var out []Record
-	for k := range r.own {
+	for k := range r.reported {
 		e, ok := r.find(now, k)
 		if o := e.told(); ok && match(o) {
 			out = append(out, Record{Key: k, Origin: o, Left: e.until.Sub(now)})
@@ -166,12 +167,12 @@
 	return out
 }
 
-// list returns the settled records that match.
+// list returns the records that match, without those that may be settled later.
 func (r *records) list(now clock.Instant, match func(entry) bool) []Record {
 	var out []Record
 	for k, e := range r.entries {
-		if now.Before(e.until) && !e.unsettled && match(e) {
-			out = append(out, Record{Key: k, Origin: e.origin, Left: e.until.Sub(now)})
+		if now.Before(e.until) && (!e.unsettled || e.unknowable) && match(e) {
+			out = append(out, Record{Key: k, Origin: e.told(), Left: e.until.Sub(now)})
 		}
 	}
 	return out
--- a/internal/origin/storeaway_test.go
+++ b/internal/origin/storeaway_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+	"pgregory.net/rapid"
 
 	"github.com/fulmartide/fulmartide/internal/backend"
 	"github.com/fulmartide/fulmartide/internal/clock"
@@ -96,3 +98,118 @@
 		t.Errorf("%d records told, want %d", len(vm.told), len(want))
 	}
 }
+
+// TestStreamsOfUnlistedVersionsNeverContinueElsewhere guards against streams that hold events of two versions, because an engine is back under its
+// id and not listed yet when VMs are lost or the store is away. Unless it is away engines have answered by the time that their VM is lost.
+func TestStreamsOfUnlistedVersionsNeverContinueElsewhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(2, 5).Draw(t, "vms"), "v1")
+		f.storing = true
+		running, released := "v1", 1
+		calls, beganAt := map[string]int{}, map[string]clock.Instant{} // the VM of each stream and its time
+		var ids []string
+		look := func(i int) {
+			for call, at := range calls {
+				if at == i {
+					f.vms[i].look(NewKey("w", call), true)
+				}
+			}
+		}
+		vmAt := func(t *rapid.T) int {
+			var up []int
+			for i, vm := range f.vms {
+				if vm != nil {
+					up = append(up, i)
+				}
+			}
+			return rapid.SampledFrom(up).Draw(t, "vm")
+		}
+		each := func(do func(i int)) {
+			for i, vm := range f.vms {
+				if vm != nil {
+					do(i)
+				}
+			}
+		}
+		actions := map[string]func(*rapid.T){
+			"the engine is back": func(*rapid.T) {
+				released++
+				running = fmt.Sprint("v", released)
+			},
+			"the engine registers": func(*rapid.T) {
+				if !f.away {
+					f.listed = []string{running}
+				}
+			},
+			"begin": func(t *rapid.T) {
+				i := vmAt(t)
+				shown := f.vms[i].listed[0]
+				outcome := backend.LifetimeReported
+				if shown != running {
+					outcome = backend.LifetimeOther
+				}
+				call := fmt.Sprint("call", len(ids))
+				ids, calls[call], beganAt[call] = append(ids, call), i, f.clock.now
+				f.began[call] = traffic.StreamOrigin{Service: testService, Version: running}
+				f.vms[i].beganOpen(NewKey("w", call), endpointsOf([]string{shown})[0], 10*time.Second, &fakeEvidence{outcome: outcome}, zap.NewNop())
+			},
+			"the engine answers": func(t *rapid.T) { look(vmAt(t)) },
+			"the store goes away or comes back": func(*rapid.T) {
+				f.away = !f.away
+				f.streams.fail = nil
+				if f.away {
+					f.streams.fail = errStoreAway
+				}
+				each(func(i int) { f.vms[i].CheckStore() })
+				if f.away {
+					return
+				}
+				f.listed = []string{running} // within the time to register again
+				for i, vm := range f.vms {
+					if vm == nil {
+						f.start(i)
+					}
+				}
+			},
+			"wait": func(t *rapid.T) {
+				f.clock.now = f.clock.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+				each(func(i int) { f.refresh(f.vms[i]) })
+			},
+			"a VM is lost": func(t *rapid.T) { // starts again once it can read the store
+				i, up := vmAt(t), 0
+				each(func(int) { up++ })
+				if up == 1 {
+					return
+				}
+				if f.away {
+					f.vms[i] = nil
+					return
+				}
+				look(i)
+				f.vms[i] = nil
+				f.start(i)
+			},
+			"all VMs are lost": func(*rapid.T) {
+				each(look)
+				if f.record(len(f.vms)); !f.away {
+					f.loseAll(time.Second)
+					f.startAll()
+				}
+			},
+		}
+		for name, action := range actions {
+			actions[name] = f.locked(action)
+		}
+		actions["resume"] = func(t *rapid.T) { // asks other VMs
+			if len(ids) == 0 {
+				return
+			}
+			vm, call := f.vms[vmAt(t)], ids[max(0, len(ids)-1-rapid.IntRange(0, 4).Draw(t, "back"))]
+			f.locked(func(*rapid.T) { f.refresh(vm) })(t)
+			if f.clock.now.Sub(beganAt[call]) < resumeWindow {
+				f.resume(t, vm, call)
+			}
+		}
+		t.Repeat(actions)
+	})
+}
--- a/internal/origin/unknownversion_test.go
+++ b/internal/origin/unknownversion_test.go
@@ -39,6 +39,14 @@
 		if !told.Await(t.Context(), k) {
 			t.Errorf("%s: a VM that was told does not say that the version is not known", outcome)
 		}
+		if list := told.openStreams(); len(list) != 1 || !isUnknowable(list[0].Origin) {
+			t.Errorf("%s: a VM that was told reports %v to the recorder", outcome, list)
+		}
+		started := newVM(Options{})
+		started.Merge(told.State(), "vm")
+		if o, source := started.Find(t.Context(), k, testService, 100*time.Millisecond); source != Unknown {
+			t.Errorf("%s: the stream goes on at %v by %s at a VM that has started since", outcome, o, source)
+		}
 		stored, later := began.openStreams(), newVM(Options{})
 		if later.addStored(stored); len(stored) != 1 {
 			t.Errorf("%s: %d records to be stored", outcome, len(stored))
--- a/internal/origin/unsettled.go
+++ b/internal/origin/unsettled.go
@@ -114,7 +114,7 @@
 		c.mu.Unlock()
 		return
 	}
-	e.open, e.unsettled = nil, !outcome.Confirmed()
+	e.open, e.unsettled, e.unknowable = nil, !outcome.Confirmed(), e.own && !outcome.Confirmed()
 	c.records.entries[k] = e
 	follows := c.followsFromVersions(now, e.origin)
 	c.mu.Unlock()
