admission: a VM that starts again has a part of the slack at once

Callers whose first endpoint broke off in the first seconds after all VMs had started again got 502, as each VM had its 0.28 of its share of the slack evenly over 11.4 s: with 2 VMs and a slack of 52 the first retry after 1.6 s, with 6 VMs after 4.7 s.

A process without memory cannot have it sooner, as it may be the last of many starts. The registry remembers: the entry of a process that was killed holds its start. If that is 13.4 s ago or more, no other start is in the window, and 0.2 is available at once and 0.08 evenly. If it is later, nothing is until the process before no longer counts, which also bounds starts in a row more closely. A process that leaves soon after its start keeps its entry. Entries now hold the store's era, as a restore may lose later ones, and whether they replaced another one, as VMs that left are not in the registry and must not add to what the others used at once. A start takes a read of the own entry more than before if there is none, and one call less if there is.

The model tests of the budget keep their bounds, with VMs that know the start of the process before.

--- a/internal/admission/fleetmodel_test.go
+++ b/internal/admission/fleetmodel_test.go
@@ -35,6 +35,7 @@
 
 type modelVM struct {
 	incarnation int
+	startedAt   clock.Instant
 	now         *Retries
 	former      *formerRetries
 	pausedUntil time.Duration
@@ -72,11 +73,14 @@
 }
 
 func (f *modelFleet) start(i, incarnation int, at clock.Instant) {
-	v := &modelVM{incarnation: incarnation, heard: map[int]heardTotals{}, attempts: map[time.Duration][]int{}}
+	v := &modelVM{incarnation: incarnation, startedAt: at, heard: map[int]heardTotals{}, attempts: map[time.Duration][]int{}}
 	if i < f.former {
 		v.former = newFormerRetries(at, f.budget())
 	} else {
 		v.now = NewRetries(at, f.budget())
+		if before := f.vm[i]; before != nil {
+			v.now.SetFormerStart(FormerStart{Listed: true, Age: at.Sub(before.startedAt)})
+		}
 	}
 	f.vm[i] = v
 }
--- a/internal/admission/retries.go
+++ b/internal/admission/retries.go
@@ -27,8 +27,8 @@
 	// meanwhile until the next full heartbeat arrives: half of a window, if news is late as well.
 	toldSlack = 1.4
 	// startSlack is the fraction of the slack, startRatio that of the ratio, that a VM uses in the first startBuckets after its start, because it
-	// does not know how many retries it sent before. The slack becomes available evenly over that time. So retries before the first of
-	// several restarts and after them together stay within the slack and the ratio.
+	// does not know how many retries it sent before. When the slack becomes available depends on the process before, see startPart. So retries before the
+	// first of several restarts and after them together stay within the slack and the ratio.
 	startSlack = 0.28
 	startRatio = 0.08
 	// retryLeave, grantLeave and startBuckets are the buckets for which a retry, a granted part and a start count.
@@ -45,8 +45,10 @@
 	startedAt clock.Instant
 	// firstStart is set if no retries were sent before the start.
 	firstStart bool
-	services   map[string]*retryWindow
-	totals     GrantTotals
+	// former is nil until the registry has told of the process before.
+	former   *FormerStart
+	services map[string]*retryWindow
+	totals   GrantTotals
 }
 
 type retryWindow struct {
@@ -126,9 +128,8 @@
 // part returns the part of the budget that belongs to this VM for its calls in the window. share is its share of the fleet.
 func (r *Retries) part(now clock.Instant, calls, share float64) float64 {
 	ratio, slack := usableRatio, usableSlack
-	start := r.budget.Window / retryBuckets * startBuckets
-	if lived := now.Sub(r.startedAt); !r.firstStart && lived < start {
-		ratio, slack = startRatio, startSlack*float64(lived)/float64(start)
+	if lived := now.Sub(r.startedAt); !r.firstStart && lived < r.budget.startTime() {
+		ratio, slack = startRatio, r.startPart(lived)
 	}
 	return ratio*r.budget.Ratio*calls + slack*share*r.budget.Slack
 }
--- a/internal/admission/retrycontrol.go
+++ b/internal/admission/retrycontrol.go
@@ -12,6 +12,20 @@
 	c.retries.firstStart = true
 }
 
+// SetFormerStart states what the registry tells of the process that ran on this VM before; see Retries.SetFormerStart.
+func (c *Controller) SetFormerStart(f FormerStart) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retries.SetFormerStart(f)
+}
+
+// StartMatters reports whether this process started so lately that the next one on this VM has to know of it.
+func (c *Controller) StartMatters() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock.Now().Sub(c.retries.startedAt) < c.retries.budget.startMemory()
+}
+
 // CountCall counts a caller's call to a service.
 func (c *Controller) CountCall(service string) {
 	c.mu.Lock()
--- a/internal/statesync/digest_test.go
+++ b/internal/statesync/digest_test.go
@@ -106,9 +106,9 @@
 	}
 }
 
-func (n *node) Register(context.Context, Member) error                 { return nil }
+func (n *node) SetFormerStart(admission.FormerStart)                   {}
+func (n *node) StartMatters() bool                                     { return false }
 func (n *node) Deregister(context.Context, Member) error               { return nil }
-func (n *node) Members(context.Context, bool) ([]Member, error)        { return nil, nil }
 func (n *node) RecordPeerOutcome(traffic.EndpointID, schedule.Outcome) {}
 func (n *node) Limits() map[traffic.EndpointID]schedule.Limit          { return n.limits }
 func (n *node) ForgetVM(ident.VM)                                      {}
@@ -125,7 +125,13 @@
 func (n *node) TakeRetryNeeds() []admission.RetryNeed                  { return nil }
 func (n *node) GrantRetries(string, float64) float64                   { return 0 }
 func (n *node) AddRetryGrant(string, float64, clock.Instant)           {}
-func (n *node) Versions() []traffic.DocumentVersion                    { return []traffic.DocumentVersion{{Number: 1}} }
+func (n *node) Register(context.Context, Member) (admission.FormerStart, error) {
+	return admission.FormerStart{}, nil
+}
+
+func (n *node) Members(context.Context, bool) ([]Member, bool, error) { return nil, false, nil }
+
+func (n *node) Versions() []traffic.DocumentVersion { return []traffic.DocumentVersion{{Number: 1}} }
 
 func (n *node) NeedsVersion(int, traffic.DocumentVersion) bool { return false }
 
--- a/internal/statesync/members.go
+++ b/internal/statesync/members.go
@@ -93,6 +93,9 @@
 // were removed: they count again only once they send a heartbeat.
 func (t *memberTable) addListed(now clock.Instant, members []Member) (added, lost []Member) {
 	for _, m := range members {
+		if _, ended := t.ended[m.VM]; ended {
+			continue // a VM that leaves soon after its start keeps its entry
+		}
 		switch {
 		case m.Address == t.self.Address || !m.Address.IsValid() || t.peers[m.Address] != nil:
 		case t.gone[m.VM]:
--- a/internal/statesync/ports.go
+++ b/internal/statesync/ports.go
@@ -14,10 +14,12 @@
 
 // Registry lists the VMs of the fleet, for discovery.
 type Registry interface {
-	// Register adds an entry for this VM.
-	Register(ctx context.Context, m Member) error
-	// Members returns all entries. A stale read may be seconds old and is cheaper.
-	Members(ctx context.Context, stale bool) ([]Member, error)
+	// Register adds an entry for this VM and returns what the entry of the process that ran on it before tells. Called again, it
+	// returns the same.
+	Register(ctx context.Context, m Member) (admission.FormerStart, error)
+	// Members returns all entries. A stale read may be seconds old and is cheaper. replaced is set if the entry of another VM has replaced one
+	// that tells of the process before.
+	Members(ctx context.Context, stale bool) (all []Member, replaced bool, err error)
 	// Deregister removes the entry of this VM.
 	Deregister(ctx context.Context, m Member) error
 }
@@ -79,6 +81,10 @@
 	WindowUsage() map[string]int64
 	// SetFleetShares receives the shares of the fleet and of plans that belong to the live VMs.
 	SetFleetShares(p admission.FleetShares)
+	// SetFormerStart receives what the registry tells of the process before.
+	SetFormerStart(f admission.FormerStart)
+	// StartMatters reports whether the next process on this VM has to know of the start of this one.
+	StartMatters() bool
 }
 
 // Documents holds the documents that VMs share. They are numbered from 0, the same on all VMs.
--- a/internal/statesync/retries_test.go
+++ b/internal/statesync/retries_test.go
@@ -139,3 +139,53 @@
 		t.Errorf("share %.2f after a restart, want a third", got)
 	}
 }
+
+// TestVMThatLeftIsNotListedAgain guards against a VM that counts as silent because it has kept its registry entry.
+func TestVMThatLeftIsNotListedAgain(t *testing.T) {
+	table := newMemberTable(member(1, 1, "a"))
+	leaving := member(2, 1, "a")
+	table.applyHeartbeat(start(), &heartbeat{From: leaving})
+	table.applyHeartbeat(start(), &heartbeat{From: leaving, Leaving: true})
+	if added, lost := table.addListed(start(), []Member{leaving}); len(added)+len(lost) > 0 {
+		t.Errorf("added %v, lost %v", added, lost)
+	}
+	if added, _ := table.addListed(start(), []Member{member(2, 2, "a")}); len(added) != 1 {
+		t.Error("its next process was not added")
+	}
+}
+
+// TestVMThatLeavesSoonAfterItsStartKeepsItsEntry guards against starts in a row of which the registry tells nothing.
+func TestVMThatLeavesSoonAfterItsStartKeepsItsEntry(t *testing.T) {
+	r := &withdrawals{}
+	for _, startMatters := range []bool{true, false} {
+		n := &leavingNode{node: newNode(), startMatters: startMatters}
+		self := member(1, 1, "a")
+		s := New(Options{
+			Self: self, Clock: clock.BootTime{}, Transport: peer.New(peer.Options{Self: self.VM}), Registry: r, Work: n, Plans: n, Documents: n,
+			Quarantine: newQuarantine(), Origins: newOrigins(), Log: zap.NewNop(),
+		})
+		r.n = 0
+		s.Leave(t.Context())
+		if withdrawn := r.n > 0; withdrawn == startMatters {
+			t.Errorf("start matters: %v, entry withdrawn: %v", startMatters, withdrawn)
+		}
+	}
+}
+
+type leavingNode struct {
+	*node
+	startMatters bool
+}
+
+func (n *leavingNode) StartMatters() bool { return n.startMatters }
+
+// withdrawals counts the entries that are withdrawn.
+type withdrawals struct {
+	Registry
+	n int
+}
+
+func (w *withdrawals) Deregister(context.Context, Member) error {
+	w.n++
+	return nil
+}
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -196,12 +196,17 @@
 	s.wg.Wait()
 }
 
-// Leave announces that this VM accepts no more calls, and withdraws its registry entry.
+// Leave announces that this VM accepts no more calls, and withdraws its registry entry unless the next process on this VM has to know of
+// the start of this one.
 func (s *Service) Leave(ctx context.Context) {
 	s.mu.Lock()
 	s.leaving = true
 	s.mu.Unlock()
 	s.sendHeartbeat()
+	if s.opts.Plans.StartMatters() {
+		s.opts.Log.Info("registry entry kept for the next process, as this one started lately")
+		return
+	}
 	if err := s.opts.Registry.Deregister(ctx, s.opts.Self); err != nil {
 		s.opts.Log.Warn("could not remove registry entry", zap.Error(err))
 	}
@@ -211,20 +216,26 @@
 // two VMs the later one finds the earlier one, which in turn learns of it from its heartbeat.
 func (s *Service) discover(ctx context.Context) {
 	registered, listed := false, false
+	var former admission.FormerStart
 	for {
 		wait := registryPeriod
 		if !registered {
-			err := s.opts.Registry.Register(ctx, s.opts.Self)
+			var err error
+			former, err = s.opts.Registry.Register(ctx, s.opts.Self)
 			if registered = err == nil; !registered {
 				s.opts.Log.Warn("could not register in the registry", zap.Error(err))
 				wait = registryRetryPause
 			}
 		}
-		if members, err := s.opts.Registry.Members(ctx, listed); err != nil {
+		if members, replaced, err := s.opts.Registry.Members(ctx, listed); err != nil {
 			s.opts.Log.Warn("could not list registry members", zap.Error(err))
 			wait = registryRetryPause
 		} else {
 			s.addMembers(members)
+			if registered && !listed {
+				former.OthersListed = replaced
+				s.setFormerStart(former)
+			}
 			listed = registered
 		}
 		select {
@@ -238,6 +249,13 @@
 	}
 }
 
+// setFormerStart passes on what the registry tells of the process before.
+func (s *Service) setFormerStart(f admission.FormerStart) {
+	s.opts.Log.Info("registered", zap.Bool("former_listed", f.Listed), zap.Bool("former_lost", f.Lost), zap.Duration("former_age", f.Age),
+		zap.Bool("others_listed", f.OthersListed))
+	s.opts.Plans.SetFormerStart(f)
+}
+
 // StoreRestored makes this VM register again, because the registry was restored from a backup.
 func (s *Service) StoreRestored() { notify.Signal(s.storeRestored) }
 
