dispatch: a failed call waits for retries that other VMs grant

A VM asks others for retries once a call has wanted one, and may ask again after 50 ms. A call that failed meanwhile got 502 at once, although other VMs had retries left and granted them a round trip later. Soon after a restart, when own parts are small, that met the first calls of each VM.

If it waits in vain no call of the service waits for 0.5 s, so that errors are not held back while the whole fleet has no retries.

--- a/internal/admission/grants.go
+++ b/internal/admission/grants.go
@@ -14,6 +14,8 @@
 	maxRetryRequest = 8
 	// retryRequestPeriod is the minimum time between two requests for a service.
 	retryRequestPeriod = 50 * time.Millisecond
+	// vainWaitPause is how long no call waits for grants after one has waited in vain.
+	vainWaitPause = 500 * time.Millisecond
 )
 
 // credit is a part of another VM's budget that this VM may use for a time. The other VM has counted it as used.
@@ -90,6 +92,17 @@
 	return out
 }
 
+// MayBorrow reports whether other VMs may grant retries soon. share is this VM's share of the fleet.
+func (r *Retries) MayBorrow(now clock.Instant, service string, share float64) bool {
+	w := r.window(now, service)
+	return r.budget.enabled() && share < 1 && (w.vainWaitAt == 0 || now.Sub(w.vainWaitAt) >= vainWaitPause)
+}
+
+// RecordVainWait records that a call has waited for grants in vain.
+func (r *Retries) RecordVainWait(now clock.Instant, service string) {
+	r.window(now, service).vainWaitAt = now
+}
+
 // Want counts a retry that was not tried because the budget had no capacity for it, unless one was wanted lately.
 func (r *Retries) Want(now clock.Instant, service string) {
 	if w := r.window(now, service); w.wanted() == 0 {
--- a/internal/admission/retries.go
+++ b/internal/admission/retries.go
@@ -62,6 +62,8 @@
 	returned int
 	credits  []credit
 	askedAt  clock.Instant
+	// vainWaitAt is when a call last waited for grants in vain, 0 for never.
+	vainWaitAt clock.Instant
 	// held is the number of prefills under way, prefillCountedAt when one was last counted as a retry, 0 for never.
 	held             int
 	prefillCountedAt clock.Instant
--- a/internal/admission/retrycontrol.go
+++ b/internal/admission/retrycontrol.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// MayBorrow reports whether other VMs may grant retries of calls to a service soon.
+func (c *Controller) MayBorrow(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retries.MayBorrow(c.clock.Now(), service, c.slackShare)
+}
+
+// RecordVainWait records that a call has waited for such retries in vain.
+func (c *Controller) RecordVainWait(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retries.RecordVainWait(c.clock.Now(), service)
+}
+
 // RetriesShort returns a channel that signals that TakeRetryNeeds has something to ask for.
 func (c *Controller) RetriesShort() <-chan struct{} { return c.retriesShort }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -238,9 +238,9 @@
 }
 
 // consumeRetryBudget deducts one retry from the service's retry budget. It reserves no budget for
-// other uses and returns false only if the budget is exhausted.
-func (f *inflightCall) consumeRetryBudget(why string) bool {
-	ok := f.retryAt != 0 || f.spendRetry() // a retry that was deducted and not sent is still there
+// other uses and returns false only if the budget is exhausted and other VMs grant nothing soon.
+func (f *inflightCall) consumeRetryBudget(ctx context.Context, why string) bool {
+	ok := f.retryAt != 0 || f.spendRetry() || f.awaitRetry(ctx) // a retry that was deducted and not sent is still there
 	f.budgetUsedUp = !ok
 	left := f.dispatcher.opts.Admission.RetryState(f.call.Service.Name)
 	f.log.Info("another send", zap.String("why", why), zap.Bool("allowed", ok), zap.Int("sends", f.sends), zap.Int("runs", f.runs),
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -104,7 +104,7 @@
 		g.log.Info("another prefill", zap.Error(err), zap.Int("prefills", g.prefills))
 		return true
 	}
-	return g.consumeRetryBudget(err.Error())
+	return g.consumeRetryBudget(ctx, err.Error())
 }
 
 // connected reports whether a send with the given result got as far as a connection to its engine, or was held back
@@ -310,13 +310,14 @@
 		if n >= maxDecodes || wait <= 0 {
 			return false, err
 		}
-		if backend.MayHaveArrived(err) && !g.consumeRetryBudget("decode rejected") {
+		until := g.elapsed() + wait
+		if backend.MayHaveArrived(err) && !g.consumeRetryBudget(ctx, "decode rejected") {
 			return false, &attemptError{err: err, final: true}
 		}
 		request := g.newPlacementRequest(traffic.Decode, h.Endpoint.DataCentre, rejectedBy)
 		request.Version = &h.Endpoint.SoftwareVersion
 		request.SkipQueue = true
-		next, placeErr := g.place(ctx, request, g.elapsed()+wait)
+		next, placeErr := g.place(ctx, request, until)
 		if placeErr != nil {
 			return false, err
 		}
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -99,9 +99,9 @@
 	case err != nil && !backend.MayHaveArrived(err):
 		return true
 	case err != nil && backend.WasRejected(err):
-		return f.consumeRetryBudget("rejected")
+		return f.consumeRetryBudget(ctx, "rejected")
 	default:
-		return r.Retryable() && f.runs < max(1, r.MaxAttempts) && f.consumeRetryBudget("failed")
+		return r.Retryable() && f.runs < max(1, r.MaxAttempts) && f.consumeRetryBudget(ctx, "failed")
 	}
 }
 
