--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -240,11 +240,12 @@
 // consumeRetryBudget deducts one retry from the service's retry budget. It reserves no budget for
 // other uses and returns false only if the budget is exhausted and other VMs grant nothing soon.
 func (f *inflightCall) consumeRetryBudget(ctx context.Context, why string) bool {
+	began := f.dispatcher.opts.Clock.Now()
 	ok := f.retryAt != 0 || f.spendRetry() || f.awaitRetry(ctx) // a retry that was deducted and not sent is still there
 	f.budgetUsedUp = !ok
 	left := f.dispatcher.opts.Admission.RetryState(f.call.Service.Name)
-	f.log.Info("another send", zap.String("why", why), zap.Bool("allowed", ok), zap.Int("sends", f.sends), zap.Int("runs", f.runs),
-		zap.Float64("own_left", left.Own), zap.Float64("borrowed", left.Borrowed), zap.Float64("window_calls", left.Calls),
+	f.log.Info("another send", zap.String("why", why), zap.Bool("allowed", ok), zap.Duration("waited", f.dispatcher.opts.Clock.Now().Sub(began)),
+		zap.Int("sends", f.sends), zap.Int("runs", f.runs), zap.Float64("own_left", left.Own), zap.Float64("borrowed", left.Borrowed), zap.Float64("window_calls", left.Calls),
 		zap.Float64("window_retries", left.Retries), zap.Float64("slack_share", left.Share))
 	return ok
 }
--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -204,7 +204,7 @@
 	s.mu.Unlock()
 	s.sendHeartbeat()
 	if s.opts.Plans.StartMatters() {
-		s.opts.Log.Info("registry entry kept for the next process, as this one started lately")
+		s.opts.Log.Info("registry entry kept")
 		return
 	}
 	if err := s.opts.Registry.Deregister(ctx, s.opts.Self); err != nil {
