--- a/internal/admission/retrycontrol.go
+++ b/internal/admission/retrycontrol.go
@@ -12,6 +12,20 @@
 	c.retries.firstStart = true
 }
 
+// SetFormerStart states what the registry tells of the process that ran on this VM before; see Retries.SetFormerStart.
+func (c *Controller) SetFormerStart(f FormerStart) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retries.SetFormerStart(f)
+}
+
+// StartMatters reports whether this process started so lately that the next one on this VM has to know of it.
+func (c *Controller) StartMatters() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock.Now().Sub(c.retries.startedAt) < c.retries.budget.startMemory()
+}
+
 // CountCall counts a caller's call to a service.
 func (c *Controller) CountCall(service string) {
 	c.mu.Lock()
@@ -56,6 +70,20 @@
 	}
 }
 
+// MayBorrow reports whether other VMs may grant retries of calls to a service soon.
+func (c *Controller) MayBorrow(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retries.MayBorrow(c.clock.Now(), service, c.slackShare)
+}
+
+// RecordVainWait records that a call has waited for such retries in vain.
+func (c *Controller) RecordVainWait(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retries.RecordVainWait(c.clock.Now(), service)
+}
+
 // RetriesShort returns a channel that signals that TakeRetryNeeds has something to ask for.
 func (c *Controller) RetriesShort() <-chan struct{} { return c.retriesShort }
 
