activeconfig: a late table of a restored store is judged by when it was read

After the store was restored from a backup, a VM does not use endpoints of the backup that it did not know, until their entries must have expired. Whether that time had passed was judged by when a table arrived. A table that another VM had read before, with the entry of the backup, was taken whole if it arrived later. It is now judged by when the store is known to have held the table.

--- a/internal/activeconfig/restore.go
+++ b/internal/activeconfig/restore.go
@@ -49,11 +49,11 @@
 	return r
 }
 
-// confirmed returns the endpoints of a list that may be used.
-func (r *restoredStore) confirmed(now clock.Instant, list []traffic.Endpoint) []traffic.Endpoint {
+// confirmed returns the endpoints of a list that may be used. The store is known to have held the list at asOf; another VM may pass it on long after.
+func (r *restoredStore) confirmed(asOf clock.Instant, list []traffic.Endpoint) []traffic.Endpoint {
 	out := make([]traffic.Endpoint, 0, len(list))
 	for _, e := range list {
-		if r.known[e.ID] || e.Version > r.version && !e.Retained || !now.Before(r.confirmedAt) {
+		if r.known[e.ID] || e.Version > r.version && !e.Retained || !asOf.Before(r.confirmedAt) {
 			r.known[e.ID] = true
 			out = append(out, e)
 		}
--- a/internal/activeconfig/restore_test.go
+++ b/internal/activeconfig/restore_test.go
@@ -63,6 +63,23 @@
 	}
 }
 
+// TestLateTableOfRestoredStore guards against endpoints that are gone and are used again, because a table with the entry of the backup arrives
+// after that has expired in the store.
+func TestLateTableOfRestoredStore(t *testing.T) {
+	c := &fakeClock{now: clock.Instant(time.Hour)}
+	st, last := newTestState(c)
+	st.ApplyEndpoints(inEra(1, table(90, "a")), c.now, "store")
+	st.ApplyEndpoints(inEra(2, table(40, "a", "gone")), c.now, "store")
+	readAt := c.now.Add(time.Second)
+	c.now = c.now.Add(time.Hour)
+	late := inEra(2, table(41, "a", "gone"))
+	late.List[1].Version = 40
+	st.ApplyEndpoints(late, readAt, "vm")
+	if got := names(last); got != "a" {
+		t.Errorf("endpoints %s, want a", got)
+	}
+}
+
 // TestConfigurationOfRestoredStore checks that the newest configuration stays in force until
 // operators write it again, and that the rewritten one replaces it also with other contents.
 func TestConfigurationOfRestoredStore(t *testing.T) {
--- a/internal/activeconfig/state.go
+++ b/internal/activeconfig/state.go
@@ -164,7 +164,7 @@
 		e.List = withoutUnknownRetained(e.List, s.endpoints.List)
 	}
 	if s.restored != nil {
-		e.List = s.restored.confirmed(now, e.List)
+		e.List = s.restored.confirmed(asOf, e.List)
 	}
 	keepLeaving(e.List, s.endpoints.List)
 	s.evacuations.merge(now, asOf, &e, !s.hasTable, from)
