activeconfig: an endpoint that has gone since a restore is not used again

After the store was restored from a backup, a VM uses entries of the backup of those endpoints only that it knew. It knew an endpoint for good: one that the table of another VM showed to be gone later was used again at the next read of the store, which still listed the entry of the backup. Now it knows the endpoints of the table in force. One that has written its entry again is used as before.

--- a/internal/activeconfig/restore.go
+++ b/internal/activeconfig/restore.go
@@ -12,7 +12,7 @@
 // restoredStore selects the endpoints to use from the tables of a store that was restored from a
 // backup, by what was known before: the backup may list endpoints that are gone.
 type restoredStore struct {
-	// known holds the endpoints of the last table before.
+	// known holds the endpoints of the table in force.
 	known map[traffic.EndpointID]bool
 	// version is the store's version when this VM learned of the restoration. Entries up to it may be
 	// those of the backup. An endpoint that was not known before is used once it has written its
@@ -42,11 +42,17 @@
 }
 
 func newRestoredStore(previous []traffic.Endpoint, version uint64, confirmedAt clock.Instant) *restoredStore {
-	r := &restoredStore{known: map[traffic.EndpointID]bool{}, version: version, confirmedAt: confirmedAt}
-	for _, e := range previous {
+	r := &restoredStore{version: version, confirmedAt: confirmedAt}
+	r.setKnown(previous)
+	return r
+}
+
+// setKnown records the endpoints of the table in force. One that is no longer in it is gone, although the backup may list it.
+func (r *restoredStore) setKnown(list []traffic.Endpoint) {
+	r.known = make(map[traffic.EndpointID]bool, len(list))
+	for _, e := range list {
 		r.known[e.ID] = true
 	}
-	return r
 }
 
 // confirmed returns the endpoints of a list that may be used. The store is known to have held the list at asOf; another VM may pass it on long after.
@@ -54,7 +60,6 @@
 	out := make([]traffic.Endpoint, 0, len(list))
 	for _, e := range list {
 		if r.known[e.ID] || e.Version > r.version && !e.Retained || !asOf.Before(r.confirmedAt) {
-			r.known[e.ID] = true
 			out = append(out, e)
 		}
 	}
--- a/internal/activeconfig/restore_test.go
+++ b/internal/activeconfig/restore_test.go
@@ -80,6 +80,30 @@
 	}
 }
 
+// TestEndpointThatIsGoneAfterRestoreIsNotUsedAgain guards against an endpoint of the backup that is used again because it was known when the store was
+// restored, although another VM's table has shown since that it is gone.
+func TestEndpointThatIsGoneAfterRestoreIsNotUsedAgain(t *testing.T) {
+	c := &fakeClock{now: clock.Instant(time.Hour)}
+	st, last := newTestState(c)
+	st.ApplyEndpoints(inEra(1, table(90, "a", "b")), c.now, "store")
+	st.ApplyEndpoints(inEra(2, table(40, "a", "b")), c.now, "store")
+	c.now = c.now.Add(testReregisterTime)
+	st.ApplyEndpoints(inEra(2, table(41, "a")), c.now, "vm")
+	if got := names(last); got != "a" {
+		t.Fatalf("endpoints %s, want a", got)
+	}
+	backup := inEra(2, table(42, "a", "b"))
+	backup.List[1].Version = 40
+	st.ApplyEndpoints(backup, c.now, "store")
+	if got := names(last); got != "a" {
+		t.Errorf("endpoints %s, want a", got)
+	}
+	st.ApplyEndpoints(inEra(2, table(43, "a", "b")), c.now, "store")
+	if got := names(last); got != "ab" {
+		t.Errorf("endpoints %s after b has written its entry again, want ab", got)
+	}
+}
+
 // TestConfigurationOfRestoredStore checks that the newest configuration stays in force until
 // operators write it again, and that the rewritten one replaces it also with other contents.
 func TestConfigurationOfRestoredStore(t *testing.T) {
--- a/internal/activeconfig/state.go
+++ b/internal/activeconfig/state.go
@@ -267,6 +267,9 @@
 	s.logChanges(e, from)
 	s.logEvacuations(&e, from)
 	s.endpoints, s.hasTable = e, true
+	if s.restored != nil {
+		s.restored.setKnown(e.List)
+	}
 	s.encoded[DocumentEndpoints] = encodedDocument{} // evacuations may change without the version
 	s.opts.OnChange(s.config.Load(), e)
 }
