--- a/internal/activeconfig/state.go
+++ b/internal/activeconfig/state.go
@@ -164,7 +164,7 @@
 		e.List = withoutUnknownRetained(e.List, s.endpoints.List)
 	}
 	if s.restored != nil {
-		e.List = s.restored.confirmed(now, e.List)
+		e.List = s.restored.confirmed(asOf, e.List)
 	}
 	keepLeaving(e.List, s.endpoints.List)
 	s.evacuations.merge(now, asOf, &e, !s.hasTable, from)
@@ -267,6 +267,9 @@
 	s.logChanges(e, from)
 	s.logEvacuations(&e, from)
 	s.endpoints, s.hasTable = e, true
+	if s.restored != nil {
+		s.restored.setKnown(e.List)
+	}
 	s.encoded[DocumentEndpoints] = encodedDocument{} // evacuations may change without the version
 	s.opts.OnChange(s.config.Load(), e)
 }
