connpool: kept connections serve the start of an endpoint they were opened for

Callers got streams joined from two versions, and cut responses that looked whole, if a former process of an engine went on serving the connections that it had accepted while the next one, under the same id and address, was listed and accepted new ones.

Cause: kept connections were found by address and id. One that the former process serves was used for requests to the next one, and an answer of the next one on a younger connection confirmed it.

Change: the target of a connection names the start time of the entry for which it was opened. Connections that are opened after the entry of the next process is known do not reach the former one, unless both accept connections on one address, which remains open (docs/design/endpoint-assumptions.md).

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -32,10 +32,12 @@
 )
 
 // Target identifies the endpoint of a connection. Instance distinguishes endpoints that use the
-// same address one after the other.
+// same address one after the other, StartedAt the starts of one, 0 if they are not known: a former process may serve the
+// connections that it accepted while the next one is listed.
 type Target struct {
-	Address  netip.AddrPort
-	Instance string
+	Address   netip.AddrPort
+	Instance  string
+	StartedAt int64
 }
 
 // Request is a request as written to the connection.
