connpool: targets without the start time again

The question on each connection before its first generation mends the three cases of without it, so that no test needs the start time in the target.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -33,12 +33,10 @@
 )
 
 // Target identifies the endpoint of a connection. Instance distinguishes endpoints that use the
-// same address one after the other, StartedAt the starts of one, 0 if they are not known: a former process may serve the
-// connections that it accepted while the next one is listed.
+// same address one after the other.
 type Target struct {
-	Address   netip.AddrPort
-	Instance  string
-	StartedAt int64
+	Address  netip.AddrPort
+	Instance string
 }
 
 // Request is a request as written to the connection.
