--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -36,13 +36,15 @@
 	br        *bufio.Reader
 	opened    time.Time
 	idleUntil time.Time
-	// lifetime is that of the endpoint to which the connection leads, 0 if it is not known.
+	// lifetime is that of the endpoint to which the connection leads, 0 if it is not known, UnnamedLifetime if it did not say.
 	lifetime int64
 	// checkedAt is when it was last checked whether the connection can be used again.
 	checkedAt time.Time
 	// requests is the number of requests that the connection has carried, lastID the id of the last one.
 	requests int
 	lastID   string
+	// questions is the number of these that were questions and answered with 200.
+	questions int
 	// unnamed is the number of responses that did not name the request that they were read for. The connection is not
 	// used again after one.
 	unnamed int
@@ -209,8 +211,9 @@
 }
 
 // answers reports whether a response is the one to the request that has been sent last. Without an id it may be
-// additional bytes that follow the response to an earlier request, so only the first request of a connection takes it.
-func (c *conn) answers(r *Request, resp http.Header) bool {
+// additional bytes that follow the response to an earlier request, so only the first request of a connection takes it. After
+// questions that were answered with 200 that holds for other responses: additional bytes would be a copy of an answer.
+func (c *conn) answers(r *Request, status int, resp http.Header) bool {
 	id := r.id()
 	if id == "" {
 		return r.IDHeader == "" || resp.Get(r.IDHeader) == ""
@@ -220,7 +223,7 @@
 		return true
 	case "":
 		c.unnamed++
-		return c.requests == 1
+		return c.requests == 1 || c.requests == 1+c.questions && status >= http.StatusMultipleChoices
 	}
 	c.unnamed++
 	return false
@@ -240,7 +243,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if c.answers(r, resp.Header) {
+		if c.answers(r, resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
 		if resp.Close {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -127,7 +127,7 @@
 var errSpent = fmt.Errorf("%w: a question on it has failed", errNotSent)
 
 // maxSpent is the number of new connections that questions may use up before a request is sent.
-const maxSpent = 1
+const maxSpent = 2
 
 // Do sends a request and returns the response once its header has been read. If a reused connection takes no byte of the
 // request, it is sent on a new one. Errors are of type *Error.
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -34,7 +34,9 @@
 	Length int64
 	// Delimited is set if the endpoint marked the end of the body, or the other VM has checked it.
 	Delimited bool
-	Body      io.ReadCloser
+	// Lifetime is that of the endpoint to which the connection of the other VM leads, 0 if it is not known.
+	Lifetime int64
+	Body     io.ReadCloser
 }
 
 // Do sends a request to an endpoint through a VM and returns the response once its header has arrived. Errors are of
@@ -60,7 +62,7 @@
 			end := connpool.End{SentAt: sentAt, Status: out.Status, Header: out.Header}
 			body.Reader = connpool.NewEndCheckedReader(ctx, body.Reader, end, r.CheckEnd)
 		}
-		return &Response{Status: out.Status, Header: out.Header, Length: out.Length, Delimited: out.Delimited, Body: body}, nil
+		return &Response{Status: out.Status, Header: out.Header, Length: out.Length, Delimited: out.Delimited, Lifetime: out.Lifetime, Body: body}, nil
 	}
 	stop()
 	_ = nc.Close()
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -151,7 +151,7 @@
 	defer func() { _ = resp.Close() }()
 	// The end of a body that was checked is marked by endOfBody or brokenBody, also for VMs that do not check it.
 	delimited := resp.Delimited || resp.EndChecked
-	if !s.reply(nc, from, &outcome{Status: resp.Status, Header: resp.Header, Length: resp.Length, Delimited: delimited}) {
+	if !s.reply(nc, from, &outcome{Status: resp.Status, Header: resp.Header, Length: resp.Length, Delimited: delimited, Lifetime: resp.Lifetime}) {
 		return
 	}
 	if err := writeBody(nc, resp); err != nil {
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -68,6 +68,8 @@
 	Length int64
 	// Delimited is set if the endpoint marks the end of the body, or if this VM checks the end.
 	Delimited bool
+	// Lifetime is that of the endpoint to which the connection of this VM leads, 0 if it is not known, or from a VM of a former build.
+	Lifetime int64
 }
 
 // statusHeldBack says that a request was held back, which says nothing about the path to the endpoint.
--- a/internal/lifetime/lifetime.go
+++ b/internal/lifetime/lifetime.go
@@ -36,7 +36,7 @@
 	// minPause is the time between two questions to an endpoint. It doubles with each question without an answer, maxDoublings times
 	// at most.
 	minPause     = 200 * time.Millisecond
-	maxDoublings = 7
+	maxDoublings = 3
 	// limitedPause is the time between two questions to an endpoint that limits its requests.
 	limitedPause = 4 * time.Second
 	// maxEndpoints is the number of endpoints from which on reports that are not needed any more are removed.
@@ -49,13 +49,16 @@
 type Said struct {
 	// ConfirmedAt is when the last connection was opened on which it named the start time of its entry.
 	ConfirmedAt time.Time
-	// other is set once it answered with another one, otherStart that one if it is known, and otherSince when that was first received.
-	other      bool
-	otherStart *int64
-	otherSince time.Time
+	// otherOpened is when the last connection was opened on which it answered with another one, otherStart that one if it is known, and
+	// otherSince when that was first received.
+	otherOpened time.Time
+	otherStart  *int64
+	otherSince  time.Time
 	// askedAt is when it was last asked, unanswered the number of questions without an answer since the last one.
 	askedAt    time.Time
 	unanswered int
+	// silentAt is when the last question counted as unanswered.
+	silentAt time.Time
 	// limited is set while it names a limit of requests, pausedUntil is until when it wants none.
 	limited     bool
 	pausedUntil time.Time
@@ -68,7 +71,7 @@
 	switch {
 	case s.ConfirmedAt.After(opened):
 		return backend.LifetimeReported
-	case s.other:
+	case s.otherOpened.After(opened):
 		return backend.LifetimeOther
 	case !listed && s.unanswered > 0:
 		return backend.LifetimeGone
@@ -142,17 +145,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.of[id]
+	sinceSilent := report.ReceivedAt.Sub(s.silentAt)
 	s.askedAt = later(s.askedAt, report.ReceivedAt)
 	switch report.Answer {
 	case Same:
 		s.unanswered, s.ConfirmedAt = 0, later(s.ConfirmedAt, report.Opened)
 	case Other:
-		s.unanswered, s.other = 0, true
+		s.unanswered, s.otherOpened = 0, later(s.otherOpened, report.Opened)
 		if report.StartedAt != nil && (s.otherStart == nil || *s.otherStart != *report.StartedAt) {
 			s.otherStart, s.otherSince = report.StartedAt, report.ReceivedAt
 		}
 	case None:
-		s.unanswered++
+		if s.unanswered == 0 || sinceSilent >= s.pause() { // questions at the same time count once
+			s.unanswered++
+			s.silentAt = report.ReceivedAt
+		}
 	}
 	r.put(id, s, report.ReceivedAt)
 }
