origin: a dropped unsettled record makes the only version undecided

A stream that began at a version which is not listed went on at the only one that is, if the VM had no room for its record (65,536 of them): a missing record counted as one of the only version. For as long as such a record would have been needed, streams without a record are refused at that VM.

--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -46,7 +46,7 @@
 	// maxLeft bounds the time for which a record is kept.
 	maxLeft = 15 * time.Minute
 	// maxRecords is the maximum number of records on a VM. Further ones are dropped, so that their streams do not continue
-	// while a service has several versions.
+	// while a service has several versions, or if one of them was unsettled.
 	maxRecords = 1 << 16
 	// sweepPeriod is the time between removals of the records that are not needed any more.
 	sweepPeriod = 15 * time.Second
@@ -90,6 +90,8 @@
 	// origin cannot be known, as the VM that told them may be lost before the recorder has them.
 	reported map[Key]struct{}
 	sweepAt  clock.Instant
+	// lackingUntil is when the last unsettled record is not needed any more for which there was no room.
+	lackingUntil clock.Instant
 }
 
 // add stores a record and reports whether there was room for it. A stream has one origin, so a record of it is not
@@ -136,7 +138,11 @@
 
 // addUnsettled stores that the origin of a stream is not settled, unless it is known, and reports whether it is stored.
 func (r *records) addUnsettled(now clock.Instant, rec Record, id traffic.EndpointID, open *openOrigin) bool {
-	if _, known := r.entries[rec.Key]; known || !r.add(now, rec, open != nil) {
+	if _, known := r.entries[rec.Key]; known {
+		return false
+	}
+	if !r.add(now, rec, open != nil) {
+		r.lackingUntil = max(r.lackingUntil, now.Add(min(rec.Left, maxLeft)))
 		return false
 	}
 	e := r.entries[rec.Key]
--- a/internal/origin/storeaway.go
+++ b/internal/origin/storeaway.go
@@ -73,7 +73,8 @@
 	c.CheckStore()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.absence.trustsVersions(c.opts.Clock.Now())
+	now := c.opts.Clock.Now()
+	return c.absence.trustsVersions(now) && now >= c.records.lackingUntil
 }
 
 // followsFromVersions reports whether other VMs know where streams of an origin began without being told. c.mu must be held.
