--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -9,17 +9,29 @@
 	"io"
 )
 
+// Sender is what is known of the process that sent a response.
+type Sender struct {
+	// StartedAt is the start time that it named on the connection of the response, 0 if it named none.
+	StartedAt int64
+	// EntryStartedAt is the start time of the endpoint's entry, 0 if that names none. The entry may be of another process.
+	EntryStartedAt int64
+}
+
 // Observation is what an endpoint answered to a question that was sent after the end of a response.
 type Observation struct {
 	// Answered is set if there was an answer, Misdirected if that came from another instance than the expected one.
 	Answered, Misdirected bool
 	// Failed is set if the endpoint refused or failed the question, so that a start time may be missing that it has.
 	Failed bool
-	// SameProcess is set if the answer came on a connection that was open before the request of the response was sent. The process
-	// that answered the request had accepted that connection as well.
+	// SameProcess is set if the connection of the answer is known to lead to the process that sent the response.
 	SameProcess bool
-	// StartedAt is the start time that the answer names, nil if it names none.
+	// Later is set if the connection of the answer was opened after that of the response. An older one may lead to a former process that
+	// still serves it.
+	Later bool
+	// StartedAt is the start time that the answer names, nil if it names none. Accepted is set if that process is known to have accepted
+	// connections before that of the response was opened.
 	StartedAt *int64
+	Accepted  bool
 	// Refused is set if the endpoint's address refused a connection.
 	Refused bool
 }
@@ -31,7 +43,7 @@
 const (
 	// Outlived means that the process that sent the response lived beyond its end.
 	Outlived Evidence = "outlived"
-	// SameInstance means that a process of the same instance, which names no start time, answered after the end.
+	// SameInstance means that a process of the same instance, whose entry names no start time either, answered after the end.
 	SameInstance Evidence = "same_instance"
 	// Replaced means that another process answered, Refused that the address refuses connections.
 	Replaced Evidence = "replaced"
@@ -42,9 +54,8 @@
 	Unknown Evidence = "unknown"
 )
 
-// Judge returns the evidence of an observation. startedAt is the start time of the endpoint that the request was sent to, as it
-// was known before.
-func Judge(o Observation, startedAt int64) Evidence {
+// Judge returns the evidence of an observation.
+func Judge(o Observation, sender Sender) Evidence {
 	switch {
 	case o.Refused:
 		return Refused
@@ -54,11 +65,22 @@
 		return Replaced
 	case o.SameProcess:
 		return Outlived
-	case o.StartedAt == nil && o.Failed:
-		return Unknown
+	case o.StartedAt == nil && (o.Failed || sender.EntryStartedAt != 0):
+		return Unknown // the process would have named its start time
 	case o.StartedAt == nil:
 		return SameInstance
-	case *o.StartedAt == startedAt:
+	}
+	return o.judgeNamed(sender)
+}
+
+// judgeNamed returns the evidence of an answer that names a start time.
+func (o *Observation) judgeNamed(sender Sender) Evidence {
+	switch {
+	case sender.StartedAt != 0 && *o.StartedAt == sender.StartedAt:
+		return Outlived
+	case !o.Later:
+		return Unknown
+	case sender.StartedAt == 0 && (*o.StartedAt == sender.EntryStartedAt || o.Accepted):
 		return Outlived
 	}
 	return Replaced
