statesync: a stop waits for the queues that a message of Leave starts

Cause, from the detector's trace: Leave sends its heartbeat beside the rest of the stop. If ctx ends after sendTo has looked at it and before the queue of a message is started, Run waits for its goroutines while one is added, and may return before it. Run takes the lock, under which sendTo looks and starts, after the end of ctx and before it waits.

No test shows it: 200 stops beside Leave in each of six runs, with and without the change, passed.

--- a/internal/statesync/service.go
+++ b/internal/statesync/service.go
@@ -193,6 +193,9 @@
 	s.wg.Go(func() { s.adoptOrigins(ctx) })
 	s.wg.Go(func() { s.borrowRetries(ctx) })
 	s.heartbeatLoop(ctx)
+	s.mu.Lock()
+	s.leaving = true // what has seen ctx before its end, as a message of Leave, has started its goroutines by now
+	s.mu.Unlock()
 	s.wg.Wait()
 }
 
