--- a/internal/dispatch/lifetime_test.go
+++ b/internal/dispatch/lifetime_test.go
@@ -38,7 +38,7 @@
 		goesOn  bool
 	}{
 		{"known before it is sought", backend.LifetimeReported, 0, true},
-		{"listed after a while", backend.LifetimeReported, 5, true},
+		{"reported after a while", backend.LifetimeReported, 5, true},
 		{"reported after a while", backend.LifetimeReported, 5, true},
 		{"gone", backend.LifetimeGone, 1, false},
 		{"started again", backend.LifetimeOther, 1, false},
--- a/internal/origin/unsettled_test.go
+++ b/internal/origin/unsettled_test.go
@@ -42,11 +42,11 @@
 		outcome backend.LifetimeOutcome
 		source  Source
 	}{
-		{"one version, listed", []string{"v1"}, backend.LifetimeReported, FromRecord},
+		{"one version, reported", []string{"v1"}, backend.LifetimeReported, FromRecord},
 		{"one version, reported", []string{"v1"}, backend.LifetimeReported, FromRecord},
 		{"one version, open", []string{"v1"}, backend.LifetimeOpen, Unknown},
 		{"one version, gone", []string{"v1"}, backend.LifetimeGone, Unknown},
-		{"two versions, listed", []string{"v1", "v2"}, backend.LifetimeReported, FromRecord},
+		{"two versions, reported", []string{"v1", "v2"}, backend.LifetimeReported, FromRecord},
 		{"two versions, other", []string{"v1", "v2"}, backend.LifetimeOther, Unknown},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -159,7 +159,7 @@
 		outcome backend.LifetimeOutcome
 		source  Source
 	}{
-		{"listed since", engine.ID, backend.LifetimeReported, FromRecord},
+		{"reported since", engine.ID, backend.LifetimeReported, FromRecord},
 		{"gone since", engine.ID, backend.LifetimeGone, Unknown},
 		{"not found in time", engine.ID, backend.LifetimeOpen, Unknown},
 		{"back under its id", traffic.EndpointID{Name: "v1", StartedAt: 1}, backend.LifetimeReported, Unknown},
